--- /dev/null
+++ b/crates/jm-bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! Benchmarks and capacity measurements.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/crates/jm-control/src/lib.rs
@@ -0,0 +1,3 @@
+//! The control daemon.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/crates/jm-dispatch/src/lib.rs
@@ -0,0 +1,3 @@
+//! The dispatch daemon.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/crates/jm-entry/src/lib.rs
@@ -0,0 +1,3 @@
+//! The entry daemon.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/crates/jm-lease/src/lib.rs
@@ -0,0 +1,3 @@
+//! Leases with fencing numbers and guarded writes.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/crates/jm-order/src/lib.rs
@@ -0,0 +1,3 @@
+//! Tickets and outcomes of requests that must not be repeated.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/crates/jm-route/src/lib.rs
@@ -0,0 +1,3 @@
+//! Routing decisions: ownership, target choice, windows, fair queue, retry budget.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/crates/jm-step/src/lib.rs
@@ -0,0 +1,3 @@
+//! Step assembly for trainers.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/crates/jm-types/src/lib.rs
@@ -0,0 +1,23 @@
+//! Shared vocabulary of the jacinthmoor crates: ids, numbers with units, result codes, log events and clocks.
+//!
+//! The glossary in `docs/glossary.md` relates these names to the words that users have for them.
+
+#![deny(missing_docs, unsafe_code)]
+
+mod clock;
+mod code;
+mod event;
+mod id;
+mod number;
+
+pub use clock::{Clock, ManualClock, SystemClock};
+pub use code::{Execution, ParseCodeError, ResultCode};
+pub use event::LogEvent;
+pub use id::{
+    KeyId, MAX_ID_BYTES, MemberId, ModelId, OrganisationId, ParseIdError, RegionId, ServiceId, StepId,
+    TargetId, ZoneId,
+};
+pub use number::{
+    AttemptId, ByteSize, DurationMs, FencingNumber, Incarnation, ParseNumberError, Rate, RequestId, Revision,
+    Sequence, Share, SlotIndex, Timestamp, TokenCount, WeightVersion,
+};
--- /dev/null
+++ b/crates/jm-types/src/number.rs
@@ -0,0 +1,257 @@
+//! Number newtypes. Each carries its unit in its type, parses from text and prints with its unit.
+
+use std::{fmt, num::ParseIntError, str::FromStr};
+
+use serde::{Deserialize, Serialize};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+/// The text is not a number of the expected kind.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum ParseNumberError {
+    /// The digits cannot be read or exceed 64 bits.
+    #[snafu(display("{text:?} is not a whole number: {source}"))]
+    Digits {
+        /// The text that was read.
+        text: String,
+        /// Why the digits were refused.
+        source: ParseIntError,
+    },
+    /// The unit is missing or unknown.
+    #[snafu(display("{text:?} needs a number followed by one of: {allowed}"))]
+    Unit {
+        /// The text that was read.
+        text: String,
+        /// The accepted units.
+        allowed: &'static str,
+    },
+    /// The value times its unit exceeds 64 bits.
+    #[snafu(display("{text:?} is too large"))]
+    TooLarge {
+        /// The text that was read.
+        text: String,
+    },
+    /// The text is not a finite number of at least zero.
+    #[snafu(display("{text:?} is not a number of at least zero"))]
+    Fraction {
+        /// The text that was read.
+        text: String,
+    },
+}
+
+fn parse_digits(digits: &str, text: &str) -> Result<u64, ParseNumberError> {
+    digits.parse().context(DigitsSnafu { text })
+}
+
+macro_rules! number {
+    ($(#[$doc:meta] $name:ident),+ $(,)?) => {$(
+        #[$doc]
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(u64);
+
+        impl $name {
+            /// Wraps a plain number.
+            pub const fn new(value: u64) -> Self {
+                Self(value)
+            }
+
+            /// The plain number.
+            pub const fn get(self) -> u64 {
+                self.0
+            }
+
+            /// The number that follows, saturating at the largest one.
+            pub const fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+
+            /// The sum, saturating at the largest number.
+            pub const fn saturating_add(self, other: Self) -> Self {
+                Self(self.0.saturating_add(other.0))
+            }
+
+            /// The difference, or zero when `other` is larger.
+            pub const fn saturating_sub(self, other: Self) -> Self {
+                Self(self.0.saturating_sub(other.0))
+            }
+        }
+
+        impl From<u64> for $name {
+            fn from(value: u64) -> Self {
+                Self(value)
+            }
+        }
+    )+};
+}
+
+macro_rules! plain_text {
+    ($($name:ident),+ $(,)?) => {$(
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseNumberError;
+
+            fn from_str(text: &str) -> Result<Self, ParseNumberError> {
+                parse_digits(text, text).map(Self)
+            }
+        }
+    )+};
+}
+
+macro_rules! unit_text {
+    ($name:ident, $allowed:literal, [$(($unit:literal, $factor:literal)),+ $(,)?]) => {
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                const UNITS: &[(&str, u64)] = &[$(($unit, $factor)),+];
+                let (unit, factor) = UNITS
+                    .iter()
+                    .rev()
+                    .find(|(_, factor)| self.0 != 0 && self.0.is_multiple_of(*factor))
+                    .unwrap_or(&UNITS[0]);
+                write!(f, "{}{unit}", self.0 / factor)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseNumberError;
+
+            fn from_str(text: &str) -> Result<Self, ParseNumberError> {
+                let split = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+                let (digits, unit) = text.split_at(split);
+                let factor = match unit.trim() {
+                    $($unit => $factor,)+
+                    _ => return UnitSnafu { text, allowed: $allowed }.fail(),
+                };
+                let value = parse_digits(digits, text)?;
+                value.checked_mul(factor).map(Self).context(TooLargeSnafu { text })
+            }
+        }
+    };
+}
+
+number! {
+    /// Position of an accepted change in the configuration log; only goes up.
+    Revision,
+    /// Version of a model's weights, as named by its trainer.
+    WeightVersion,
+    /// Number of a lease term; a target that checks it refuses orders with an older one.
+    FencingNumber,
+    /// One run of a daemon; a restart has a larger number.
+    Incarnation,
+    /// Position of a sample in a step.
+    SlotIndex,
+    /// Position of a delivered sample in the order of delivery; the first is 1.
+    Sequence,
+    /// One attempt to produce the sample of a slot.
+    AttemptId,
+    /// One request within a daemon.
+    RequestId,
+    /// A number of tokens.
+    TokenCount,
+    /// A size in bytes.
+    ByteSize,
+    /// A duration in milliseconds.
+    DurationMs,
+    /// Milliseconds on a daemon's own monotonic clock; not comparable between hosts.
+    Timestamp,
+}
+
+plain_text!(
+    Revision,
+    WeightVersion,
+    FencingNumber,
+    Incarnation,
+    SlotIndex,
+    Sequence,
+    AttemptId,
+    RequestId,
+    TokenCount,
+    Timestamp,
+);
+unit_text!(
+    DurationMs,
+    "ms, s, m, h, d",
+    [
+        ("ms", 1),
+        ("s", 1_000),
+        ("m", 60_000),
+        ("h", 3_600_000),
+        ("d", 86_400_000),
+    ]
+);
+unit_text!(
+    ByteSize,
+    "B, KB, MB, GB",
+    [("B", 1), ("KB", 1_000), ("MB", 1_000_000), ("GB", 1_000_000_000),]
+);
+
+impl DurationMs {
+    /// The same duration for use with the standard library and timers.
+    pub const fn as_std(self) -> std::time::Duration {
+        std::time::Duration::from_millis(self.0)
+    }
+}
+
+impl Timestamp {
+    /// The time elapsed since `earlier`, or zero when `earlier` is later.
+    pub const fn since(self, earlier: Self) -> DurationMs {
+        DurationMs(self.0.saturating_sub(earlier.0))
+    }
+
+    /// The point in time `duration` later.
+    pub const fn after(self, duration: DurationMs) -> Self {
+        Self(self.0.saturating_add(duration.0))
+    }
+}
+
+macro_rules! fraction {
+    ($(#[$doc:meta] $name:ident $unit:literal),+ $(,)?) => {$(
+        #[$doc]
+        #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(f64);
+
+        impl $name {
+            /// Wraps a number; anything but a finite number of at least zero becomes zero.
+            pub const fn new(value: f64) -> Self {
+                if value.is_finite() && value >= 0.0 { Self(value) } else { Self(0.0) }
+            }
+
+            /// The plain number.
+            pub const fn get(self) -> f64 {
+                self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{}", $unit), self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseNumberError;
+
+            fn from_str(text: &str) -> Result<Self, ParseNumberError> {
+                let number = text.strip_suffix($unit).unwrap_or(text);
+                match number.trim().parse::<f64>() {
+                    Ok(value) if value.is_finite() && value >= 0.0 => Ok(Self(value)),
+                    _ => FractionSnafu { text }.fail(),
+                }
+            }
+        }
+    )+};
+}
+
+fraction! {
+    /// A rate in events a second.
+    Rate "/s",
+    /// A relative weight in weighted fair sharing.
+    Share "",
+}
--- /dev/null
+++ b/crates/jm-usage/src/lib.rs
@@ -0,0 +1,3 @@
+//! Usage counters, window sealing and service-level burn.
+
+#![deny(missing_docs, unsafe_code)]
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,2 @@
+//! Rollout service.
+fn main() {}
