jm-link: typed calls between daemons over WebSocket

Cause: daemons need calls with streamed replies, cancellation and exact knowledge of whether a request left. Change: one connection per pair of daemons; CBOR envelopes; a window per call, so that a slow reader stops its sender; a challenge proves the fleet secret; silence closes a connection after 4 s. Ruled out: unbounded queues per call (a slow caller fills memory); one connection per call (a handshake per request). Result: six tests pass.

--- a/crates/jm-link/src/lib.rs
+++ b/crates/jm-link/src/lib.rs
@@ -1,3 +1,20 @@
-//! Typed calls between daemons over WebSocket and CBOR.
+//! Typed calls between daemons: one WebSocket connection per pair carries many calls, each CBOR-encoded.
+//!
+//! Section 5 of `docs/design.md` describes the messages.
 
 #![deny(missing_docs, unsafe_code)]
+
+mod connection;
+mod envelope;
+mod message;
+mod pool;
+mod secret;
+mod server;
+
+pub use connection::{LinkError, ReplyStream};
+pub use message::{
+    ExecuteRequest, HeaderLine, PeerReply, PeerRequest, RequestHead, StepOperation, TrafficClass,
+};
+pub use pool::{LinkOptions, LinkPool};
+pub use secret::FleetSecret;
+pub use server::{CallerGone, LinkHandler, LinkServer, ReplySender};
