jm-http: refuse or correct every case that async-h1 lets through

Change: heads are read with httparse and checked before anything else sees them; bodies are decoded by one decoder that knows whether a body is whole, for both sides. The server reads the whole body before it calls a handler, answers refusals with a result code, notices a caller that leaves, bounds connections and times, and finishes open requests when it stops. The client skips interim answers, checks answer bodies while they are read, pools connections, and knows whether a byte was written. Heads and bodies are written with the encoders of async-h1. New public items: read_whole, ClientError::InvalidRequest and ClientError::AnswerTimeout.

Ruled out: handing checked bytes to the decoder of async-h1, because two parsers of one head can disagree and its 8 KB limit would override the settings; using pooled connections for requests that must run at most once, because the peer may close while the request is being written.

--- /dev/null
+++ b/crates/jm-http/src/answer_body.rs
@@ -0,0 +1,167 @@
+//! The body of an answer, checked for wholeness while it is read.
+
+use std::{
+    io,
+    pin::Pin,
+    sync::{Arc, Mutex},
+    task::{Context, Poll, ready},
+    time::Duration,
+};
+
+use async_std::task;
+use futures::{AsyncBufRead, AsyncRead, FutureExt, future::BoxFuture};
+use http_types::Body;
+
+use crate::{
+    framing::{BodyDecoder, BodyStep, Framing},
+    pool::{ClientConnection, Pool},
+};
+
+/// Where a connection goes when its answer has been read.
+pub(crate) type Home = Option<(Arc<Pool>, String)>;
+
+/// The body that follows the head of an answer on `connection`.
+pub(crate) fn answer_body(
+    connection: ClientConnection,
+    framing: Framing,
+    piece_timeout: Duration,
+    home: Home,
+) -> Body {
+    let mut reader = AnswerReader {
+        connection: Some(connection),
+        decoder: BodyDecoder::new(framing),
+        available_bytes: 0,
+        piece_timeout,
+        timer: Mutex::new(None),
+        home,
+        failed: None,
+    };
+    let length = match framing {
+        Framing::Length(length) => usize::try_from(length).ok(),
+        Framing::Chunked | Framing::ToClose => None,
+    };
+    reader.release_if_read();
+    Body::from_reader(reader, length)
+}
+
+struct AnswerReader {
+    /// `None` once the body has been read to its end or has failed.
+    connection: Option<ClientConnection>,
+    decoder: BodyDecoder,
+    /// Bytes at the front of the wire that belong to the body.
+    available_bytes: usize,
+    piece_timeout: Duration,
+    /// Runs while the next piece is awaited. The mutex is never locked; it makes the reader `Sync`.
+    timer: Mutex<Timer>,
+    home: Home,
+    failed: Option<(io::ErrorKind, String)>,
+}
+
+impl AnswerReader {
+    /// Makes body bytes available, or ends the body.
+    fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if let Some((kind, message)) = &self.failed {
+            return Poll::Ready(Err(io::Error::new(*kind, message.clone())));
+        }
+        let result = ready!(self.poll_decode(cx));
+        if let Err(error) = &result {
+            self.failed = Some((error.kind(), error.to_string()));
+            self.connection = None;
+        }
+        Poll::Ready(result)
+    }
+
+    fn poll_decode(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while self.available_bytes == 0 {
+            let Some(connection) = &mut self.connection else {
+                break;
+            };
+            match self.decoder.step(connection.wire.data())? {
+                BodyStep::Data(amount) => self.available_bytes = amount,
+                BodyStep::Skip(amount) => connection.wire.consume(amount),
+                BodyStep::Done => self.release(),
+                BodyStep::NeedMore => ready!(self.poll_more(cx))?,
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_more(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let Some(connection) = &mut self.connection else {
+            return Poll::Ready(Ok(()));
+        };
+        let Poll::Ready(read) = connection.wire.poll_fill(cx) else {
+            return self.poll_timer(cx);
+        };
+        *timer(&mut self.timer) = None;
+        if read? == 0 {
+            self.decoder.at_close()?;
+            self.connection = None;
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_timer(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let wait = self.piece_timeout;
+        let timer = timer(&mut self.timer).get_or_insert_with(|| task::sleep(wait).boxed());
+        ready!(timer.as_mut().poll(cx));
+        let message = "the next piece of the body did not arrive in time";
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, message)))
+    }
+
+    /// A reader that knows the length stops after the last byte and never asks for the end.
+    fn release_if_read(&mut self) {
+        if self.available_bytes == 0 && self.decoder.is_length_reached() {
+            self.release();
+        }
+    }
+
+    fn release(&mut self) {
+        if let (Some(connection), Some((pool, address))) = (self.connection.take(), self.home.take()) {
+            pool.put(&address, connection);
+        }
+    }
+
+    fn data(&self) -> &[u8] {
+        match &self.connection {
+            Some(connection) => &connection.wire.data()[..self.available_bytes],
+            None => &[],
+        }
+    }
+}
+
+type Timer = Option<BoxFuture<'static, ()>>;
+
+fn timer(slot: &mut Mutex<Timer>) -> &mut Timer {
+    slot.get_mut().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+impl AsyncBufRead for AnswerReader {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        ready!(this.poll_piece(cx))?;
+        Poll::Ready(Ok(this.data()))
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amount: usize) {
+        if let Some(connection) = &mut self.connection {
+            connection.wire.consume(amount);
+            self.available_bytes -= amount;
+            self.release_if_read();
+        }
+    }
+}
+
+impl AsyncRead for AnswerReader {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let available = ready!(self.as_mut().poll_fill_buf(cx))?;
+        let amount = available.len().min(buffer.len());
+        buffer[..amount].copy_from_slice(&available[..amount]);
+        self.consume(amount);
+        Poll::Ready(Ok(amount))
+    }
+}
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -1,15 +1,25 @@
 //! The client: one request at a time on pooled connections, with answers checked for wholeness.
 
-use async_std::{future, io, net::TcpStream};
-use http_types::{Request, Response};
-use snafu::{ResultExt, Snafu};
+use std::sync::Arc;
 
-use crate::Limits;
+use async_std::io;
+use http_types::{Body, Method, Request, Response};
+use snafu::Snafu;
+
+use crate::{
+    Limits,
+    answer::set_body,
+    answer_body::answer_body,
+    exchange::{Cause, ExchangeError, Exchanged, exchange},
+    guard::{FRAMING_HEADERS, exact_body, unsafe_header},
+    pool::{ClientConnection, Pool},
+    whole::read_whole,
+};
 
 /// Why a request got no whole answer.
 #[derive(Debug, Snafu)]
 pub enum ClientError {
-    /// No connection could be opened; nothing was written.
+    /// No connection could be opened, or it broke before the first byte; nothing was written.
     #[snafu(display("cannot connect to {address}: {source}"))]
     Connect {
         /// The address as text.
@@ -17,6 +27,12 @@
         /// The cause.
         source: io::Error,
     },
+    /// The request cannot be written as HTTP; nothing was written.
+    #[snafu(display("the request is not valid: {reason}"))]
+    InvalidRequest {
+        /// The cause.
+        reason: String,
+    },
     /// The request was or may have been written, and the answer is missing or not valid.
     #[snafu(display("no valid answer from {address}: {reason}"))]
     Answer {
@@ -25,60 +41,217 @@
         /// The cause.
         reason: String,
     },
+    /// The request was or may have been written, and the answer did not arrive in time.
+    #[snafu(display("no answer in time from {address}: {reason}"))]
+    AnswerTimeout {
+        /// The address as text.
+        address: String,
+        /// Which limit was exceeded.
+        reason: String,
+    },
 }
 
 impl ClientError {
     /// Whether any byte of the request may have reached the peer.
     pub fn request_written(&self) -> bool {
-        !matches!(self, Self::Connect { .. })
+        match self {
+            Self::Connect { .. } | Self::InvalidRequest { .. } => false,
+            Self::Answer { .. } | Self::AnswerTimeout { .. } => true,
+        }
     }
 }
 
-/// An HTTP client.
+/// An HTTP client. Clones share their connections.
 #[derive(Debug, Clone)]
 pub struct Client {
     limits: Limits,
+    pool: Arc<Pool>,
 }
 
 impl Client {
     /// A client that applies `limits` to connections and answers.
     pub fn new(limits: Limits) -> Self {
-        Self { limits }
+        let pool = Arc::new(Pool::new(&limits));
+        Self { limits, pool }
     }
 
     /// Sends one request to the address in its URL and returns the answer once its head has arrived.
     ///
-    /// The body of the answer is whole when it is read to its end without an error.
+    /// The body of the answer is whole when it is read to its end without an error. The error has the kind
+    /// `UnexpectedEof` for a cut body, `InvalidData` for a bad chunk and `TimedOut` when a piece is late.
+    ///
+    /// A pooled connection may close just as a request is written to it, so only requests that may run twice use one:
+    /// those whose method is idempotent and whose body can be written again. They are repeated once on a fresh
+    /// connection when the pooled one ends before the first byte of an answer.
     pub async fn send(&self, request: Request) -> Result<Response, ClientError> {
-        let url = request.url();
-        let address = format!(
-            "{}:{}",
-            url.host_str().unwrap_or_default(),
-            url.port_or_known_default().unwrap_or(80)
-        );
-        let stream = self.connect(&address).await?;
-        let exchange = async_h1::connect(stream, request);
-        match future::timeout(self.limits.answer_timeout_ms.as_std(), exchange).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) => AnswerSnafu {
-                address,
-                reason: error.to_string(),
+        let mut prepared = Prepared::new(request, &self.limits).await?;
+        if let Some((connection, request)) = self.pooled(&prepared) {
+            match self.exchange(connection, request, &prepared.address).await {
+                Err(error) if !error.answered => {}
+                result => return result.map_err(|error| prepared.error(error)),
             }
-            .fail(),
-            Err(_) => AnswerSnafu {
-                address,
-                reason: "timed out",
+        }
+        let opened = self.pool.open(&prepared.address).await;
+        let connection = opened.map_err(|source| prepared.connect_error(source))?;
+        let request = prepared.take_request();
+        let result = self.exchange(connection, request, &prepared.address).await;
+        result.map_err(|error| prepared.error(error))
+    }
+
+    fn pooled(&self, prepared: &Prepared) -> Option<(ClientConnection, Request)> {
+        let request = prepared.repeatable_request()?;
+        let connection = self.pool.take(&prepared.address)?;
+        Some((connection, request))
+    }
+
+    async fn exchange(
+        &self,
+        mut connection: ClientConnection,
+        request: Request,
+        address: &str,
+    ) -> Result<Response, ExchangeError> {
+        let Exchanged { head, reusable } = exchange(&mut connection.wire, request, &self.limits).await?;
+        let home = reusable.then(|| (Arc::clone(&self.pool), address.to_owned()));
+        let piece_timeout = self.limits.body_timeout_ms.as_std();
+        let mut response = head.response;
+        let body = answer_body(connection, head.framing, piece_timeout, home);
+        set_body(&mut response, body);
+        Ok(response)
+    }
+}
+
+/// A request that was checked and can be written.
+struct Prepared {
+    address: String,
+    /// The head; its body is empty.
+    head: Request,
+    body: RequestBody,
+}
+
+enum RequestBody {
+    Whole(Vec<u8>),
+    Stream(Body),
+}
+
+impl Prepared {
+    async fn new(mut request: Request, limits: &Limits) -> Result<Self, ClientError> {
+        let address = address(&request)?;
+        check_headers(&request)?;
+        for name in FRAMING_HEADERS.into_iter().chain(["expect", "host"]) {
+            request.remove_header(name);
+        }
+        let body = exact_body(request.take_body());
+        let is_small = body
+            .len()
+            .is_some_and(|length| length as u64 <= limits.body_bytes.get());
+        let body = match is_small {
+            true => RequestBody::Whole(read_body(body, limits).await?),
+            false => RequestBody::Stream(body),
+        };
+        Ok(Self {
+            address,
+            head: request,
+            body,
+        })
+    }
+
+    fn repeatable_request(&self) -> Option<Request> {
+        let idempotent = [
+            Method::Get,
+            Method::Head,
+            Method::Options,
+            Method::Trace,
+            Method::Put,
+            Method::Delete,
+        ];
+        match &self.body {
+            RequestBody::Whole(body) if idempotent.contains(&self.head.method()) => {
+                Some(self.with_body(body.clone().into()))
             }
-            .fail(),
+            _ => None,
+        }
+    }
+
+    fn take_request(&mut self) -> Request {
+        let body = match std::mem::replace(&mut self.body, RequestBody::Whole(Vec::new())) {
+            RequestBody::Whole(body) => body.into(),
+            RequestBody::Stream(body) => body,
+        };
+        self.with_body(body)
+    }
+
+    fn with_body(&self, body: Body) -> Request {
+        let mut request = self.head.clone();
+        request.set_body(body);
+        if self.head.header("content-type").is_none() {
+            request.remove_header("content-type");
+        }
+        request
+    }
+
+    fn connect_error(&self, source: io::Error) -> ClientError {
+        let address = self.address.clone();
+        ClientError::Connect { address, source }
+    }
+
+    fn error(&self, error: ExchangeError) -> ClientError {
+        let address = self.address.clone();
+        match error.cause {
+            Cause::Io(source) if !error.written => self.connect_error(source),
+            cause if !error.written => self.connect_error(io::Error::other(cause.reason())),
+            Cause::Timeout(reason) => ClientError::AnswerTimeout {
+                address,
+                reason: reason.to_owned(),
+            },
+            cause => ClientError::Answer {
+                address,
+                reason: cause.reason(),
+            },
         }
     }
+}
+
+impl Cause {
+    fn reason(&self) -> String {
+        match self {
+            Self::Io(error) => error.to_string(),
+            Self::Closed => "the connection closed before the end of the answer head".to_owned(),
+            Self::Head(reason) => reason.clone(),
+            Self::Timeout(reason) => (*reason).to_owned(),
+        }
+    }
+}
+
+async fn read_body(body: Body, limits: &Limits) -> Result<Vec<u8>, ClientError> {
+    let read = read_whole(body, limits.body_bytes).await;
+    read.or_else(|error| invalid(format!("its body cannot be read: {error}")))
+}
 
-    async fn connect(&self, address: &str) -> Result<TcpStream, ClientError> {
-        let connect = TcpStream::connect(address);
-        let stream = io::timeout(self.limits.connect_timeout_ms.as_std(), connect)
-            .await
-            .context(ConnectSnafu { address })?;
-        stream.set_nodelay(true).context(ConnectSnafu { address })?;
-        Ok(stream)
+fn address(request: &Request) -> Result<String, ClientError> {
+    let url = request.url();
+    if url.scheme() != "http" {
+        return invalid("only http is supported");
     }
+    let Some(host) = url.host_str() else {
+        return invalid("the URL has no host");
+    };
+    Ok(format!("{host}:{}", url.port_or_known_default().unwrap_or(80)))
+}
+
+fn check_headers(request: &Request) -> Result<(), ClientError> {
+    if let Some(name) = unsafe_header(request.as_ref()) {
+        return invalid(format!("header {name:?} has an invalid name or value"));
+    }
+    let authorization = request
+        .header("authorization")
+        .map_or(0, |values| values.iter().count());
+    if authorization > 1 {
+        return invalid("authorization is given more than once");
+    }
+    Ok(())
+}
+
+fn invalid<T>(reason: impl Into<String>) -> Result<T, ClientError> {
+    let reason = reason.into();
+    InvalidRequestSnafu { reason }.fail()
 }
--- /dev/null
+++ b/crates/jm-http/src/exchange.rs
@@ -0,0 +1,170 @@
+//! One request and the head of its answer on an open connection.
+
+use std::{
+    io,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
+
+use async_std::{future::timeout, net::TcpStream};
+use futures::{
+    AsyncReadExt,
+    future::{Either, select},
+    pin_mut,
+};
+use http_types::{Method, Request};
+
+use crate::{
+    Limits,
+    head::{AnswerHead, parse_answer},
+    wire::{Wire, write_all},
+};
+
+/// Bytes of a request that are encoded at once.
+const PIECE_BYTES: usize = 16 * 1024;
+
+/// Why an exchange has no answer head.
+#[derive(Debug)]
+pub(crate) struct ExchangeError {
+    /// Whether any byte of the request may have left.
+    pub(crate) written: bool,
+    /// Whether any byte of an answer arrived.
+    pub(crate) answered: bool,
+    pub(crate) cause: Cause,
+}
+
+#[derive(Debug)]
+pub(crate) enum Cause {
+    Io(io::Error),
+    /// The peer closed before the end of the answer head.
+    Closed,
+    Head(String),
+    Timeout(&'static str),
+}
+
+impl From<io::Error> for Cause {
+    fn from(error: io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+/// The head of an answer, and whether the connection can be used again after its body.
+#[derive(Debug)]
+pub(crate) struct Exchanged {
+    pub(crate) head: AnswerHead,
+    pub(crate) reusable: bool,
+}
+
+/// Writes `request` and reads the head of the answer. A peer may answer before it has read the whole request; the rest
+/// is not written then.
+pub(crate) async fn exchange(
+    wire: &mut Wire,
+    request: Request,
+    limits: &Limits,
+) -> Result<Exchanged, ExchangeError> {
+    let received_before = wire.received_bytes();
+    let written = AtomicBool::new(false);
+    let result = converse(wire, request, limits, &written).await;
+    result.map_err(|cause| ExchangeError {
+        written: written.load(Ordering::Relaxed),
+        answered: wire.received_bytes() > received_before,
+        cause,
+    })
+}
+
+async fn converse(
+    wire: &mut Wire,
+    request: Request,
+    limits: &Limits,
+    written: &AtomicBool,
+) -> Result<Exchanged, Cause> {
+    let method = request.method();
+    let write = write_request(wire.stream(), request, limits.body_timeout_ms.as_std(), written);
+    let read = read_head(wire, limits, method);
+    pin_mut!(write, read);
+    match select(write, read).await {
+        Either::Left((Ok(()), read)) => {
+            let late = |_| Cause::Timeout("no answer within the answer timeout");
+            let head = timeout(limits.answer_timeout_ms.as_std(), read)
+                .await
+                .map_err(late)??;
+            let reusable = head.keep_alive;
+            Ok(Exchanged { head, reusable })
+        }
+        Either::Left((Err(WriteError::Body(error)), _)) => Err(Cause::Io(error)),
+        Either::Left((Err(WriteError::Socket(error)), read)) => {
+            // A peer that refuses a request closes its side while the request is still being written, so the answer
+            // may be there although the write failed.
+            let answer = timeout(limits.head_timeout_ms.as_std(), read).await;
+            let head = answer.ok().and_then(Result::ok).ok_or(Cause::Io(error))?;
+            Ok(Exchanged {
+                head,
+                reusable: false,
+            })
+        }
+        Either::Right((head, _)) => Ok(Exchanged {
+            head: head?,
+            reusable: false,
+        }),
+    }
+}
+
+enum WriteError {
+    /// The body of the request failed; the peer waits for the rest and will not answer.
+    Body(io::Error),
+    Socket(io::Error),
+}
+
+async fn write_request(
+    mut stream: TcpStream,
+    request: Request,
+    stall_timeout: Duration,
+    written: &AtomicBool,
+) -> Result<(), WriteError> {
+    let mut encoder = async_h1::client::Encoder::new(request);
+    let mut piece = vec![0; PIECE_BYTES];
+    loop {
+        let amount = encoder.read(&mut piece).await.map_err(WriteError::Body)?;
+        if amount == 0 {
+            return Ok(());
+        }
+        let on_progress = || written.store(true, Ordering::Relaxed);
+        let written = write_all(&mut stream, &piece[..amount], stall_timeout, on_progress).await;
+        written.map_err(WriteError::Socket)?;
+    }
+}
+
+/// Reads heads until one is final.
+async fn read_head(wire: &mut Wire, limits: &Limits, method: Method) -> Result<AnswerHead, Cause> {
+    loop {
+        if wire.data().is_empty() {
+            fill(wire).await?;
+        }
+        let late = |_| Cause::Timeout("the answer head did not arrive within the head timeout");
+        let complete = complete_head(wire, limits.head_bytes.get() as usize, method);
+        let head = timeout(limits.head_timeout_ms.as_std(), complete)
+            .await
+            .map_err(late)??;
+        wire.consume(head.size_bytes);
+        if !head.is_interim() {
+            return Ok(head);
+        }
+    }
+}
+
+async fn complete_head(wire: &mut Wire, limit_bytes: usize, method: Method) -> Result<AnswerHead, Cause> {
+    loop {
+        let parsed = parse_answer(wire.data(), limit_bytes, method);
+        if let Some(head) = parsed.map_err(|error| Cause::Head(error.to_string()))? {
+            return Ok(head);
+        }
+        fill(wire).await?;
+    }
+}
+
+async fn fill(wire: &mut Wire) -> Result<(), Cause> {
+    match wire.fill().await? {
+        0 => Err(Cause::Closed),
+        _ => Ok(()),
+    }
+}
--- a/crates/jm-http/src/server.rs
+++ b/crates/jm-http/src/server.rs
@@ -1,17 +1,30 @@
-//! The server: accepts connections, applies the limits and hands whole requests to a handler.
+//! The server: accepts connections within the limit and waits for open requests when it stops.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_std::{
+    channel::{Receiver, Sender, bounded},
+    io,
     net::{TcpListener, TcpStream},
     task,
 };
 use async_trait::async_trait;
 use futures::{FutureExt, future::Shared, select};
-use http_types::{Request, Response, StatusCode};
-use jm_types::ResultCode;
+use http_types::{Request, Response};
+use jm_types::{LogEvent, ResultCode};
 
-use crate::Limits;
+use crate::{
+    Limits,
+    connection::{ServerConnection, refuse},
+    head::Refusal,
+    wire::Wire,
+};
+
+/// Wait after a failed accept. The usual cause is a lack of file descriptors, which lasts until a connection closes.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Connections over the limit that are told so at the same time; further ones are closed without an answer, so that
+/// a flood of connections cannot take more than this.
+const MAX_REFUSALS: usize = 64;
 
 /// What a handler knows about the connection that a request came on.
 #[derive(Debug, Clone)]
@@ -23,7 +36,7 @@
 /// Answers requests. A trait object so that each daemon brings its own endpoints.
 #[async_trait]
 pub trait Handler: Send + Sync + 'static {
-    /// Answers one request. The future is dropped when the caller goes away.
+    /// Answers one request, whose body is whole. The future is dropped when the caller goes away.
     async fn handle(&self, request: Request, connection: &Connection) -> Response;
 }
 
@@ -40,62 +53,97 @@
     }
 
     /// Accepts connections until `stop` resolves, then waits for open requests to finish.
+    ///
+    /// When `stop` resolves, the listener closes, kept-alive connections without a request close, and open requests
+    /// are answered with `connection: close`.
     pub async fn serve(
         &self,
         listener: TcpListener,
         stop: Shared<impl Future<Output = ()> + Send + 'static>,
     ) -> std::io::Result<()> {
-        let _ = &self.limits;
-        let mut connections = Vec::new();
-        let mut stopped = stop.fuse();
+        let (open, all_closed) = bounded(1);
+        let (running, stopping) = bounded(1);
+        let acceptor = Acceptor {
+            server: self,
+            open,
+            refusing: bounded(1).0,
+            stopping,
+        };
+        acceptor.accept_until(&listener, stop).await;
+        acceptor.accept_waiting(&listener);
+        drop((listener, running, acceptor));
+        // Resolves with an error once the last connection has dropped its end of the channel.
+        let _ = all_closed.recv().await;
+        Ok(())
+    }
+}
+
+/// The channels carry no messages: an end that is dropped is the signal, and the number of ends is the number of
+/// connections.
+struct Acceptor<'a> {
+    server: &'a Server,
+    open: Sender<Infallible>,
+    refusing: Sender<Infallible>,
+    stopping: Receiver<Infallible>,
+}
+
+impl Acceptor<'_> {
+    async fn accept_until(&self, listener: &TcpListener, stop: Shared<impl Future<Output = ()>>) {
+        let mut stop = stop.fuse();
         loop {
             let accepted = select! {
                 accepted = listener.accept().fuse() => accepted,
-                () = stopped => break,
+                () = stop => return,
             };
-            let Ok((stream, peer)) = accepted else { continue };
-            stream.set_nodelay(true)?;
-            connections.retain(|task: &task::JoinHandle<()>| !is_finished(task));
-            connections.push(task::spawn(serve_connection(
-                stream,
-                peer,
-                Arc::clone(&self.handler),
-            )));
+            if let Err(error) = &accepted {
+                LogEvent::ConnectionFailed.write(format!("cannot accept: {error}"));
+                task::sleep(ACCEPT_PAUSE).await;
+            }
+            self.start(accepted);
         }
-        Ok(())
     }
-}
 
-fn is_finished(_task: &task::JoinHandle<()>) -> bool {
-    false
-}
-
-async fn serve_connection(stream: TcpStream, peer: SocketAddr, handler: Arc<dyn Handler>) {
-    let connection = Connection { peer: Some(peer) };
-    let answer = |request| async { Ok(handler.handle(request, &connection).await) };
-    let _ = async_h1::accept(stream, answer).await;
-}
+    /// Accepts what the kernel has already connected; closing the listener would reset these connections.
+    fn accept_waiting(&self, listener: &TcpListener) {
+        while let Some(Ok(accepted)) = listener.accept().now_or_never() {
+            self.start(Ok(accepted));
+        }
+    }
 
-/// An answer that carries a result code as JSON: `{"code","name","execution","message"}`.
-pub fn error_response(code: ResultCode, message: &str) -> Response {
-    let status = StatusCode::try_from(code.http_status()).unwrap_or(StatusCode::InternalServerError);
-    let mut response = Response::new(status);
-    let text = format!(
-        "{{\"code\":\"{code}\",\"name\":\"{}\",\"execution\":\"{}\",\"message\":{}}}\n",
-        code.name(),
-        code.execution(),
-        quoted(message)
-    );
-    response.set_body(text);
-    response.insert_header("content-type", "application/json");
-    response
-}
+    fn start(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
+        let Ok((stream, peer)) = accepted else { return };
+        if stream.set_nodelay(true).is_err() {
+            return;
+        }
+        let wire = Wire::new(stream);
+        if self.open.sender_count() > self.server.limits.connections {
+            self.refuse(wire, peer);
+            return;
+        }
+        let open = self.open.clone();
+        let connection = ServerConnection::new(
+            wire,
+            Connection { peer: Some(peer) },
+            self.server.limits.clone(),
+            Arc::clone(&self.server.handler),
+            self.stopping.clone(),
+        );
+        task::spawn(async move {
+            connection.run().await;
+            drop(open);
+        });
+    }
 
-fn quoted(text: &str) -> String {
-    format!(
-        "\"{}\"",
-        text.replace('\\', "\\\\")
-            .replace('"', "\\\"")
-            .replace('\n', "\\n")
-    )
+    fn refuse(&self, mut wire: Wire, peer: SocketAddr) {
+        if self.refusing.sender_count() > MAX_REFUSALS {
+            return;
+        }
+        let refusing = self.refusing.clone();
+        let stall_timeout = self.server.limits.body_timeout_ms.as_std();
+        task::spawn(async move {
+            let refusal = Refusal::new(ResultCode::TooManyConnections, "the connection limit is reached");
+            refuse(&mut wire, Some(peer), refusal, stall_timeout).await;
+            drop(refusing);
+        });
+    }
 }
--- /dev/null
+++ b/crates/jm-http/tests/client_limits.rs
@@ -0,0 +1,65 @@
+//! Guards against peers that keep a client waiting, and against a client without a bound on its connections.
+
+mod common;
+
+use common::{TestServer, Then, get, patient_limits, patiently, raw_peer};
+use futures::AsyncReadExt;
+use jm_http::{Client, Limits};
+use jm_types::DurationMs;
+
+#[async_std::test]
+async fn late_piece_is_an_error() {
+    let (address, _) = raw_peer(b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nabcde", Then::Hold).await;
+    let client = Client::new(Limits {
+        body_timeout_ms: DurationMs::new(50),
+        ..patient_limits()
+    });
+    let mut response = patiently(client.send(get(address))).await.unwrap();
+    let error = patiently(response.read_to_end(&mut Vec::new()))
+        .await
+        .unwrap_err();
+    assert_eq!(error.kind(), std::io::ErrorKind::TimedOut);
+}
+
+#[async_std::test]
+async fn connections_are_bounded() {
+    let (address, _) = raw_peer(b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n", Then::Hold).await;
+    let client = Client::new(Limits {
+        connections: 1,
+        connect_timeout_ms: DurationMs::new(300),
+        ..patient_limits()
+    });
+    let open = patiently(client.send(get(address))).await.unwrap();
+    let error = patiently(client.send(get(address))).await.unwrap_err();
+    assert!(!error.request_written(), "{error}");
+    drop(open);
+    patiently(client.send(get(address))).await.unwrap();
+}
+
+/// Idle connections to one address must not keep a client from reaching another.
+#[async_std::test]
+async fn idle_connection_gives_way() {
+    let idle = TestServer::echo(patient_limits()).await;
+    let (busy, _) = raw_peer(b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n", Then::Hold).await;
+    let client = Client::new(Limits {
+        connections: 2,
+        connect_timeout_ms: DurationMs::new(60_000),
+        ..patient_limits()
+    });
+    patiently(client.send(get(idle.address))).await.unwrap();
+    let _first = patiently(client.send(get(busy))).await.unwrap();
+    let _second = patiently(client.send(get(busy))).await.unwrap();
+}
+
+#[async_std::test]
+async fn clones_share_the_bound() {
+    let (address, _) = raw_peer(b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n", Then::Hold).await;
+    let client = Client::new(Limits {
+        connections: 1,
+        connect_timeout_ms: DurationMs::new(50),
+        ..patient_limits()
+    });
+    let _open = patiently(client.clone().send(get(address))).await.unwrap();
+    assert!(patiently(client.send(get(address))).await.is_err());
+    assert!(patiently(common::client().send(get(address))).await.is_ok());
+}
--- /dev/null
+++ b/crates/jm-http/tests/cut_request.rs
@@ -0,0 +1,178 @@
+//! Guards against request bodies that are cut, too large or badly chunked: the handler must not run, and a peer that
+//! still reads is told.
+
+mod common;
+
+use std::net::Shutdown;
+
+use common::{TestServer, patient_limits, read_to_close};
+use futures::AsyncWriteExt;
+use jm_types::{ByteSize, DurationMs, ResultCode};
+use quickcheck::{Gen, QuickCheck, TestResult};
+
+const HEAD: &str = "POST / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n";
+/// Bytes of a head that only states the body framing.
+const CHUNKED: &str = "transfer-encoding: chunked\r\n\r\n";
+
+/// What a sender does after its last byte. Closing after a whole request would count as the caller leaving.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Then {
+    Close,
+    Wait,
+}
+
+async fn answer_to(lines_and_body: &[u8], then: Then) -> (String, usize) {
+    let server = TestServer::echo(patient_limits()).await;
+    let mut stream = server.connect().await;
+    stream.write_all(HEAD.as_bytes()).await.unwrap();
+    stream.write_all(lines_and_body).await.unwrap();
+    if then == Then::Close {
+        stream.shutdown(Shutdown::Write).unwrap();
+    }
+    let answer = read_to_close(&mut stream).await;
+    (answer, server.handled())
+}
+
+async fn refuses(lines_and_body: &str, then: Then, code: ResultCode) {
+    let (answer, handled) = answer_to(lines_and_body.as_bytes(), then).await;
+    assert!(
+        answer.contains(&code.to_string()),
+        "{lines_and_body:?} got {answer:?}"
+    );
+    assert_eq!(handled, 0, "{lines_and_body:?}");
+}
+
+#[async_std::test]
+async fn refuses_cut_bodies() {
+    refuses("content-length: 30\r\n\r\nabc", Then::Close, ResultCode::CutBody).await;
+    refuses(&format!("{CHUNKED}5\r\nabc"), Then::Close, ResultCode::CutBody).await;
+    refuses(
+        &format!("{CHUNKED}3\r\nabc\r\n"),
+        Then::Close,
+        ResultCode::CutBody,
+    )
+    .await;
+    refuses(
+        &format!("{CHUNKED}3\r\nabc\r\n0\r\n"),
+        Then::Close,
+        ResultCode::CutBody,
+    )
+    .await;
+}
+
+#[async_std::test]
+async fn refuses_bad_chunks() {
+    let bodies = [
+        "xyz\r\nabc\r\n0\r\n\r\n",
+        "-3\r\nabc\r\n0\r\n\r\n",
+        "3 4\r\nabc\r\n0\r\n\r\n",
+        "\r\nabc\r\n0\r\n\r\n",
+        "3\nabc\r\n0\r\n\r\n",
+        "3\r\nabcd\r\n0\r\n\r\n",
+        "00000000000000003\r\nabc\r\n0\r\n\r\n",
+    ];
+    for body in bodies {
+        refuses(
+            &format!("{CHUNKED}{body}"),
+            Then::Wait,
+            ResultCode::MalformedRequest,
+        )
+        .await;
+    }
+    let long_extension = format!("{CHUNKED}3;{}\r\nabc\r\n0\r\n\r\n", "x".repeat(500));
+    refuses(&long_extension, Then::Wait, ResultCode::MalformedRequest).await;
+}
+
+#[async_std::test]
+async fn refuses_large_bodies() {
+    refuses(
+        "content-length: 1001\r\n\r\nabc",
+        Then::Wait,
+        ResultCode::BodyTooLarge,
+    )
+    .await;
+    let chunk = format!("3E9\r\n{}\r\n0\r\n\r\n", "x".repeat(1_001));
+    refuses(&format!("{CHUNKED}{chunk}"), Then::Wait, ResultCode::BodyTooLarge).await;
+}
+
+#[async_std::test]
+async fn refuses_stalled_bodies() {
+    let mut limits = patient_limits();
+    limits.body_timeout_ms = DurationMs::new(50);
+    let server = TestServer::echo(limits).await;
+    let request = format!("{HEAD}content-length: 30\r\n\r\nabc");
+    let answer = server.exchange(request.as_bytes()).await;
+    assert!(
+        answer.contains(&ResultCode::RequestTimeout.to_string()),
+        "{answer:?}"
+    );
+    assert_eq!(server.handled(), 0);
+}
+
+/// The peer must be able to read the refusal although it is still sending a large body.
+#[async_std::test]
+async fn refusal_reaches_a_busy_sender() {
+    let mut limits = patient_limits();
+    limits.body_bytes = ByteSize::new(10);
+    let server = TestServer::echo(limits).await;
+    let mut request = format!("{HEAD}content-length: 4000000\r\n\r\n").into_bytes();
+    request.resize(request.len() + 4_000_000, b'x');
+    let answer = server.exchange(&request).await;
+    assert!(
+        answer.contains(&ResultCode::BodyTooLarge.to_string()),
+        "{answer:?}"
+    );
+}
+
+fn chunked(chunks: &[Vec<u8>]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for chunk in chunks.iter().filter(|chunk| !chunk.is_empty()) {
+        bytes.extend_from_slice(format!("{:x};ext=1\r\n", chunk.len()).as_bytes());
+        bytes.extend_from_slice(chunk);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\ntrailer: 1\r\n\r\n");
+    bytes
+}
+
+/// A chunked body reaches the handler exactly when all of it was sent.
+#[test]
+fn chunked_body_is_whole_or_refused() {
+    fn property(chunks: Vec<Vec<u8>>, cut: usize) -> TestResult {
+        let content = chunks
+            .concat()
+            .into_iter()
+            .map(|byte| b'a' + byte % 26)
+            .collect::<Vec<_>>();
+        if content.len() > 1_000 {
+            return TestResult::discard();
+        }
+        let mut rest = content.as_slice();
+        let mut printable = Vec::new();
+        for chunk in &chunks {
+            let (front, back) = rest.split_at(chunk.len());
+            printable.push(front.to_vec());
+            rest = back;
+        }
+        let whole = chunked(&printable);
+        let sent = whole.len() - cut % whole.len().min(12);
+        let body = [CHUNKED.as_bytes(), &whole[..sent]].concat();
+        let then = if sent == whole.len() {
+            Then::Wait
+        } else {
+            Then::Close
+        };
+        let (answer, handled) = async_std::task::block_on(answer_to(&body, then));
+        let expected = usize::from(sent == whole.len());
+        let is_refused = answer.contains(&ResultCode::CutBody.to_string());
+        let content = String::from_utf8(content).unwrap();
+        let is_echoed = answer.ends_with(&format!("\r\n\r\n{content}"));
+        TestResult::from_bool(
+            handled == expected && (is_refused != is_echoed) && is_echoed == (expected == 1),
+        )
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(20, 7))
+        .tests(40)
+        .quickcheck(property as fn(Vec<Vec<u8>>, usize) -> TestResult);
+}
--- /dev/null
+++ b/crates/jm-http/tests/graceful_stop.rs
@@ -0,0 +1,75 @@
+//! Guards against a stop that cuts requests, and one that waits for idle connections.
+
+mod common;
+
+use async_std::{channel::bounded, net::TcpStream};
+use common::{TestServer, client, drop_signal, get, patient_limits, patiently, read_to_close, read_until};
+use futures::AsyncWriteExt;
+use jm_http::Response;
+
+#[async_std::test]
+async fn open_request_is_answered_and_idle_connection_closed() {
+    let (go, wait) = bounded::<()>(1);
+    let (entered, running) = drop_signal();
+    let mut server = TestServer::start(patient_limits(), move |request| {
+        let wait = wait.clone();
+        let entered = entered.clone();
+        async move {
+            if request.url().path() == "/slow" {
+                entered.send(()).await.unwrap();
+                wait.recv().await.unwrap();
+            }
+            Response::new(200)
+        }
+    })
+    .await;
+    let mut idle = server.connect().await;
+    idle.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    read_until(&mut idle, "\r\n\r\n").await;
+    let mut open = server.connect().await;
+    open.write_all(b"GET /slow HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    patiently(running.recv()).await.unwrap();
+
+    drop(server.stop.take());
+    assert_eq!(read_to_close(&mut idle).await, "");
+    go.send(()).await.unwrap();
+    let answer = read_to_close(&mut open).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+    assert!(answer.contains("connection: close"), "{answer:?}");
+    drop((idle, open));
+    patiently(server.served).await.unwrap();
+    assert!(TcpStream::connect(server.address).await.is_err());
+}
+
+/// A connection that the kernel accepted before the stop may carry a request already.
+#[async_std::test]
+async fn request_written_before_the_stop_is_answered() {
+    for _ in 0..20 {
+        let mut server = TestServer::echo(patient_limits()).await;
+        let mut stream = server.connect().await;
+        stream
+            .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+            .await
+            .unwrap();
+        drop(server.stop.take());
+        let answer = read_to_close(&mut stream).await;
+        assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+        drop(stream);
+        patiently(server.served).await.unwrap();
+    }
+}
+
+#[async_std::test]
+async fn pooled_connection_does_not_delay_the_stop() {
+    let mut server = TestServer::echo(patient_limits()).await;
+    let client = client();
+    client.send(get(server.address)).await.unwrap();
+    drop(server.stop.take());
+    patiently(server.served).await.unwrap();
+    let error = client.send(get(server.address)).await.unwrap_err();
+    assert!(!error.request_written(), "{error}");
+}
--- /dev/null
+++ b/crates/jm-http/tests/pooled_connection.rs
@@ -0,0 +1,153 @@
+//! Guards against a request that becomes ambiguous because its pooled connection was closing.
+
+mod common;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+};
+
+use async_std::{channel::bounded, net::TcpListener, task};
+use common::{TestServer, Then, client, get, patient_limits, patiently, raw_peer, read_until, request};
+use futures::AsyncWriteExt;
+use jm_http::{Client, Limits, Method, Response};
+use jm_types::DurationMs;
+
+const EMPTY: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+
+/// A peer that answers `per_connection` requests on each connection and closes when it has read one more.
+async fn closing_peer(per_connection: usize) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let connections = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&connections);
+    task::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::SeqCst);
+            for _ in 0..per_connection {
+                read_until(&mut stream, "\r\n\r\n").await;
+                stream.write_all(EMPTY).await.unwrap();
+            }
+            read_until(&mut stream, "\r\n\r\n").await;
+        }
+    });
+    (address, connections)
+}
+
+#[async_std::test]
+async fn idempotent_requests_share_a_connection() {
+    let (address, connections) = closing_peer(4).await;
+    let client = client();
+    for method in [Method::Get, Method::Put, Method::Delete, Method::Head] {
+        patiently(client.send(request(method, address))).await.unwrap();
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 1);
+}
+
+#[async_std::test]
+async fn other_requests_use_a_fresh_connection() {
+    let server = TestServer::echo(patient_limits()).await;
+    let (peers, seen) = bounded(10);
+    let counting = TestServer::start(patient_limits(), move |request| {
+        peers.try_send(request.peer_addr().unwrap().to_owned()).unwrap();
+        async { Response::new(200) }
+    })
+    .await;
+    let client = client();
+    for method in [Method::Get, Method::Post, Method::Patch] {
+        patiently(client.send(request(method, counting.address)))
+            .await
+            .unwrap();
+    }
+    let mut peers = vec![
+        seen.recv().await.unwrap(),
+        seen.recv().await.unwrap(),
+        seen.recv().await.unwrap(),
+    ];
+    peers.sort();
+    peers.dedup();
+    assert_eq!(peers.len(), 3);
+    drop(server);
+}
+
+/// The peer closes a connection just as the next request is written to it.
+#[async_std::test]
+async fn repeatable_request_moves_to_a_fresh_connection() {
+    let (address, connections) = closing_peer(1).await;
+    let client = client();
+    for _ in 0..3 {
+        patiently(client.send(get(address))).await.unwrap();
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 3);
+    let mut put = request(Method::Put, address);
+    put.set_body("abc");
+    patiently(client.send(put)).await.unwrap();
+    assert_eq!(connections.load(Ordering::SeqCst), 4);
+}
+
+/// Bytes that follow an answer belong to no request and must not become the answer to the next one.
+#[async_std::test]
+async fn unexpected_bytes_end_a_connection() {
+    let answers =
+        b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\naHTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\nb";
+    let (address, connections) = raw_peer(answers, Then::Hold).await;
+    let client = client();
+    for _ in 0..2 {
+        let mut response = patiently(client.send(get(address))).await.unwrap();
+        assert_eq!(response.body_string().await.unwrap(), "a");
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 2);
+}
+
+#[async_std::test]
+async fn closing_answers_are_not_pooled() {
+    let answers: [&[u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\nconnection: keep, Close\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.0 200 OK\r\ncontent-length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nab",
+    ];
+    for answer in answers {
+        let (address, connections) = raw_peer(answer, Then::Hold).await;
+        let client = client();
+        for _ in 0..2 {
+            // The body of the last answer is not read to its end.
+            patiently(client.send(get(address))).await.unwrap();
+        }
+        assert_eq!(connections.load(Ordering::SeqCst), 2);
+    }
+}
+
+#[async_std::test]
+async fn expired_connection_is_not_used() {
+    let (address, connections) = raw_peer(EMPTY, Then::Hold).await;
+    let client = Client::new(Limits {
+        idle_timeout_ms: DurationMs::new(0),
+        ..patient_limits()
+    });
+    for _ in 0..2 {
+        patiently(client.send(get(address))).await.unwrap();
+    }
+    assert_eq!(connections.load(Ordering::SeqCst), 2);
+}
+
+#[async_std::test]
+async fn idle_connection_is_closed_by_the_client() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = Client::new(Limits {
+        idle_timeout_ms: DurationMs::new(20),
+        ..patient_limits()
+    });
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_until(&mut stream, "\r\n\r\n").await;
+        stream.write_all(EMPTY).await.unwrap();
+        common::read_to_close(&mut stream).await
+    };
+    let (response, rest) = patiently(futures::future::join(client.send(get(address)), peer)).await;
+    assert!(response.is_ok());
+    assert_eq!(rest, "");
+}
--- /dev/null
+++ b/crates/jm-http/tests/server_limits.rs
@@ -0,0 +1,127 @@
+//! Guards against peers that hold connections without using them.
+
+mod common;
+
+use std::sync::{Arc, Mutex};
+
+use common::{TestServer, patient_limits, patiently, read_to_close, read_until};
+use futures::AsyncWriteExt;
+use jm_http::{Limits, Response, channel_body};
+use jm_types::{DurationMs, ResultCode};
+
+const SHORT: DurationMs = DurationMs::new(50);
+
+#[async_std::test]
+async fn idle_connection_is_closed() {
+    let limits = Limits {
+        idle_timeout_ms: SHORT,
+        ..patient_limits()
+    };
+    let server = TestServer::echo(limits).await;
+    assert_eq!(server.exchange(b"").await, "");
+    let mut kept = server.connect().await;
+    kept.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    let answer = read_to_close(&mut kept).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+    assert!(!answer.contains("connection: close"), "{answer:?}");
+}
+
+#[async_std::test]
+async fn late_head_is_refused() {
+    let limits = Limits {
+        head_timeout_ms: SHORT,
+        ..patient_limits()
+    };
+    let server = TestServer::echo(limits).await;
+    let answer = server.exchange(b"GET / HT").await;
+    assert!(
+        answer.contains(&ResultCode::RequestTimeout.to_string()),
+        "{answer:?}"
+    );
+}
+
+#[async_std::test]
+async fn late_handler_is_answered_for() {
+    let limits = Limits {
+        answer_timeout_ms: SHORT,
+        ..patient_limits()
+    };
+    let server = TestServer::start(limits, |_| std::future::pending()).await;
+    let answer = server
+        .exchange(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .await;
+    assert!(
+        answer.contains(&ResultCode::AnswerTimeout.to_string()),
+        "{answer:?}"
+    );
+    assert!(answer.contains("outcome unknown"), "{answer:?}");
+}
+
+#[async_std::test]
+async fn failing_handler_is_answered_for() {
+    let server = TestServer::start(patient_limits(), |_| async { panic!("expected by the test") }).await;
+    let answer = server
+        .exchange(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+        .await;
+    assert!(answer.contains(&ResultCode::Internal.to_string()), "{answer:?}");
+}
+
+#[async_std::test]
+async fn connections_over_the_limit_are_refused() {
+    let limits = Limits {
+        connections: 1,
+        ..patient_limits()
+    };
+    let server = TestServer::echo(limits).await;
+    let mut first = server.connect().await;
+    first
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    read_until(&mut first, "\r\n\r\n").await;
+    let answer = server.exchange(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await;
+    assert!(
+        answer.contains(&ResultCode::TooManyConnections.to_string()),
+        "{answer:?}"
+    );
+    assert_eq!(server.handled(), 1);
+    drop(first);
+    patiently(async {
+        loop {
+            let answer = server
+                .exchange(b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n")
+                .await;
+            if answer.starts_with("HTTP/1.1 200 ") {
+                return;
+            }
+        }
+    })
+    .await;
+}
+
+#[async_std::test]
+async fn reader_that_stalls_is_cut() {
+    let limits = Limits {
+        body_timeout_ms: SHORT,
+        ..patient_limits()
+    };
+    let (sender, body) = channel_body();
+    let body = Arc::new(Mutex::new(Some(body)));
+    let server = TestServer::start(limits, move |_| {
+        let body = body.lock().unwrap().take().unwrap();
+        async move {
+            let mut response = Response::new(200);
+            response.set_body(body);
+            response
+        }
+    })
+    .await;
+    let mut stream = server.connect().await;
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    patiently(async { while sender.send(vec![0; 100_000]).await.is_ok() {} }).await;
+}
