jm-http: answer first requests that arrive during a stop

Cause: changing single lines of the crate left the tests green for five guards: the check of an idle connection, the wait for a first request during a stop, accepting what the kernel had already connected, the host header, and connections that become idle while a request waits.

Change: one test for each of them. The wait for a first request is the head timeout from the settings instead of a constant, so that its test does not depend on how fast the machine is.

--- a/crates/jm-http/src/connection.rs
+++ b/crates/jm-http/src/connection.rs
@@ -25,10 +25,6 @@
 /// How long a peer may go on sending after the last answer. Closing a socket with unread bytes resets the connection, and the peer
 /// could lose the answer.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
-/// How long a connection that has not carried a request stays open when the server stops: a peer that has just
-/// connected has most likely written its request, and closing would leave its outcome open.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
-
 pub(crate) struct ServerConnection {
     wire: Wire,
     connection: Connection,
@@ -82,8 +78,10 @@
         if let Either::Left((read, _)) = select(idle, self.stopping.recv().boxed()).await {
             return matches!(read, Ok(Ok(1..)));
         }
+        // A peer that has just connected has most likely written its request already; closing would leave the outcome
+        // of that request open.
         let last_wait = match self.served {
-            0 => FIRST_REQUEST_TIME,
+            0 => self.limits.head_timeout_ms.as_std(),
             _ => Duration::ZERO,
         };
         matches!(timeout(last_wait, self.wire.fill()).await, Ok(Ok(1..)))
--- a/crates/jm-http/src/server.rs
+++ b/crates/jm-http/src/server.rs
@@ -55,7 +55,8 @@
     /// Accepts connections until `stop` resolves, then waits for open requests to finish.
     ///
     /// When `stop` resolves, the listener closes, kept-alive connections without a request close, and open requests
-    /// are answered with `connection: close`.
+    /// are answered with `connection: close`. A connection that has not carried a request yet may send its first one
+    /// within the head timeout.
     pub async fn serve(
         &self,
         listener: TcpListener,
--- a/crates/jm-http/tests/client_limits.rs
+++ b/crates/jm-http/tests/client_limits.rs
@@ -63,3 +63,20 @@
     assert!(patiently(client.send(get(address))).await.is_err());
     assert!(patiently(common::client().send(get(address))).await.is_ok());
 }
+
+/// A connection that becomes idle must make room for a request that is already waiting.
+#[async_std::test]
+async fn waiting_request_gets_the_next_connection() {
+    let server = TestServer::echo(patient_limits()).await;
+    let (busy, _) = raw_peer(b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\na", Then::Hold).await;
+    let client = Client::new(Limits {
+        connections: 1,
+        connect_timeout_ms: DurationMs::new(60_000),
+        ..patient_limits()
+    });
+    let mut open = patiently(client.send(get(busy))).await.unwrap();
+    let waiting = client.send(get(server.address));
+    let (response, body) = patiently(futures::future::join(waiting, open.body_bytes())).await;
+    assert!(response.is_ok());
+    assert_eq!(body.unwrap(), b"a");
+}
--- a/crates/jm-http/tests/graceful_stop.rs
+++ b/crates/jm-http/tests/graceful_stop.rs
@@ -2,10 +2,25 @@
 
 mod common;
 
-use async_std::{channel::bounded, net::TcpStream};
+use std::sync::Arc;
+
+use async_std::{
+    channel::bounded,
+    net::{TcpListener, TcpStream},
+};
+use async_trait::async_trait;
 use common::{TestServer, client, drop_signal, get, patient_limits, patiently, read_to_close, read_until};
-use futures::AsyncWriteExt;
-use jm_http::Response;
+use futures::{AsyncWriteExt, FutureExt, future::join};
+use jm_http::{Connection, Handler, Request, Response, Server};
+
+struct Empty;
+
+#[async_trait]
+impl Handler for Empty {
+    async fn handle(&self, _request: Request, _connection: &Connection) -> Response {
+        Response::new(200)
+    }
+}
 
 #[async_std::test]
 async fn open_request_is_answered_and_idle_connection_closed() {
@@ -45,24 +60,46 @@
     assert!(TcpStream::connect(server.address).await.is_err());
 }
 
-/// A connection that the kernel accepted before the stop may carry a request already.
+/// The kernel accepts connections before the server does. They may carry a request when the server stops.
 #[async_std::test]
 async fn request_written_before_the_stop_is_answered() {
     for _ in 0..20 {
-        let mut server = TestServer::echo(patient_limits()).await;
-        let mut stream = server.connect().await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
         stream
             .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
             .await
             .unwrap();
-        drop(server.stop.take());
-        let answer = read_to_close(&mut stream).await;
+        let stop = futures::future::ready(()).shared();
+        let server = Server::new(patient_limits(), Arc::new(Empty));
+        let answer = async {
+            let answer = read_to_close(&mut stream).await;
+            drop(stream);
+            answer
+        };
+        let (served, answer) = patiently(join(server.serve(listener, stop), answer)).await;
+        served.unwrap();
         assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
-        drop(stream);
-        patiently(server.served).await.unwrap();
     }
 }
 
+/// The request of a connection that was just opened may still be on its way.
+#[async_std::test]
+async fn first_request_after_the_stop_is_answered() {
+    let mut server = TestServer::echo(patient_limits()).await;
+    let mut stream = server.connect().await;
+    drop(server.stop.take());
+    patiently(async { while TcpStream::connect(server.address).await.is_ok() {} }).await;
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        .await
+        .unwrap();
+    let answer = read_to_close(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 200 "), "{answer:?}");
+    drop(stream);
+    patiently(server.served).await.unwrap();
+}
+
 #[async_std::test]
 async fn pooled_connection_does_not_delay_the_stop() {
     let mut server = TestServer::echo(patient_limits()).await;
--- a/crates/jm-http/tests/pooled_connection.rs
+++ b/crates/jm-http/tests/pooled_connection.rs
@@ -49,7 +49,6 @@
 
 #[async_std::test]
 async fn other_requests_use_a_fresh_connection() {
-    let server = TestServer::echo(patient_limits()).await;
     let (peers, seen) = bounded(10);
     let counting = TestServer::start(patient_limits(), move |request| {
         peers.try_send(request.peer_addr().unwrap().to_owned()).unwrap();
@@ -70,7 +69,6 @@
     peers.sort();
     peers.dedup();
     assert_eq!(peers.len(), 3);
-    drop(server);
 }
 
 /// The peer closes a connection just as the next request is written to it.
@@ -102,6 +100,33 @@
     assert_eq!(connections.load(Ordering::SeqCst), 2);
 }
 
+/// The same for bytes that arrive while the connection is idle.
+#[async_std::test]
+async fn unexpected_bytes_end_an_idle_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = client();
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_until(&mut stream, "\r\n\r\n").await;
+        stream.write_all(EMPTY).await.unwrap();
+        stream
+    };
+    let (response, mut stream) = patiently(futures::future::join(client.send(get(address)), peer)).await;
+    assert!(response.is_ok());
+    stream
+        .write_all(b"HTTP/1.1 500 Late\r\ncontent-length: 0\r\n\r\n")
+        .await
+        .unwrap();
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_until(&mut stream, "\r\n\r\n").await;
+        stream.write_all(EMPTY).await.unwrap();
+    };
+    let (response, ()) = patiently(futures::future::join(client.send(get(address)), peer)).await;
+    assert_eq!(response.unwrap().status(), 200);
+}
+
 #[async_std::test]
 async fn closing_answers_are_not_pooled() {
     let answers: [&[u8]; 3] = [
--- a/crates/jm-http/tests/request_written.rs
+++ b/crates/jm-http/tests/request_written.rs
@@ -128,3 +128,18 @@
     let (response, ()) = patiently(futures::future::join(client.send(post), feed)).await;
     assert_eq!(response.unwrap().body_string().await.unwrap(), "onetwo");
 }
+
+/// A request that is passed on must not name the host that its caller named.
+#[async_std::test]
+async fn host_is_that_of_the_url() {
+    let server = TestServer::start(patient_limits(), |request| async move {
+        let mut response = Response::new(200);
+        response.set_body(request.host().unwrap_or_default());
+        response
+    })
+    .await;
+    let mut copied = get(server.address);
+    copied.insert_header("host", "elsewhere");
+    let mut response = patiently(client().send(copied)).await.unwrap();
+    assert_eq!(response.body_string().await.unwrap(), server.address.to_string());
+}
