--- /dev/null
+++ b/crates/jm-config/src/diff.rs
@@ -0,0 +1,28 @@
+//! The edits that lead from the document in force to an edited text.
+
+use crate::{change::Edit, document::Document, section::SectionName, view::ConfigView};
+
+/// The edits, section by section, that lead from `current` to `wanted`. Sections without a difference are left out, so
+/// that the change does not conflict with other operators' changes to them.
+pub fn diff(current: &ConfigView, wanted: &Document) -> Vec<Edit> {
+    let mut edits = Vec::new();
+    for section in &current.sections {
+        let body = wanted.section(&section.name);
+        if body != Some(&section.body) {
+            edits.push(Edit {
+                section: section.name.clone(),
+                expected: Some(section.revision),
+                body: body.cloned(),
+            });
+        }
+    }
+    let is_new = |name: &SectionName| !current.sections.iter().any(|section| section.name == *name);
+    for (name, body) in wanted.sections().filter(|(name, _)| is_new(name)) {
+        edits.push(Edit {
+            section: name.clone(),
+            expected: None,
+            body: Some(body.clone()),
+        });
+    }
+    edits
+}
