--- a/crates/jm-config/src/entity.rs
+++ b/crates/jm-config/src/entity.rs
@@ -22,6 +22,9 @@
 const METHOD: &str = "GET, HEAD, PUT, DELETE, POST, PATCH or any";
 const ORGANISATIONS: &str = "all, or ids of organisations separated by commas";
 
+/// The value of `organisations` in a route for every organisation.
+pub(crate) const EVERY_ORGANISATION: &str = "all";
+
 const MAX_TARGETS: u64 = 1_000_000;
 const MAX_WINDOW_TOKENS: u64 = 100_000_000;
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
@@ -212,7 +215,7 @@
 
     fn from_str(text: &str) -> Result<Self, ()> {
         match text {
-            "all" => Ok(Self::All),
+            EVERY_ORGANISATION => Ok(Self::All),
             ids => parse_list(ids).map(Self::Only).ok_or(()),
         }
     }
--- a/crates/jm-config/src/reference.rs
+++ b/crates/jm-config/src/reference.rs
@@ -3,19 +3,34 @@
 use std::{collections::HashMap, hash::Hash};
 
 use indexmap::IndexMap;
-use jm_types::{OrganisationId, ResultCode, ServiceId};
+use jm_types::{ResultCode, ServiceId};
 
 use crate::{
     document::Document,
-    entity::{AllowedOrganisations, ServiceAccess, ServiceKind},
+    entity::{AllowedOrganisations, EVERY_ORGANISATION, ServiceAccess, ServiceKind},
     error::Faults,
-    scan::RawSection,
+    scan::{RawSection, RawValue},
     section::{SectionKind, SectionName},
 };
 
+/// Keys whose value is the id of another section: in a section of the first kind, of the second kind.
+const REFERENCES: &[(SectionKind, &str, SectionKind)] = &[
+    (SectionKind::Key, "organisation", SectionKind::Organisation),
+    (SectionKind::Target, "service", SectionKind::Service),
+    (SectionKind::Target, "zone", SectionKind::Zone),
+    (SectionKind::Capacity, "service", SectionKind::Service),
+    (SectionKind::Route, "service", SectionKind::Service),
+    (SectionKind::Route, "organisations", SectionKind::Organisation),
+    (SectionKind::Sharing, "service", SectionKind::Service),
+    (SectionKind::Sharing, "organisation", SectionKind::Organisation),
+    (SectionKind::Training, "service", SectionKind::Service),
+    (SectionKind::Training, "organisation", SectionKind::Organisation),
+];
+
 /// Records every dangling reference and contradiction between sections.
 pub(crate) fn check(document: &Document, named: &[(SectionName, RawSection)], faults: &mut Faults) {
     let mut checker = Checker::new(document, named, faults);
+    checker.references();
     checker.keys();
     checker.targets();
     checker.capacities();
@@ -53,23 +68,31 @@
         self.faults.add(line, code, message, allowed);
     }
 
-    /// Refuses a reference to a section that does not stand in the text. A section with faults of its own counts as
-    /// present, so that one fault is not reported twice.
-    fn require(&mut self, at: (SectionKind, &str, &str), wanted: SectionKind, wanted_id: &str) {
-        let exists = SectionName::new(wanted, wanted_id).is_ok_and(|name| self.sections.contains_key(&name));
-        if !exists {
-            let message = format!("there is no section [{} {wanted_id}]", wanted.word());
-            let allowed = format!("the id of a [{} ID] section in this document", wanted.word());
-            self.refuse(at, ResultCode::DanglingReference, message, &allowed);
+    /// Refuses references to sections that do not stand in the text. Works on the text of the values, so that a section
+    /// with another fault is checked too, and counts such a section as present.
+    fn references(&mut self) {
+        let sections = self.sections.clone();
+        for (name, section) in &sections {
+            for (_, key, wanted) in REFERENCES.iter().filter(|(kind, _, _)| *kind == name.kind()) {
+                if let Some(value) = section.values.get(*key) {
+                    self.reference(key, value, *wanted);
+                }
+            }
         }
     }
 
-    fn service(&mut self, kind: SectionKind, id: &str, service: &ServiceId) {
-        self.require((kind, id, "service"), SectionKind::Service, service.as_str());
-    }
-
-    fn organisation(&mut self, kind: SectionKind, id: &str, key: &str, organisation: &OrganisationId) {
-        self.require((kind, id, key), SectionKind::Organisation, organisation.as_str());
+    fn reference(&mut self, key: &str, value: &RawValue, wanted: SectionKind) {
+        for id in referred_ids(key, &value.text) {
+            let Ok(name) = SectionName::new(wanted, id) else {
+                continue;
+            };
+            if !self.sections.contains_key(&name) {
+                let message = format!("there is no section [{name}]");
+                let allowed = format!("the id of a [{} ID] section in this document", wanted.word());
+                self.faults
+                    .add(value.line, ResultCode::DanglingReference, message, allowed);
+            }
+        }
     }
 
     /// Refuses the second section that claims `claim`.
@@ -92,7 +115,6 @@
     fn keys(&mut self) {
         let mut hashes = HashMap::new();
         for (id, key) in &self.document.keys {
-            self.organisation(SectionKind::Key, id.as_str(), "organisation", &key.organisation);
             let at = (SectionKind::Key, id.as_str(), "sha256");
             self.unique(&mut hashes, at, key.sha256, "each secret in one key section");
         }
@@ -101,14 +123,7 @@
     fn targets(&mut self) {
         let mut addresses = HashMap::new();
         for (id, target) in &self.document.targets {
-            let id = id.as_str();
-            self.service(SectionKind::Target, id, &target.service);
-            self.require(
-                (SectionKind::Target, id, "zone"),
-                SectionKind::Zone,
-                target.zone.as_str(),
-            );
-            let at = (SectionKind::Target, id, "address");
+            let at = (SectionKind::Target, id.as_str(), "address");
             self.unique(
                 &mut addresses,
                 at,
@@ -121,7 +136,6 @@
     fn capacities(&mut self) {
         let mut services = HashMap::new();
         for (id, capacity) in &self.document.capacities {
-            self.service(SectionKind::Capacity, id, &capacity.service);
             let at = (SectionKind::Capacity, id.as_str(), "service");
             self.unique(
                 &mut services,
@@ -135,20 +149,16 @@
     fn routes(&mut self) {
         let mut claims = HashMap::new();
         for (id, route) in &self.document.routes {
-            self.service(SectionKind::Route, id, &route.service);
             let at = (SectionKind::Route, id.as_str(), "path");
             let claim = (&route.service, route.method, &route.path);
             self.unique(&mut claims, at, claim, "one route for a service, method and path");
-            if let AllowedOrganisations::Only(organisations) = &route.organisations {
-                self.route_organisations(id, &route.service, organisations);
+            if route.organisations != AllowedOrganisations::All {
+                self.route_organisations(id, &route.service);
             }
         }
     }
 
-    fn route_organisations(&mut self, id: &str, service: &ServiceId, organisations: &[OrganisationId]) {
-        for organisation in organisations {
-            self.organisation(SectionKind::Route, id, "organisations", organisation);
-        }
+    fn route_organisations(&mut self, id: &str, service: &ServiceId) {
         let access = self.document.services.get(service).map(|service| service.access);
         if access == Some(ServiceAccess::Open) {
             let message = format!("service {service} is open, so its callers have no organisation");
@@ -165,8 +175,6 @@
     fn sharings(&mut self) {
         let mut claims = HashMap::new();
         for (id, sharing) in &self.document.sharings {
-            self.service(SectionKind::Sharing, id, &sharing.service);
-            self.organisation(SectionKind::Sharing, id, "organisation", &sharing.organisation);
             let at = (SectionKind::Sharing, id.as_str(), "organisation");
             let claim = (&sharing.service, &sharing.organisation);
             self.unique(&mut claims, at, claim, "one share for a service and organisation");
@@ -176,8 +184,6 @@
     fn trainings(&mut self) {
         let mut claims = HashMap::new();
         for (id, training) in &self.document.trainings {
-            self.service(SectionKind::Training, id, &training.service);
-            self.organisation(SectionKind::Training, id, "organisation", &training.organisation);
             let at = (SectionKind::Training, id.as_str(), "organisation");
             let claim = (&training.service, &training.organisation);
             self.unique(
@@ -199,3 +205,11 @@
         }
     }
 }
+
+fn referred_ids<'a>(key: &str, text: &'a str) -> Vec<&'a str> {
+    match (key, text) {
+        ("organisations", EVERY_ORGANISATION) => Vec::new(),
+        ("organisations", list) => list.split(',').map(str::trim).collect(),
+        (_, id) => vec![id],
+    }
+}
