--- /dev/null
+++ b/crates/jm-types/tests/doc_tables.rs
@@ -0,0 +1,105 @@
+//! Holds the tables in docs/ against the code in both directions. Guards against codes that nobody can look up and rows
+//! that describe a code that no longer exists.
+
+use std::collections::HashSet;
+
+use jm_types::{LogEvent, ResultCode};
+
+const RESULT_CODES: &str = include_str!("../../../docs/result-codes.md");
+const LOG_EVENTS: &str = include_str!("../../../docs/log-events.md");
+
+/// The cells of the rows whose first cell is a number; every other row of a table is its head.
+fn rows(page: &str) -> Vec<Vec<String>> {
+    page.lines()
+        .filter_map(|line| line.strip_prefix("| ")?.strip_suffix(" |"))
+        .map(|line| line.split(" | ").map(str::to_owned).collect())
+        .filter(|cells: &Vec<String>| cells[0].starts_with(|c: char| c.is_ascii_digit()))
+        .collect()
+}
+
+/// Compares the leading cells of each row with the code, in order, and requires text in the others.
+#[track_caller]
+fn compare(page: &str, columns: usize, expected: &[Vec<String>]) {
+    let rows = rows(page);
+    let leading = expected.first().map_or(0, Vec::len);
+    for row in &rows {
+        assert_eq!(row.len(), columns, "{row:?}");
+        assert!(row.iter().all(|cell| !cell.trim().is_empty()), "{row:?}");
+    }
+    let found: Vec<_> = rows.iter().map(|row| row[..leading].to_vec()).collect();
+    for row in expected {
+        assert!(
+            found.contains(row),
+            "the page has no row that starts with {row:?}"
+        );
+    }
+    for row in &found {
+        assert!(
+            expected.contains(row),
+            "the code has nothing for the row that starts with {row:?}"
+        );
+    }
+    assert_eq!(
+        found, expected,
+        "rows stand in the order of their numbers, each once"
+    );
+}
+
+fn expected_codes() -> Vec<Vec<String>> {
+    let row = |code: &ResultCode| {
+        vec![
+            code.number().to_string(),
+            code.name().to_owned(),
+            code.http_status().to_string(),
+            code.execution().to_string(),
+        ]
+    };
+    ResultCode::ALL.iter().map(row).collect()
+}
+
+fn expected_events() -> Vec<Vec<String>> {
+    let row = |event: &LogEvent| {
+        vec![
+            event.number().to_string(),
+            event.name().to_owned(),
+            event.level().to_string().to_lowercase(),
+        ]
+    };
+    LogEvent::ALL.iter().map(row).collect()
+}
+
+#[test]
+fn result_codes_and_their_table_agree() {
+    compare(RESULT_CODES, 6, &expected_codes());
+}
+
+#[test]
+fn log_events_and_their_table_agree() {
+    compare(LOG_EVENTS, 5, &expected_events());
+}
+
+/// The order of `ALL` is documented, and a number that stands twice would make its message ambiguous.
+#[test]
+fn numbers_rise() {
+    assert!(ResultCode::ALL.is_sorted_by(|a, b| a.number() < b.number()));
+    assert!(LogEvent::ALL.is_sorted_by(|a, b| a.number() < b.number()));
+}
+
+#[test]
+fn names_are_unique() {
+    let codes: HashSet<_> = ResultCode::ALL.iter().map(|code| code.name()).collect();
+    assert_eq!(codes.len(), ResultCode::ALL.len());
+    let events: HashSet<_> = LogEvent::ALL.iter().map(|event| event.name()).collect();
+    assert_eq!(events.len(), LogEvent::ALL.len());
+}
+
+#[test]
+fn codes_are_read_back() {
+    for code in ResultCode::ALL {
+        assert_eq!(code.to_string().parse(), Ok(*code));
+        assert_eq!(ResultCode::try_from(code.number()), Ok(*code));
+    }
+    for text in ["JM", "JM1", "1001", "JM99999", "jm1001"] {
+        assert!(text.parse::<ResultCode>().is_err(), "{text}");
+    }
+}
