Operator commands, their guide, and reuse of change ids refused

Cause: operators had no commands; a whole text that is compared with the document in force would undo what others changed since it was read; an id that is reused for other edits would be answered as accepted. Change: src/cli holds config, key, status, report and settings commands over the admin API. show --to keeps what the operator read beside the file, and diff and apply compare with that. A change with unknown outcome is sent again with its id; after an unknown attempt only an acceptance settles it. The log remembers a digest of the edits of each id. New code EntryUnreachable (2009), because no other code says that no connection was opened and nothing was sent.

--- a/crates/jm-config/src/change.rs
+++ b/crates/jm-config/src/change.rs
@@ -4,6 +4,7 @@
 
 use jm_types::Revision;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use snafu::Snafu;
 
 use crate::section::{SectionBody, SectionName, Team};
@@ -90,6 +91,11 @@
     pub body: Option<SectionBody>,
 }
 
+/// Tells changes with the same id apart. Not meant to resist attackers, who cannot choose another operator's id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct EditsDigest(u64);
+
 /// A change of the document; its edits take effect together.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Change {
@@ -102,3 +108,22 @@
     /// The edits, at most one for a section.
     pub edits: Vec<Edit>,
 }
+
+impl Change {
+    /// The digest of the edits.
+    pub(crate) fn edits_digest(&self) -> EditsDigest {
+        let mut hasher = Sha256::new();
+        for edit in &self.edits {
+            let expected = edit.expected.map(Revision::get);
+            let body = edit.body.as_ref().map(SectionBody::to_string);
+            hasher.update(format!("{} {expected:?} {body:?};", edit.section));
+        }
+        let hash = hasher.finalize();
+        let (first, _) = hash.split_at(size_of::<u64>());
+        EditsDigest(
+            first
+                .iter()
+                .fold(0, |number, byte| number << 8 | u64::from(*byte)),
+        )
+    }
+}
--- a/crates/jm-config/src/change_log.rs
+++ b/crates/jm-config/src/change_log.rs
@@ -8,7 +8,7 @@
 use snafu::{ResultExt, Snafu, ensure};
 
 use crate::{
-    change::{Change, ChangeId},
+    change::{Change, ChangeId, EditsDigest},
     document::Document,
     error::ConfigErrors,
     section::{SectionBody, SectionName, Team},
@@ -72,6 +72,14 @@
         /// The section.
         section: SectionName,
     },
+    /// The id belongs to another change that was accepted.
+    #[snafu(display("change id {change_id} belongs to another change, accepted at revision {accepted}"))]
+    IdReused {
+        /// The id.
+        change_id: ChangeId,
+        /// The revision of the other change.
+        accepted: Revision,
+    },
     /// The change has no edits.
     #[snafu(display("the change has no edits; allowed: at least one"))]
     Empty,
@@ -100,6 +108,7 @@
             Self::BaseUnknown { .. } => ResultCode::NotFresh,
             Self::WrongTeam { .. } => ResultCode::WrongTeam,
             Self::EditedTwice { .. } => ResultCode::Duplicate,
+            Self::IdReused { .. } => ResultCode::RequestMismatch,
             Self::Empty => ResultCode::MissingSetting,
             Self::Invalid { source } => source.code(),
         }
@@ -154,8 +163,19 @@
     pub revision: Revision,
     /// The sections in the order in which they were added.
     pub sections: Vec<SectionView>,
-    /// The remembered change ids with their revisions, oldest first.
-    pub accepted: Vec<(Revision, ChangeId)>,
+    /// The remembered changes, oldest first.
+    pub accepted: Vec<AcceptedChange>,
+}
+
+/// What is remembered of an accepted change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcceptedChange {
+    /// Its revision.
+    pub revision: Revision,
+    /// Its id.
+    pub change_id: ChangeId,
+    /// The digest of its edits.
+    pub edits: EditsDigest,
 }
 
 /// The document, the revision of each section and the latest change ids. Equal logs give equal states.
@@ -163,8 +183,9 @@
 pub struct ChangeLog {
     revision: Revision,
     sections: IndexMap<SectionName, SectionState>,
-    accepted: VecDeque<(Revision, ChangeId)>,
-    accepted_at: HashMap<ChangeId, Revision>,
+    /// Ids of the remembered changes, oldest first.
+    accepted_order: VecDeque<ChangeId>,
+    accepted: HashMap<ChangeId, AcceptedChange>,
 }
 
 impl ChangeLog {
@@ -185,7 +206,25 @@
 
     /// The revision at which a change with this id was accepted, for as long as it is remembered.
     pub fn accepted(&self, id: &ChangeId) -> Option<Revision> {
-        self.accepted_at.get(id).copied()
+        self.accepted.get(id).map(|accepted| accepted.revision)
+    }
+
+    /// The revision at which `change` was accepted already; the answer to a change that is sent again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the id belongs to an accepted change with other edits.
+    pub fn repeat_of(&self, change: &Change) -> Result<Option<Revision>, ChangeRefused> {
+        let Some(first) = self.accepted.get(&change.change_id) else {
+            return Ok(None);
+        };
+        let accepted = first.revision;
+        let change_id = change.change_id.clone();
+        ensure!(
+            first.edits == change.edits_digest(),
+            IdReusedSnafu { change_id, accepted }
+        );
+        Ok(Some(accepted))
     }
 
     /// The document as the sections stand.
@@ -198,7 +237,7 @@
         Document::from_sections(&format!("revision {}", self.revision), sections)
     }
 
-    /// Whether `change` may be stored as the next revision of exactly this state. Ask [`ChangeLog::accepted`] first: a
+    /// Whether `change` may be stored as the next revision of exactly this state. Ask [`ChangeLog::repeat_of`] first: a
     /// change that is in the log already conflicts with itself.
     ///
     /// # Errors
@@ -227,7 +266,11 @@
         let outcome = self.outcome(change);
         if outcome == ChangeOutcome::Applied {
             edit(&mut self.sections, change, revision);
-            self.remember(revision, change.change_id.clone());
+            self.remember(AcceptedChange {
+                revision,
+                change_id: change.change_id.clone(),
+                edits: change.edits_digest(),
+            });
         }
         self.revision = revision;
         self.forget();
@@ -278,20 +321,20 @@
         }
     }
 
-    fn remember(&mut self, revision: Revision, id: ChangeId) {
-        self.accepted_at.insert(id.clone(), revision);
-        self.accepted.push_back((revision, id));
+    fn remember(&mut self, accepted: AcceptedChange) {
+        self.accepted_order.push_back(accepted.change_id.clone());
+        self.accepted.insert(accepted.change_id.clone(), accepted);
     }
 
     /// Drops the ids that no accepted base can reach.
     fn forget(&mut self) {
         let oldest = self.revision.saturating_sub(Revision::new(REMEMBERED_CHANGES));
-        while let Some((revision, id)) = self.accepted.front() {
-            if *revision > oldest {
+        while let Some(id) = self.accepted_order.front() {
+            if self.accepted(id).is_some_and(|revision| revision > oldest) {
                 break;
             }
-            self.accepted_at.remove(id);
-            self.accepted.pop_front();
+            self.accepted.remove(id);
+            self.accepted_order.pop_front();
         }
     }
 
@@ -300,7 +343,12 @@
         Snapshot {
             revision: self.revision,
             sections: self.view().sections,
-            accepted: self.accepted.iter().cloned().collect(),
+            accepted: self
+                .accepted_order
+                .iter()
+                .filter_map(|id| self.accepted.get(id))
+                .cloned()
+                .collect(),
         }
     }
 
@@ -313,8 +361,8 @@
         for SectionView { name, revision, body } in snapshot.sections {
             log.sections.insert(name, SectionState { revision, body });
         }
-        for (revision, id) in snapshot.accepted {
-            log.remember(revision, id);
+        for accepted in snapshot.accepted {
+            log.remember(accepted);
         }
         log
     }
--- a/crates/jm-config/src/lib.rs
+++ b/crates/jm-config/src/lib.rs
@@ -22,9 +22,10 @@
 mod view;
 
 pub use active::ActiveConfig;
-pub use change::{Author, Change, ChangeId, Edit, ParseChangeIdError};
+pub use change::{Author, Change, ChangeId, Edit, EditsDigest, ParseChangeIdError};
 pub use change_log::{
-    ApplyError, ChangeLog, ChangeOutcome, ChangeRefused, REMEMBERED_CHANGES, SectionState, Snapshot,
+    AcceptedChange, ApplyError, ChangeLog, ChangeOutcome, ChangeRefused, REMEMBERED_CHANGES, SectionState,
+    Snapshot,
 };
 pub use diff::diff;
 pub use document::Document;
--- a/crates/jm-config/tests/change_log.rs
+++ b/crates/jm-config/tests/change_log.rs
@@ -418,6 +418,20 @@
     assert!(log.section(&name("organisation a")).is_none());
 }
 
+/// A reused id must not be answered as if the new edits had been stored.
+#[test]
+fn id_of_another_change_is_refused() {
+    let first = two_organisations();
+    let log = log_with(std::slice::from_ref(&first));
+    assert_eq!(log.repeat_of(&first), Ok(Some(Revision::new(1))));
+    let mut other = first.clone();
+    other.edits.truncate(1);
+    let refused = log.repeat_of(&other).expect_err("other edits");
+    assert_eq!(refused.code(), ResultCode::RequestMismatch);
+    other.change_id = "second".parse().expect("a change id");
+    assert_eq!(log.repeat_of(&other), Ok(None));
+}
+
 #[test]
 fn base_from_the_future_is_refused() {
     let early = change("c", 5, vec![edit("zone a", None, Some("region = r\n"))]);
--- a/crates/jm-types/src/code.rs
+++ b/crates/jm-types/src/code.rs
@@ -128,6 +128,8 @@
     RetryBudgetSpent = 2007, 503, NotRun;
     /// The dispatch daemon that owns the target could not be reached.
     DispatchUnreachable = 2008, 503, NotRun;
+    /// No connection to the entry daemon could be opened.
+    EntryUnreachable = 2009, 503, NotRun;
     /// The request may have run and no answer is known.
     OutcomeUnknown = 3001, 502, Unknown;
     /// The target failed after it started the request.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,5 @@
+//! Library of the jacinthmoor program. `docs/operators.md` describes the commands.
+
+#![deny(missing_docs, unsafe_code)]
+
+pub mod cli;
