Stand-ins for the engine, the plain service and a faulty link

Cause: the daemons need engines and services that fail on command, and tests that look for secrets need every byte that those received. Change: Engine, PlainService and Relay as library types; each HTTP stand-in has a relay in front of its server, which records the bytes as they came and ends connections without an answer. Ruled out: faults inside the HTTP handler alone, because a handler can only give a well-formed answer; closing a connection right after accepting it for a dead process, because callers would see a written request where a real process refuses the connection.

--- a/crates/jm-standins/src/lib.rs
+++ b/crates/jm-standins/src/lib.rs
@@ -1,3 +1,25 @@
 //! Stand-ins for the systems around jacinthmoor, with fault injection.
+//!
+//! They serve tests and the demonstration only; the daemons do not depend on this crate. Each stand-in listens on
+//! loopback and sees every byte that it receives through a [`Relay`] in front of its HTTP server.
 
 #![deny(missing_docs, unsafe_code)]
+
+mod engine;
+mod front;
+mod notify;
+mod plan;
+mod recording;
+mod relay;
+mod service;
+
+pub use engine::{
+    BLOCK_BYTES, CacheEvent, CacheEventKind, CacheEvents, Done, Engine, EngineCounts, EngineFault,
+    EngineOptions, EngineSettings, GenerateRequest, Load, Order, OrderAnswer, OrderKind, Piece,
+    ReceivedOrder, Role, Segment, expected_text, expected_token, prefix_hash, prompt_tokens,
+};
+pub use recording::Recording;
+pub use relay::{Direction, Flow, Relay};
+pub use service::{
+    PlainService, REQUEST_ID_FIELD, REQUEST_ID_HEADER, ServiceAnswer, ServiceFault, ServiceOptions,
+};
--- /dev/null
+++ b/crates/jm-standins/src/recording.rs
@@ -0,0 +1,83 @@
+//! Records received bytes, for tests that look for secrets.
+
+use std::sync::{Arc, Mutex};
+
+use crate::notify::lock;
+
+/// All bytes received, one entry a connection.
+#[derive(Debug, Clone, Default)]
+pub struct Recording {
+    /// The bytes of each connection in the order of their arrival.
+    pub connections: Vec<Vec<u8>>,
+    /// Whether nothing was left out; the recording stops at its bound.
+    pub complete: bool,
+}
+
+impl Recording {
+    /// Whether `secret` was received on any connection. A search in an incomplete recording proves nothing, so check
+    /// [`Recording::complete`] as well.
+    pub fn contains(&self, secret: &[u8]) -> bool {
+        let found = |bytes: &Vec<u8>| bytes.windows(secret.len().max(1)).any(|part| part == secret);
+        self.connections.iter().any(found)
+    }
+
+    /// Number of bytes recorded.
+    pub fn bytes(&self) -> usize {
+        self.connections.iter().map(Vec::len).sum()
+    }
+}
+
+/// Collects the recording of one relay.
+pub(crate) struct Recorder {
+    state: Arc<Mutex<RecorderState>>,
+}
+
+struct RecorderState {
+    recording: Recording,
+    free_bytes: usize,
+}
+
+/// Appends the bytes of one connection.
+pub(crate) struct ConnectionRecorder {
+    state: Arc<Mutex<RecorderState>>,
+    index: usize,
+}
+
+impl Recorder {
+    pub(crate) fn new(free_bytes: usize) -> Self {
+        let recording = Recording {
+            connections: Vec::new(),
+            complete: true,
+        };
+        let state = RecorderState {
+            recording,
+            free_bytes,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+        }
+    }
+
+    pub(crate) fn connection(&self) -> ConnectionRecorder {
+        let mut state = lock(&self.state);
+        state.recording.connections.push(Vec::new());
+        ConnectionRecorder {
+            state: Arc::clone(&self.state),
+            index: state.recording.connections.len() - 1,
+        }
+    }
+
+    pub(crate) fn recording(&self) -> Recording {
+        lock(&self.state).recording.clone()
+    }
+}
+
+impl ConnectionRecorder {
+    pub(crate) fn append(&mut self, bytes: &[u8]) {
+        let mut state = lock(&self.state);
+        let kept = bytes.len().min(state.free_bytes);
+        state.free_bytes -= kept;
+        state.recording.complete &= kept == bytes.len();
+        state.recording.connections[self.index].extend_from_slice(&bytes[..kept]);
+    }
+}
--- /dev/null
+++ b/crates/jm-standins/tests/engine_versions.rs
@@ -0,0 +1,87 @@
+//! Version swaps while a stream is running, and the load answer.
+
+#[path = "common/mod.rs"]
+#[allow(dead_code, reason = "each test file uses a part of the helpers")]
+mod common;
+
+use common::{Answer, engine, generate, generate_request, get_json, model, order_version, post, version};
+use futures::{AsyncBufReadExt, StreamExt};
+use jm_standins::Load;
+use jm_types::{DurationMs, Rate};
+
+const TOKENS: u64 = 1_000;
+
+/// Guards against segments that name what was ordered instead of what produced the tokens.
+#[async_std::test]
+async fn swap_inside_stream() {
+    let engine = engine().await;
+    // The stream would take 10 s at this rate, so the order arrives while it is running.
+    engine.configure(|settings| settings.stream_tokens_per_s = Rate::new(100.0));
+    let response = post(
+        engine.address(),
+        "/v1/generate",
+        &generate_request("p", TOKENS, 0),
+    )
+    .await;
+    let mut lines = response.lines();
+    let mut answer = Answer::default();
+    answer.add_line(&lines.next().await.unwrap().unwrap());
+    order_version(engine.address(), 2, 1).await;
+    engine.configure(|settings| settings.stream_tokens_per_s = Rate::new(1_000_000.0));
+    while let Some(line) = lines.next().await {
+        answer.add_line(&line.unwrap());
+    }
+    let old = answer
+        .pieces
+        .iter()
+        .filter(|piece| piece.version == Some(version(1)))
+        .count() as u64;
+    let segments = &answer.done[0].segments;
+    let counted: Vec<_> = segments
+        .iter()
+        .map(|segment| (segment.version, segment.tokens))
+        .collect();
+    assert_eq!(counted, [(version(1), old), (version(2), TOKENS - old)]);
+}
+
+/// Guards against an engine in which one long stream keeps all others waiting.
+#[async_std::test]
+async fn streams_share_capacity() {
+    let engine = engine().await;
+    engine.configure(|settings| settings.tokens_per_s = Rate::new(2_000.0));
+    // The long stream alone would take 50 s, so it is still running when the short one is done.
+    let long = post(
+        engine.address(),
+        "/v1/generate",
+        &generate_request("long", 100_000, 0),
+    )
+    .await;
+    let mut lines = long.lines();
+    lines.next().await.unwrap().unwrap();
+    let short = generate(engine.address(), &generate_request("short", 20, 0)).await;
+    assert_eq!(short.done.len(), 1);
+    assert_eq!((engine.running(), engine.counts().finished), (1, 1));
+}
+
+/// Guards against a load answer that ignores the lag.
+#[async_std::test]
+async fn load_lags() {
+    let engine = engine().await;
+    order_version(engine.address(), 2, 1).await;
+    let current: Load = get_json(engine.address(), "/v1/load").await;
+    assert_eq!(current.versions.get(&model()), Some(&version(2)));
+    engine.configure(|settings| settings.load_lag_ms = DurationMs::new(3_600_000));
+    order_version(engine.address(), 3, 1).await;
+    let old: Load = get_json(engine.address(), "/v1/load").await;
+    assert_eq!(old, Load::default());
+}
+
+/// Guards against an answer for a model that is not loaded.
+#[async_std::test]
+async fn unknown_model() {
+    let engine = engine().await;
+    let mut request = generate_request("p", 5, 0);
+    request.model = jm_types::ModelId::new("other").unwrap();
+    let response = post(engine.address(), "/v1/generate", &request).await;
+    assert_eq!(response.status(), jm_http::StatusCode::NotFound);
+}
