--- a/crates/jm-route/src/health.rs
+++ b/crates/jm-route/src/health.rs
@@ -19,17 +19,16 @@
 /// Fewest targets with known speed among which a slow one can be told.
 const LEAST_PEERS: usize = 2;
 
-/// Closes a control interval for the targets of one service.
-pub(crate) fn control(targets: &mut [Target], now: Timestamp, options: &SchedulerOptions) {
+/// Closes a control interval for the targets of one service; `demand` tells whether requests waited for room.
+pub(crate) fn control(targets: &mut [Target], demand: bool, now: Timestamp, options: &SchedulerOptions) {
     let mut times = Vec::with_capacity(targets.len());
     for target in targets.iter_mut().filter(|target| !target.removed) {
         if close_interval(target, now, options) && target.health == Health::Normal {
-            adapt_window(target);
+            adapt_window(target, demand);
         }
         if target.time_per_token_us > 0.0 {
             times.push(target.time_per_token_us);
         }
-        target.interval_peak = target.used;
     }
     if times.len() < LEAST_PEERS {
         return;
@@ -63,14 +62,13 @@
     true
 }
 
-/// Additive growth while the window is used and tokens are fast, multiplicative decrease when they are slow.
-fn adapt_window(target: &mut Target) {
+/// Additive growth while requests wait for room and tokens are fast, multiplicative decrease when they are slow.
+fn adapt_window(target: &mut Target, demand: bool) {
     let bounds = target.spec.window;
     let limit = bounds.time_limit_us as f64;
-    let window_used = target.interval_peak >= target.window - target.window / 8;
     if target.time_per_token_us > limit {
         target.window = (target.window - target.window / 8).max(bounds.least);
-    } else if window_used && target.time_per_token_us < GROWTH_MARGIN * limit {
+    } else if demand && target.time_per_token_us < GROWTH_MARGIN * limit {
         target.window = (target.window + (bounds.most / 32).max(1)).min(bounds.most);
     }
 }
--- a/crates/jm-route/src/scheduler.rs
+++ b/crates/jm-route/src/scheduler.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Assignment, CacheEvent, Class, Expired, LoadReport, Outcome, QueuedRequest, Refusal, SchedulerOptions,
-    ServiceSummary, TargetSpec, TargetStatus,
+    ServiceSummary, TargetKind, TargetSpec, TargetStatus,
     flight::{Flight, Stage, Tracked},
     health,
     placement::Placement,
@@ -198,7 +198,9 @@
                 self.turn = index + 1;
                 return Some(self.start(request, slot, now));
             }
-            self.services[index].blocked = true;
+            let service = &mut self.services[index];
+            service.blocked = true;
+            service.demand |= Class::ALL.iter().any(|class| service.queue(*class).len() > 0);
         }
         None
     }
@@ -253,6 +255,9 @@
     /// Records that a running request generated `tokens` more tokens.
     pub fn progress(&mut self, request: RequestId, tokens: TokenCount, now: Timestamp) {
         self.now = now;
+        if tokens.get() == 0 {
+            return;
+        }
         let Some(tracked) = self.requests.get_mut(&request) else {
             return;
         };
@@ -332,8 +337,8 @@
         let Stage::Running(flight) = tracked.stage else {
             return;
         };
-        if tracked.request.max_tokens.get() == 0 {
-            let service = &mut self.services[tracked.service];
+        let service = &mut self.services[tracked.service];
+        if service.targets[flight.slot].spec.kind == TargetKind::Plain {
             service.targets[flight.slot].observe(now.since(flight.last_progress), 1, now);
             service.record_served(1);
         }
--- a/crates/jm-route/src/service.rs
+++ b/crates/jm-route/src/service.rs
@@ -25,6 +25,8 @@
     queues: [FairQueue; 2],
     /// Nothing can be placed until something changes.
     pub(crate) blocked: bool,
+    /// Requests waited for room in the current control interval.
+    pub(crate) demand: bool,
     last_control: Timestamp,
     served_tokens: u64,
     served_rate: f64,
@@ -100,7 +102,8 @@
         }
         self.last_control = now;
         self.blocked = false;
-        health::control(&mut self.targets, now, options);
+        let demand = std::mem::take(&mut self.demand);
+        health::control(&mut self.targets, demand, now, options);
         let seconds = elapsed.get() as f64 / 1_000.0;
         self.served_rate += RATE_GAIN * (self.served_tokens as f64 / seconds - self.served_rate);
         self.served_tokens = 0;
--- a/crates/jm-route/src/target.rs
+++ b/crates/jm-route/src/target.rs
@@ -101,7 +101,6 @@
     pub(crate) time_per_token_us: f64,
     pub(crate) interval_busy_us: u64,
     pub(crate) interval_tokens: u64,
-    pub(crate) interval_peak: u64,
     pub(crate) report: Option<LoadReport>,
 }
 
@@ -122,7 +121,6 @@
             time_per_token_us: 0.0,
             interval_busy_us: 0,
             interval_tokens: 0,
-            interval_peak: 0,
             report: None,
             spec,
         }
@@ -203,7 +201,6 @@
         }
         self.used += cost;
         self.requests += 1;
-        self.interval_peak = self.interval_peak.max(self.used);
         if self.health != Health::Normal {
             self.next_probe = now.after(probe_interval);
         }
