--- /dev/null
+++ b/crates/jm-plan/src/capacity.rs
@@ -0,0 +1,328 @@
+//! The capacity plan.
+
+use jm_types::{ServiceId, Timestamp, ZoneId};
+
+use crate::{
+    Counts, PlanMemory, PlanOptions, ServiceDemand, Tier, ZoneOffer,
+    allocate::{Allocation, Candidate, Lot, allocate, shortfall},
+    demand::Need,
+};
+
+/// Orders of services that are tried; with more services than this allows, only some orders are.
+const ORDERS_TRIED: usize = 24;
+
+/// What the plan is made from.
+#[derive(Debug, Clone)]
+pub struct PlanInput<'a> {
+    /// Demand by service.
+    pub services: &'a [ServiceDemand],
+    /// Offers by zone.
+    pub zones: &'a [ZoneOffer],
+    /// Targets that run or are ordered.
+    pub current: &'a Counts,
+    /// What the previous plan returned.
+    pub memory: PlanMemory,
+    /// The time of the readings.
+    pub now: Timestamp,
+    /// Settings.
+    pub options: PlanOptions,
+}
+
+/// A change of the number of targets.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CapacityOrder {
+    /// The service.
+    pub service: ServiceId,
+    /// The zone.
+    pub zone: ZoneId,
+    /// The tier.
+    pub tier: Tier,
+    /// Targets to add, or to give back when negative.
+    pub change: i64,
+}
+
+/// Targets that a service needs beyond what the zones offer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Shortfall {
+    /// The service.
+    pub service: ServiceId,
+    /// Targets missing for live demand after the loss of the cheap targets of the worst zone.
+    pub live: u32,
+    /// Targets missing for all demand.
+    pub total: u32,
+}
+
+/// The result of [`plan_capacity`].
+#[derive(Debug, Clone)]
+pub struct CapacityPlan {
+    /// Targets to have.
+    pub targets: Counts,
+    /// Differences from the current targets.
+    pub orders: Vec<CapacityOrder>,
+    /// Services whose demand cannot be met.
+    pub shortfalls: Vec<Shortfall>,
+    /// Price of the planned targets, in millionths of the currency an hour.
+    pub price_micros: u64,
+    /// To be passed to the next call.
+    pub memory: PlanMemory,
+}
+
+/// Plans targets so that live capacity survives the loss of all cheap targets of any one zone, at the least price.
+/// Owned targets are kept unless demand outgrows them or a plan is clearly cheaper, so that a noisy load gives few
+/// orders.
+pub fn plan_capacity(input: PlanInput<'_>) -> CapacityPlan {
+    let mut memory = input.memory.clone();
+    let needs: Vec<Need> = input
+        .services
+        .iter()
+        .map(|demand| {
+            let remembered = memory.demand.entry(demand.service.clone()).or_default();
+            remembered.update(demand, input.now, &input.options)
+        })
+        .collect();
+    note_unavailable(&mut memory, &input);
+    let planner = Planner {
+        input: &input,
+        needs: &needs,
+        memory: &memory,
+    };
+    let owned = planner.owned();
+    let best = planner.cheapest(&owned);
+    let chosen = if planner.keeps(&owned, &best) { owned } else { best };
+    planner.result(&chosen).with_memory(memory)
+}
+
+fn note_unavailable(memory: &mut PlanMemory, input: &PlanInput<'_>) {
+    for zone in input.zones.iter().filter(|zone| !zone.cheap.available) {
+        memory.unavailable.insert(zone.zone.clone(), input.now);
+    }
+    let hold = input.options.reclaim_hold;
+    memory
+        .unavailable
+        .retain(|_, since| input.now.since(*since) < hold);
+}
+
+/// Targets by service.
+type Allocations = Vec<Allocation>;
+
+struct Planner<'a> {
+    input: &'a PlanInput<'a>,
+    needs: &'a [Need],
+    memory: &'a PlanMemory,
+}
+
+impl Planner<'_> {
+    fn current(&self, service: usize, zone: usize, tier: Tier) -> u32 {
+        let service = &self.input.services[service].service;
+        let key = (service.clone(), self.input.zones[zone].zone.clone(), tier);
+        self.input.current.get(&key).copied().unwrap_or(0)
+    }
+
+    fn owned(&self) -> Allocations {
+        let zones = 0..self.input.zones.len();
+        let counts = |service, zone| Tier::ALL.map(|tier| self.current(service, zone, tier));
+        (0..self.input.services.len())
+            .map(|service| zones.clone().map(|zone| counts(service, zone)).collect())
+            .collect()
+    }
+
+    fn price(&self, allocations: &Allocations) -> u64 {
+        let zone_price = |counts: &Allocation| -> u64 {
+            let prices = self
+                .input
+                .zones
+                .iter()
+                .map(|zone| Tier::ALL.map(|tier| zone.tier(tier).price_micros));
+            let pairs = counts.iter().zip(prices);
+            pairs
+                .map(|(n, price)| u64::from(n[0]) * price[0] + u64::from(n[1]) * price[1])
+                .sum()
+        };
+        allocations.iter().map(zone_price).sum()
+    }
+
+    fn shortfalls(&self, allocations: &Allocations) -> (u32, u32) {
+        let pairs = allocations.iter().zip(self.needs);
+        pairs
+            .map(|(counts, need)| shortfall(counts, *need))
+            .fold((0, 0), |sum, short| (sum.0 + short.0, sum.1 + short.1))
+    }
+
+    /// Whether the owned targets serve as well as the best plan at nearly its price.
+    fn keeps(&self, owned: &Allocations, best: &Allocations) -> bool {
+        let limit = self.price(best) * (1_000 + self.input.options.exchange_per_thousand) / 1_000;
+        self.shortfalls(owned) <= self.shortfalls(best) && self.price(owned) <= limit
+    }
+
+    /// Plans the services one after another in several orders, because they share the zones' limits, and takes the
+    /// best result.
+    fn cheapest(&self, owned: &Allocations) -> Allocations {
+        let mut best: Option<((u32, u32), f64, Allocations)> = None;
+        for order in self.service_orders() {
+            let (cost, allocations) = self.in_order(&order, owned);
+            let candidate = (self.shortfalls(&allocations), cost, allocations);
+            if best
+                .as_ref()
+                .is_none_or(|best| (candidate.0, candidate.1) < (best.0, best.1))
+            {
+                best = Some(candidate);
+            }
+        }
+        best.map(|(_, _, allocations)| allocations).unwrap_or_default()
+    }
+
+    fn service_orders(&self) -> Vec<Vec<usize>> {
+        let mut by_training: Vec<usize> = (0..self.needs.len()).collect();
+        // A service with much training gains most from cheap targets, which it may lose without harm.
+        by_training.sort_by_key(|service| {
+            let need = self.needs[*service];
+            (u64::from(need.live) * 1_000) / u64::from(need.total.max(1))
+        });
+        let mut orders = vec![by_training];
+        let mut next = 0;
+        while next < orders.len() && orders.len() < ORDERS_TRIED {
+            let order = orders[next].clone();
+            for place in 1..order.len() {
+                let mut swapped = order.clone();
+                swapped.swap(place - 1, place);
+                if !orders.contains(&swapped) && orders.len() < ORDERS_TRIED {
+                    orders.push(swapped);
+                }
+            }
+            next += 1;
+        }
+        orders
+    }
+
+    fn in_order(&self, order: &[usize], owned: &Allocations) -> (f64, Allocations) {
+        let mut left: Allocation = self
+            .input
+            .zones
+            .iter()
+            .map(|zone| [zone.regular.limit, zone.cheap.limit])
+            .collect();
+        let mut result = vec![Allocation::new(); self.needs.len()];
+        let mut cost = 0.0;
+        for service in order {
+            let lots = self.lots(&owned[*service], &left);
+            let Candidate {
+                counts,
+                cost: own_cost,
+                ..
+            } = allocate(self.needs[*service], &lots, left.len());
+            for (left, taken) in left.iter_mut().zip(&counts) {
+                left[0] -= taken[0];
+                left[1] -= taken[1];
+            }
+            cost += own_cost;
+            result[*service] = counts;
+        }
+        (cost, result)
+    }
+
+    /// What one service can buy, cheapest first. Owned targets count as slightly cheaper, so that equal offers do
+    /// not cause orders.
+    fn lots(&self, owned: &Allocation, left: &Allocation) -> Vec<Lot> {
+        let discount = 1.0 - self.input.options.exchange_per_thousand as f64 / 1_000.0;
+        let mut lots = Vec::new();
+        for (zone, offer) in self.input.zones.iter().enumerate() {
+            for tier in Tier::ALL {
+                let price = offer.tier(tier).price_micros as f64;
+                let kept = owned[zone][tier as usize].min(left[zone][tier as usize]);
+                lots.push(Lot {
+                    zone,
+                    tier,
+                    price: price * discount,
+                    limit: kept,
+                });
+                if self.orderable(offer, tier) {
+                    let limit = left[zone][tier as usize] - kept;
+                    lots.push(Lot {
+                        zone,
+                        tier,
+                        price,
+                        limit,
+                    });
+                }
+            }
+        }
+        lots.sort_by(|a, b| a.price.total_cmp(&b.price));
+        lots
+    }
+
+    fn orderable(&self, offer: &ZoneOffer, tier: Tier) -> bool {
+        let held = tier == Tier::Cheap && self.memory.unavailable.contains_key(&offer.zone);
+        offer.tier(tier).available && !held
+    }
+
+    fn result(&self, chosen: &Allocations) -> CapacityPlan {
+        let mut plan = CapacityPlan {
+            targets: Counts::new(),
+            orders: Vec::new(),
+            shortfalls: Vec::new(),
+            price_micros: self.price(chosen),
+            memory: PlanMemory::default(),
+        };
+        for (service, counts) in chosen.iter().enumerate() {
+            self.add_service(&mut plan, service, counts);
+        }
+        self.give_back_unused(&mut plan);
+        plan
+    }
+
+    /// Gives back the targets of services that are no longer planned.
+    fn give_back_unused(&self, plan: &mut CapacityPlan) {
+        for ((service, zone, tier), count) in self.input.current {
+            let planned = self
+                .input
+                .services
+                .iter()
+                .any(|demand| demand.service == *service);
+            if !planned && *count > 0 {
+                plan.orders.push(CapacityOrder {
+                    service: service.clone(),
+                    zone: zone.clone(),
+                    tier: *tier,
+                    change: -i64::from(*count),
+                });
+            }
+        }
+    }
+
+    fn add_service(&self, plan: &mut CapacityPlan, service: usize, counts: &Allocation) {
+        let id = &self.input.services[service].service;
+        let (live, total) = shortfall(counts, self.needs[service]);
+        if live > 0 || total > 0 {
+            plan.shortfalls.push(Shortfall {
+                service: id.clone(),
+                live,
+                total,
+            });
+        }
+        for (place, offer) in self.input.zones.iter().enumerate() {
+            for tier in Tier::ALL {
+                let wanted = counts[place][tier as usize];
+                let change = i64::from(wanted) - i64::from(self.current(service, place, tier));
+                if wanted > 0 {
+                    plan.targets
+                        .insert((id.clone(), offer.zone.clone(), tier), wanted);
+                }
+                if change != 0 {
+                    let (service, zone) = (id.clone(), offer.zone.clone());
+                    plan.orders.push(CapacityOrder {
+                        service,
+                        zone,
+                        tier,
+                        change,
+                    });
+                }
+            }
+        }
+    }
+}
+
+impl CapacityPlan {
+    fn with_memory(self, memory: PlanMemory) -> Self {
+        Self { memory, ..self }
+    }
+}
