--- /dev/null
+++ b/crates/jm-bench/src/sim/cluster.rs
@@ -0,0 +1,419 @@
+//! Dispatch daemons, engines and sources in one virtual time.
+
+use std::collections::HashMap;
+
+use jm_route::{
+    CacheEvent, Class, DispatcherQuery, DispatcherTable, Outcome, QueuedRequest, TargetKind, TargetSpec,
+    WindowBounds, choose_dispatcher,
+};
+use jm_types::{RequestId, Timestamp, TokenCount};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use super::{
+    EngineModel, FakeEngine, Router, Sequence, Source, StepEvent,
+    ids::{member, organisation, service, target, zone},
+};
+
+/// Size and inputs of a run.
+#[derive(Debug, Clone, Copy)]
+pub struct ClusterOptions {
+    /// Number of dispatch daemons.
+    pub daemons: usize,
+    /// Engines owned by each daemon.
+    pub engines_per_daemon: usize,
+    /// Durations of the engines.
+    pub model: EngineModel,
+    /// Bounds of each engine's window, in tokens.
+    pub window: WindowBounds,
+    /// Interval at which daemons send summaries to the entry daemon.
+    pub summary_ms: u64,
+    /// Cache events reach the daemon this late.
+    pub event_delay_ms: u64,
+    /// Part of the cache events that is lost, in thousandths.
+    pub event_loss_per_thousand: u64,
+    /// Tokens per progress report.
+    pub progress_tokens: u64,
+    /// Waiting time after which a request is given up.
+    pub patience_ms: u64,
+    /// Seed of all random numbers.
+    pub seed: u64,
+}
+
+impl Default for ClusterOptions {
+    fn default() -> Self {
+        Self {
+            daemons: 1,
+            engines_per_daemon: 4,
+            model: EngineModel::default(),
+            window: WindowBounds {
+                least: 3_200,
+                initial: 25_600,
+                most: 25_600,
+                time_limit_us: 60_000,
+            },
+            summary_ms: 1_000,
+            event_delay_ms: 200,
+            event_loss_per_thousand: 0,
+            progress_tokens: 4,
+            patience_ms: 600_000,
+            seed: 1,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Open {
+    source: usize,
+    daemon: usize,
+    engine: usize,
+    submitted_ms: u64,
+    sequence: Option<Sequence>,
+    answer_tokens: u64,
+    unreported: u64,
+    wait_us: Option<u64>,
+    queue_ms: u64,
+}
+
+/// A request that was answered in full.
+#[derive(Debug, Clone, Copy)]
+pub struct Completed {
+    /// Number of the source.
+    pub source: usize,
+    /// When the request arrived.
+    pub submitted_ms: u64,
+    /// Time from arrival until a target was chosen.
+    pub queue_ms: u64,
+    /// Time from arrival until the first token.
+    pub wait_us: u64,
+    /// When the last token was there.
+    pub finished_ms: u64,
+}
+
+/// Dispatch daemons, engines and sources.
+pub struct Cluster {
+    /// Size and inputs.
+    pub options: ClusterOptions,
+    /// The daemons.
+    pub routers: Vec<Box<dyn Router>>,
+    /// The engines; daemon d owns those from d * `engines_per_daemon` on.
+    pub engines: Vec<FakeEngine>,
+    /// The sources.
+    pub sources: Vec<Source>,
+    /// Requests answered in full.
+    pub completed: Vec<Completed>,
+    /// Requests refused or given up while waiting.
+    pub refused: u64,
+    /// Requests given to each engine.
+    pub sent: Vec<u64>,
+    /// Sum over milliseconds of the batch of each engine.
+    pub load: Vec<u64>,
+    served: HashMap<(usize, usize), u64>,
+    table: DispatcherTable,
+    events: Vec<(u64, usize, CacheEvent)>,
+    open: HashMap<RequestId, Open>,
+    next_request: u64,
+    random: StdRng,
+    now_ms: u64,
+}
+
+impl Cluster {
+    /// Idle engines and daemons made by `router`.
+    pub fn new(options: ClusterOptions, sources: Vec<Source>, router: impl Fn() -> Box<dyn Router>) -> Self {
+        let count = options.daemons * options.engines_per_daemon;
+        let mut cluster = Self {
+            routers: (0..options.daemons).map(|_| router()).collect(),
+            engines: (0..count).map(|_| FakeEngine::new(options.model)).collect(),
+            sources,
+            completed: Vec::new(),
+            refused: 0,
+            sent: vec![0; count],
+            load: vec![0; count],
+            served: HashMap::new(),
+            table: DispatcherTable::default(),
+            events: Vec::new(),
+            open: HashMap::new(),
+            next_request: 0,
+            random: StdRng::seed_from_u64(options.seed),
+            now_ms: 0,
+            options,
+        };
+        for daemon in 0..options.daemons {
+            let specs = cluster.specs(daemon);
+            cluster.routers[daemon].set_targets(specs, Timestamp::new(0));
+        }
+        cluster
+    }
+
+    /// The specifications of a daemon's engines.
+    pub fn specs(&self, daemon: usize) -> Vec<TargetSpec> {
+        let first = daemon * self.options.engines_per_daemon;
+        (first..first + self.options.engines_per_daemon)
+            .map(|number| TargetSpec {
+                id: target(number),
+                zone: zone(0),
+                service: service(),
+                kind: TargetKind::Engine,
+                window: self.options.window,
+                leaving: false,
+            })
+            .collect()
+    }
+
+    /// The virtual time in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::new(self.now_ms)
+    }
+
+    /// Lets `ms` milliseconds pass.
+    pub fn run(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        if self.now_ms.is_multiple_of(self.options.summary_ms) {
+            self.exchange_summaries();
+        }
+        self.deliver_events();
+        self.submit_due();
+        self.dispatch();
+        self.step_engines();
+        if self.now_ms.is_multiple_of(100) {
+            self.expire();
+        }
+        self.now_ms += 1;
+    }
+
+    fn exchange_summaries(&mut self) {
+        for (number, router) in self.routers.iter().enumerate() {
+            for summary in router.summary() {
+                self.table
+                    .update(&member(number), summary, Timestamp::new(self.now_ms));
+            }
+        }
+    }
+
+    fn deliver_events(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) = std::mem::take(&mut self.events)
+            .into_iter()
+            .partition(|(at, ..)| *at <= now_ms);
+        self.events = later;
+        let due: Vec<(u64, usize, CacheEvent)> = due;
+        for (_, engine, event) in due {
+            self.routers[engine / self.options.engines_per_daemon].cache_event(&target(engine), &event);
+        }
+    }
+
+    fn submit_due(&mut self) {
+        for source in 0..self.sources.len() {
+            let due = self.sources[source].due(self.now_ms, &mut self.random);
+            // A refused backlog is offered again in the next millisecond, one request at a time.
+            for _ in 0..due {
+                if !self.submit(source) {
+                    break;
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self, number: usize) -> bool {
+        self.next_request += 1;
+        let id = RequestId::new(self.next_request);
+        let now = self.now();
+        let source = &mut self.sources[number];
+        let answer_tokens = source.answer(&mut self.random);
+        let prefix_hashes = source.prefix_hashes(&mut self.random);
+        let request = QueuedRequest {
+            id,
+            organisation: organisation(source.organisation),
+            service: service(),
+            class: source.class,
+            prompt_tokens: TokenCount::new(source.prompt_tokens),
+            max_tokens: TokenCount::new(source.answer_tokens * 2),
+            prefix_hashes: prefix_hashes.clone(),
+            deadline: Timestamp::new(self.now_ms + self.options.patience_ms),
+            avoid: Vec::new(),
+        };
+        let sequence = Sequence {
+            request: id,
+            prompt_tokens: source.prompt_tokens,
+            answer_tokens,
+            prefix_hashes,
+        };
+        let tokens = source.prompt_tokens + answer_tokens;
+        let daemon = self.choose(request.class, tokens);
+        if self.routers[daemon].submit(request, now).is_err() {
+            self.refused += 1;
+            return false;
+        }
+        self.sources[number].open += 1;
+        let open = Open {
+            source: number,
+            daemon,
+            engine: usize::MAX,
+            submitted_ms: self.now_ms,
+            sequence: Some(sequence),
+            answer_tokens,
+            unreported: 0,
+            wait_us: None,
+            queue_ms: 0,
+        };
+        self.open.insert(id, open);
+        true
+    }
+
+    fn choose(&mut self, class: Class, tokens: u64) -> usize {
+        if self.options.daemons == 1 {
+            return 0;
+        }
+        let (service, own_zone) = (service(), zone(0));
+        let query = DispatcherQuery {
+            service: &service,
+            class,
+            prefix_hash: None,
+            own_zone: &own_zone,
+            avoid: &[],
+        };
+        let now = self.now();
+        let Some(chosen) = choose_dispatcher(query, &self.table, now, &mut self.random) else {
+            return self.random.random_range(0..self.options.daemons);
+        };
+        self.table.record_sent(&chosen, &service, tokens);
+        (0..self.options.daemons)
+            .find(|number| member(*number) == chosen)
+            .unwrap_or(0)
+    }
+
+    fn dispatch(&mut self) {
+        let now = self.now();
+        for daemon in 0..self.routers.len() {
+            while let Some(assignment) = self.routers[daemon].next(now) {
+                let first = daemon * self.options.engines_per_daemon;
+                let own = first..first + self.options.engines_per_daemon;
+                let engine = own
+                    .into_iter()
+                    .find(|number| target(*number) == assignment.target);
+                let engine = engine.expect("a daemon assigns its own engines");
+                self.admit(assignment.request, engine);
+            }
+        }
+    }
+
+    fn admit(&mut self, request: RequestId, engine: usize) {
+        let Some(open) = self.open.get_mut(&request) else {
+            return;
+        };
+        open.engine = engine;
+        open.queue_ms = self.now_ms - open.submitted_ms;
+        let Some(sequence) = open.sequence.take() else {
+            return;
+        };
+        self.sent[engine] += 1;
+        let stored = sequence.prefix_hashes.clone();
+        self.engines[engine].admit(sequence, self.now_ms * 1_000);
+        if !stored.is_empty() {
+            let evicted = self.engines[engine].take_evicted();
+            self.publish(engine, CacheEvent::Stored(stored));
+            if !evicted.is_empty() {
+                self.publish(engine, CacheEvent::Evicted(evicted));
+            }
+        }
+    }
+
+    fn publish(&mut self, engine: usize, event: CacheEvent) {
+        if self.random.random_range(0..1_000) >= self.options.event_loss_per_thousand {
+            self.events
+                .push((self.now_ms + self.options.event_delay_ms, engine, event));
+        }
+    }
+
+    fn step_engines(&mut self) {
+        let end_us = (self.now_ms + 1) * 1_000;
+        let mut events = Vec::new();
+        for (number, engine) in self.engines.iter_mut().enumerate() {
+            self.load[number] += engine.batch() as u64;
+            engine.advance(end_us, |event, at_us| events.push((event, at_us)));
+        }
+        for (event, at_us) in events {
+            match event {
+                StepEvent::Token(request) => self.token(request, at_us),
+                StepEvent::End(request) => self.end(request, at_us),
+            }
+        }
+    }
+
+    fn token(&mut self, request: RequestId, at_us: u64) {
+        let now = self.now();
+        let Some(open) = self.open.get_mut(&request) else {
+            return;
+        };
+        let second = (self.now_ms / 1_000) as usize;
+        let served = self.served.entry((open.source, second)).or_default();
+        let first = open.wait_us.is_none();
+        if first {
+            open.wait_us = Some(at_us - open.submitted_ms * 1_000);
+            *served += self.sources[open.source].prompt_tokens;
+        }
+        *served += 1;
+        open.unreported += 1;
+        if first || open.unreported >= self.options.progress_tokens {
+            let tokens = TokenCount::new(std::mem::take(&mut open.unreported));
+            self.routers[open.daemon].progress(request, tokens, now);
+        }
+    }
+
+    fn end(&mut self, request: RequestId, at_us: u64) {
+        self.token(request, at_us);
+        let Some(open) = self.open.remove(&request) else {
+            return;
+        };
+        let total = TokenCount::new(open.answer_tokens);
+        let now = self.now();
+        self.routers[open.daemon].finish(request, Outcome::Finished(total), now);
+        self.sources[open.source].open -= 1;
+        self.completed.push(Completed {
+            source: open.source,
+            submitted_ms: open.submitted_ms,
+            queue_ms: open.queue_ms,
+            wait_us: open.wait_us.unwrap_or(0),
+            finished_ms: self.now_ms,
+        });
+    }
+
+    fn expire(&mut self) {
+        let now = self.now();
+        for daemon in 0..self.routers.len() {
+            for request in self.routers[daemon].expire(now) {
+                self.refused += 1;
+                if let Some(open) = self.open.remove(&request) {
+                    self.sources[open.source].open -= 1;
+                }
+            }
+        }
+    }
+
+    /// Tokens served to a source in the seconds `from..to`.
+    pub fn served(&self, source: usize, from: usize, to: usize) -> u64 {
+        let seconds = from..to;
+        seconds
+            .map(|second| self.served.get(&(source, second)).copied().unwrap_or(0))
+            .sum()
+    }
+
+    /// Waits until the first token of a source's requests that arrived from `from_ms` on, in ascending order.
+    pub fn waits_us(&self, source: usize, from_ms: u64) -> Vec<u64> {
+        let own = self
+            .completed
+            .iter()
+            .filter(|done| done.source == source && done.submitted_ms >= from_ms);
+        let mut waits: Vec<u64> = own.map(|done| done.wait_us).collect();
+        waits.sort_unstable();
+        waits
+    }
+}
--- /dev/null
+++ b/crates/jm-bench/src/sim/engine.rs
@@ -0,0 +1,191 @@
+//! A fake inference engine with continuous batching.
+//!
+//! The engine admits every request at once and knows no priority. A step generates one token for each sequence
+//! whose prompt is done and processes a bounded part of the other prompts, in order of arrival. Its duration grows
+//! with the batch.
+
+use indexmap::IndexSet;
+use jm_types::RequestId;
+
+/// Durations of the fake engine.
+#[derive(Debug, Clone, Copy)]
+pub struct EngineModel {
+    /// Duration of a step with an empty batch.
+    pub base_us: u64,
+    /// Additional duration per sequence in the batch.
+    pub sequence_us: u64,
+    /// Additional duration per prompt token processed in the step.
+    pub prompt_token_us: u64,
+    /// Most prompt tokens processed in one step.
+    pub prompt_chunk: u64,
+    /// Prefixes that the cache holds.
+    pub cached_prefixes: usize,
+    /// Tokens covered by one prefix hash.
+    pub prefix_tokens: u64,
+}
+
+impl Default for EngineModel {
+    fn default() -> Self {
+        Self {
+            base_us: 15_000,
+            sequence_us: 100,
+            prompt_token_us: 20,
+            prompt_chunk: 512,
+            cached_prefixes: 64,
+            prefix_tokens: 100,
+        }
+    }
+}
+
+/// One request in an engine.
+#[derive(Debug, Clone)]
+pub struct Sequence {
+    /// The request.
+    pub request: RequestId,
+    /// Prompt tokens, before what the cache saves.
+    pub prompt_tokens: u64,
+    /// Tokens that will be generated.
+    pub answer_tokens: u64,
+    /// Hashes of ever longer prefixes.
+    pub prefix_hashes: Vec<u64>,
+}
+
+#[derive(Debug)]
+struct Running {
+    sequence: Sequence,
+    prompt_left: u64,
+    generated: u64,
+}
+
+/// What a step did for one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StepEvent {
+    /// One more token.
+    Token(RequestId),
+    /// The last token.
+    End(RequestId),
+}
+
+/// A fake engine.
+#[derive(Debug)]
+pub struct FakeEngine {
+    model: EngineModel,
+    /// Time per step in multiples of the model's; above 1 the engine is slow.
+    pub slowness: u64,
+    running: Vec<Running>,
+    step_end_us: Option<u64>,
+    /// Cached prefixes, the least recently used one first.
+    cache: IndexSet<u64>,
+    /// Prefixes found in the cache.
+    pub hits: u64,
+    /// Prefixes looked up.
+    pub lookups: u64,
+    /// Prefixes dropped since the last call of [`Self::take_evicted`].
+    evicted: Vec<u64>,
+}
+
+impl FakeEngine {
+    /// An idle engine with an empty cache.
+    pub fn new(model: EngineModel) -> Self {
+        Self {
+            model,
+            slowness: 1,
+            running: Vec::new(),
+            step_end_us: None,
+            cache: IndexSet::new(),
+            hits: 0,
+            lookups: 0,
+            evicted: Vec::new(),
+        }
+    }
+
+    /// Admits a request.
+    pub fn admit(&mut self, sequence: Sequence, now_us: u64) {
+        let cached = self.look_up(&sequence.prefix_hashes);
+        let saved = cached * self.model.prefix_tokens;
+        let prompt_left = sequence.prompt_tokens.saturating_sub(saved);
+        self.running.push(Running {
+            sequence,
+            prompt_left,
+            generated: 0,
+        });
+        if self.step_end_us.is_none() {
+            self.begin_step(now_us);
+        }
+    }
+
+    fn look_up(&mut self, hashes: &[u64]) -> u64 {
+        let found = hashes
+            .iter()
+            .take_while(|hash| self.cache.contains(*hash))
+            .count() as u64;
+        self.hits += found;
+        self.lookups += hashes.len() as u64;
+        for hash in hashes {
+            self.cache.shift_remove(hash);
+            self.cache.insert(*hash);
+        }
+        while self.cache.len() > self.model.cached_prefixes {
+            self.evicted.extend(self.cache.shift_remove_index(0));
+        }
+        found
+    }
+
+    /// Prefixes dropped since the last call.
+    pub fn take_evicted(&mut self) -> Vec<u64> {
+        std::mem::take(&mut self.evicted)
+    }
+
+    fn begin_step(&mut self, now_us: u64) {
+        if self.running.is_empty() {
+            self.step_end_us = None;
+            return;
+        }
+        let mut chunk = self.model.prompt_chunk;
+        for running in &mut self.running {
+            let taken = running.prompt_left.min(chunk);
+            running.prompt_left -= taken;
+            chunk -= taken;
+        }
+        let prompt_us = (self.model.prompt_chunk - chunk) * self.model.prompt_token_us;
+        let batch_us = self.running.len() as u64 * self.model.sequence_us;
+        self.step_end_us = Some(now_us + (self.model.base_us + batch_us + prompt_us) * self.slowness);
+    }
+
+    /// Completes the steps that end until `now_us` and passes what they did, with the time, to `sink`.
+    pub fn advance(&mut self, now_us: u64, mut sink: impl FnMut(StepEvent, u64)) {
+        while let Some(end_us) = self.step_end_us.filter(|end_us| *end_us <= now_us) {
+            self.running.retain_mut(|running| {
+                if running.prompt_left > 0 {
+                    return true;
+                }
+                running.generated += 1;
+                let request = running.sequence.request;
+                let ended = running.generated >= running.sequence.answer_tokens;
+                let event = if ended {
+                    StepEvent::End(request)
+                } else {
+                    StepEvent::Token(request)
+                };
+                sink(event, end_us);
+                !ended
+            });
+            self.begin_step(end_us);
+        }
+    }
+
+    /// Drops all requests and the cache, as a crash does, and returns the requests.
+    pub fn crash(&mut self) -> Vec<RequestId> {
+        self.step_end_us = None;
+        self.cache.clear();
+        self.running
+            .drain(..)
+            .map(|running| running.sequence.request)
+            .collect()
+    }
+
+    /// Number of requests in the batch.
+    pub fn batch(&self) -> usize {
+        self.running.len()
+    }
+}
--- /dev/null
+++ b/crates/jm-bench/src/sim/mod.rs
@@ -0,0 +1,13 @@
+//! A virtual-time harness: fake engines, sources of requests and the routers under test.
+
+mod cluster;
+mod engine;
+mod ids;
+mod router;
+mod source;
+
+pub use cluster::{Cluster, ClusterOptions, Completed};
+pub use engine::{EngineModel, FakeEngine, Sequence, StepEvent};
+pub use ids::{member, organisation, service, target, zone};
+pub use router::{NaiveRouter, Router};
+pub use source::{Arrivals, Prefixes, Source};
--- /dev/null
+++ b/crates/jm-bench/src/sim/router.rs
@@ -0,0 +1,144 @@
+//! The interface between the harness and a router, and a naive router.
+
+use std::collections::{HashMap, VecDeque};
+
+use jm_route::{
+    Assignment, CacheEvent, Outcome, QueuedRequest, Refusal, Scheduler, ServiceSummary, TargetSpec,
+};
+use jm_types::{RequestId, TargetId, Timestamp, TokenCount};
+
+/// What the harness asks of one dispatch daemon.
+pub trait Router {
+    /// See [`Scheduler::set_targets`].
+    fn set_targets(&mut self, specs: Vec<TargetSpec>, now: Timestamp);
+    /// See [`Scheduler::submit`].
+    fn submit(&mut self, request: QueuedRequest, now: Timestamp) -> Result<(), Refusal>;
+    /// See [`Scheduler::next`].
+    fn next(&mut self, now: Timestamp) -> Option<Assignment>;
+    /// See [`Scheduler::progress`].
+    fn progress(&mut self, request: RequestId, tokens: TokenCount, now: Timestamp);
+    /// See [`Scheduler::finish`].
+    fn finish(&mut self, request: RequestId, outcome: Outcome, now: Timestamp);
+    /// Requests given up while they waited.
+    fn expire(&mut self, now: Timestamp) -> Vec<RequestId>;
+    /// See [`Scheduler::leave`].
+    fn leave(&mut self, _target: &TargetId) {}
+    /// See [`Scheduler::cache_event`].
+    fn cache_event(&mut self, _target: &TargetId, _event: &CacheEvent) {}
+    /// See [`Scheduler::summary`].
+    fn summary(&self) -> Vec<ServiceSummary> {
+        Vec::new()
+    }
+    /// The scheduler, when this is one.
+    fn scheduler(&self) -> Option<&Scheduler> {
+        None
+    }
+}
+
+impl Router for Scheduler {
+    fn set_targets(&mut self, specs: Vec<TargetSpec>, now: Timestamp) {
+        Self::set_targets(self, specs, now);
+    }
+
+    fn submit(&mut self, request: QueuedRequest, now: Timestamp) -> Result<(), Refusal> {
+        Self::submit(self, request, now)
+    }
+
+    fn next(&mut self, now: Timestamp) -> Option<Assignment> {
+        Self::next(self, now)
+    }
+
+    fn progress(&mut self, request: RequestId, tokens: TokenCount, now: Timestamp) {
+        Self::progress(self, request, tokens, now);
+    }
+
+    fn finish(&mut self, request: RequestId, outcome: Outcome, now: Timestamp) {
+        Self::finish(self, request, outcome, now);
+    }
+
+    fn expire(&mut self, now: Timestamp) -> Vec<RequestId> {
+        Self::expire(self, now)
+            .into_iter()
+            .map(|expired| expired.request)
+            .collect()
+    }
+
+    fn leave(&mut self, target: &TargetId) {
+        Self::leave(self, target);
+    }
+
+    fn cache_event(&mut self, target: &TargetId, event: &CacheEvent) {
+        Self::cache_event(self, target, event);
+    }
+
+    fn summary(&self) -> Vec<ServiceSummary> {
+        Self::summary(self)
+    }
+
+    fn scheduler(&self) -> Option<&Scheduler> {
+        Some(self)
+    }
+}
+
+/// The baseline: one FIFO queue, targets in turn, a fixed window of tokens, no classes, shares or affinity.
+#[derive(Debug, Default)]
+pub struct NaiveRouter {
+    waiting: VecDeque<(RequestId, u64)>,
+    targets: Vec<(TargetId, u64, u64)>,
+    running: HashMap<RequestId, (TargetId, u64)>,
+    turn: usize,
+}
+
+impl Router for NaiveRouter {
+    fn set_targets(&mut self, specs: Vec<TargetSpec>, _now: Timestamp) {
+        let old = std::mem::take(&mut self.targets);
+        let used = |id: &TargetId| {
+            old.iter()
+                .find(|(known, ..)| known == id)
+                .map_or(0, |(_, used, _)| *used)
+        };
+        self.targets = specs
+            .into_iter()
+            .filter(|spec| !spec.leaving)
+            .map(|spec| (spec.id.clone(), used(&spec.id), spec.window.most))
+            .collect();
+    }
+
+    fn submit(&mut self, request: QueuedRequest, _now: Timestamp) -> Result<(), Refusal> {
+        let tokens = request.prompt_tokens.get() + request.max_tokens.get();
+        self.waiting.push_back((request.id, tokens));
+        Ok(())
+    }
+
+    fn next(&mut self, _now: Timestamp) -> Option<Assignment> {
+        let (request, tokens) = self.waiting.front().copied()?;
+        let count = self.targets.len();
+        let place = (0..count)
+            .map(|step| (self.turn + step) % count)
+            .find(|place| self.targets[*place].1 + tokens <= self.targets[*place].2)?;
+        self.turn = place + 1;
+        self.waiting.pop_front();
+        let (target, used, _) = &mut self.targets[place];
+        *used += tokens;
+        self.running.insert(request, (target.clone(), tokens));
+        Some(Assignment {
+            request,
+            target: target.clone(),
+        })
+    }
+
+    fn progress(&mut self, _request: RequestId, _tokens: TokenCount, _now: Timestamp) {}
+
+    fn finish(&mut self, request: RequestId, _outcome: Outcome, _now: Timestamp) {
+        let Some((target, tokens)) = self.running.remove(&request) else {
+            return;
+        };
+        if let Some(found) = self.targets.iter_mut().find(|(known, ..)| *known == target) {
+            found.1 = found.1.saturating_sub(tokens);
+        }
+    }
+
+    fn expire(&mut self, _now: Timestamp) -> Vec<RequestId> {
+        Vec::new()
+    }
+}
--- a/crates/jm-route/src/explain.rs
+++ b/crates/jm-route/src/explain.rs
@@ -21,7 +21,7 @@
     LiveFirst,
     /// The windows of all targets are full.
     WindowsFull,
-    /// The part of the windows that training may use is full; the rest is kept free for live calls.
+    /// The windows are full for training; only live calls may go further.
     TrainingPartFull,
     /// Every target that it may use is slow or failing and only gets probes.
     TargetsDegraded,
@@ -36,7 +36,9 @@
             Self::Turn => f.write_str("earlier requests or organisations with a smaller used share go first"),
             Self::LiveFirst => f.write_str("live requests go first"),
             Self::WindowsFull => f.write_str("the windows of all targets are full"),
-            Self::TrainingPartFull => f.write_str("the part of the windows open to training is full"),
+            Self::TrainingPartFull => {
+                f.write_str("the windows are full for training; only live calls may go further")
+            }
             Self::TargetsDegraded => f.write_str("every target that it may use is slow or failing"),
             Self::NoTarget => f.write_str("no target is left that was not tried before"),
         }
--- a/crates/jm-route/src/options.rs
+++ b/crates/jm-route/src/options.rs
@@ -11,7 +11,9 @@
     /// of this is still accepted when the limit is reached, so that a flood cannot shut others out; at most twice
     /// this number wait.
     pub service_queue_limit: usize,
-    /// Part of each window that training leaves free for live calls, in thousandths.
+    /// How far live calls may go beyond the window, in thousandths of it. Training fills the window and never
+    /// this part, so that a live call need not wait for a draft to end, and training loses nothing while no live
+    /// call comes. Engines must hold the largest window and this part.
     pub live_headroom_per_thousand: u64,
     /// Interval at which windows adapt and slow targets are looked for.
     pub control_interval: DurationMs,
@@ -36,7 +38,7 @@
         Self {
             organisation_queue_limit: 256,
             service_queue_limit: 4_096,
-            live_headroom_per_thousand: 60,
+            live_headroom_per_thousand: 100,
             control_interval: DurationMs::new(500),
             slow_factor_per_thousand: 2_000,
             slow_intervals: 3,
--- a/crates/jm-route/src/target.rs
+++ b/crates/jm-route/src/target.rs
@@ -149,13 +149,11 @@
     }
 
     fn limit(&self, class: Class, options: &SchedulerOptions) -> u64 {
-        match class {
-            Class::Live => self.window,
-            Class::Training => {
-                let headroom = (self.window * options.live_headroom_per_thousand).div_ceil(1_000);
-                self.window.saturating_sub(headroom)
-            }
-        }
+        let headroom = match class {
+            Class::Live => (self.window * options.live_headroom_per_thousand).div_ceil(1_000),
+            Class::Training => 0,
+        };
+        self.window + headroom
     }
 
     /// Free part of the window for a class.
