jm-route: space training starts so that prompts of drafts do not delay live calls

Cause: an engine processes prompts in order of arrival, so the first token of a live call waits for drafts that started just before it.

Change: on a nearly full engine training starts are spaced, wait while a live call waits for its first token, and leave half of the engines without a prompt in progress; live calls go where the fewest prompt tokens wait.

--- a/crates/jm-route/src/options.rs
+++ b/crates/jm-route/src/options.rs
@@ -15,6 +15,10 @@
     /// this part, so that a live call need not wait for a draft to end, and training loses nothing while no live
     /// call comes. Engines must hold the largest window and this part.
     pub live_headroom_per_thousand: u64,
+    /// Shortest time between two starts of training requests on an engine whose window is nearly full. Engines
+    /// process prompts in order of arrival, so several drafts started together delay the first token of the live
+    /// call that comes next.
+    pub training_start_gap: DurationMs,
     /// Interval at which windows adapt and slow targets are looked for.
     pub control_interval: DurationMs,
     /// A target is slow when its time per token exceeds the peers' median by this factor, in thousandths.
@@ -39,6 +43,7 @@
             organisation_queue_limit: 256,
             service_queue_limit: 4_096,
             live_headroom_per_thousand: 100,
+            training_start_gap: DurationMs::new(25),
             control_interval: DurationMs::new(500),
             slow_factor_per_thousand: 2_000,
             slow_intervals: 3,
--- a/crates/jm-route/src/placement.rs
+++ b/crates/jm-route/src/placement.rs
@@ -53,6 +53,7 @@
     let any_normal = targets
         .iter()
         .any(|target| target.takes_work() && target.health == Health::Normal);
+    let busy = prompts_fill_half(targets);
     let mut survey = Survey::default();
     for (slot, target) in targets.iter().enumerate() {
         if !target.takes_work() {
@@ -72,8 +73,9 @@
             continue;
         }
         survey.usable = true;
-        if target.fits(need.class, need.tokens, options) {
-            survey.note(slot, target.load(now, options), mix(need.seed ^ target.hash));
+        if target.fits(need.class, need.tokens, options) && !target.paced(need.class, busy, now) {
+            let key = (waiting_prompts(target, need.class), target.load(now, options));
+            survey.note(slot, key, mix(need.seed ^ target.hash));
         }
     }
     if survey.best.is_none() {
@@ -84,6 +86,27 @@
         .map_or(Placement::Full, Placement::Slot)
 }
 
+/// Prompts that a live call would wait for, and the load.
+type Key = (u64, u64);
+
+/// Prompt tokens whose order of magnitude matters for the time to the first token.
+const PROMPT_STEP: u64 = 64;
+
+/// Whether at least half of the engines process prompts, so that a live call would not find one that does not.
+fn prompts_fill_half(targets: &[Target]) -> bool {
+    let processing = targets
+        .iter()
+        .filter(|target| target.pending_prompt.iter().any(|tokens| *tokens > 0));
+    processing.count() >= (targets.len() / 2).max(1)
+}
+
+fn waiting_prompts(target: &Target, class: Class) -> u64 {
+    match class {
+        Class::Live => target.pending_prompt.iter().sum::<u64>() / PROMPT_STEP,
+        Class::Training => 0,
+    }
+}
+
 #[derive(Debug, Default)]
 struct Survey {
     used: u64,
@@ -91,14 +114,14 @@
     allowed: bool,
     usable: bool,
     fitting: u128,
-    /// Load, tie-breaker and slot of the least loaded target.
-    best: Option<(u64, u64, usize)>,
+    /// Key, tie-breaker and slot of the best target.
+    best: Option<(Key, u64, usize)>,
 }
 
 impl Survey {
-    fn note(&mut self, slot: usize, load: u64, tie: u64) {
+    fn note(&mut self, slot: usize, key: Key, tie: u64) {
         self.fitting |= bit(slot);
-        let candidate = (load, tie, slot);
+        let candidate = (key, tie, slot);
         if self.best.is_none_or(|best| candidate < best) {
             self.best = Some(candidate);
         }
--- a/crates/jm-route/src/scheduler.rs
+++ b/crates/jm-route/src/scheduler.rs
@@ -21,7 +21,8 @@
 /// the targets, because engines admit whatever arrives and know no priority.
 ///
 /// The daemon calls [`Self::next`] until it answers `None` after each `submit`, `progress`, `finish`, `cancel` and
-/// `set_targets`, and [`Self::expire`] a few times a second.
+/// `set_targets`, and every 10 ms while requests wait, because training starts are spaced in time; it calls
+/// [`Self::expire`] a few times a second.
 #[derive(Debug, Default)]
 pub struct Scheduler {
     pub(crate) options: SchedulerOptions,
@@ -103,7 +104,7 @@
             request.max_tokens.get(),
         );
         let sequence = queue.push(organisation, request.id, tokens);
-        self.services[service].blocked = false;
+        self.services[service].blocked_until = now;
         self.deadlines.insert((request.deadline, request.id));
         let tracked = Tracked {
             service,
@@ -191,16 +192,14 @@
             let index = (self.turn + step) % self.services.len();
             let service = &mut self.services[index];
             service.control(now, &self.options);
-            if service.blocked {
+            if now < service.blocked_until {
                 continue;
             }
             if let Some((request, slot)) = self.find(index, now) {
                 self.turn = index + 1;
                 return Some(self.start(request, slot, now));
             }
-            let service = &mut self.services[index];
-            service.blocked = true;
-            service.demand |= Class::ALL.iter().any(|class| service.queue(*class).len() > 0);
+            self.services[index].block(now);
         }
         None
     }
@@ -237,7 +236,8 @@
             .store(slot, &tracked.request.prefix_hashes, self.options.prefix_limit);
         let target = &mut service.targets[slot];
         let cost = target.cost(tracked.tokens);
-        target.start(cost, now, self.options.probe_interval);
+        target.start(tracked.request.class, cost, now, &self.options);
+        target.pending_prompt[tracked.request.class as usize] += tracked.request.prompt_tokens.get();
         tracked.stage = Stage::Running(Flight {
             slot,
             cost,
@@ -270,6 +270,11 @@
         let busy = now.since(flight.last_progress);
         let target = &mut service.targets[flight.slot];
         target.observe(if counted == 0 { Default::default() } else { busy }, counted, now);
+        let first_token = flight.generated == 0;
+        if first_token {
+            target.prompt_done(tracked.request.class, tracked.request.prompt_tokens.get());
+            service.blocked_until = now;
+        }
         flight.last_progress = now;
         flight.generated += tokens.get();
         service.record_served(tokens.get());
@@ -305,7 +310,7 @@
             return;
         };
         let service = &mut self.services[tracked.service];
-        service.blocked = false;
+        service.blocked_until = now;
         let queue = service.queue_mut(tracked.class());
         if matches!(outcome, Outcome::Finished(_)) {
             queue.learn(
@@ -322,6 +327,9 @@
         );
         let target = &mut service.targets[flight.slot];
         target.stop(flight.cost);
+        if flight.generated == 0 {
+            target.prompt_done(tracked.request.class, tracked.request.prompt_tokens.get());
+        }
         match outcome {
             Outcome::Finished(_) => health::succeeded(target),
             Outcome::Failed => health::failed(target, now, &self.options),
@@ -365,7 +373,7 @@
         self.deadlines.remove(&(tracked.request.deadline, request));
         if let Stage::Waiting(sequence) = tracked.stage {
             let service = &mut self.services[tracked.service];
-            service.blocked = false;
+            service.blocked_until = self.now;
             service
                 .queue_mut(tracked.class())
                 .remove(tracked.organisation, sequence, tracked.tokens);
--- a/crates/jm-route/src/service.rs
+++ b/crates/jm-route/src/service.rs
@@ -18,15 +18,17 @@
 /// Organisations whose first request is looked at when those before are held back by targets tried before.
 pub(crate) const LOOK_AHEAD: usize = 8;
 
+const NEVER: Timestamp = Timestamp::new(u64::MAX);
+
 #[derive(Debug, Default)]
 pub(crate) struct Service {
     pub(crate) targets: Vec<Target>,
     pub(crate) prefixes: PrefixIndex,
     queues: [FairQueue; 2],
-    /// Nothing can be placed until something changes.
-    pub(crate) blocked: bool,
+    /// Nothing can be placed until this time, unless something changes before.
+    pub(crate) blocked_until: Timestamp,
     /// Requests waited for room in the current control interval.
-    pub(crate) demand: bool,
+    demand: bool,
     last_control: Timestamp,
     served_tokens: u64,
     served_rate: f64,
@@ -52,7 +54,7 @@
 
     /// Adds or updates a target and returns its slot. A slot is used again only after its last request ended.
     pub(crate) fn set_target(&mut self, spec: TargetSpec, now: Timestamp) -> usize {
-        self.blocked = false;
+        self.blocked_until = now;
         if let Some(slot) = self.targets.iter().position(|target| target.spec.id == spec.id) {
             self.targets[slot].update(spec);
             return slot;
@@ -90,6 +92,17 @@
         self.queue(class).heads().take(LOOK_AHEAD)
     }
 
+    /// Notes that nothing can be placed now. Paced training requests can be placed later without any change.
+    pub(crate) fn block(&mut self, now: Timestamp) {
+        let paced = self
+            .targets
+            .iter()
+            .map(|target| target.next_training)
+            .filter(|at| *at > now);
+        self.blocked_until = paced.min().unwrap_or(NEVER);
+        self.demand |= self.queues.iter().any(|queue| queue.len() > 0);
+    }
+
     pub(crate) fn record_served(&mut self, tokens: u64) {
         self.served_tokens += tokens;
     }
@@ -101,7 +114,7 @@
             return;
         }
         self.last_control = now;
-        self.blocked = false;
+        self.blocked_until = now;
         let demand = std::mem::take(&mut self.demand);
         health::control(&mut self.targets, demand, now, options);
         let seconds = elapsed.get() as f64 / 1_000.0;
--- a/crates/jm-route/src/target.rs
+++ b/crates/jm-route/src/target.rs
@@ -95,6 +95,10 @@
     pub(crate) left: bool,
     pub(crate) health: Health,
     pub(crate) next_probe: Timestamp,
+    /// No training request starts before this time while the window is nearly full.
+    pub(crate) next_training: Timestamp,
+    /// Prompt tokens of the requests that have not generated their first token, by class.
+    pub(crate) pending_prompt: [u64; 2],
     pub(crate) strikes: u32,
     pub(crate) failures: u32,
     pub(crate) last_progress: Timestamp,
@@ -115,6 +119,8 @@
             left: false,
             health: Health::Normal,
             next_probe: now,
+            next_training: now,
+            pending_prompt: [0; 2],
             strikes: 0,
             failures: 0,
             last_progress: now,
@@ -172,6 +178,15 @@
         self.requests == 0 || self.used + cost <= self.limit(class, options)
     }
 
+    /// Whether a training request must wait because its prompt would delay a live call: one that waits for its
+    /// first token here, or one that comes next while `busy` tells that many engines process prompts. Below 19/20
+    /// of the window it need not, so that short drafts still fill the window.
+    pub(crate) fn paced(&self, class: Class, busy: bool, now: Timestamp) -> bool {
+        let nearly_full = self.used * 20 >= self.window * 19;
+        let live_waits = self.pending_prompt[Class::Live as usize] > 0;
+        class == Class::Training && nearly_full && (live_waits || busy || now < self.next_training)
+    }
+
     /// Whether a degraded target may get a probe. Training requests are used first; a live request only when no
     /// training request came for another interval.
     pub(crate) fn probe_due(&self, class: Class, now: Timestamp, interval: DurationMs) -> bool {
@@ -193,14 +208,17 @@
         (self.used + hint) * 1_000 / self.window.max(1)
     }
 
-    pub(crate) fn start(&mut self, cost: u64, now: Timestamp, probe_interval: DurationMs) {
+    pub(crate) fn start(&mut self, class: Class, cost: u64, now: Timestamp, options: &SchedulerOptions) {
+        if class == Class::Training && self.spec.kind == TargetKind::Engine {
+            self.next_training = now.after(options.training_start_gap);
+        }
         if self.requests == 0 {
             self.last_progress = now;
         }
         self.used += cost;
         self.requests += 1;
         if self.health != Health::Normal {
-            self.next_probe = now.after(probe_interval);
+            self.next_probe = now.after(options.probe_interval);
         }
     }
 
@@ -209,6 +227,12 @@
         self.requests = self.requests.saturating_sub(1);
     }
 
+    /// A request generated its first token or ended before.
+    pub(crate) fn prompt_done(&mut self, class: Class, tokens: u64) {
+        let pending = &mut self.pending_prompt[class as usize];
+        *pending = pending.saturating_sub(tokens);
+    }
+
     pub(crate) fn observe(&mut self, busy: DurationMs, tokens: u64, now: Timestamp) {
         self.interval_busy_us += busy.get() * 1_000;
         self.interval_tokens += tokens;
--- a/crates/jm-route/tests/common/mod.rs
+++ b/crates/jm-route/tests/common/mod.rs
@@ -2,7 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
-use jm_route::{Class, QueuedRequest, Scheduler, SchedulerOptions, TargetKind, TargetSpec, WindowBounds};
+use jm_route::{
+    Assignment, Class, QueuedRequest, Scheduler, SchedulerOptions, TargetKind, TargetSpec, WindowBounds,
+};
 use jm_types::{OrganisationId, RequestId, ServiceId, TargetId, Timestamp, TokenCount, ZoneId};
 use quickcheck::{Gen, QuickCheck};
 
@@ -58,6 +60,20 @@
     scheduler
 }
 
+/// Starts what can be started within `steps` steps of 25 ms; training starts on a nearly full engine are spaced. A
+/// request has its first token when the next step begins.
+pub(crate) fn start_all(scheduler: &mut Scheduler, steps: u64) -> Vec<Assignment> {
+    let mut started: Vec<Assignment> = Vec::new();
+    for step in 0..steps {
+        let now = at(step * 25);
+        started
+            .iter()
+            .for_each(|known| scheduler.progress(known.request, TokenCount::new(1), now));
+        started.extend(std::iter::from_fn(|| scheduler.next(now)));
+    }
+    started
+}
+
 pub(crate) fn request(id: u64, organisation_number: u64, class: Class, tokens: u64) -> QueuedRequest {
     QueuedRequest {
         id: RequestId::new(id),
