First version of order tickets and step assembly

Cause: the dispatch daemon needs the interfaces of jm-order and jm-step. Change: jm-order holds signed tickets, the outcome table of one incarnation and the record of an idempotency key. jm-step holds the owner's state of a step and the copy that another daemon takes over from. Ruled out: a ticket table without entries for unused tickets, because a forgotten ticket could then run twice; sequence numbers given at hand-out, because each read would need a further copy before its answer.

--- a/crates/jm-order/src/lib.rs
+++ b/crates/jm-order/src/lib.rs
@@ -1,3 +1,19 @@
-//! Tickets and outcomes of requests that must not be repeated.
+//! Tickets and outcomes of requests that must not be repeated; see section 4.4 of `docs/design.md`.
+//!
+//! A ticket names the dispatch incarnation that may run it. [`TicketTable`] is the outcome table of one
+//! incarnation. [`OrderKey`] maps a caller's own idempotency key to a ticket through one object of the store.
 
 #![deny(missing_docs, unsafe_code)]
+
+mod digest;
+mod order_key;
+mod table;
+mod ticket;
+
+pub use digest::{ParseDigestError, RequestDigest};
+pub use order_key::{CreateOutcome, OrderDecision, OrderKey, OrderRecord, ParseRecordError, ReadOutcome};
+pub use table::{
+    Answer, Begin, FailOutcome, IssueError, Mismatch, Replay, Run, StaleRun, TicketTable, TicketTableOptions,
+    TicketUse,
+};
+pub use ticket::{SignedTicket, Ticket, TicketError, TicketSecret};
--- /dev/null
+++ b/crates/jm-order/src/table.rs
@@ -0,0 +1,424 @@
+//! The outcome table of one dispatch incarnation.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use jm_types::{
+    ByteSize, DurationMs, Incarnation, MemberId, OrganisationId, ResultCode, ServiceId, Timestamp,
+};
+use snafu::Snafu;
+
+use crate::{RequestDigest, Ticket};
+
+/// Bytes charged for an entry besides its answer: the entry, its index and two ids of the greatest length.
+const ENTRY_BYTES: u64 = 512;
+
+/// Limits of a [`TicketTable`].
+#[derive(Debug, Clone)]
+pub struct TicketTableOptions {
+    /// Most tickets held at once, whatever their state.
+    pub max_entries: usize,
+    /// Most tickets that one organisation may hold, so that one caller cannot fill the table for all.
+    pub max_organisation_entries: usize,
+    /// Most bytes of all entries and stored answers together.
+    pub max_bytes: ByteSize,
+    /// Largest answer that is stored; of a larger one only the fact is kept that the request ran.
+    pub max_answer_bytes: ByteSize,
+    /// How long a ticket may be begun after its issue.
+    pub unused_lifetime: DurationMs,
+    /// How long an outcome is held after the run ended.
+    pub outcome_lifetime: DurationMs,
+}
+
+impl Default for TicketTableOptions {
+    fn default() -> Self {
+        Self {
+            max_entries: 16_384,
+            max_organisation_entries: 4_096,
+            max_bytes: ByteSize::new(32_000_000),
+            max_answer_bytes: ByteSize::new(256_000),
+            unused_lifetime: DurationMs::new(600_000),
+            outcome_lifetime: DurationMs::new(600_000),
+        }
+    }
+}
+
+/// The answer of a target, kept for repeated requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header names and values that are forwarded to the caller.
+    pub headers: Vec<(String, String)>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Bytes that the answer is charged with.
+    pub fn bytes(&self) -> ByteSize {
+        let headers: usize = self
+            .headers
+            .iter()
+            .map(|(name, value)| name.len() + value.len())
+            .sum();
+        ByteSize::new((headers + self.body.len()) as u64)
+    }
+}
+
+/// What a request presents together with its ticket. The organisation is that of the caller's key.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TicketUse {
+    /// Organisation of the key that came with the request.
+    pub organisation: OrganisationId,
+    /// Service that the request addresses.
+    pub service: ServiceId,
+    /// Digest of the request.
+    pub digest: RequestDigest,
+}
+
+/// One run of a ticket; later reports about an earlier run are told apart by it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Run {
+    serial: u64,
+    number: u64,
+}
+
+impl Run {
+    /// Serial number of the ticket.
+    pub const fn serial(self) -> u64 {
+        self.serial
+    }
+}
+
+/// What a finished ticket gives to a repeated request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Replay {
+    /// The stored answer.
+    Answer(Arc<Answer>),
+    /// The request ran and its answer was too large to store.
+    NoLongerHeld,
+}
+
+/// Why a ticket does not fit the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mismatch {
+    /// The ticket belongs to another organisation or service.
+    Owner,
+    /// The ticket was begun with another request.
+    Request,
+}
+
+/// What is to be done with a request that presents a ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Begin {
+    /// Run the request and report with [`TicketTable::written`], `complete` or `fail`.
+    Run(Run),
+    /// Wait for the end of the run that is under way, then begin again.
+    Wait(Run),
+    /// Give the recorded outcome.
+    Replay(Replay),
+    /// The request may have run; it never runs again.
+    Unknown,
+    /// The ticket is too old for its outcome to be known; it never runs again.
+    Expired,
+    /// Another incarnation issued the ticket; its outcome is unknown here.
+    WrongIncarnation,
+    /// The ticket does not fit the request, which was not run.
+    Mismatch(Mismatch),
+}
+
+impl Begin {
+    /// The result code of a decision that gives neither a run nor an answer.
+    pub const fn code(&self) -> Option<ResultCode> {
+        match self {
+            Self::Run(_) | Self::Wait(_) | Self::Replay(_) => None,
+            Self::Unknown | Self::WrongIncarnation => Some(ResultCode::OutcomeUnknown),
+            Self::Expired => Some(ResultCode::TicketExpired),
+            Self::Mismatch(Mismatch::Owner) => Some(ResultCode::TicketMismatch),
+            Self::Mismatch(Mismatch::Request) => Some(ResultCode::RequestMismatch),
+        }
+    }
+}
+
+/// Why no ticket is issued.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum IssueError {
+    /// The table is full; tickets in it are never forgotten early.
+    #[snafu(display("the ticket table is full; tickets free up as they expire"))]
+    Full,
+    /// The organisation holds as many tickets as it may.
+    #[snafu(display("the organisation holds {limit} tickets, which is the limit"))]
+    OrganisationFull {
+        /// The limit in entries.
+        limit: usize,
+    },
+}
+
+impl IssueError {
+    /// The result code for the caller.
+    pub const fn code(&self) -> ResultCode {
+        ResultCode::QueueFull
+    }
+}
+
+/// The report is about a run that is not the current one; nothing may be written to a target for it.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("the run is not under way"))]
+pub struct StaleRun;
+
+/// What became of a run that ended without an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailOutcome {
+    /// Nothing was written; the ticket may be begun again.
+    NotRun,
+    /// Bytes were written; the outcome stays unknown.
+    Unknown,
+}
+
+#[derive(Debug)]
+enum State {
+    Unused { issued: Timestamp },
+    Running { number: u64, written: bool },
+    Finished { replay: Replay, at: Timestamp },
+    Unknown { at: Timestamp },
+}
+
+#[derive(Debug)]
+struct Entry {
+    organisation: OrganisationId,
+    service: ServiceId,
+    issued: Timestamp,
+    digest: Option<RequestDigest>,
+    state: State,
+}
+
+/// Tickets issued by one dispatch incarnation and what became of them. A ticket without an entry never runs,
+/// so forgetting an entry is always safe.
+#[derive(Debug)]
+pub struct TicketTable {
+    member: MemberId,
+    incarnation: Incarnation,
+    options: TicketTableOptions,
+    next_serial: u64,
+    next_run: u64,
+    entries: IndexMap<u64, Entry>,
+    organisation_entries: IndexMap<OrganisationId, usize>,
+    bytes: u64,
+}
+
+impl TicketTable {
+    /// An empty table of a new incarnation.
+    pub fn new(member: MemberId, incarnation: Incarnation, options: TicketTableOptions) -> Self {
+        Self {
+            member,
+            incarnation,
+            options,
+            next_serial: 1,
+            next_run: 1,
+            entries: IndexMap::new(),
+            organisation_entries: IndexMap::new(),
+            bytes: 0,
+        }
+    }
+
+    /// Number of tickets held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no ticket is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Bytes charged for entries and stored answers.
+    pub const fn bytes(&self) -> ByteSize {
+        ByteSize::new(self.bytes)
+    }
+
+    /// Issues a ticket. A full table refuses rather than forgetting an older ticket.
+    pub fn issue(
+        &mut self,
+        organisation: OrganisationId,
+        service: ServiceId,
+        now: Timestamp,
+    ) -> Result<Ticket, IssueError> {
+        self.check_room(&organisation)?;
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        self.bytes += ENTRY_BYTES;
+        *self.organisation_entries.entry(organisation.clone()).or_default() += 1;
+        let entry = Entry {
+            organisation: organisation.clone(),
+            service: service.clone(),
+            issued: now,
+            digest: None,
+            state: State::Unused { issued: now },
+        };
+        self.entries.insert(serial, entry);
+        Ok(Ticket {
+            member: self.member.clone(),
+            incarnation: self.incarnation,
+            organisation,
+            service,
+            serial,
+            issued: now,
+        })
+    }
+
+    fn check_room(&self, organisation: &OrganisationId) -> Result<(), IssueError> {
+        let limit = self.options.max_organisation_entries;
+        let full = self.entries.len() >= self.options.max_entries
+            || self.bytes + ENTRY_BYTES > self.options.max_bytes.get();
+        let held = self
+            .organisation_entries
+            .get(organisation)
+            .copied()
+            .unwrap_or_default();
+        if full {
+            FullSnafu.fail()
+        } else if held >= limit {
+            OrganisationFullSnafu { limit }.fail()
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Decides what to do with a request that presents a verified ticket.
+    pub fn begin(&mut self, ticket: &Ticket, request: &TicketUse, now: Timestamp) -> Begin {
+        if ticket.organisation != request.organisation || ticket.service != request.service {
+            return Begin::Mismatch(Mismatch::Owner);
+        }
+        if ticket.member != self.member || ticket.incarnation != self.incarnation {
+            return Begin::WrongIncarnation;
+        }
+        let Some(entry) = self.entries.get_mut(&ticket.serial) else {
+            return Begin::Expired;
+        };
+        if entry.organisation != ticket.organisation || entry.service != ticket.service {
+            return Begin::Mismatch(Mismatch::Owner);
+        }
+        if is_expired(&entry.state, &self.options, now) {
+            return Begin::Expired;
+        }
+        // The first request binds the ticket, even when it is then refused before any byte was written.
+        if *entry.digest.get_or_insert(request.digest) != request.digest {
+            return Begin::Mismatch(Mismatch::Request);
+        }
+        begin_entry(entry, ticket.serial, &mut self.next_run)
+    }
+
+    /// Records that bytes of the request may have reached a target. Call it before the first write.
+    pub fn written(&mut self, run: Run) -> Result<(), StaleRun> {
+        let entry = self.running(run)?;
+        entry.state = State::Running {
+            number: run.number,
+            written: true,
+        };
+        Ok(())
+    }
+
+    /// Records the whole answer of a run.
+    pub fn complete(&mut self, run: Run, answer: Arc<Answer>, now: Timestamp) -> Result<(), StaleRun> {
+        self.running(run)?;
+        let replay = self.store(answer);
+        let entry = self.running(run)?;
+        entry.state = State::Finished { replay, at: now };
+        Ok(())
+    }
+
+    fn store(&mut self, answer: Arc<Answer>) -> Replay {
+        let bytes = answer.bytes().get();
+        let fits = bytes <= self.options.max_answer_bytes.get()
+            && self.bytes.saturating_add(bytes) <= self.options.max_bytes.get();
+        if fits {
+            self.bytes += bytes;
+            Replay::Answer(answer)
+        } else {
+            Replay::NoLongerHeld
+        }
+    }
+
+    /// Records that a run ended without a whole answer.
+    pub fn fail(&mut self, run: Run, now: Timestamp) -> Result<FailOutcome, StaleRun> {
+        let entry = self.running(run)?;
+        if matches!(entry.state, State::Running { written: true, .. }) {
+            entry.state = State::Unknown { at: now };
+            Ok(FailOutcome::Unknown)
+        } else {
+            entry.state = State::Unused { issued: entry.issued };
+            Ok(FailOutcome::NotRun)
+        }
+    }
+
+    fn running(&mut self, run: Run) -> Result<&mut Entry, StaleRun> {
+        let entry = self.entries.get_mut(&run.serial).ok_or(StaleRun)?;
+        match entry.state {
+            State::Running { number, .. } if number == run.number => Ok(entry),
+            _ => Err(StaleRun),
+        }
+    }
+
+    /// Removes expired tickets and gives their number. Running tickets stay until their run ends.
+    pub fn expire(&mut self, now: Timestamp) -> usize {
+        let before = self.entries.len();
+        let (options, counts, bytes) = (&self.options, &mut self.organisation_entries, &mut self.bytes);
+        self.entries.retain(|_, entry| {
+            let expired = is_expired(&entry.state, options, now);
+            if expired {
+                *bytes -= ENTRY_BYTES + stored_bytes(&entry.state);
+                release(counts, &entry.organisation);
+            }
+            !expired
+        });
+        before - self.entries.len()
+    }
+}
+
+fn begin_entry(entry: &mut Entry, serial: u64, next_run: &mut u64) -> Begin {
+    match &entry.state {
+        State::Unused { .. } => {
+            let number = *next_run;
+            *next_run += 1;
+            entry.state = State::Running {
+                number,
+                written: false,
+            };
+            Begin::Run(Run { serial, number })
+        }
+        State::Running { number, .. } => Begin::Wait(Run {
+            serial,
+            number: *number,
+        }),
+        State::Finished { replay, .. } => Begin::Replay(replay.clone()),
+        State::Unknown { .. } => Begin::Unknown,
+    }
+}
+
+fn is_expired(state: &State, options: &TicketTableOptions, now: Timestamp) -> bool {
+    match state {
+        State::Unused { issued } => now >= issued.after(options.unused_lifetime),
+        State::Running { .. } => false,
+        State::Finished { at, .. } | State::Unknown { at } => now >= at.after(options.outcome_lifetime),
+    }
+}
+
+fn stored_bytes(state: &State) -> u64 {
+    match state {
+        State::Finished {
+            replay: Replay::Answer(answer),
+            ..
+        } => answer.bytes().get(),
+        _ => 0,
+    }
+}
+
+fn release(counts: &mut IndexMap<OrganisationId, usize>, organisation: &OrganisationId) {
+    if let Some(count) = counts.get_mut(organisation) {
+        *count -= 1;
+        if *count == 0 {
+            counts.swap_remove(organisation);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-step/src/assembly.rs
@@ -0,0 +1,366 @@
+//! The owner's state of one step.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use indexmap::IndexSet;
+use jm_types::{AttemptId, ResultCode, Sequence, SlotIndex, TargetId, Timestamp, TokenCount, WeightVersion};
+use snafu::Snafu;
+
+use crate::{
+    BoundSlot, CopyBody, Effects, IncompleteCopy, Naming, Sample, Segment, SpecError, StepCopy, StepEvent,
+    StepOptions, StepSpec, Unusable,
+    copying::Copied,
+    pace::Pace,
+    slots::{Slot, Slots, Start},
+};
+
+/// A bound sample that the trainer has not acknowledged.
+#[derive(Debug)]
+pub(crate) struct Bound {
+    pub(crate) sample: Arc<Sample>,
+    pub(crate) copied: bool,
+}
+
+/// The acknowledgement names a sequence number that was never used.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("sample {through} was not delivered; the last one is {last}"))]
+pub struct AcknowledgeError {
+    through: Sequence,
+    last: Sequence,
+}
+
+impl AcknowledgeError {
+    /// The result code for the trainer.
+    pub const fn code(&self) -> ResultCode {
+        ResultCode::BadAcknowledgement
+    }
+}
+
+/// Slots, running drafts, bindings and delivery of one step, held by the daemon that owns it.
+#[derive(Debug)]
+pub struct StepAssembly {
+    pub(crate) spec: StepSpec,
+    pub(crate) options: StepOptions,
+    pub(crate) slots: Slots,
+    pub(crate) pace: Pace,
+    /// Slots with two running drafts.
+    pub(crate) paired: IndexSet<SlotIndex>,
+    /// Slow drafts of the last review that are still to be issued again.
+    pub(crate) slow: Vec<AttemptId>,
+    pub(crate) reissued: u64,
+    pub(crate) bound: BTreeMap<Sequence, Bound>,
+    pub(crate) next_sequence: Sequence,
+    pub(crate) acknowledged: Sequence,
+    pub(crate) namings: Vec<Naming>,
+    pub(crate) term: u64,
+    pub(crate) copied: Copied,
+    pub(crate) degraded: bool,
+    pub(crate) unusable: u64,
+    pub(crate) late_answers: u64,
+}
+
+impl StepAssembly {
+    /// A new step. Nothing is handed out before [`StepAssembly::pending_copies`] is sent and confirmed, or
+    /// [`StepAssembly::no_copy_holder`] is called.
+    pub fn new(spec: StepSpec, options: StepOptions) -> Result<Self, SpecError> {
+        spec.check()?;
+        let held: Vec<SlotIndex> = spec.held.clone();
+        let mut step = Self::empty(spec, options, 1);
+        step.slots.settle(held.into_iter().map(|slot| (slot, Slot::Done)));
+        Ok(step)
+    }
+
+    fn empty(spec: StepSpec, options: StepOptions, term: u64) -> Self {
+        Self {
+            slots: Slots::new(spec.samples, term),
+            spec,
+            options,
+            pace: Pace::default(),
+            paired: IndexSet::new(),
+            slow: Vec::new(),
+            reissued: 0,
+            bound: BTreeMap::new(),
+            next_sequence: Sequence::new(1),
+            acknowledged: Sequence::default(),
+            namings: Vec::new(),
+            term,
+            copied: Copied::default(),
+            degraded: false,
+            unusable: 0,
+            late_answers: 0,
+        }
+    }
+
+    /// Takes a step over from its owner in a new term. Samples of the copy are handed out again as soon as a
+    /// copy holder of this term has them.
+    pub fn restore(copy: StepCopy, options: StepOptions) -> Result<Self, IncompleteCopy> {
+        let restored = copy.into_restored()?;
+        let mut step = Self::empty(restored.spec, options, restored.term + 1);
+        let done = restored.done.into_iter().map(|slot| (slot, Slot::Done));
+        let bound = restored
+            .bindings
+            .iter()
+            .map(|sample| (sample.slot, Slot::Bound(sample.sequence)));
+        step.slots.settle(done.chain(bound));
+        for sample in restored.bindings {
+            let bound = Bound {
+                sample,
+                copied: false,
+            };
+            step.bound.insert(bound.sample.sequence, bound);
+        }
+        step.next_sequence = restored.next_sequence;
+        step.acknowledged = restored.acknowledged;
+        step.namings = restored.namings;
+        Ok(step)
+    }
+
+    /// The specification.
+    pub const fn spec(&self) -> &StepSpec {
+        &self.spec
+    }
+
+    /// The version that staleness is counted from.
+    pub fn version(&self) -> WeightVersion {
+        self.namings
+            .last()
+            .map_or(self.spec.weight_version, |naming| naming.version)
+    }
+
+    /// The oldest version that can be delivered now.
+    pub fn minimum_version(&self) -> WeightVersion {
+        self.spec.minimum_version(self.version())
+    }
+
+    /// Whether the trainer holds every sample.
+    pub fn is_complete(&self) -> bool {
+        self.slots.iter().all(|(_, slot)| *slot == Slot::Done)
+    }
+
+    /// Records that an engine admitted a draft, with the version that it reported, if any.
+    pub fn on_started(
+        &mut self,
+        attempt: AttemptId,
+        target: TargetId,
+        version: Option<WeightVersion>,
+        now: Timestamp,
+    ) -> Effects {
+        let minimum = self.minimum_version();
+        let mut effects = Effects::default();
+        match self.slots.attempt_mut(attempt) {
+            Some(running) => {
+                running.start = Some(Start {
+                    target,
+                    version,
+                    at: now,
+                });
+                if version.is_some_and(|version| version < minimum) {
+                    self.slots.stop(attempt);
+                    effects.cancel.push(attempt);
+                }
+            }
+            None => effects.cancel.push(attempt),
+        }
+        effects
+    }
+
+    /// Records how many tokens a draft has so far. Smaller numbers than before are ignored.
+    pub fn on_progress(&mut self, attempt: AttemptId, tokens: TokenCount) {
+        if let Some(running) = self.slots.attempt_mut(attempt) {
+            running.tokens = running.tokens.max(tokens);
+        }
+    }
+
+    /// Binds the sample of a finished draft to its slot, cancels the other draft of the slot and gives the
+    /// binding to copy. An answer of an attempt that is not running is ignored.
+    pub fn on_finished(
+        &mut self,
+        attempt: AttemptId,
+        segments: Vec<Segment>,
+        text: String,
+        now: Timestamp,
+    ) -> Effects {
+        let mut effects = Effects::default();
+        let Some(running) = self.slots.attempts().get(&attempt).cloned() else {
+            self.note_late(attempt, &mut effects);
+            return effects;
+        };
+        let oldest_version = match self.usable_version(&segments) {
+            Ok(version) => version,
+            Err(reason) => {
+                self.slots.stop(attempt);
+                self.note_unusable(running.slot, attempt, reason, &mut effects);
+                return effects;
+            }
+        };
+        let tokens = TokenCount::new(segments.iter().map(|segment| segment.tokens.get()).sum());
+        self.pace.finished(&running, tokens, now);
+        let sample = Sample {
+            sequence: self.next_sequence,
+            slot: running.slot,
+            attempt,
+            oldest_version,
+            segments,
+            text,
+        };
+        self.bind(Arc::new(sample), &mut effects);
+        effects
+    }
+
+    fn usable_version(&self, segments: &[Segment]) -> Result<WeightVersion, Unusable> {
+        let versions: Option<Vec<WeightVersion>> = segments.iter().map(|segment| segment.version).collect();
+        let oldest = versions.into_iter().flatten().min();
+        match oldest {
+            None => Err(Unusable::MissingVersion),
+            Some(version) if version < self.minimum_version() => Err(Unusable::TooOld),
+            Some(version) => Ok(version),
+        }
+    }
+
+    fn bind(&mut self, sample: Arc<Sample>, effects: &mut Effects) {
+        self.next_sequence = self.next_sequence.next();
+        for (attempt, running) in self.slots.bind(sample.slot, sample.sequence) {
+            if attempt != sample.attempt {
+                self.pace.wasted(&running);
+                effects.cancel.push(attempt);
+            }
+        }
+        effects
+            .copy
+            .push(self.message(CopyBody::Binding(Arc::clone(&sample))));
+        let bound = Bound {
+            sample,
+            copied: false,
+        };
+        self.bound.insert(bound.sample.sequence, bound);
+    }
+
+    /// Records that a draft ended without a sample; its slot is drafted again.
+    pub fn on_failed(&mut self, attempt: AttemptId) -> Effects {
+        let mut effects = Effects::default();
+        if self.slots.stop(attempt).is_none() {
+            self.note_late(attempt, &mut effects);
+        }
+        effects
+    }
+
+    fn note_late(&mut self, attempt: AttemptId, effects: &mut Effects) {
+        self.late_answers += 1;
+        effects.events.push(StepEvent::LateAnswer { attempt });
+    }
+
+    fn note_unusable(
+        &mut self,
+        slot: SlotIndex,
+        attempt: AttemptId,
+        reason: Unusable,
+        effects: &mut Effects,
+    ) {
+        self.unusable += 1;
+        effects.events.push(StepEvent::Unusable {
+            slot,
+            attempt,
+            reason,
+        });
+    }
+
+    /// Records that the trainer names a version and holds every sample up to `received`. Samples after that
+    /// one which are now too old are dropped and drafted again: the trainer does not have them, and takes none
+    /// from a read that it sent before it named the version. A version that is not newer changes nothing, so
+    /// late and doubled requests do no harm.
+    pub fn named_version(&mut self, version: WeightVersion, received: Sequence) -> Effects {
+        let mut effects = Effects::default();
+        if version <= self.version() {
+            return effects;
+        }
+        self.namings.push(Naming { version, received });
+        self.drop_too_old(received, &mut effects);
+        self.stop_too_old(&mut effects);
+        effects
+            .copy
+            .push(self.message(CopyBody::Named(self.namings.clone())));
+        effects
+    }
+
+    fn drop_too_old(&mut self, received: Sequence, effects: &mut Effects) {
+        let minimum = self.minimum_version();
+        let too_old: Vec<Arc<Sample>> = self
+            .bound
+            .range(received.next()..)
+            .filter(|(_, bound)| bound.sample.oldest_version < minimum)
+            .map(|(_, bound)| Arc::clone(&bound.sample))
+            .collect();
+        for sample in too_old {
+            self.bound.remove(&sample.sequence);
+            self.slots.reopen(sample.slot);
+            self.note_unusable(sample.slot, sample.attempt, Unusable::TooOld, effects);
+        }
+    }
+
+    fn stop_too_old(&mut self, effects: &mut Effects) {
+        let minimum = self.minimum_version();
+        let too_old: Vec<AttemptId> = self
+            .slots
+            .attempts()
+            .iter()
+            .filter(|(_, attempt)| {
+                let version = attempt.start.as_ref().and_then(|start| start.version);
+                version.is_some_and(|version| version < minimum)
+            })
+            .map(|(&attempt, _)| attempt)
+            .collect();
+        for attempt in too_old {
+            self.slots.stop(attempt);
+            effects.cancel.push(attempt);
+        }
+    }
+
+    /// The samples after `after` in the order of delivery, at most `limit` of them. The same call gives the
+    /// same samples until they are acknowledged. It stops at the first sample that is not copied, because the
+    /// trainer asks only for what follows the last one it received.
+    pub fn deliver(&self, after: Sequence, limit: usize) -> Vec<Arc<Sample>> {
+        if !self.may_hand_out() {
+            return Vec::new();
+        }
+        let minimum = self.minimum_version();
+        self.bound
+            .range(after.next()..)
+            .map(|(_, bound)| bound)
+            .take_while(|bound| bound.copied || self.degraded)
+            .filter(|bound| bound.sample.oldest_version >= minimum)
+            .take(limit)
+            .map(|bound| Arc::clone(&bound.sample))
+            .collect()
+    }
+
+    fn may_hand_out(&self) -> bool {
+        self.degraded || (self.copied.begin && self.copied.namings == self.namings.len())
+    }
+
+    /// Records that the trainer holds every sample up to `through` for good.
+    pub fn acknowledge(&mut self, through: Sequence) -> Result<Effects, AcknowledgeError> {
+        let mut effects = Effects::default();
+        if through >= self.next_sequence {
+            let last = self.next_sequence.saturating_sub(Sequence::new(1));
+            return AcknowledgeSnafu { through, last }.fail();
+        }
+        if through <= self.acknowledged {
+            return Ok(effects);
+        }
+        self.acknowledged = through;
+        let kept = self.bound.split_off(&through.next());
+        for (_, bound) in std::mem::replace(&mut self.bound, kept) {
+            self.slots.finish(bound.sample.slot);
+        }
+        effects.copy.push(self.message(CopyBody::Acknowledged(through)));
+        Ok(effects)
+    }
+
+    /// The samples that are bound and not acknowledged.
+    pub fn bindings(&self) -> Vec<BoundSlot> {
+        self.bound
+            .values()
+            .map(|bound| bound.sample.bound_slot())
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/jm-step/src/copy.rs
@@ -0,0 +1,181 @@
+//! The copy of a step that another daemon takes over from.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use indexmap::IndexMap;
+use jm_types::{Sequence, SlotIndex};
+use snafu::{OptionExt, Snafu, ensure};
+
+use crate::{BoundSlot, CopyBody, CopyMessage, CopyPart, CopyReceipt, Naming, Sample, Snapshot, StepSpec};
+
+/// The message comes from an owner whose term has ended.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("term {found} has ended; the present one is {present}"))]
+pub struct OldTerm {
+    found: u64,
+    present: u64,
+}
+
+/// The copy does not hold everything that may have been handed out, so the step cannot be taken over. Its
+/// trainer creates it again and names the slots that it holds.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("the copy of the step is not complete"))]
+pub struct IncompleteCopy;
+
+/// What the copy holder knows of a step in the newest term it has seen.
+#[derive(Debug, Default)]
+pub struct StepCopy {
+    term: u64,
+    begin: Option<Snapshot>,
+    namings: Vec<Naming>,
+    bindings: IndexMap<SlotIndex, Binding>,
+    acknowledged: Sequence,
+    highest: Sequence,
+}
+
+/// The newest sample of a slot. The content is dropped once the trainer has acknowledged it.
+#[derive(Debug)]
+struct Binding {
+    bound: BoundSlot,
+    sample: Option<Arc<Sample>>,
+}
+
+/// State that a new owner starts from.
+#[derive(Debug)]
+pub(crate) struct Restored {
+    pub(crate) spec: StepSpec,
+    pub(crate) term: u64,
+    pub(crate) done: BTreeSet<SlotIndex>,
+    pub(crate) bindings: Vec<Arc<Sample>>,
+    pub(crate) acknowledged: Sequence,
+    pub(crate) next_sequence: Sequence,
+    pub(crate) namings: Vec<Naming>,
+}
+
+impl StepCopy {
+    /// Stores a message and gives the receipt to return. Messages may arrive doubled and in any order.
+    pub fn accept(&mut self, message: &CopyMessage) -> Result<CopyReceipt, OldTerm> {
+        let (found, present) = (message.term, self.term);
+        ensure!(found >= present, OldTermSnafu { found, present });
+        if found > present {
+            *self = Self {
+                term: found,
+                ..Self::default()
+            };
+        }
+        let part = match &message.body {
+            CopyBody::Begin(snapshot) => self.accept_begin(snapshot),
+            CopyBody::Binding(sample) => self.accept_binding(sample),
+            CopyBody::Named(namings) => self.accept_namings(namings),
+            CopyBody::Acknowledged(through) => self.accept_acknowledged(*through),
+        };
+        Ok(CopyReceipt { term: found, part })
+    }
+
+    fn accept_begin(&mut self, snapshot: &Snapshot) -> CopyPart {
+        self.accept_namings(&snapshot.namings);
+        self.accept_acknowledged(snapshot.acknowledged);
+        // A repetition lists samples that were bound since; the first list is the one that has to be complete.
+        if self.begin.is_none() {
+            self.begin = Some(snapshot.clone());
+        }
+        CopyPart::Begin
+    }
+
+    fn accept_binding(&mut self, sample: &Arc<Sample>) -> CopyPart {
+        let sequence = sample.sequence;
+        self.highest = self.highest.max(sequence);
+        let newer = self
+            .bindings
+            .get(&sample.slot)
+            .is_none_or(|binding| binding.bound.sequence < sequence);
+        if newer {
+            let binding = Binding {
+                bound: sample.bound_slot(),
+                sample: (sequence > self.acknowledged).then(|| Arc::clone(sample)),
+            };
+            self.bindings.insert(sample.slot, binding);
+        }
+        CopyPart::Binding(sequence)
+    }
+
+    fn accept_namings(&mut self, namings: &[Naming]) -> CopyPart {
+        if namings.len() > self.namings.len() {
+            self.namings = namings.to_vec();
+        }
+        CopyPart::Named(self.namings.len())
+    }
+
+    fn accept_acknowledged(&mut self, through: Sequence) -> CopyPart {
+        self.acknowledged = self.acknowledged.max(through);
+        for binding in self.bindings.values_mut() {
+            if binding.bound.sequence <= self.acknowledged {
+                binding.sample = None;
+            }
+        }
+        CopyPart::Acknowledged(self.acknowledged)
+    }
+
+    /// Whether the copy holds everything that may have been handed out.
+    pub fn is_complete(&self) -> bool {
+        self.begin.as_ref().is_some_and(|begin| {
+            begin
+                .bound
+                .iter()
+                .all(|listed| self.accounts_for(&begin.spec, listed))
+        })
+    }
+
+    fn accounts_for(&self, spec: &StepSpec, listed: &BoundSlot) -> bool {
+        let held = self
+            .bindings
+            .get(&listed.slot)
+            .is_some_and(|binding| binding.bound.sequence >= listed.sequence);
+        held || listed.sequence <= self.acknowledged || self.is_dropped(spec, listed)
+    }
+
+    /// Whether the owner dropped the sample when a version was named. Each naming counts by itself: a sample
+    /// that an early one dropped is not brought back by a later one with a higher `received`.
+    fn is_dropped(&self, spec: &StepSpec, bound: &BoundSlot) -> bool {
+        self.namings.iter().any(|naming| {
+            bound.sequence > naming.received && bound.oldest_version < spec.minimum_version(naming.version)
+        })
+    }
+
+    /// Slots whose sample the trainer has acknowledged. A dropped sample is skipped by an acknowledgement of
+    /// later ones, so its slot is not among them.
+    fn acknowledged_slots(&self, begin: &Snapshot) -> BTreeSet<SlotIndex> {
+        self.bindings
+            .values()
+            .map(|binding| &binding.bound)
+            .chain(&begin.bound)
+            .filter(|bound| bound.sequence <= self.acknowledged && !self.is_dropped(&begin.spec, bound))
+            .map(|bound| bound.slot)
+            .collect()
+    }
+
+    fn unacknowledged(&self, spec: &StepSpec) -> Vec<Arc<Sample>> {
+        self.bindings
+            .values()
+            .filter(|binding| !self.is_dropped(spec, &binding.bound))
+            .filter_map(|binding| binding.sample.clone())
+            .collect()
+    }
+
+    pub(crate) fn into_restored(self) -> Result<Restored, IncompleteCopy> {
+        ensure!(self.is_complete(), IncompleteCopySnafu);
+        let begin = self.begin.as_ref().context(IncompleteCopySnafu)?;
+        let mut done = self.acknowledged_slots(begin);
+        done.extend(&begin.done);
+        let used = self.highest.max(self.acknowledged).next();
+        Ok(Restored {
+            spec: begin.spec.clone(),
+            term: self.term,
+            done,
+            bindings: self.unacknowledged(&begin.spec),
+            acknowledged: self.acknowledged,
+            next_sequence: used.max(begin.next_sequence),
+            namings: self.namings,
+        })
+    }
+}
--- /dev/null
+++ b/crates/jm-step/src/copying.rs
@@ -0,0 +1,89 @@
+//! The owner's side of keeping a copy of the step at another daemon.
+
+use std::sync::Arc;
+
+use jm_types::Sequence;
+
+use crate::{CopyBody, CopyMessage, CopyPart, CopyReceipt, Snapshot, StepAssembly, slots::Slot};
+
+/// What the copy holder has confirmed in the present term.
+#[derive(Debug, Default)]
+pub(crate) struct Copied {
+    pub(crate) begin: bool,
+    pub(crate) namings: usize,
+    pub(crate) acknowledged: Sequence,
+}
+
+impl StepAssembly {
+    /// Records a confirmation of the copy holder. One of an earlier term is ignored.
+    pub fn copied(&mut self, receipt: CopyReceipt) {
+        if receipt.term != self.term {
+            return;
+        }
+        match receipt.part {
+            CopyPart::Begin => self.copied.begin = true,
+            CopyPart::Named(count) => self.copied.namings = self.copied.namings.max(count),
+            CopyPart::Acknowledged(through) => {
+                self.copied.acknowledged = self.copied.acknowledged.max(through);
+            }
+            CopyPart::Binding(sequence) => {
+                if let Some(bound) = self.bound.get_mut(&sequence) {
+                    bound.copied = true;
+                }
+            }
+        }
+    }
+
+    /// Records that another daemon holds the copy from now on. Everything is sent to it again in a new term,
+    /// and nothing new is handed out until it has confirmed.
+    pub fn copy_holder_changed(&mut self) {
+        self.term += 1;
+        self.degraded = false;
+        self.copied = Copied::default();
+        for bound in self.bound.values_mut() {
+            bound.copied = false;
+        }
+    }
+
+    /// Records that no other daemon can hold a copy. Samples are then handed out with one copy only.
+    pub const fn no_copy_holder(&mut self) {
+        self.degraded = true;
+    }
+
+    /// Every message that the copy holder has not confirmed, to be sent again from time to time.
+    pub fn pending_copies(&self) -> Vec<CopyMessage> {
+        let mut bodies = Vec::new();
+        if !self.copied.begin {
+            bodies.push(CopyBody::Begin(Box::new(self.snapshot())));
+        }
+        if self.copied.namings < self.namings.len() {
+            bodies.push(CopyBody::Named(self.namings.clone()));
+        }
+        if self.copied.acknowledged < self.acknowledged {
+            bodies.push(CopyBody::Acknowledged(self.acknowledged));
+        }
+        let uncopied = self.bound.values().filter(|bound| !bound.copied);
+        bodies.extend(uncopied.map(|bound| CopyBody::Binding(Arc::clone(&bound.sample))));
+        bodies.into_iter().map(|body| self.message(body)).collect()
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let done = self.slots.iter().filter(|(_, slot)| **slot == Slot::Done);
+        Snapshot {
+            spec: self.spec.clone(),
+            done: done.map(|(index, _)| index).collect(),
+            acknowledged: self.acknowledged,
+            next_sequence: self.next_sequence,
+            namings: self.namings.clone(),
+            bound: self.bindings(),
+        }
+    }
+
+    pub(crate) fn message(&self, body: CopyBody) -> CopyMessage {
+        CopyMessage {
+            step: self.spec.step.clone(),
+            term: self.term,
+            body,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-step/src/pace.rs
@@ -0,0 +1,139 @@
+//! Detection of drafts that progress more slowly than the others.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+use jm_types::{AttemptId, DurationMs, Timestamp, TokenCount};
+
+use crate::slots::Attempt;
+
+/// Finished drafts that the reference rate remembers, so that it stays meaningful when only slow drafts are
+/// left.
+const FINISHED_RATES: usize = 64;
+
+/// Rules for drafts that are issued again.
+#[derive(Debug, Clone)]
+pub struct StepOptions {
+    /// A draft is judged once a draft at the reference rate would have this many tokens.
+    pub observe_tokens: TokenCount,
+    /// A draft is slow below this share of the reference rate.
+    pub slow_share: f64,
+    /// Most tokens spent on losing drafts, as a share of the tokens that the step needs.
+    pub extra_share: f64,
+    /// Shortest time between two reviews of the running drafts.
+    pub review_interval: DurationMs,
+}
+
+impl Default for StepOptions {
+    fn default() -> Self {
+        Self {
+            observe_tokens: TokenCount::new(24),
+            slow_share: 0.5,
+            extra_share: 0.05,
+            review_interval: DurationMs::new(100),
+        }
+    }
+}
+
+/// Rates and lengths of the drafts seen so far.
+#[derive(Debug, Default)]
+pub(crate) struct Pace {
+    finished_rates: VecDeque<f64>,
+    finished: u64,
+    finished_tokens: u64,
+    wasted_tokens: u64,
+    reviewed: Option<Timestamp>,
+}
+
+/// The state of the running drafts at one review.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Review {
+    now: Timestamp,
+    rate: f64,
+    mean_tokens: f64,
+}
+
+impl Pace {
+    /// Records the length and rate of the draft that was bound.
+    pub(crate) fn finished(&mut self, attempt: &Attempt, tokens: TokenCount, now: Timestamp) {
+        self.finished += 1;
+        self.finished_tokens += tokens.get();
+        if let Some(rate) = rate_of(attempt, tokens, now) {
+            self.finished_rates.push_back(rate);
+            self.finished_rates
+                .drain(..self.finished_rates.len().saturating_sub(FINISHED_RATES));
+        }
+    }
+
+    /// Records the tokens of a draft that lost.
+    pub(crate) fn wasted(&mut self, attempt: &Attempt) {
+        self.wasted_tokens += attempt.tokens.get();
+    }
+
+    pub(crate) fn wasted_tokens(&self) -> TokenCount {
+        TokenCount::new(self.wasted_tokens)
+    }
+
+    /// Measures the running drafts, or gives nothing when the last review is recent or nothing can be judged.
+    pub(crate) fn review(
+        &mut self,
+        attempts: &IndexMap<AttemptId, Attempt>,
+        options: &StepOptions,
+        now: Timestamp,
+    ) -> Option<Review> {
+        let due = self
+            .reviewed
+            .is_none_or(|at| now.since(at) >= options.review_interval);
+        if !due {
+            return None;
+        }
+        self.reviewed = Some(now);
+        let running = attempts
+            .values()
+            .filter_map(|attempt| rate_of(attempt, attempt.tokens, now));
+        let rate = median(running.chain(self.finished_rates.iter().copied()).collect())?;
+        let progress = median(
+            attempts
+                .values()
+                .map(|attempt| attempt.tokens.get() as f64)
+                .collect(),
+        );
+        let finished_mean = self.finished_tokens as f64 / self.finished.max(1) as f64;
+        Some(Review {
+            now,
+            rate,
+            mean_tokens: finished_mean.max(progress.unwrap_or_default()),
+        })
+    }
+
+    /// Tokens that may still be committed to drafts that lose, in a step of `samples`.
+    pub(crate) fn budget(&self, review: &Review, samples: u32, options: &StepOptions) -> f64 {
+        options.extra_share * review.mean_tokens * f64::from(samples) - self.wasted_tokens as f64
+    }
+}
+
+impl Review {
+    /// Whether the draft has run long enough to be judged and is far behind the reference rate.
+    pub(crate) fn is_slow(&self, attempt: &Attempt, options: &StepOptions) -> bool {
+        let Some(start) = &attempt.start else {
+            return false;
+        };
+        let expected = self.rate * self.now.since(start.at).get() as f64;
+        expected >= options.observe_tokens.get() as f64
+            && (attempt.tokens.get() as f64) < options.slow_share * expected
+    }
+}
+
+fn rate_of(attempt: &Attempt, tokens: TokenCount, now: Timestamp) -> Option<f64> {
+    let elapsed_ms = now.since(attempt.start.as_ref()?.at).get();
+    (elapsed_ms > 0).then(|| tokens.get() as f64 / elapsed_ms as f64)
+}
+
+fn median(mut values: Vec<f64>) -> Option<f64> {
+    let middle = values.len() / 2;
+    if values.is_empty() {
+        return None;
+    }
+    let (_, value, _) = values.select_nth_unstable_by(middle, f64::total_cmp);
+    Some(*value)
+}
