--- /dev/null
+++ b/crates/jm-order/tests/at_most_once.rs
@@ -0,0 +1,275 @@
+//! The outcome table against a naive version and against the count of runs at a target.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use jm_order::{
+    Answer, Begin, FailOutcome, Mismatch, Replay, RequestDigest, Run, Ticket, TicketTable,
+    TicketTableOptions, TicketUse,
+};
+use jm_types::{DurationMs, Incarnation, Timestamp};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const LIFETIME_MS: u64 = 100;
+
+#[derive(Debug, Clone)]
+enum Op {
+    Issue,
+    Begin { ticket: usize, body: u8 },
+    Written { run: usize },
+    Complete { run: usize },
+    Fail { run: usize },
+    Advance { ms: u64 },
+    Expire,
+}
+
+impl Arbitrary for Op {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let index = usize::arbitrary(g) % 8;
+        match u8::arbitrary(g) % 12 {
+            0 | 1 => Self::Issue,
+            2..=5 => Self::Begin {
+                ticket: index,
+                body: u8::arbitrary(g) % 8 / 7,
+            },
+            6 | 7 => Self::Written { run: index },
+            8 => Self::Complete { run: index },
+            9 => Self::Fail { run: index },
+            10 => Self::Advance {
+                ms: u64::arbitrary(g) % 60,
+            },
+            _ => Self::Expire,
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Outcome {
+    Unused,
+    Running { run: Run, written: bool },
+    Finished { body: u8, at: u64 },
+    Unknown { at: u64 },
+}
+
+/// What a reader of section 4.4 would keep for one ticket, without limits and without forgetting.
+struct Naive {
+    ticket: Ticket,
+    body: Option<u8>,
+    outcome: Outcome,
+    writes: u32,
+}
+
+struct World {
+    table: TicketTable,
+    naive: Vec<Naive>,
+    runs: Vec<(usize, u8, Run)>,
+    now: u64,
+}
+
+fn use_of(body: u8) -> TicketUse {
+    TicketUse {
+        organisation: "parish".parse().unwrap(),
+        service: "order-desk".parse().unwrap(),
+        digest: RequestDigest::of("POST", "/orders", &[body]),
+    }
+}
+
+fn answer_of(body: u8) -> Arc<Answer> {
+    Arc::new(Answer {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![body],
+    })
+}
+
+impl World {
+    fn new() -> Self {
+        let options = TicketTableOptions {
+            unused_lifetime: DurationMs::new(LIFETIME_MS),
+            outcome_lifetime: DurationMs::new(LIFETIME_MS),
+            ..TicketTableOptions::default()
+        };
+        Self {
+            table: TicketTable::new("m".parse().unwrap(), Incarnation::new(1), options),
+            naive: Vec::new(),
+            runs: Vec::new(),
+            now: 0,
+        }
+    }
+
+    fn apply(&mut self, op: &Op) {
+        match *op {
+            Op::Issue => self.issue(),
+            Op::Begin { ticket, body } => self.begin(ticket, body),
+            Op::Written { run } => self.written(run),
+            Op::Complete { run } => self.complete(run),
+            Op::Fail { run } => self.fail(run),
+            Op::Advance { ms } => self.now += ms,
+            Op::Expire => {
+                self.table.expire(Timestamp::new(self.now));
+            }
+        }
+    }
+
+    fn issue(&mut self) {
+        let request = use_of(0);
+        let now = Timestamp::new(self.now);
+        let ticket = self
+            .table
+            .issue(request.organisation, request.service, now)
+            .unwrap();
+        self.naive.push(Naive {
+            ticket,
+            body: None,
+            outcome: Outcome::Unused,
+            writes: 0,
+        });
+    }
+
+    fn begin(&mut self, ticket: usize, body: u8) {
+        if self.naive.is_empty() {
+            return;
+        }
+        let index = ticket % self.naive.len();
+        let naive = &mut self.naive[index];
+        let begun = self
+            .table
+            .begin(&naive.ticket, &use_of(body), Timestamp::new(self.now));
+        let expired = match naive.outcome {
+            Outcome::Unused => self.now >= naive.ticket.issued.get() + LIFETIME_MS,
+            Outcome::Running { .. } => false,
+            Outcome::Finished { at, .. } | Outcome::Unknown { at } => self.now >= at + LIFETIME_MS,
+        };
+        if expired {
+            assert_eq!(begun, Begin::Expired);
+            return;
+        }
+        if *naive.body.get_or_insert(body) != body {
+            assert_eq!(begun, Begin::Mismatch(Mismatch::Request));
+            return;
+        }
+        match (&naive.outcome, begun) {
+            (Outcome::Unused, Begin::Run(run)) => {
+                naive.outcome = Outcome::Running { run, written: false };
+                self.runs.push((index, body, run));
+            }
+            (Outcome::Running { run, .. }, begun) => assert_eq!(begun, Begin::Wait(*run)),
+            (Outcome::Finished { body, .. }, begun) => {
+                assert_eq!(begun, Begin::Replay(Replay::Answer(answer_of(*body))));
+            }
+            (Outcome::Unknown { .. }, begun) => assert_eq!(begun, Begin::Unknown),
+            (outcome, begun) => panic!("{outcome:?} gave {begun:?}"),
+        }
+    }
+
+    /// Any run that was ever given out may be reported late or twice.
+    fn pick(&self, run: usize) -> Option<(usize, u8, Run, bool)> {
+        let &(index, body, run) = self.runs.get(run % self.runs.len().max(1))?;
+        let current =
+            matches!(&self.naive[index].outcome, Outcome::Running { run: present, .. } if *present == run);
+        Some((index, body, run, current))
+    }
+
+    fn written(&mut self, run: usize) {
+        let Some((index, _, run, current)) = self.pick(run) else {
+            return;
+        };
+        assert_eq!(self.table.written(run).is_ok(), current);
+        if current {
+            let naive = &mut self.naive[index];
+            if naive.outcome == (Outcome::Running { run, written: false }) {
+                naive.writes += 1;
+            }
+            naive.outcome = Outcome::Running { run, written: true };
+        }
+    }
+
+    fn complete(&mut self, run: usize) {
+        let Some((index, body, run, current)) = self.pick(run) else {
+            return;
+        };
+        let completed = self
+            .table
+            .complete(run, answer_of(body), Timestamp::new(self.now));
+        assert_eq!(completed.is_ok(), current);
+        if current {
+            self.naive[index].outcome = Outcome::Finished { body, at: self.now };
+        }
+    }
+
+    fn fail(&mut self, run: usize) {
+        let Some((index, _, run, current)) = self.pick(run) else {
+            return;
+        };
+        let failed = self.table.fail(run, Timestamp::new(self.now));
+        let naive = &mut self.naive[index];
+        let expected = match naive.outcome {
+            Outcome::Running { written: true, .. } if current => {
+                naive.outcome = Outcome::Unknown { at: self.now };
+                Some(FailOutcome::Unknown)
+            }
+            Outcome::Running { .. } if current => {
+                naive.outcome = Outcome::Unused;
+                Some(FailOutcome::NotRun)
+            }
+            _ => None,
+        };
+        assert_eq!(failed.ok(), expected);
+    }
+}
+
+fn runs_once(ops: Vec<Op>) -> bool {
+    let mut world = World::new();
+    for op in &ops {
+        world.apply(op);
+    }
+    let writes: BTreeMap<u64, u32> = world
+        .naive
+        .iter()
+        .map(|naive| (naive.ticket.serial, naive.writes))
+        .collect();
+    writes.values().all(|&writes| writes <= 1)
+}
+
+/// Guards against a second run of a ticket and against any outcome that differs from the naive version, with
+/// reports about runs that are late, doubled or crossed.
+#[test]
+fn naive_table() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 11))
+        .tests(3_000)
+        .quickcheck(runs_once as fn(Vec<Op>) -> bool);
+}
+
+/// Guards against a ticket that runs at another incarnation, for another organisation or service.
+#[test]
+fn foreign_ticket() {
+    let mut world = World::new();
+    world.issue();
+    let ticket = world.naive[0].ticket.clone();
+    let now = Timestamp::new(0);
+    let mut request = use_of(0);
+    let restarted = Ticket {
+        incarnation: Incarnation::new(2),
+        ..ticket.clone()
+    };
+    let decision = world.table.begin(&restarted, &request, now);
+    assert_eq!(decision, Begin::WrongIncarnation);
+    assert_eq!(
+        decision.code().unwrap().execution().to_string(),
+        "outcome unknown"
+    );
+    request.organisation = "other".parse().unwrap();
+    let decision = world.table.begin(&ticket, &request, now);
+    assert_eq!(decision, Begin::Mismatch(Mismatch::Owner));
+    assert_eq!(decision.code().unwrap().execution().to_string(), "not run");
+    let mut request = use_of(0);
+    request.service = "other".parse().unwrap();
+    assert_eq!(
+        world.table.begin(&ticket, &request, now),
+        Begin::Mismatch(Mismatch::Owner)
+    );
+    assert!(matches!(
+        world.table.begin(&ticket, &use_of(0), now),
+        Begin::Run(_)
+    ));
+}
--- /dev/null
+++ b/crates/jm-order/tests/order_key.rs
@@ -0,0 +1,148 @@
+//! Idempotency keys against a store that loses responses.
+
+use std::collections::BTreeMap;
+
+use jm_order::{
+    CreateOutcome, OrderDecision, OrderKey, OrderRecord, ReadOutcome, RequestDigest, SignedTicket, Ticket,
+    TicketSecret,
+};
+use jm_types::{Incarnation, ResultCode, Timestamp};
+use quickcheck::{Gen, QuickCheck};
+
+/// Bounds the calls of one request in the model.
+const MAX_CALLS: usize = 8;
+
+fn record(serial: u64, body: &[u8]) -> OrderRecord {
+    let ticket = Ticket {
+        member: "m".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        organisation: "parish".parse().unwrap(),
+        service: "desk".parse().unwrap(),
+        serial,
+        issued: Timestamp::new(0),
+    };
+    OrderRecord {
+        digest: RequestDigest::of("POST", "/orders", body),
+        ticket: TicketSecret::new(*b"secret").sign(ticket),
+    }
+}
+
+/// A store whose responses are lost before or after the effect, as `faults` says.
+struct Store {
+    objects: BTreeMap<String, Vec<u8>>,
+    faults: Vec<u8>,
+}
+
+impl Store {
+    fn fault(&mut self) -> u8 {
+        self.faults.pop().unwrap_or(0) % 4
+    }
+
+    fn create<'a>(&'a mut self, key: &str, value: Vec<u8>) -> CreateOutcome<'a> {
+        let fault = self.fault();
+        if fault == 1 {
+            return CreateOutcome::Unavailable;
+        }
+        if fault == 2 {
+            return CreateOutcome::Unknown;
+        }
+        let existed = self.objects.contains_key(key);
+        let stored = self.objects.entry(key.to_owned()).or_insert(value);
+        match (fault, existed) {
+            (3, _) => CreateOutcome::Unknown,
+            (_, true) => CreateOutcome::Exists(stored),
+            (_, false) => CreateOutcome::Created,
+        }
+    }
+
+    fn read(&mut self, key: &str) -> ReadOutcome<'_> {
+        if self.fault() == 1 {
+            return ReadOutcome::Unavailable;
+        }
+        match self.objects.get(key) {
+            Some(value) => ReadOutcome::Found(value),
+            None => ReadOutcome::Absent,
+        }
+    }
+}
+
+/// One request with the key: the ticket that it begins, if any.
+fn request(store: &mut Store, own: &OrderRecord) -> Option<SignedTicket> {
+    let key = OrderKey::new("parish".parse().unwrap(), "slip 9").object_key();
+    let mut decision = own.decide_create(store.create(&key, own.encode()));
+    for _ in 0..MAX_CALLS {
+        decision = match decision {
+            OrderDecision::Begin(ticket) => return Some(ticket),
+            OrderDecision::Refuse(_) => return None,
+            OrderDecision::ReadBack => own.decide_read(store.read(&key)),
+            OrderDecision::CreateAgain => own.decide_create(store.create(&key, own.encode())),
+        };
+    }
+    None
+}
+
+fn one_ticket(faults: Vec<u8>, requests: u8) -> bool {
+    let mut store = Store {
+        objects: BTreeMap::new(),
+        faults,
+    };
+    let begun: Vec<SignedTicket> = (0..u64::from(requests % 6))
+        .filter_map(|serial| request(&mut store, &record(serial, b"one")))
+        .collect();
+    begun.windows(2).all(|pair| pair[0] == pair[1])
+}
+
+/// Guards against two tickets for one key, whatever responses are lost: all requests that begin a ticket begin
+/// the same one.
+#[test]
+fn lost_response() {
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(30, 5))
+        .tests(3_000)
+        .quickcheck(one_ticket as fn(Vec<u8>, u8) -> bool);
+}
+
+/// Guards against a key that is used again with another request.
+#[test]
+fn other_body() {
+    let stored = record(1, b"one").encode();
+    let decision = record(2, b"two").decide_create(CreateOutcome::Exists(&stored));
+    assert_eq!(decision, OrderDecision::Refuse(ResultCode::RequestMismatch));
+}
+
+/// Guards against orders that run while the store is down.
+#[test]
+fn store_down() {
+    let own = record(1, b"one");
+    let refused = OrderDecision::Refuse(ResultCode::StoreUnavailable);
+    assert_eq!(own.decide_create(CreateOutcome::Unavailable), refused);
+    assert_eq!(own.decide_read(ReadOutcome::Unavailable), refused);
+}
+
+/// Guards against an object that cannot be read and is then taken for a free key.
+#[test]
+fn damaged_object() {
+    let own = record(1, b"one");
+    for value in [&b""[..], b"order1", b"\xff\xfe", b"order2 0 t1"] {
+        let decision = own.decide_create(CreateOutcome::Exists(value));
+        assert_eq!(decision, OrderDecision::Refuse(ResultCode::Internal));
+    }
+}
+
+/// Guards against keys of two organisations, or the key's own text, meeting in the store.
+#[test]
+fn object_key() {
+    let first = OrderKey::new("a".parse().unwrap(), "../x").object_key();
+    let second = OrderKey::new("b".parse().unwrap(), "../x").object_key();
+    assert_ne!(first, second);
+    assert!(first.starts_with("order/a/"));
+    assert!(!first.contains("x"), "{first}");
+}
+
+/// Guards against digests that are equal for different requests with the same bytes in sum.
+#[test]
+fn digest_parts() {
+    let digest = RequestDigest::of("POST", "/a", b"b");
+    assert_ne!(digest, RequestDigest::of("POST", "/ab", b""));
+    assert_eq!(digest.to_string().parse(), Ok(digest));
+}
