--- a/crates/jm-step/src/status.rs
+++ b/crates/jm-step/src/status.rs
@@ -1,6 +1,6 @@
 //! Figures of a step.
 
-use jm_types::{Sequence, TokenCount, WeightVersion};
+use jm_types::{AttemptId, Sequence, TokenCount, WeightVersion};
 
 use crate::{StepAssembly, slots::Slot};
 
@@ -36,6 +36,11 @@
 }
 
 impl StepAssembly {
+    /// The attempts that are running, to be compared with the drafts that the daemon knows of.
+    pub fn running_attempts(&self) -> Vec<AttemptId> {
+        self.slots.attempts().keys().copied().collect()
+    }
+
     /// Figures for operators and metrics.
     pub fn status(&self) -> StepStatus {
         StepStatus {
--- /dev/null
+++ b/crates/jm-step/tests/common/mod.rs
@@ -0,0 +1,70 @@
+//! Helpers for tests that drive one step by hand.
+
+use jm_step::{Draft, Effects, FreeCapacity, Segment, StepAssembly, StepCopy, StepOptions, StepSpec};
+use jm_types::{Sequence, SlotIndex, Timestamp, TokenCount, WeightVersion};
+
+/// The trainer's version at the start.
+pub(crate) const VERSION: u64 = 10;
+
+pub(crate) fn spec(samples: u32, held: &[u64]) -> StepSpec {
+    StepSpec {
+        step: "step".parse().unwrap(),
+        service: "racks".parse().unwrap(),
+        weight_version: WeightVersion::new(VERSION),
+        staleness_bound: 1,
+        group_size: 2,
+        samples,
+        prompts: vec!["p".to_owned(); samples.div_ceil(2) as usize],
+        max_tokens: TokenCount::new(100),
+        held: held.iter().copied().map(SlotIndex::new).collect(),
+    }
+}
+
+pub(crate) fn step(samples: u32, held: &[u64]) -> StepAssembly {
+    StepAssembly::new(spec(samples, held), StepOptions::default()).unwrap()
+}
+
+/// Free places on engines with the version.
+pub(crate) fn free(drafts: usize, version: u64) -> [FreeCapacity; 1] {
+    [FreeCapacity {
+        version: WeightVersion::new(version),
+        drafts,
+    }]
+}
+
+pub(crate) fn start(step: &mut StepAssembly, drafts: usize, now_ms: u64) -> Vec<Draft> {
+    step.next_drafts(Timestamp::new(now_ms), &free(drafts, VERSION))
+        .start
+}
+
+/// Segments of one token with these versions.
+pub(crate) fn segments(versions: &[Option<u64>]) -> Vec<Segment> {
+    versions
+        .iter()
+        .map(|version| Segment {
+            version: version.map(WeightVersion::new),
+            tokens: TokenCount::new(1),
+        })
+        .collect()
+}
+
+pub(crate) fn finish(step: &mut StepAssembly, draft: &Draft, versions: &[Option<u64>]) -> Effects {
+    let now = Timestamp::new(1_000);
+    step.on_finished(draft.attempt, segments(versions), "text".to_owned(), now)
+}
+
+/// Brings the copy up to date.
+pub(crate) fn copy_all(step: &mut StepAssembly, copy: &mut StepCopy) {
+    for message in step.pending_copies() {
+        let receipt = copy.accept(&message).unwrap();
+        step.copied(receipt);
+    }
+}
+
+/// Sequence and slot numbers of the samples after `after`.
+pub(crate) fn delivered(step: &StepAssembly, after: u64) -> Vec<(u64, u64)> {
+    step.deliver(Sequence::new(after), 100)
+        .iter()
+        .map(|sample| (sample.sequence.get(), sample.slot.get()))
+        .collect()
+}
--- /dev/null
+++ b/crates/jm-step/tests/delivery.rs
@@ -0,0 +1,207 @@
+//! Numbered delivery, bindings and staleness.
+
+mod common;
+
+use common::{VERSION, copy_all, delivered, finish, free, start, step};
+use jm_step::{CopyBody, StepAssembly, StepCopy, StepEvent, StepOptions, Unusable};
+use jm_types::{Sequence, SlotIndex, Timestamp, WeightVersion};
+
+const GOOD: &[Option<u64>] = &[Some(VERSION)];
+
+fn unusable(events: &[StepEvent]) -> Vec<Unusable> {
+    events
+        .iter()
+        .filter_map(|event| match event {
+            StepEvent::Unusable { reason, .. } => Some(*reason),
+            _ => None,
+        })
+        .collect()
+}
+
+/// Guards against a sample that only one daemon knows of when the trainer gets it, and against a later sample
+/// that overtakes it: the trainer would never ask for the earlier one again.
+#[test]
+fn uncopied_binding() {
+    let mut step = step(4, &[]);
+    let mut copy = StepCopy::default();
+    copy_all(&mut step, &mut copy);
+    let drafts = start(&mut step, 3, 0);
+    finish(&mut step, &drafts[0], GOOD);
+    let second = finish(&mut step, &drafts[1], GOOD);
+    assert_eq!(delivered(&step, 0), []);
+    step.copied(copy.accept(&second.copy[0]).unwrap());
+    assert_eq!(delivered(&step, 0), []);
+    copy_all(&mut step, &mut copy);
+    assert_eq!(delivered(&step, 0), [(1, 0), (2, 1)]);
+}
+
+/// Guards against renumbering before the acknowledgement.
+#[test]
+fn repeated_delivery() {
+    let mut step = step(4, &[]);
+    let mut copy = StepCopy::default();
+    let drafts = start(&mut step, 4, 0);
+    for draft in drafts.iter().rev() {
+        finish(&mut step, draft, GOOD);
+    }
+    copy_all(&mut step, &mut copy);
+    let all = [(1, 3), (2, 2), (3, 1), (4, 0)];
+    assert_eq!(delivered(&step, 0), all);
+    assert_eq!(delivered(&step, 0), all);
+    assert_eq!(delivered(&step, 2), all[2..]);
+    step.acknowledge(Sequence::new(1)).unwrap();
+    assert_eq!(delivered(&step, 0), all[1..]);
+    step.acknowledge(Sequence::new(4)).unwrap();
+    assert!(step.is_complete());
+    assert!(step.acknowledge(Sequence::new(5)).is_err());
+}
+
+/// Guards against a step that waits for ever in a fleet with one daemon.
+#[test]
+fn single_daemon() {
+    let mut step = step(2, &[]);
+    let drafts = start(&mut step, 1, 0);
+    finish(&mut step, &drafts[0], GOOD);
+    step.no_copy_holder();
+    assert_eq!(delivered(&step, 0), [(1, 0)]);
+    assert!(step.status().degraded);
+}
+
+/// Guards against versions that are guessed: a sample without one is drafted again.
+#[test]
+fn missing_version() {
+    for versions in [&[][..], &[None], &[Some(VERSION), None]] {
+        let mut step = step(1, &[]);
+        let drafts = start(&mut step, 1, 0);
+        let effects = finish(&mut step, &drafts[0], versions);
+        assert_eq!(unusable(&effects.events), [Unusable::MissingVersion]);
+        let again = start(&mut step, 1, 0);
+        assert_eq!(again[0].slot, drafts[0].slot);
+        assert_ne!(again[0].attempt, drafts[0].attempt);
+    }
+}
+
+/// Guards against staleness counted from the newest or the last segment.
+#[test]
+fn oldest_segment() {
+    let mut step = step(2, &[]);
+    let drafts = start(&mut step, 2, 0);
+    let effects = finish(&mut step, &drafts[0], &[Some(10), Some(8), Some(10)]);
+    assert_eq!(unusable(&effects.events), [Unusable::TooOld]);
+    let effects = finish(&mut step, &drafts[1], &[Some(12), Some(9)]);
+    assert_eq!(unusable(&effects.events), []);
+}
+
+/// Guards against samples that became too old between binding and hand-out, and against dropping one that the
+/// trainer already holds.
+#[test]
+fn newer_version() {
+    let mut step = step(3, &[]);
+    let mut copy = StepCopy::default();
+    let drafts = start(&mut step, 3, 0);
+    finish(&mut step, &drafts[0], &[Some(9)]);
+    finish(&mut step, &drafts[1], &[Some(9)]);
+    finish(&mut step, &drafts[2], &[Some(10)]);
+    copy_all(&mut step, &mut copy);
+    let effects = step.named_version(WeightVersion::new(11), Sequence::new(1));
+    assert_eq!(unusable(&effects.events), [Unusable::TooOld]);
+    assert_eq!(delivered(&step, 1), [], "the version is not copied yet");
+    copy_all(&mut step, &mut copy);
+    assert_eq!(delivered(&step, 1), [(3, 2)]);
+    let again = step.next_drafts(Timestamp::new(0), &free(3, 11)).start;
+    assert_eq!(
+        again.iter().map(|draft| draft.slot).collect::<Vec<_>>(),
+        [SlotIndex::new(1)]
+    );
+}
+
+/// Guards against a late naming that turns the version back or drops samples received since.
+#[test]
+fn late_naming() {
+    let mut step = step(1, &[]);
+    step.named_version(WeightVersion::new(12), Sequence::new(0));
+    for version in [10, 11, 12] {
+        let effects = step.named_version(WeightVersion::new(version), Sequence::new(0));
+        assert_eq!(effects.copy, []);
+        assert_eq!(step.version(), WeightVersion::new(12));
+    }
+}
+
+/// Guards against drafts on engines that cannot make the bound, before the start and when a version is named.
+#[test]
+fn old_engine() {
+    let mut step = step(2, &[]);
+    assert_eq!(step.next_drafts(Timestamp::new(0), &free(2, 8)).start, []);
+    let drafts = step.next_drafts(Timestamp::new(0), &free(1, 9)).start;
+    assert_eq!(drafts[0].minimum_version, WeightVersion::new(9));
+    let target = "engine-1".parse().unwrap();
+    let running = step.on_started(
+        drafts[0].attempt,
+        target,
+        Some(WeightVersion::new(9)),
+        Timestamp::new(0),
+    );
+    assert_eq!(running.cancel, []);
+    let effects = step.named_version(WeightVersion::new(11), Sequence::new(0));
+    assert_eq!(effects.cancel, [drafts[0].attempt]);
+    assert_eq!(step.next_drafts(Timestamp::new(0), &free(2, 11)).start.len(), 2);
+}
+
+/// Guards against receipts of an earlier holder that count for the present one.
+#[test]
+fn old_receipt() {
+    let mut step = step(1, &[]);
+    let mut first = StepCopy::default();
+    let drafts = start(&mut step, 1, 0);
+    finish(&mut step, &drafts[0], GOOD);
+    let receipts: Vec<_> = step
+        .pending_copies()
+        .iter()
+        .map(|message| first.accept(message).unwrap())
+        .collect();
+    step.copy_holder_changed();
+    for receipt in receipts {
+        step.copied(receipt);
+    }
+    assert_eq!(delivered(&step, 0), []);
+    copy_all(&mut step, &mut StepCopy::default());
+    assert_eq!(delivered(&step, 0), [(1, 0)]);
+}
+
+/// Guards against messages of an owner that was replaced, and against a takeover from a copy that never got
+/// the samples which an earlier holder had confirmed.
+#[test]
+fn incomplete_copy() {
+    let mut step = step(1, &[]);
+    let mut first = StepCopy::default();
+    let drafts = start(&mut step, 1, 0);
+    finish(&mut step, &drafts[0], GOOD);
+    copy_all(&mut step, &mut first);
+    let old = step.acknowledge(Sequence::new(0)).unwrap().copy;
+    assert_eq!(old, []);
+    let of_first_term = step.acknowledge(Sequence::new(1)).unwrap().copy;
+    let mut second = StepCopy::default();
+    step.copy_holder_changed();
+    for message in step.pending_copies() {
+        second.accept(&message).unwrap();
+    }
+    assert!(second.accept(&of_first_term[0]).is_err());
+    assert!(StepAssembly::restore(StepCopy::default(), StepOptions::default()).is_err());
+    let restored = StepAssembly::restore(second, StepOptions::default()).unwrap();
+    assert!(restored.is_complete());
+}
+
+/// Guards against a takeover from a copy that has the start of the term but not the samples it lists.
+#[test]
+fn missing_binding() {
+    let mut step = step(1, &[]);
+    let drafts = start(&mut step, 1, 0);
+    finish(&mut step, &drafts[0], GOOD);
+    let mut copy = StepCopy::default();
+    for message in step.pending_copies() {
+        if matches!(message.body, CopyBody::Begin(_)) {
+            copy.accept(&message).unwrap();
+        }
+    }
+    assert!(!copy.is_complete());
+}
