Measure training steps in virtual time

Cause: a step must end within 1.1 times its lower bound when 5% of the drafts take ten times as long, with at most 5% of the tokens spent twice. Change: jm-bench runs steps on fake engines, and jm-bench-steps prints naive and re-issue side by side. A draft is judged after 16 tokens at the reference rate instead of 24. Ruled out: re-issue by time alone, because it shortens long samples and spends their tokens twice; the rate tells a slow draft from a long one.

--- a/crates/jm-bench/src/lib.rs
+++ b/crates/jm-bench/src/lib.rs
@@ -1,3 +1,5 @@
 //! Benchmarks and capacity measurements.
 
 #![deny(missing_docs, unsafe_code)]
+
+pub mod steps;
--- a/crates/jm-step/src/pace.rs
+++ b/crates/jm-step/src/pace.rs
@@ -27,7 +27,7 @@
 impl Default for StepOptions {
     fn default() -> Self {
         Self {
-            observe_tokens: TokenCount::new(24),
+            observe_tokens: TokenCount::new(16),
             slow_share: 0.5,
             extra_share: 0.05,
             review_interval: DurationMs::new(100),
