--- a/crates/jm-bench/src/lib.rs
+++ b/crates/jm-bench/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod decisions;
 mod row;
 pub mod sim;
+pub mod steps;
 
 pub use row::{Bound, Row, print_table};
