Access of admin tokens

Cause: the entry daemon must set the team of a change by the token, and each daemon would repeat the comparison. Change: AdminSettings::access tells what the holder of a token may change. Ruled out: trusting the team that the operator sends.

--- a/crates/jm-config/src/lib.rs
+++ b/crates/jm-config/src/lib.rs
@@ -38,7 +38,7 @@
 pub use secret::{KEY_SECRET_BYTES, KeyHash, KeySecret, ParseKeyHashError};
 pub use section::{ParseSectionError, SectionBody, SectionKind, SectionName, Team};
 pub use settings::{
-    AdminSettings, ControlSettings, DaemonSettings, DispatchSettings, EntrySettings, LinkSecret,
+    AdminAccess, AdminSettings, ControlSettings, DaemonSettings, DispatchSettings, EntrySettings, LinkSecret,
     LinkSettings, LogFormat, LogSettings, MemberSettings, PlatformSettings, Role, Settings,
 };
 pub use view::{ChangeAccepted, ConfigView, HistoryEntry, SectionView};
--- a/crates/jm-config/src/settings.rs
+++ b/crates/jm-config/src/settings.rs
@@ -6,7 +6,10 @@
 use jm_types::{DurationMs, MemberId, RegionId, TokenCount, ZoneId};
 use log::LevelFilter;
 
-use crate::secret::KeyHash;
+use crate::{
+    secret::{KeyHash, KeySecret},
+    section::Team,
+};
 
 /// A duty that a daemon process performs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -198,6 +201,40 @@
     pub software_token_sha256: Option<KeyHash>,
 }
 
+/// What the holder of an admin token may change. Every holder may read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AdminAccess {
+    /// All sections.
+    All,
+    /// The sections of one team.
+    Team(Team),
+}
+
+impl AdminAccess {
+    /// The team for [`crate::Author`], which replaces the one that the operator sent.
+    pub fn team(self) -> Option<Team> {
+        match self {
+            Self::All => None,
+            Self::Team(team) => Some(team),
+        }
+    }
+}
+
+impl AdminSettings {
+    /// What the holder of `token` may change; nothing for a token that is not known.
+    pub fn access(&self, token: &KeySecret) -> Option<AdminAccess> {
+        let known = [
+            (self.token_sha256, AdminAccess::All),
+            (self.sales_token_sha256, AdminAccess::Team(Team::Sales)),
+            (self.workshop_token_sha256, AdminAccess::Team(Team::Workshop)),
+            (self.software_token_sha256, AdminAccess::Team(Team::Software)),
+        ];
+        let hash = Some(token.hash());
+        let found = known.into_iter().find(|(known, _)| *known == hash);
+        found.map(|(_, access)| access)
+    }
+}
+
 /// The settings of one daemon process.
 #[derive(Debug, Clone)]
 pub struct Settings {
