jm-entry: build what a target may see of a caller's request

Cause: no target may ever see a caller's key (section 1.1, rule 5), and section 3.1 asks for an allow-list of headers and a refusal of requests that contain the key elsewhere.

Change: forward_head keeps five headers and drops all others; it and check_body refuse with KeyInRequest when the path, the query, an allowed header or the body contains the key.

--- /dev/null
+++ b/crates/jm-entry/src/forward.rs
@@ -0,0 +1,130 @@
+//! What of a caller's request may reach a target. Section 3.1 of `docs/design.md` states the rules.
+//!
+//! Headers come from an allow-list: a header that nobody thought of is dropped, never passed on. The caller's key must
+//! not reach a target by any other way, so a request that contains it elsewhere is refused.
+
+use std::fmt;
+
+use indexmap::IndexMap;
+use jm_http::Method;
+use jm_types::ResultCode;
+use snafu::{Snafu, ensure};
+
+use crate::key_search::KeySearch;
+
+/// Headers of the caller that a target may see. Callers cannot set `jm-*` headers; the system adds these itself.
+const ALLOWED_HEADERS: [&str; 5] = [
+    "accept",
+    "accept-language",
+    "content-language",
+    "content-length",
+    "content-type",
+];
+
+/// The head of a caller's request.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerHead<'a> {
+    /// The method.
+    pub method: Method,
+    /// The path and query as they would be written to the target.
+    pub path_and_query: &'a str,
+    /// Names and values of all headers, in the order in which they came.
+    pub headers: &'a [(&'a str, &'a str)],
+}
+
+/// The head that a target may see.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ForwardedHead {
+    /// The method.
+    pub method: Method,
+    /// The path and query, unchanged.
+    pub path_and_query: String,
+    /// Allowed headers by lower-case name. The values of a repeated header are joined with commas.
+    pub headers: IndexMap<String, String>,
+}
+
+/// A part of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// The path or the query.
+    PathAndQuery,
+    /// The header of this name.
+    Header(&'static str),
+    /// The body.
+    Body,
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::PathAndQuery => f.write_str("path or query"),
+            Self::Header(name) => write!(f, "header {name}"),
+            Self::Body => f.write_str("body"),
+        }
+    }
+}
+
+/// Why a request may not be forwarded. The message does not repeat what was found.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum ForwardError {
+    /// A part that a target would see contains the caller's key.
+    #[snafu(display("the {place} contains the caller's key"))]
+    KeyInRequest {
+        /// Where the key was found.
+        place: Place,
+    },
+}
+
+impl ForwardError {
+    /// The code with which the request is refused.
+    pub const fn code(&self) -> ResultCode {
+        match self {
+            Self::KeyInRequest { .. } => ResultCode::KeyInRequest,
+        }
+    }
+}
+
+/// The head that may be forwarded for a caller that sent `key`; `None` on a route open to everyone.
+///
+/// Fails when the path, the query or an allowed header contains the key in any spelling. A header that is not allowed
+/// may contain it: `authorization` always does.
+pub fn forward_head(caller: &CallerHead<'_>, key: Option<&str>) -> Result<ForwardedHead, ForwardError> {
+    let search = key.map(KeySearch::new);
+    check(
+        search.as_ref(),
+        caller.path_and_query.as_bytes(),
+        Place::PathAndQuery,
+    )?;
+    let mut headers = IndexMap::new();
+    for name in ALLOWED_HEADERS {
+        let Some(value) = joined_value(caller.headers, name) else {
+            continue;
+        };
+        check(search.as_ref(), value.as_bytes(), Place::Header(name))?;
+        headers.insert(name.to_owned(), value);
+    }
+    Ok(ForwardedHead {
+        method: caller.method,
+        path_and_query: caller.path_and_query.to_owned(),
+        headers,
+    })
+}
+
+/// Fails when `body` contains `key` in any spelling.
+pub fn check_body(body: &[u8], key: Option<&str>) -> Result<(), ForwardError> {
+    check(key.map(KeySearch::new).as_ref(), body, Place::Body)
+}
+
+fn check(search: Option<&KeySearch>, text: &[u8], place: Place) -> Result<(), ForwardError> {
+    let is_found = search.is_some_and(|search| search.is_in(text));
+    ensure!(!is_found, KeyInRequestSnafu { place });
+    Ok(())
+}
+
+fn joined_value(headers: &[(&str, &str)], name: &str) -> Option<String> {
+    let named = headers
+        .iter()
+        .filter(|(other, _)| other.eq_ignore_ascii_case(name));
+    let values = named.map(|(_, value)| *value).collect::<Vec<_>>();
+    (!values.is_empty()).then(|| values.join(", "))
+}
