jm-node: state that every daemon process shares

Cause: entry, dispatch and control need the same configuration, peers, routing, stop, logs and metrics. Change: the configuration log is followed by watch; a change is one conditional create, settled by reading back; freshness counts only answers to own questions, from the time of asking, because a message that another daemon sent may have waited in a socket while this process was frozen; peers exchange revisions and load twice a second. Ruled out: counting received messages as proof of freshness, for the reason above.

--- a/crates/jm-config/src/settings.rs
+++ b/crates/jm-config/src/settings.rs
@@ -35,6 +35,12 @@
     }
 }
 
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.section())
+    }
+}
+
 impl Role {
     pub(crate) const fn section(self) -> &'static str {
         match self {
--- a/crates/jm-link/src/message.rs
+++ b/crates/jm-link/src/message.rs
@@ -2,7 +2,7 @@
 
 use jm_types::{
     DurationMs, Incarnation, KeyId, MemberId, OrganisationId, ResultCode, Revision, Sequence, ServiceId,
-    StepId, TargetId,
+    StepId, TargetId, WeightVersion,
 };
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -60,6 +60,8 @@
     pub avoid: Vec<TargetId>,
     /// Tokens that the caller already holds; generation goes on after them.
     pub resume_tokens: u64,
+    /// Engines that report an older weight version get no part of this request.
+    pub minimum_version: Option<WeightVersion>,
     /// Head for the target.
     pub head: RequestHead,
     /// Whole body for the target.
@@ -78,6 +80,15 @@
     Read {
         /// The last sequence number that the trainer holds.
         after: Sequence,
+        /// The term of the last reply that the trainer took.
+        term: Option<String>,
+    },
+    /// Names a newer weight version, from which staleness is counted from now on.
+    NameVersion {
+        /// The version.
+        version: WeightVersion,
+        /// The trainer holds every sample up to this one.
+        received: Sequence,
     },
     /// Confirms that samples arrived.
     Acknowledge {
--- /dev/null
+++ b/crates/jm-node/src/lib.rs
@@ -0,0 +1,28 @@
+//! What every daemon process shares: the configuration in force, the other daemons, routing to dispatch daemons,
+//! planned stops, logs and metrics. Sections 4.1, 4.2, 4.7 and 4.8 of `docs/design.md` give the rules.
+
+#![deny(missing_docs, unsafe_code)]
+
+mod admin;
+mod codec;
+mod config;
+mod hello;
+mod logging;
+mod metrics;
+mod node;
+mod peers;
+mod propose;
+mod router;
+mod stop;
+
+pub use admin::AdminHandler;
+pub use codec::{DecodeError, decode, encode};
+pub use config::{ConfigKeeper, change_key};
+pub use hello::{OwnedLoad, VersionCapacity, answer_hello, exchange_hellos};
+pub use logging::{LogSetupError, set_up_logging};
+pub use metrics::Metrics;
+pub use node::{Node, NodeOptions, Platform};
+pub use peers::{FRESHNESS_MS, MemberRecord, Peer, Peers};
+pub use propose::{Proposal, ProposeError};
+pub use router::{RouteError, Router};
+pub use stop::{Stop, StopTrigger, stop_on_signals};
--- a/crates/jm-route/src/summary.rs
+++ b/crates/jm-route/src/summary.rs
@@ -1,10 +1,12 @@
 //! What a dispatch daemon tells its peers.
 
+use serde::{Deserialize, Serialize};
+
 use jm_types::{Rate, ServiceId, TokenCount, ZoneId};
 
 /// The state of one service in one zone at one dispatch daemon. Its size does not depend on the number of engines
 /// or organisations.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServiceSummary {
     /// The zone of the targets.
     pub zone: ZoneId,
