jm-http: keep request_written true over a repeated request

Cause: a request that is repeated on a fresh connection was reported as not written when that connection could not be opened, although the first attempt had left the host. A late answer on a pooled connection was also repeated, which doubled the wait and the work of the peer.

Change: the first attempt counts for request_written, and only a lost connection leads to a repetition. Both tests fail without the change.

--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -87,12 +87,12 @@
         let mut prepared = Prepared::new(request, &self.limits).await?;
         if let Some((connection, request)) = self.pooled(&prepared) {
             match self.exchange(connection, request, &prepared.address).await {
-                Err(error) if !error.answered => {}
+                Err(error) if error.is_repeatable() => prepared.written |= error.written,
                 result => return result.map_err(|error| prepared.error(error)),
             }
         }
         let opened = self.pool.open(&prepared.address).await;
-        let connection = opened.map_err(|source| prepared.connect_error(source))?;
+        let connection = opened.map_err(|source| prepared.error(ExchangeError::unwritten(source)))?;
         let request = prepared.take_request();
         let result = self.exchange(connection, request, &prepared.address).await;
         result.map_err(|error| prepared.error(error))
@@ -126,6 +126,8 @@
     /// The head; its body is empty.
     head: Request,
     body: RequestBody,
+    /// Whether any byte may have left on an earlier attempt.
+    written: bool,
 }
 
 enum RequestBody {
@@ -152,6 +154,7 @@
             address,
             head: request,
             body,
+            written: false,
         })
     }
 
@@ -189,24 +192,23 @@
         request
     }
 
-    fn connect_error(&self, source: io::Error) -> ClientError {
-        let address = self.address.clone();
-        ClientError::Connect { address, source }
-    }
-
     fn error(&self, error: ExchangeError) -> ClientError {
         let address = self.address.clone();
+        let written = self.written || error.written;
         match error.cause {
-            Cause::Io(source) if !error.written => self.connect_error(source),
-            cause if !error.written => self.connect_error(io::Error::other(cause.reason())),
-            Cause::Timeout(reason) => ClientError::AnswerTimeout {
+            Cause::Timeout(reason) if written => ClientError::AnswerTimeout {
                 address,
                 reason: reason.to_owned(),
             },
-            cause => ClientError::Answer {
+            cause if written => ClientError::Answer {
                 address,
                 reason: cause.reason(),
             },
+            Cause::Io(source) => ClientError::Connect { address, source },
+            cause => ClientError::Connect {
+                address,
+                source: io::Error::other(cause.reason()),
+            },
         }
     }
 }
--- a/crates/jm-http/src/exchange.rs
+++ b/crates/jm-http/src/exchange.rs
@@ -33,6 +33,28 @@
     pub(crate) cause: Cause,
 }
 
+impl ExchangeError {
+    /// No connection could be opened.
+    pub(crate) fn unwritten(source: io::Error) -> Self {
+        Self {
+            written: false,
+            answered: false,
+            cause: Cause::Io(source),
+        }
+    }
+
+    /// Whether the peer had most likely closed the connection before the request reached it. A peer that is late is
+    /// not asked again: that would double the time and its work.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        let is_lost = match &self.cause {
+            Cause::Closed => true,
+            Cause::Io(error) => error.kind() != io::ErrorKind::TimedOut,
+            Cause::Head(_) | Cause::Timeout(_) => false,
+        };
+        is_lost && !self.answered
+    }
+}
+
 #[derive(Debug)]
 pub(crate) enum Cause {
     Io(io::Error),
--- a/crates/jm-http/tests/pooled_connection.rs
+++ b/crates/jm-http/tests/pooled_connection.rs
@@ -13,7 +13,7 @@
 use async_std::{channel::bounded, net::TcpListener, task};
 use common::{TestServer, Then, client, get, patient_limits, patiently, raw_peer, read_until, request};
 use futures::AsyncWriteExt;
-use jm_http::{Client, Limits, Method, Response};
+use jm_http::{Client, ClientError, Limits, Method, Response};
 use jm_types::DurationMs;
 
 const EMPTY: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
@@ -86,6 +86,38 @@
     assert_eq!(connections.load(Ordering::SeqCst), 4);
 }
 
+/// The first attempt left this host, so `not run` would be wrong although no second connection opens.
+#[async_std::test]
+async fn failed_repetition_is_written() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    task::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_until(&mut stream, "\r\n\r\n").await;
+        stream.write_all(EMPTY).await.unwrap();
+        read_until(&mut stream, "\r\n\r\n").await;
+        drop(listener);
+    });
+    let client = client();
+    patiently(client.send(get(address))).await.unwrap();
+    let error = patiently(client.send(get(address))).await.unwrap_err();
+    assert!(error.request_written(), "{error}");
+}
+
+/// A peer that is late has the request; asking again would double its work.
+#[async_std::test]
+async fn late_answer_is_not_repeated() {
+    let (address, connections) = raw_peer(EMPTY, Then::Hold).await;
+    let client = Client::new(Limits {
+        answer_timeout_ms: DurationMs::new(50),
+        ..patient_limits()
+    });
+    patiently(client.send(get(address))).await.unwrap();
+    let error = patiently(client.send(get(address))).await.unwrap_err();
+    assert!(matches!(error, ClientError::AnswerTimeout { .. }), "{error}");
+    assert_eq!(connections.load(Ordering::SeqCst), 1);
+}
+
 /// Bytes that follow an answer belong to no request and must not become the answer to the next one.
 #[async_std::test]
 async fn unexpected_bytes_end_a_connection() {
