--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -87,12 +87,12 @@
         let mut prepared = Prepared::new(request, &self.limits).await?;
         if let Some((connection, request)) = self.pooled(&prepared) {
             match self.exchange(connection, request, &prepared.address).await {
-                Err(error) if !error.answered => {}
+                Err(error) if error.is_repeatable() => prepared.written |= error.written,
                 result => return result.map_err(|error| prepared.error(error)),
             }
         }
         let opened = self.pool.open(&prepared.address).await;
-        let connection = opened.map_err(|source| prepared.connect_error(source))?;
+        let connection = opened.map_err(|source| prepared.error(ExchangeError::unwritten(source)))?;
         let request = prepared.take_request();
         let result = self.exchange(connection, request, &prepared.address).await;
         result.map_err(|error| prepared.error(error))
@@ -110,11 +110,11 @@
         request: Request,
         address: &str,
     ) -> Result<Response, ExchangeError> {
-        let Exchanged { head, reusable } = exchange(&mut connection.wire, request, &self.limits).await?;
-        let home = reusable.then(|| (Arc::clone(&self.pool), address.to_owned()));
+        let Exchanged { head, reusable } = exchange(&mut connection.stream, request, &self.limits).await?;
+        let reuse_pool = reusable.then(|| (Arc::clone(&self.pool), address.to_owned()));
         let piece_timeout = self.limits.body_timeout_ms.as_std();
         let mut response = head.response;
-        let body = answer_body(connection, head.framing, piece_timeout, home);
+        let body = answer_body(connection, head.framing, piece_timeout, reuse_pool);
         set_body(&mut response, body);
         Ok(response)
     }
@@ -126,6 +126,8 @@
     /// The head; its body is empty.
     head: Request,
     body: RequestBody,
+    /// Whether any byte may have left on an earlier attempt.
+    written: bool,
 }
 
 enum RequestBody {
@@ -152,6 +154,7 @@
             address,
             head: request,
             body,
+            written: false,
         })
     }
 
@@ -189,24 +192,23 @@
         request
     }
 
-    fn connect_error(&self, source: io::Error) -> ClientError {
-        let address = self.address.clone();
-        ClientError::Connect { address, source }
-    }
-
     fn error(&self, error: ExchangeError) -> ClientError {
         let address = self.address.clone();
+        let written = self.written || error.written;
         match error.cause {
-            Cause::Io(source) if !error.written => self.connect_error(source),
-            cause if !error.written => self.connect_error(io::Error::other(cause.reason())),
-            Cause::Timeout(reason) => ClientError::AnswerTimeout {
+            Cause::Timeout(reason) if written => ClientError::AnswerTimeout {
                 address,
                 reason: reason.to_owned(),
             },
-            cause => ClientError::Answer {
+            cause if written => ClientError::Answer {
                 address,
                 reason: cause.reason(),
             },
+            Cause::Io(source) => ClientError::Connect { address, source },
+            cause => ClientError::Connect {
+                address,
+                source: io::Error::other(cause.reason()),
+            },
         }
     }
 }
