The platform over HTTP and its stand-in

Cause: the daemons reach the platform over HTTP, and its outages and lost answers must be tested. Change: HttpPlatform with a documented HTTP API (docs/platform-api.md), PlatformServer with faults that can be changed while it runs, and one conformance test for the store in memory, over HTTP and in a naive form. quickcheck runs have fixed seeds. Ruled out: JSON for listings, because values are raw bytes; taking any 404 for a missing object, because a wrong address would then read as an empty store, on which a lease could be created.

--- /dev/null
+++ b/crates/jm-platform/src/http/resources.rs
@@ -0,0 +1,143 @@
+//! Hosts, target orders, usage reports and weights over HTTP.
+
+use async_trait::async_trait;
+use jm_http::{Method, StatusCode};
+use jm_types::{DurationMs, FencingNumber, ModelId, TargetId, WeightVersion};
+use serde::de::DeserializeOwned;
+use snafu::ensure;
+
+use super::{Answer, Failure, HttpPlatform};
+use crate::{
+    FetchError, Host, HostList, MAX_VALUE_BYTES, OrderError, OrderedTarget, ReadError, ReportError,
+    TargetOrder, TargetOrders, UsageIntake, WeightInfo, WeightStore, is_valid_key,
+    usage::{DifferentReportSnafu, InvalidWindowSnafu, ReportTooLargeSnafu},
+    weight::{RateLimitedSnafu, UnknownVersionSnafu},
+    wire::{FENCING_NUMBER, HOSTS_PATH, MODELS_PATH, RETRY_AFTER_MS, TARGETS_PATH, USAGE_PATH},
+};
+
+impl From<Failure> for OrderError {
+    fn from(failure: Failure) -> Self {
+        let reason = failure.reason;
+        if failure.may_be_applied {
+            Self::OrderAnswerLost { reason }
+        } else {
+            Self::OrderUnavailable { reason }
+        }
+    }
+}
+
+impl From<Failure> for ReportError {
+    fn from(failure: Failure) -> Self {
+        let reason = failure.reason;
+        if failure.may_be_applied {
+            Self::ReportAnswerLost { reason }
+        } else {
+            Self::ReportUnavailable { reason }
+        }
+    }
+}
+
+impl From<Failure> for FetchError {
+    fn from(failure: Failure) -> Self {
+        ReadError::from(failure).into()
+    }
+}
+
+impl Answer {
+    fn json<T: DeserializeOwned>(&self) -> Result<T, Failure> {
+        serde_json::from_slice(&self.body).map_err(|_| self.unexpected())
+    }
+
+    fn order_refused(&self) -> OrderError {
+        match (self.status(), self.json()) {
+            (StatusCode::Conflict, Ok(refused)) => refused,
+            _ => self.unexpected().into(),
+        }
+    }
+}
+
+impl HttpPlatform {
+    async fn read<T: DeserializeOwned>(&self, path: &str) -> Result<T, ReadError> {
+        let answer = self.send(self.request(Method::Get, path)?).await?;
+        match answer.status() {
+            StatusCode::Ok => Ok(answer.json()?),
+            _ => Err(answer.unexpected().into()),
+        }
+    }
+}
+
+#[async_trait]
+impl HostList for HttpPlatform {
+    async fn hosts(&self) -> Result<Vec<Host>, ReadError> {
+        self.read(HOSTS_PATH).await
+    }
+}
+
+#[async_trait]
+impl TargetOrders for HttpPlatform {
+    async fn order(&self, order: &TargetOrder) -> Result<OrderedTarget, OrderError> {
+        let mut request = self.request(Method::Post, TARGETS_PATH)?;
+        let body = serde_json::to_vec(order).map_err(|error| OrderError::OrderUnavailable {
+            reason: error.to_string(),
+        })?;
+        request.set_body(body);
+        request.insert_header("content-type", "application/json");
+        let answer = self.send(request).await?;
+        match answer.status() {
+            StatusCode::Ok => Ok(answer.json()?),
+            _ => Err(answer.order_refused()),
+        }
+    }
+
+    async fn release(&self, target: &TargetId, fencing: FencingNumber) -> Result<(), OrderError> {
+        let mut request = self.request(Method::Delete, &format!("{TARGETS_PATH}/{target}"))?;
+        request.insert_header(FENCING_NUMBER, fencing.to_string());
+        let answer = self.send(request).await?;
+        match answer.status() {
+            StatusCode::NoContent => Ok(()),
+            _ => Err(answer.order_refused()),
+        }
+    }
+
+    async fn targets(&self) -> Result<Vec<OrderedTarget>, ReadError> {
+        self.read(TARGETS_PATH).await
+    }
+}
+
+#[async_trait]
+impl UsageIntake for HttpPlatform {
+    async fn report(&self, window: &str, body: &[u8]) -> Result<(), ReportError> {
+        ensure!(is_valid_key(window), InvalidWindowSnafu { window });
+        let bytes = body.len();
+        ensure!(bytes <= MAX_VALUE_BYTES, ReportTooLargeSnafu { bytes });
+        let mut request = self.request(Method::Put, &format!("{USAGE_PATH}{window}"))?;
+        request.set_body(body);
+        let answer = self.send(request).await?;
+        match answer.status() {
+            StatusCode::NoContent => Ok(()),
+            StatusCode::Conflict => DifferentReportSnafu { window }.fail(),
+            _ => Err(answer.unexpected().into()),
+        }
+    }
+}
+
+#[async_trait]
+impl WeightStore for HttpPlatform {
+    async fn versions(&self, model: &ModelId) -> Result<Vec<WeightInfo>, ReadError> {
+        self.read(&format!("{MODELS_PATH}{model}/versions")).await
+    }
+
+    async fn fetch(&self, model: &ModelId, version: WeightVersion) -> Result<Vec<u8>, FetchError> {
+        let path = format!("{MODELS_PATH}{model}/versions/{version}");
+        let answer = self.send(self.request(Method::Get, &path)?).await?;
+        match (answer.status(), answer.header(RETRY_AFTER_MS)) {
+            (StatusCode::Ok, _) => Ok(answer.body),
+            (StatusCode::NotFound, _) => UnknownVersionSnafu.fail(),
+            (StatusCode::TooManyRequests, Some(wait_ms)) => RateLimitedSnafu {
+                retry_after_ms: DurationMs::new(wait_ms),
+            }
+            .fail(),
+            _ => Err(answer.unexpected().into()),
+        }
+    }
+}
--- a/crates/jm-platform/src/lib.rs
+++ b/crates/jm-platform/src/lib.rs
@@ -5,13 +5,16 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod host;
+mod http;
 mod memory;
 mod object;
 mod target;
 mod usage;
 mod weight;
+pub mod wire;
 
 pub use host::{Host, HostList, HostState};
+pub use http::{HttpPlatform, MAX_WATCH_WAIT_MS};
 pub use memory::{MemoryOptions, MemoryPlatform, SpareTarget};
 pub use object::{
     Change, Changes, Condition, KeyedObject, Listing, MAX_KEY_BYTES, MAX_VALUE_BYTES, Object, ObjectError,
--- a/crates/jm-platform/src/memory/objects.rs
+++ b/crates/jm-platform/src/memory/objects.rs
@@ -115,6 +115,11 @@
 }
 
 impl MemoryPlatform {
+    /// Version of the store: that of its last change.
+    pub fn version(&self) -> Version {
+        self.objects().version
+    }
+
     /// Number of watches that wait for a change.
     pub fn waiting_watches(&self) -> usize {
         let objects = self.objects();
--- a/crates/jm-standins/src/lib.rs
+++ b/crates/jm-standins/src/lib.rs
@@ -9,6 +9,7 @@
 mod front;
 mod notify;
 mod plan;
+mod platform;
 mod recording;
 mod relay;
 mod service;
@@ -18,6 +19,7 @@
     EngineOptions, EngineSettings, GenerateRequest, Load, Order, OrderAnswer, OrderKind, Piece,
     ReceivedOrder, Role, Segment, expected_text, expected_token, prefix_hash, prompt_tokens,
 };
+pub use platform::{CallKind, Faults, PlatformOptions, PlatformServer};
 pub use recording::Recording;
 pub use relay::{Direction, Flow, Relay};
 pub use service::{
--- a/crates/jm-standins/tests/engine_resume.rs
+++ b/crates/jm-standins/tests/engine_resume.rs
@@ -7,7 +7,7 @@
 use async_std::task;
 use common::{SEED, engine, generate, generate_request};
 use jm_standins::{EngineFault, expected_text, expected_token};
-use quickcheck::{QuickCheck, TestResult};
+use quickcheck::{Gen, QuickCheck, TestResult};
 
 const MAX_TOKENS: u64 = 40;
 
@@ -34,6 +34,7 @@
 #[test]
 fn resume_equals_one_run() {
     QuickCheck::new()
+        .rng(Gen::from_size_and_seed(60, 12))
         .tests(25)
         .quickcheck(resume_matches as fn(String, u64) -> TestResult);
 }
