Trainer stand-in and command-line options of the stand-ins

Cause: tests of steps need a client that notices wrong samples, and the program needs the stand-ins as subcommands. Change: Trainer creates a step, reads, acknowledges, goes on at another address, and lists every rule that a sample broke; bpaf parsers and run functions for platform, engine and service. Ruled out: stopping at the first broken rule, because a test then sees only one of several; leaving the stream at the last missing sample, because a surplus sample would go unnoticed. Conclusion: the trainer was tested against a scripted entry daemon only; the real one does not exist yet.

--- a/crates/jm-standins/src/lib.rs
+++ b/crates/jm-standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod command;
 mod engine;
 mod front;
 mod notify;
@@ -13,7 +14,11 @@
 mod recording;
 mod relay;
 mod service;
+mod trainer;
 
+pub use command::{
+    engine_arguments, platform_arguments, run_engine, run_platform, run_service, service_arguments,
+};
 pub use engine::{
     BLOCK_BYTES, CacheEvent, CacheEventKind, CacheEvents, Done, Engine, EngineCounts, EngineFault,
     EngineOptions, EngineSettings, GenerateRequest, Load, Order, OrderAnswer, OrderKind, Piece,
@@ -25,3 +30,6 @@
 pub use service::{
     PlainService, REQUEST_ID_FIELD, REQUEST_ID_HEADER, ServiceAnswer, ServiceFault, ServiceOptions,
 };
+pub use trainer::{
+    Acknowledgement, Sample, StepError, StepRequest, StepResult, Trainer, TrainerOptions, Violation,
+};
--- /dev/null
+++ b/crates/jm-standins/src/trainer/check.rs
@@ -0,0 +1,196 @@
+//! Rules that the samples of a step must keep.
+
+use std::collections::BTreeMap;
+
+use jm_types::{Sequence, SlotIndex, WeightVersion};
+
+use super::{Sample, StepRequest, StepResult};
+use crate::engine::expected_text;
+
+/// A rule that a sample broke.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Violation {
+    /// A slot came twice with different content.
+    SlotChanged {
+        /// The slot.
+        slot: SlotIndex,
+    },
+    /// A slot came twice under different sequence numbers, with the same content.
+    SlotRepeated {
+        /// The slot.
+        slot: SlotIndex,
+    },
+    /// A sequence number came again with another sample.
+    SequenceChanged {
+        /// The number.
+        sequence: Sequence,
+    },
+    /// A sequence number was left out.
+    SequenceGap {
+        /// The number that came instead.
+        sequence: Sequence,
+    },
+    /// The slot is not one of the step, or was held from the start.
+    UnexpectedSlot {
+        /// The slot.
+        slot: SlotIndex,
+    },
+    /// The sample names no version.
+    NoVersion {
+        /// The slot.
+        slot: SlotIndex,
+    },
+    /// A version of the sample is older than the bound allows.
+    TooOld {
+        /// The slot.
+        slot: SlotIndex,
+        /// The oldest version named.
+        version: WeightVersion,
+    },
+    /// The segments do not cover the length of the sample.
+    WrongLength {
+        /// The slot.
+        slot: SlotIndex,
+    },
+    /// The text is not the one that the engines generate for the prompt.
+    WrongText {
+        /// The slot.
+        slot: SlotIndex,
+    },
+}
+
+pub(super) struct StepCheck {
+    step: StepRequest,
+    engine_seed: Option<u64>,
+    acknowledged: Sequence,
+    deliveries: BTreeMap<Sequence, Sample>,
+    pub(super) result: StepResult,
+}
+
+impl StepCheck {
+    pub(super) fn new(step: &StepRequest, engine_seed: Option<u64>) -> Self {
+        Self {
+            step: step.clone(),
+            engine_seed,
+            acknowledged: Sequence::default(),
+            deliveries: BTreeMap::new(),
+            result: StepResult::default(),
+        }
+    }
+
+    /// Number of samples that have not come yet.
+    pub(super) fn missing(&self) -> u64 {
+        let held = self.step.held.len() + self.result.samples.len();
+        self.step.samples.saturating_sub(held as u64)
+    }
+
+    /// All slots that the trainer has.
+    pub(super) fn held(&self) -> Vec<SlotIndex> {
+        let received = self.result.samples.keys();
+        self.step.held.iter().chain(received).copied().collect()
+    }
+
+    pub(super) fn last_sequence(&self) -> Sequence {
+        let last = self.deliveries.last_key_value();
+        last.map(|(sequence, _)| *sequence).unwrap_or_default()
+    }
+
+    pub(super) fn acknowledged(&self) -> Sequence {
+        self.acknowledged
+    }
+
+    pub(super) fn set_acknowledged(&mut self, through: Sequence) {
+        self.acknowledged = through;
+    }
+
+    /// Starts a new sequence, for a step that is created again with the slots held so far.
+    pub(super) fn restart(&mut self) {
+        self.acknowledged = Sequence::default();
+        self.deliveries.clear();
+        self.result.recreations += 1;
+    }
+
+    pub(super) fn receive(&mut self, sample: Sample) {
+        self.result.lines += 1;
+        if let Some(before) = self.deliveries.get(&sample.sequence) {
+            if *before != sample {
+                let sequence = sample.sequence;
+                self.violate(Violation::SequenceChanged { sequence });
+                self.check_repeated_slot(&sample);
+            }
+            return;
+        }
+        if sample.sequence != self.last_sequence().next() {
+            let sequence = sample.sequence;
+            self.violate(Violation::SequenceGap { sequence });
+        }
+        self.deliveries.insert(sample.sequence, sample.clone());
+        if self.result.samples.contains_key(&sample.slot) {
+            self.violate_repeated(&sample);
+            return;
+        }
+        self.accept(sample);
+    }
+
+    fn accept(&mut self, sample: Sample) {
+        let slot = sample.slot;
+        if slot.get() >= self.step.samples || self.step.held.contains(&slot) {
+            self.violate(Violation::UnexpectedSlot { slot });
+            return;
+        }
+        self.check_versions(&sample);
+        self.check_text(&sample);
+        self.result.samples.insert(slot, sample);
+    }
+
+    fn violate(&mut self, violation: Violation) {
+        self.result.violations.push(violation);
+    }
+
+    fn check_repeated_slot(&mut self, sample: &Sample) {
+        if self.result.samples.contains_key(&sample.slot) {
+            self.violate_repeated(sample);
+        }
+    }
+
+    fn violate_repeated(&mut self, sample: &Sample) {
+        let slot = sample.slot;
+        let content = |sample: &Sample| (sample.segments.clone(), sample.text.clone());
+        let same = self.result.samples.get(&slot).map(content) == Some(content(sample));
+        self.violate(if same {
+            Violation::SlotRepeated { slot }
+        } else {
+            Violation::SlotChanged { slot }
+        });
+    }
+
+    fn check_versions(&mut self, sample: &Sample) {
+        let slot = sample.slot;
+        let versions = sample.segments.iter().map(|segment| segment.version);
+        let Some(version) = versions.min() else {
+            self.violate(Violation::NoVersion { slot });
+            return;
+        };
+        let behind = self.step.weight_version.saturating_sub(version).get();
+        if behind > self.step.staleness_bound {
+            self.violate(Violation::TooOld { slot, version });
+        }
+        let tokens: u64 = sample.segments.iter().map(|segment| segment.tokens).sum();
+        if tokens != self.step.max_tokens {
+            self.violate(Violation::WrongLength { slot });
+        }
+    }
+
+    fn check_text(&mut self, sample: &Sample) {
+        let Some(seed) = self.engine_seed else { return };
+        let slot = sample.slot;
+        let group = slot.get() / self.step.group_size.max(1);
+        let prompt = usize::try_from(group)
+            .ok()
+            .and_then(|group| self.step.prompts.get(group));
+        let expected = prompt.map(|prompt| expected_text(seed, prompt, 0, self.step.max_tokens));
+        if expected.as_ref() != Some(&sample.text) {
+            self.violate(Violation::WrongText { slot });
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-standins/src/trainer/mod.rs
@@ -0,0 +1,226 @@
+//! A trainer: creates a step at an entry daemon, reads and acknowledges all samples, and checks them.
+
+mod check;
+mod client;
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use async_std::task;
+use jm_http::{Client, Limits, StatusCode};
+use jm_types::{DurationMs, Sequence, ServiceId, SlotIndex, StepId, WeightVersion};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::engine::Segment;
+use check::StepCheck;
+pub use check::Violation;
+use client::CallError;
+
+/// Body of `POST /v1/steps`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StepRequest {
+    /// Id of the step, chosen by the trainer.
+    pub step: StepId,
+    /// The service that generates the drafts.
+    pub service: ServiceId,
+    /// The version that the trainer has published last.
+    pub weight_version: WeightVersion,
+    /// How far the oldest version of a sample may be behind `weight_version`.
+    pub staleness_bound: u64,
+    /// Slots that share a prompt.
+    pub group_size: u64,
+    /// Number of slots.
+    pub samples: u64,
+    /// One prompt for each group.
+    pub prompts: Vec<String>,
+    /// Length of each sample in tokens.
+    pub max_tokens: u64,
+    /// Slots whose samples the trainer already has.
+    pub held: Vec<SlotIndex>,
+}
+
+/// One line of the answer to `GET /v1/steps/<id>/samples?after=N`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sample {
+    /// Position in the order of delivery; the first is 1.
+    pub sequence: Sequence,
+    /// The slot that the sample fills.
+    pub slot: SlotIndex,
+    /// The versions that produced the tokens.
+    pub segments: Vec<Segment>,
+    /// The generated text.
+    pub text: String,
+}
+
+/// Body of `POST /v1/steps/<id>/ack`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Acknowledgement {
+    /// All samples up to this one are safe with the trainer.
+    pub through: Sequence,
+}
+
+/// How a trainer works.
+#[derive(Debug, Clone)]
+pub struct TrainerOptions {
+    /// Addresses of entry daemons; the next one is used when one fails.
+    pub addresses: Vec<SocketAddr>,
+    /// The key that goes with each request.
+    pub key: Option<String>,
+    /// Limits of its connections.
+    pub limits: Limits,
+    /// Samples after which it acknowledges.
+    pub acknowledge_every: usize,
+    /// Failed calls without a new sample between them, after which it gives up.
+    pub most_failures: u32,
+    /// Pause after a failed call.
+    pub pause_ms: DurationMs,
+    /// How long it reads on after the last sample, to notice samples that should not come.
+    pub linger_ms: DurationMs,
+    /// Seed of the engines, when the text of the samples is to be checked.
+    pub engine_seed: Option<u64>,
+}
+
+impl Default for TrainerOptions {
+    fn default() -> Self {
+        Self {
+            addresses: Vec::new(),
+            key: None,
+            limits: Limits::default(),
+            acknowledge_every: 16,
+            most_failures: 20,
+            pause_ms: DurationMs::new(50),
+            linger_ms: DurationMs::new(100),
+            engine_seed: None,
+        }
+    }
+}
+
+/// What a trainer got for a step.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StepResult {
+    /// The samples by slot, without those that were held from the start.
+    pub samples: BTreeMap<SlotIndex, Sample>,
+    /// What was wrong with them; empty when all rules were kept.
+    pub violations: Vec<Violation>,
+    /// Lines received, repeated ones included.
+    pub lines: u64,
+    /// Times that the trainer went on at another address.
+    pub reconnects: u64,
+    /// Times that the step was not known any more and was created again.
+    pub recreations: u64,
+}
+
+/// Why a step did not come to its end.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum StepError {
+    /// The step was refused.
+    #[snafu(display("the step was refused with status {status}: {body}"))]
+    Refused {
+        /// The HTTP status.
+        status: u16,
+        /// The body of the answer.
+        body: String,
+    },
+    /// Too many calls failed in a row.
+    #[snafu(display("{missing} samples are missing after too many failures; the last one: {reason}"))]
+    GaveUp {
+        /// Number of samples that did not come.
+        missing: u64,
+        /// The last failure.
+        reason: String,
+        /// What was received until then.
+        result: Box<StepResult>,
+    },
+}
+
+/// A trainer.
+pub struct Trainer {
+    options: TrainerOptions,
+    client: Client,
+    /// Index of the address in use.
+    current: usize,
+}
+
+impl Trainer {
+    /// A trainer; it connects when it runs a step.
+    pub fn new(options: TrainerOptions) -> Self {
+        let client = Client::new(options.limits.clone());
+        Self {
+            options,
+            client,
+            current: 0,
+        }
+    }
+
+    /// Creates `step`, reads and acknowledges all its samples, and returns them with what was wrong.
+    pub async fn run(&mut self, step: &StepRequest) -> Result<StepResult, StepError> {
+        let mut run = StepRun {
+            check: StepCheck::new(step, self.options.engine_seed),
+            created: false,
+            failures: 0,
+        };
+        loop {
+            let lines = run.check.result.lines;
+            match self.advance(step, &mut run).await {
+                Ok(()) if run.check.missing() == 0 => return Ok(run.check.result),
+                Ok(()) => {}
+                Err(CallError::Refused { status, body }) => return RefusedSnafu { status, body }.fail(),
+                Err(CallError::Failed { reason }) => {
+                    self.reconnect(&mut run, lines, reason).await?;
+                }
+            }
+        }
+    }
+
+    /// Makes one call: creation, or reading until the stream ends.
+    async fn advance(&self, step: &StepRequest, run: &mut StepRun) -> Result<(), CallError> {
+        if run.created {
+            return self.read(step, run).await;
+        }
+        let request = StepRequest {
+            held: run.check.held(),
+            ..step.clone()
+        };
+        self.create(&request).await?;
+        run.created = true;
+        Ok(())
+    }
+
+    async fn read(&self, step: &StepRequest, run: &mut StepRun) -> Result<(), CallError> {
+        let before = run.check.missing();
+        match self.read_samples(step, &mut run.check).await {
+            Err(CallError::Refused { status, .. }) if status == u16::from(StatusCode::NotFound) => {
+                run.created = false;
+                run.check.restart();
+                Err(CallError::failed("the step is not known any more"))
+            }
+            Ok(()) if run.check.missing() > 0 && run.check.missing() == before => {
+                Err(CallError::failed("the stream ended without a new sample"))
+            }
+            other => other,
+        }
+    }
+
+    async fn reconnect(&mut self, run: &mut StepRun, lines: u64, reason: String) -> Result<(), StepError> {
+        let progressed = run.check.result.lines > lines;
+        run.failures = if progressed { 1 } else { run.failures + 1 };
+        if run.failures > self.options.most_failures {
+            return GaveUpSnafu {
+                missing: run.check.missing(),
+                reason,
+                result: Box::new(run.check.result.clone()),
+            }
+            .fail();
+        }
+        run.check.result.reconnects += 1;
+        self.current += 1;
+        task::sleep(self.options.pause_ms.as_std()).await;
+        Ok(())
+    }
+}
+
+struct StepRun {
+    check: StepCheck,
+    created: bool,
+    failures: u32,
+}
