--- a/crates/jm-standins/src/lib.rs
+++ b/crates/jm-standins/src/lib.rs
@@ -5,21 +5,31 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod command;
 mod engine;
 mod front;
 mod notify;
 mod plan;
+mod platform;
 mod recording;
 mod relay;
 mod service;
+mod trainer;
 
+pub use command::{
+    engine_arguments, platform_arguments, run_engine, run_platform, run_service, service_arguments,
+};
 pub use engine::{
     BLOCK_BYTES, CacheEvent, CacheEventKind, CacheEvents, Done, Engine, EngineCounts, EngineFault,
     EngineOptions, EngineSettings, GenerateRequest, Load, Order, OrderAnswer, OrderKind, Piece,
     ReceivedOrder, Role, Segment, expected_text, expected_token, prefix_hash, prompt_tokens,
 };
+pub use platform::{CallKind, Faults, PlatformOptions, PlatformServer};
 pub use recording::Recording;
 pub use relay::{Direction, Flow, Relay};
 pub use service::{
     PlainService, REQUEST_ID_FIELD, REQUEST_ID_HEADER, ServiceAnswer, ServiceFault, ServiceOptions,
 };
+pub use trainer::{
+    Acknowledgement, Sample, StepError, StepRequest, StepResult, Trainer, TrainerOptions, Violation,
+};
