jm-route: start drafts in batches on few engines

Change: drafts start together on an engine whose window is nearly full, at most half of the engines process prompts, and none starts where a live call waits for its first token.

--- a/crates/jm-route/src/flight.rs
+++ b/crates/jm-route/src/flight.rs
@@ -51,6 +51,7 @@
         Need {
             class: self.class(),
             tokens: self.tokens,
+            prompt_tokens: self.request.prompt_tokens.get(),
             prefix_hashes: &self.request.prefix_hashes,
             avoid: &self.request.avoid,
             seed: self.request.id.get(),
--- a/crates/jm-route/src/options.rs
+++ b/crates/jm-route/src/options.rs
@@ -15,10 +15,11 @@
     /// this part, so that a live call need not wait for a draft to end, and training loses nothing while no live
     /// call comes. Engines must hold the largest window and this part.
     pub live_headroom_per_thousand: u64,
-    /// Shortest time between two starts of training requests on an engine whose window is nearly full. Engines
-    /// process prompts in order of arrival, so several drafts started together delay the first token of the live
-    /// call that comes next.
-    pub training_start_gap: DurationMs,
+    /// Most prompt tokens of training requests that are started together on an engine whose window is nearly
+    /// full. Engines process prompts in order of arrival, so the prompts of drafts delay the first token of a live
+    /// call; started together on a few engines, they leave the others free of prompts. With 0, training requests
+    /// start whenever they fit.
+    pub training_batch_tokens: u64,
     /// Interval at which windows adapt and slow targets are looked for.
     pub control_interval: DurationMs,
     /// A target is slow when its time per token exceeds the peers' median by this factor, in thousandths.
@@ -43,7 +44,7 @@
             organisation_queue_limit: 256,
             service_queue_limit: 4_096,
             live_headroom_per_thousand: 100,
-            training_start_gap: DurationMs::new(25),
+            training_batch_tokens: 512,
             control_interval: DurationMs::new(500),
             slow_factor_per_thousand: 2_000,
             slow_intervals: 3,
--- a/crates/jm-route/src/placement.rs
+++ b/crates/jm-route/src/placement.rs
@@ -18,6 +18,7 @@
 pub(crate) struct Need<'a> {
     pub(crate) class: Class,
     pub(crate) tokens: u64,
+    pub(crate) prompt_tokens: u64,
     pub(crate) prefix_hashes: &'a [u64],
     pub(crate) avoid: &'a [TargetId],
     pub(crate) seed: u64,
@@ -53,6 +54,7 @@
     let any_normal = targets
         .iter()
         .any(|target| target.takes_work() && target.health == Health::Normal);
+    let batch_tokens = options.training_batch_tokens;
     let busy = prompts_fill_half(targets);
     let mut survey = Survey::default();
     for (slot, target) in targets.iter().enumerate() {
@@ -73,7 +75,9 @@
             continue;
         }
         survey.usable = true;
-        if target.fits(need.class, need.tokens, options) && !target.paced(need.class, busy, now) {
+        if target.fits(need.class, need.tokens, options)
+            && !(batch_tokens > 0 && target.holds_back(&need, busy, now, batch_tokens))
+        {
             let key = (waiting_prompts(target, need.class), target.load(now, options));
             survey.note(slot, key, mix(need.seed ^ target.hash));
         }
--- a/crates/jm-route/src/scheduler.rs
+++ b/crates/jm-route/src/scheduler.rs
@@ -21,8 +21,7 @@
 /// the targets, because engines admit whatever arrives and know no priority.
 ///
 /// The daemon calls [`Self::next`] until it answers `None` after each `submit`, `progress`, `finish`, `cancel` and
-/// `set_targets`, and every 10 ms while requests wait, because training starts are spaced in time; it calls
-/// [`Self::expire`] a few times a second.
+/// `set_targets`, and [`Self::expire`] a few times a second.
 #[derive(Debug, Default)]
 pub struct Scheduler {
     pub(crate) options: SchedulerOptions,
@@ -199,7 +198,7 @@
                 self.turn = index + 1;
                 return Some(self.start(request, slot, now));
             }
-            self.services[index].block(now);
+            self.services[index].block();
         }
         None
     }
--- a/crates/jm-route/src/service.rs
+++ b/crates/jm-route/src/service.rs
@@ -92,14 +92,9 @@
         self.queue(class).heads().take(LOOK_AHEAD)
     }
 
-    /// Notes that nothing can be placed now. Paced training requests can be placed later without any change.
-    pub(crate) fn block(&mut self, now: Timestamp) {
-        let paced = self
-            .targets
-            .iter()
-            .map(|target| target.next_training)
-            .filter(|at| *at > now);
-        self.blocked_until = paced.min().unwrap_or(NEVER);
+    /// Notes that nothing can be placed until something changes.
+    pub(crate) fn block(&mut self) {
+        self.blocked_until = NEVER;
         self.demand |= self.queues.iter().any(|queue| queue.len() > 0);
     }
 
--- a/crates/jm-route/src/target.rs
+++ b/crates/jm-route/src/target.rs
@@ -2,7 +2,10 @@
 
 use jm_types::{DurationMs, ServiceId, TargetId, Timestamp, TokenCount, ZoneId};
 
-use crate::{Class, SchedulerOptions, hash::stable_hash};
+use crate::{Class, SchedulerOptions, hash::stable_hash, placement::Need};
+
+/// Training requests started within this time are one batch; it is shorter than a step of an engine.
+const BATCH_TIME: DurationMs = DurationMs::new(5);
 
 /// What a window counts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,8 +98,8 @@
     pub(crate) left: bool,
     pub(crate) health: Health,
     pub(crate) next_probe: Timestamp,
-    /// No training request starts before this time while the window is nearly full.
-    pub(crate) next_training: Timestamp,
+    /// Training requests join the batch that began last until this time.
+    pub(crate) batch_until: Timestamp,
     /// Prompt tokens of the requests that have not generated their first token, by class.
     pub(crate) pending_prompt: [u64; 2],
     pub(crate) strikes: u32,
@@ -119,7 +122,7 @@
             left: false,
             health: Health::Normal,
             next_probe: now,
-            next_training: now,
+            batch_until: now,
             pending_prompt: [0; 2],
             strikes: 0,
             failures: 0,
@@ -179,12 +182,24 @@
     }
 
     /// Whether a training request must wait because its prompt would delay a live call: one that waits for its
-    /// first token here, or one that comes next while `busy` tells that many engines process prompts. Below 19/20
-    /// of the window it need not, so that short drafts still fill the window.
-    pub(crate) fn paced(&self, class: Class, busy: bool, now: Timestamp) -> bool {
-        let nearly_full = self.used * 20 >= self.window * 19;
-        let live_waits = self.pending_prompt[Class::Live as usize] > 0;
-        class == Class::Training && nearly_full && (live_waits || busy || now < self.next_training)
+    /// first token here, or one that comes next while `busy` tells that many engines process prompts. Well below a
+    /// full window it need not wait, so that training cannot lose more than the rest.
+    pub(crate) fn holds_back(&self, need: &Need<'_>, busy: bool, now: Timestamp, batch_tokens: u64) -> bool {
+        if need.class == Class::Live || self.spec.kind == TargetKind::Plain {
+            return false;
+        }
+        let [live, training] = self.pending_prompt;
+        if live > 0 && self.used * 2 >= self.window {
+            return true;
+        }
+        if self.used * 20 < self.window * 17 {
+            return false;
+        }
+        if training > 0 {
+            return now > self.batch_until || training + need.prompt_tokens > batch_tokens;
+        }
+        // A batch begins once there is room for several requests.
+        busy || self.used * 25 > self.window * 24
     }
 
     /// Whether a degraded target may get a probe. Training requests are used first; a live request only when no
@@ -209,8 +224,8 @@
     }
 
     pub(crate) fn start(&mut self, class: Class, cost: u64, now: Timestamp, options: &SchedulerOptions) {
-        if class == Class::Training && self.spec.kind == TargetKind::Engine {
-            self.next_training = now.after(options.training_start_gap);
+        if class == Class::Training && self.pending_prompt[class as usize] == 0 {
+            self.batch_until = now.after(BATCH_TIME);
         }
         if self.requests == 0 {
             self.last_progress = now;
