jm-bench: prefix cache, retries, weight changes and lagging inputs

Change: four groups of measurements. jm-route: a target that recovered doubles its window up to its initial size; before, it grew only while requests waited, and a zone that returned stayed at the smallest window.

--- a/crates/jm-bench/src/decisions/mod.rs
+++ b/crates/jm-bench/src/decisions/mod.rs
@@ -1,10 +1,18 @@
 //! The measurements, one module per group.
 
+mod lag;
 mod live;
+mod prefix;
+mod retry;
 mod shares;
+mod weights;
 
+pub use lag::lagging_inputs;
 pub use live::live_service;
+pub use prefix::prefix_cache;
+pub use retry::retries;
 pub use shares::worst_served;
+pub use weights::weight_changes;
 
 use crate::sim::{NaiveRouter, Router};
 use jm_route::{Scheduler, SchedulerOptions};
@@ -48,4 +56,8 @@
 pub const ALL: &[Group] = &[
     ("live service", live_service),
     ("worst-served organisation", worst_served),
+    ("prefix cache", prefix_cache),
+    ("retries", retries),
+    ("weight changes", weight_changes),
+    ("lagging inputs", lagging_inputs),
 ];
--- a/crates/jm-bench/src/decisions/shares.rs
+++ b/crates/jm-bench/src/decisions/shares.rs
@@ -14,6 +14,10 @@
 /// Seconds of one window.
 const WINDOW_S: usize = 10;
 
+/// Mean time between a request's arrival and its tokens when it need not wait: half the duration of an answer on
+/// a full engine. The demand of a window is what arrived this much earlier.
+const LATENCY_S: usize = 3;
+
 /// Tokens of an average request of the harness.
 const REQUEST_TOKENS: f64 = 400.0;
 
@@ -68,19 +72,19 @@
     let windows = size.seconds(3, 20) as usize;
     cluster.run((WARM_UP_S + windows * WINDOW_S) as u64 * 1_000);
     let worst: Vec<f64> = (0..windows)
-        .map(|window| worst_in_window(&cluster, WARM_UP_S + window * WINDOW_S, equal))
+        .map(|window| worst_in_window(&cluster, WARM_UP_S + window * WINDOW_S))
         .collect();
     let least = worst.iter().copied().fold(f64::INFINITY, f64::min);
     (least, worst.iter().sum::<f64>() / worst.len() as f64)
 }
 
-fn worst_in_window(cluster: &Cluster, from: usize, equal: f64) -> f64 {
+fn worst_in_window(cluster: &Cluster, from: usize) -> f64 {
     let served: Vec<f64> = (0..DEMANDS.len())
         .map(|source| cluster.served(source, from, from + WINDOW_S) as f64)
         .collect();
-    let demands: Vec<f64> = DEMANDS
-        .iter()
-        .map(|demand| demand * equal * WINDOW_S as f64)
+    let (asked_from, asked_to) = (from - LATENCY_S, from + WINDOW_S - LATENCY_S);
+    let demands: Vec<f64> = (0..DEMANDS.len())
+        .map(|source| cluster.offered(source, asked_from, asked_to) as f64)
         .collect();
     let fair = max_min(&demands, served.iter().sum());
     let parts = served.iter().zip(&fair).map(|(served, fair)| served / fair);
--- a/crates/jm-bench/src/sim/cluster.rs
+++ b/crates/jm-bench/src/sim/cluster.rs
@@ -1,10 +1,10 @@
 //! Dispatch daemons, engines and sources in one virtual time.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use jm_route::{
-    CacheEvent, Class, DispatcherQuery, DispatcherTable, Outcome, QueuedRequest, TargetKind, TargetSpec,
-    WindowBounds, choose_dispatcher,
+    CacheEvent, Class, DispatcherQuery, DispatcherTable, LoadReport, Outcome, QueuedRequest, TargetKind,
+    TargetSpec, WindowBounds, choose_dispatcher,
 };
 use jm_types::{RequestId, Timestamp, TokenCount};
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -14,6 +14,15 @@
     ids::{member, organisation, service, target, zone},
 };
 
+/// What engines report about their load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LoadReports {
+    /// Nothing.
+    None,
+    /// Once a second, and the report arrives this many milliseconds late.
+    Late(u64),
+}
+
 /// Size and inputs of a run.
 #[derive(Debug, Clone, Copy)]
 pub struct ClusterOptions {
@@ -31,6 +40,8 @@
     pub event_delay_ms: u64,
     /// Part of the cache events that is lost, in thousandths.
     pub event_loss_per_thousand: u64,
+    /// What engines report about their load.
+    pub reports: LoadReports,
     /// Tokens per progress report.
     pub progress_tokens: u64,
     /// Waiting time after which a request is given up.
@@ -54,6 +65,7 @@
             summary_ms: 1_000,
             event_delay_ms: 200,
             event_loss_per_thousand: 0,
+            reports: LoadReports::None,
             progress_tokens: 4,
             patience_ms: 600_000,
             seed: 1,
@@ -105,11 +117,15 @@
     pub refused: u64,
     /// Requests given to each engine.
     pub sent: Vec<u64>,
+    /// Prefix hashes of all requests given to engines, in order.
+    pub prefixes_sent: Vec<Vec<u64>>,
     /// Sum over milliseconds of the batch of each engine.
     pub load: Vec<u64>,
     served: HashMap<(usize, usize), u64>,
+    offered: HashMap<(usize, usize), u64>,
     table: DispatcherTable,
     events: Vec<(u64, usize, CacheEvent)>,
+    late_reports: VecDeque<(u64, usize, LoadReport)>,
     open: HashMap<RequestId, Open>,
     next_request: u64,
     random: StdRng,
@@ -128,7 +144,10 @@
             refused: 0,
             sent: vec![0; count],
             load: vec![0; count],
+            prefixes_sent: Vec::new(),
+            late_reports: VecDeque::new(),
             served: HashMap::new(),
+            offered: HashMap::new(),
             table: DispatcherTable::default(),
             events: Vec::new(),
             open: HashMap::new(),
@@ -180,6 +199,7 @@
             self.exchange_summaries();
         }
         self.deliver_events();
+        self.deliver_reports();
         self.submit_due();
         self.dispatch();
         self.step_engines();
@@ -210,6 +230,26 @@
         }
     }
 
+    fn deliver_reports(&mut self) {
+        let LoadReports::Late(late_ms) = self.options.reports else {
+            return;
+        };
+        if self.now_ms.is_multiple_of(1_000) {
+            for (number, engine) in self.engines.iter().enumerate() {
+                let in_flight = TokenCount::new(engine.tokens());
+                let report = LoadReport {
+                    in_flight,
+                    at: Timestamp::new(self.now_ms),
+                };
+                self.late_reports
+                    .push_back((self.now_ms + late_ms, number, report));
+            }
+        }
+        while let Some((_, engine, report)) = self.late_reports.pop_front_if(|(at, ..)| *at <= self.now_ms) {
+            self.routers[engine / self.options.engines_per_daemon].load_report(&target(engine), report);
+        }
+    }
+
     fn submit_due(&mut self) {
         for source in 0..self.sources.len() {
             let due = self.sources[source].due(self.now_ms, &mut self.random);
@@ -247,6 +287,8 @@
             prefix_hashes,
         };
         let tokens = source.prompt_tokens + answer_tokens;
+        let second = (self.now_ms / 1_000) as usize;
+        *self.offered.entry((number, second)).or_default() += tokens;
         let daemon = self.choose(request.class, tokens);
         if self.routers[daemon].submit(request, now).is_err() {
             self.refused += 1;
@@ -316,6 +358,7 @@
         };
         self.sent[engine] += 1;
         let stored = sequence.prefix_hashes.clone();
+        self.prefixes_sent.push(stored.clone());
         self.engines[engine].admit(sequence, self.now_ms * 1_000);
         if !stored.is_empty() {
             let evicted = self.engines[engine].take_evicted();
@@ -406,6 +449,14 @@
             .sum()
     }
 
+    /// Tokens of the requests that arrived in the seconds `from..to`, refused ones included.
+    pub fn offered(&self, source: usize, from: usize, to: usize) -> u64 {
+        let seconds = from..to;
+        seconds
+            .map(|second| self.offered.get(&(source, second)).copied().unwrap_or(0))
+            .sum()
+    }
+
     /// Waits until the first token of a source's requests that arrived from `from_ms` on, in ascending order.
     pub fn waits_us(&self, source: usize, from_ms: u64) -> Vec<u64> {
         let own = self
--- a/crates/jm-bench/src/sim/engine.rs
+++ b/crates/jm-bench/src/sim/engine.rs
@@ -187,6 +187,14 @@
             .collect()
     }
 
+    /// Tokens of prompts and answers so far, as the engine would report them.
+    pub fn tokens(&self) -> u64 {
+        self.running
+            .iter()
+            .map(|running| running.sequence.prompt_tokens + running.generated)
+            .sum()
+    }
+
     /// Number of requests in the batch.
     pub fn batch(&self) -> usize {
         self.running.len()
--- a/crates/jm-bench/src/sim/mod.rs
+++ b/crates/jm-bench/src/sim/mod.rs
@@ -6,7 +6,7 @@
 mod router;
 mod source;
 
-pub use cluster::{Cluster, ClusterOptions, Completed};
+pub use cluster::{Cluster, ClusterOptions, Completed, LoadReports};
 pub use engine::{EngineModel, FakeEngine, Sequence, StepEvent};
 pub use ids::{member, organisation, service, target, zone};
 pub use router::{NaiveRouter, Router};
--- a/crates/jm-bench/src/sim/router.rs
+++ b/crates/jm-bench/src/sim/router.rs
@@ -3,7 +3,8 @@
 use std::collections::{HashMap, VecDeque};
 
 use jm_route::{
-    Assignment, CacheEvent, Outcome, QueuedRequest, Refusal, Scheduler, ServiceSummary, TargetSpec,
+    Assignment, CacheEvent, LoadReport, Outcome, QueuedRequest, Refusal, Scheduler, ServiceSummary,
+    TargetSpec,
 };
 use jm_types::{RequestId, TargetId, Timestamp, TokenCount};
 
@@ -25,6 +26,8 @@
     fn leave(&mut self, _target: &TargetId) {}
     /// See [`Scheduler::cache_event`].
     fn cache_event(&mut self, _target: &TargetId, _event: &CacheEvent) {}
+    /// See [`Scheduler::load_report`].
+    fn load_report(&mut self, _target: &TargetId, _report: LoadReport) {}
     /// See [`Scheduler::summary`].
     fn summary(&self) -> Vec<ServiceSummary> {
         Vec::new()
@@ -71,6 +74,10 @@
         Self::cache_event(self, target, event);
     }
 
+    fn load_report(&mut self, target: &TargetId, report: LoadReport) {
+        Self::load_report(self, target, report);
+    }
+
     fn summary(&self) -> Vec<ServiceSummary> {
         Self::summary(self)
     }
--- a/crates/jm-bench/src/sim/source.rs
+++ b/crates/jm-bench/src/sim/source.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// The same source with prompts that share prefixes.
+    pub fn with_prefixes(self, prefixes: Prefixes) -> Self {
+        Self { prefixes, ..self }
+    }
+
     /// Number of requests that arrive in the millisecond that begins now.
     pub(super) fn due(&mut self, now_ms: u64, random: &mut StdRng) -> usize {
         let (rate, even) = match self.arrivals {
--- a/crates/jm-route/src/health.rs
+++ b/crates/jm-route/src/health.rs
@@ -67,7 +67,11 @@
     let bounds = target.spec.window;
     let limit = bounds.time_limit_us as f64;
     if target.time_per_token_us > limit {
+        target.restarting = false;
         target.window = (target.window - target.window / 8).max(bounds.least);
+    } else if target.restarting {
+        target.window = (target.window * 2).min(bounds.initial.max(target.window));
+        target.restarting = target.window < bounds.initial;
     } else if demand && target.time_per_token_us < GROWTH_MARGIN * limit {
         target.window = (target.window + (bounds.most / 32).max(1)).min(bounds.most);
     }
@@ -88,8 +92,7 @@
     if target.health == Health::Normal {
         target.health = Health::Slow;
     } else {
-        target.health = Health::Normal;
-        target.window = target.spec.window.least.max(1);
+        target.restart();
     }
 }
 
@@ -107,8 +110,6 @@
 pub(crate) fn succeeded(target: &mut Target) {
     target.failures = 0;
     if target.health == Health::Failing {
-        target.health = Health::Normal;
-        target.strikes = 0;
-        target.window = target.spec.window.least.max(1);
+        target.restart();
     }
 }
--- a/crates/jm-route/src/target.rs
+++ b/crates/jm-route/src/target.rs
@@ -97,6 +97,8 @@
     /// Set by `Scheduler::leave`, which knows more than the specifications.
     pub(crate) left: bool,
     pub(crate) health: Health,
+    /// The window doubles per control interval, up to its initial size, after the target recovered.
+    pub(crate) restarting: bool,
     pub(crate) next_probe: Timestamp,
     /// Training requests join the batch that began last until this time.
     pub(crate) batch_until: Timestamp,
@@ -121,6 +123,7 @@
             removed: false,
             left: false,
             health: Health::Normal,
+            restarting: false,
             next_probe: now,
             batch_until: now,
             pending_prompt: [0; 2],
@@ -135,6 +138,14 @@
         }
     }
 
+    /// Gives a recovered target work again, from the smallest window on.
+    pub(crate) fn restart(&mut self) {
+        self.health = Health::Normal;
+        self.strikes = 0;
+        self.window = self.spec.window.least.max(1);
+        self.restarting = true;
+    }
+
     /// Takes over a changed specification without forgetting what is in flight.
     pub(crate) fn update(&mut self, spec: TargetSpec) {
         self.window = self
