Refuse takeovers from replaced copies of a step

Cause: after a change of the copy holder, the earlier holder still has a copy and could take over from it; the trainer would get slots twice. A long trial of the model also showed that two owners whose terms have the same number used the same attempt ids, so that a late answer was bound to another slot. Change: terms carry a number of their owner, a step knows the terms it descends from, and the trainer's read names the term of its last reply. The time without a copy holder is a term of its own. Attempt ids start at a hash of the term. Ruled out: the term's number alone, because daemons that took over from copies of different age share it.

--- a/crates/jm-step/src/assembly.rs
+++ b/crates/jm-step/src/assembly.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     BoundSlot, CopyBody, Effects, IncompleteCopy, Naming, Sample, Segment, SpecError, StepCopy, StepEvent,
-    StepOptions, StepSpec, Unusable,
+    StepOptions, StepSpec, Term, Unusable,
     copying::Copied,
     pace::Pace,
     slots::{Slot, Slots, Start},
@@ -52,7 +52,8 @@
     pub(crate) next_sequence: Sequence,
     pub(crate) acknowledged: Sequence,
     pub(crate) namings: Vec<Naming>,
-    pub(crate) term: u64,
+    /// The present term and those before it, oldest first.
+    pub(crate) lineage: Vec<Term>,
     pub(crate) copied: Copied,
     pub(crate) degraded: bool,
     pub(crate) unusable: u64,
@@ -65,14 +66,15 @@
     pub fn new(spec: StepSpec, options: StepOptions) -> Result<Self, SpecError> {
         spec.check()?;
         let held: Vec<SlotIndex> = spec.held.clone();
-        let mut step = Self::empty(spec, options, 1);
+        let first = Term::default().next(options.owner);
+        let mut step = Self::empty(spec, options, first);
         step.slots.settle(held.into_iter().map(|slot| (slot, Slot::Done)));
         Ok(step)
     }
 
-    fn empty(spec: StepSpec, options: StepOptions, term: u64) -> Self {
+    fn empty(spec: StepSpec, options: StepOptions, first: Term) -> Self {
         Self {
-            slots: Slots::new(spec.samples, term),
+            slots: Slots::new(spec.samples, first),
             spec,
             options,
             pace: Pace::default(),
@@ -83,7 +85,7 @@
             next_sequence: Sequence::new(1),
             acknowledged: Sequence::default(),
             namings: Vec::new(),
-            term,
+            lineage: vec![first],
             copied: Copied::default(),
             degraded: false,
             unusable: 0,
@@ -95,7 +97,11 @@
     /// copy holder of this term has them.
     pub fn restore(copy: StepCopy, options: StepOptions) -> Result<Self, IncompleteCopy> {
         let restored = copy.into_restored()?;
-        let mut step = Self::empty(restored.spec, options, restored.term + 1);
+        let before = restored.lineage.last().copied().unwrap_or_default();
+        let term = before.next(options.owner);
+        let mut step = Self::empty(restored.spec, options, term);
+        step.lineage = restored.lineage;
+        step.lineage.push(term);
         let done = restored.done.into_iter().map(|slot| (slot, Slot::Done));
         let bound = restored
             .bindings
@@ -115,6 +121,18 @@
         Ok(step)
     }
 
+    /// The present term. The trainer gets it with each reply to a read.
+    pub fn term(&self) -> Term {
+        self.lineage.last().copied().unwrap_or_default()
+    }
+
+    /// Whether the state includes everything that was handed out up to a term, which the trainer sends with a
+    /// read. It does not when a daemon took over from a copy that was replaced by another holder's before; the
+    /// read is then refused as for an unknown step.
+    pub fn descends_from(&self, term: Term) -> bool {
+        self.lineage.contains(&term)
+    }
+
     /// The specification.
     pub const fn spec(&self) -> &StepSpec {
         &self.spec
--- a/crates/jm-step/src/copy.rs
+++ b/crates/jm-step/src/copy.rs
@@ -6,14 +6,16 @@
 use jm_types::{Sequence, SlotIndex};
 use snafu::{OptionExt, Snafu, ensure};
 
-use crate::{BoundSlot, CopyBody, CopyMessage, CopyPart, CopyReceipt, Naming, Sample, Snapshot, StepSpec};
+use crate::{
+    BoundSlot, CopyBody, CopyMessage, CopyPart, CopyReceipt, Naming, Sample, Snapshot, StepSpec, Term,
+};
 
 /// The message comes from an owner whose term has ended.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 #[snafu(display("term {found} has ended; the present one is {present}"))]
 pub struct OldTerm {
-    found: u64,
-    present: u64,
+    found: Term,
+    present: Term,
 }
 
 /// The copy does not hold everything that may have been handed out, so the step cannot be taken over. Its
@@ -25,7 +27,7 @@
 /// What the copy holder knows of a step in the newest term it has seen.
 #[derive(Debug, Default)]
 pub struct StepCopy {
-    term: u64,
+    term: Term,
     begin: Option<Snapshot>,
     namings: Vec<Naming>,
     bindings: IndexMap<SlotIndex, Binding>,
@@ -44,7 +46,7 @@
 #[derive(Debug)]
 pub(crate) struct Restored {
     pub(crate) spec: StepSpec,
-    pub(crate) term: u64,
+    pub(crate) lineage: Vec<Term>,
     pub(crate) done: BTreeSet<SlotIndex>,
     pub(crate) bindings: Vec<Arc<Sample>>,
     pub(crate) acknowledged: Sequence,
@@ -170,7 +172,7 @@
         let used = self.highest.max(self.acknowledged).next();
         Ok(Restored {
             spec: begin.spec.clone(),
-            term: self.term,
+            lineage: begin.lineage.clone(),
             done,
             bindings: self.unacknowledged(&begin.spec),
             acknowledged: self.acknowledged,
--- a/crates/jm-step/src/copying.rs
+++ b/crates/jm-step/src/copying.rs
@@ -17,7 +17,7 @@
 impl StepAssembly {
     /// Records a confirmation of the copy holder. One of an earlier term is ignored.
     pub fn copied(&mut self, receipt: CopyReceipt) {
-        if receipt.term != self.term {
+        if receipt.term != self.term() {
             return;
         }
         match receipt.part {
@@ -37,19 +37,27 @@
     /// Records that another daemon holds the copy from now on. Everything is sent to it again in a new term,
     /// and nothing new is handed out until it has confirmed.
     pub fn copy_holder_changed(&mut self) {
-        self.term += 1;
-        self.degraded = false;
+        self.begin_term(false);
+    }
+
+    /// Records that no other daemon can hold a copy. Samples are then handed out with one copy only, in a new
+    /// term, so that nobody takes over from an earlier copy unnoticed.
+    pub fn no_copy_holder(&mut self) {
+        if !self.degraded {
+            self.begin_term(true);
+        }
+    }
+
+    fn begin_term(&mut self, degraded: bool) {
+        let term = self.term().next(self.options.owner);
+        self.lineage.push(term);
+        self.degraded = degraded;
         self.copied = Copied::default();
         for bound in self.bound.values_mut() {
             bound.copied = false;
         }
     }
 
-    /// Records that no other daemon can hold a copy. Samples are then handed out with one copy only.
-    pub const fn no_copy_holder(&mut self) {
-        self.degraded = true;
-    }
-
     /// Every message that the copy holder has not confirmed, to be sent again from time to time.
     pub fn pending_copies(&self) -> Vec<CopyMessage> {
         let mut bodies = Vec::new();
@@ -71,6 +79,7 @@
         let done = self.slots.iter().filter(|(_, slot)| **slot == Slot::Done);
         Snapshot {
             spec: self.spec.clone(),
+            lineage: self.lineage.clone(),
             done: done.map(|(index, _)| index).collect(),
             acknowledged: self.acknowledged,
             next_sequence: self.next_sequence,
@@ -82,7 +91,7 @@
     pub(crate) fn message(&self, body: CopyBody) -> CopyMessage {
         CopyMessage {
             step: self.spec.step.clone(),
-            term: self.term,
+            term: self.term(),
             body,
         }
     }
--- a/crates/jm-step/src/lib.rs
+++ b/crates/jm-step/src/lib.rs
@@ -15,8 +15,15 @@
 //!   handed out until the newest one is copied.
 //! * `Acknowledged`: the trainer's acknowledgement, which lets the holder free memory.
 //!
-//! A term starts at 1 and goes up when the copy holder changes and when the holder takes over, so that messages
-//! of an earlier term are refused.
+//! A [`Term`] ends when the copy holder changes, when there is none any more and when a holder takes over.
+//! Messages of an earlier term are refused.
+//!
+//! # What the trainer sends
+//!
+//! A read carries the last sequence number that the trainer received, its weight version and the term of the
+//! last reply it took. The daemon calls [`StepAssembly::descends_from`], [`StepAssembly::named_version`] and
+//! [`StepAssembly::deliver`] in this order. The trainer takes only the reply to its newest read. If the step is
+//! unknown or the term is refused, it creates the step again under a new name with the slots it holds.
 
 #![deny(missing_docs, unsafe_code)]
 
@@ -29,6 +36,7 @@
 mod slots;
 mod spec;
 mod status;
+mod term;
 
 pub use assembly::{AcknowledgeError, StepAssembly};
 pub use copy::{IncompleteCopy, OldTerm, StepCopy};
@@ -39,3 +47,4 @@
 pub use pace::StepOptions;
 pub use spec::{MAX_SAMPLES, SpecError, StepSpec};
 pub use status::StepStatus;
+pub use term::{ParseTermError, Term};
--- a/crates/jm-step/src/message.rs
+++ b/crates/jm-step/src/message.rs
@@ -5,7 +5,7 @@
 use jm_types::{AttemptId, Sequence, SlotIndex, StepId, TargetId, TokenCount, WeightVersion};
 use serde::{Deserialize, Serialize};
 
-use crate::StepSpec;
+use crate::{StepSpec, Term};
 
 /// Consecutive tokens that one weight version produced, as the engine reported them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -141,6 +141,8 @@
 pub struct Snapshot {
     /// The specification.
     pub spec: StepSpec,
+    /// This term and those before it, oldest first.
+    pub lineage: Vec<Term>,
     /// Slots that are held by the trainer or acknowledged.
     pub done: Vec<SlotIndex>,
     /// Last acknowledged sequence number.
@@ -159,7 +161,7 @@
     /// The step.
     pub step: StepId,
     /// The owner's term.
-    pub term: u64,
+    pub term: Term,
     /// The content.
     pub body: CopyBody,
 }
@@ -194,7 +196,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CopyReceipt {
     /// The term of the confirmed message.
-    pub term: u64,
+    pub term: Term,
     /// What is held now.
     pub part: CopyPart,
 }
--- a/crates/jm-step/src/pace.rs
+++ b/crates/jm-step/src/pace.rs
@@ -11,9 +11,11 @@
 /// left.
 const FINISHED_RATES: usize = 64;
 
-/// Rules for drafts that are issued again.
+/// The owner's number and the rules for drafts that are issued again.
 #[derive(Debug, Clone)]
 pub struct StepOptions {
+    /// A number that no other run of a dispatch daemon has, such as a random one; see [`crate::Term`].
+    pub owner: u64,
     /// A draft is judged once a draft at the reference rate would have this many tokens.
     pub observe_tokens: TokenCount,
     /// A draft is slow below this share of the reference rate.
@@ -27,6 +29,7 @@
 impl Default for StepOptions {
     fn default() -> Self {
         Self {
+            owner: 0,
             observe_tokens: TokenCount::new(16),
             slow_share: 0.5,
             extra_share: 0.05,
--- a/crates/jm-step/src/slots.rs
+++ b/crates/jm-step/src/slots.rs
@@ -5,9 +5,7 @@
 use indexmap::IndexMap;
 use jm_types::{AttemptId, Sequence, SlotIndex, TargetId, Timestamp, TokenCount, WeightVersion};
 
-/// Bits of an attempt id that count attempts; the bits above hold the term, so that an answer to a draft of an
-/// earlier owner cannot be taken for an answer to one of the present owner.
-const ATTEMPT_BITS: u32 = 32;
+use crate::Term;
 
 /// What is known about one slot.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -58,12 +56,12 @@
 
 impl Slots {
     /// All slots open.
-    pub(crate) fn new(samples: u32, term: u64) -> Self {
+    pub(crate) fn new(samples: u32, term: Term) -> Self {
         Self {
             slots: vec![Slot::OPEN; samples as usize],
             attempts: IndexMap::new(),
             waiting: (0..u64::from(samples)).map(SlotIndex::new).collect(),
-            next_attempt: term << ATTEMPT_BITS,
+            next_attempt: term.first_attempt(),
         }
     }
 
@@ -118,7 +116,7 @@
     /// Adds an attempt to an open slot.
     pub(crate) fn start(&mut self, index: SlotIndex) -> AttemptId {
         let attempt = AttemptId::new(self.next_attempt);
-        self.next_attempt += 1;
+        self.next_attempt = self.next_attempt.wrapping_add(1);
         if let Slot::Open { attempts, .. } = &mut self.slots[index.get() as usize] {
             attempts.push(attempt);
             let running = Attempt {
--- a/crates/jm-step/src/status.rs
+++ b/crates/jm-step/src/status.rs
@@ -2,7 +2,7 @@
 
 use jm_types::{AttemptId, Sequence, TokenCount, WeightVersion};
 
-use crate::{StepAssembly, slots::Slot};
+use crate::{StepAssembly, Term, slots::Slot};
 
 /// Figures of a step for operators and metrics.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -22,7 +22,7 @@
     /// The version that staleness is counted from.
     pub named_version: WeightVersion,
     /// The owner's term.
-    pub term: u64,
+    pub term: Term,
     /// Whether samples are handed out without a second copy.
     pub degraded: bool,
     /// Slow drafts that were issued again.
@@ -51,7 +51,7 @@
             done: self.slots.iter().filter(|(_, slot)| **slot == Slot::Done).count(),
             acknowledged: self.acknowledged,
             named_version: self.version(),
-            term: self.term,
+            term: self.term(),
             degraded: self.degraded,
             reissued: self.reissued,
             unusable: self.unusable,
--- a/crates/jm-step/tests/delivery.rs
+++ b/crates/jm-step/tests/delivery.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{VERSION, copy_all, delivered, finish, free, start, step};
-use jm_step::{CopyBody, StepAssembly, StepCopy, StepEvent, StepOptions, Unusable};
+use jm_step::{CopyBody, StepAssembly, StepCopy, StepEvent, StepOptions, Term, Unusable};
 use jm_types::{Sequence, SlotIndex, Timestamp, WeightVersion};
 
 const GOOD: &[Option<u64>] = &[Some(VERSION)];
@@ -205,3 +205,36 @@
     }
     assert!(!copy.is_complete());
 }
+
+/// Guards against a takeover, unknown to the trainer, from a copy that another holder's replaced.
+#[test]
+fn replaced_copy() {
+    let mut step = step(1, &[]);
+    let mut replaced = StepCopy::default();
+    copy_all(&mut step, &mut replaced);
+    let first_term = step.term();
+    step.copy_holder_changed();
+    let drafts = start(&mut step, 1, 0);
+    finish(&mut step, &drafts[0], GOOD);
+    copy_all(&mut step, &mut StepCopy::default());
+    assert_eq!(delivered(&step, 0), [(1, 0)]);
+    let options = StepOptions {
+        owner: 1,
+        ..StepOptions::default()
+    };
+    let stale = StepAssembly::restore(replaced, options).unwrap();
+    assert!(stale.descends_from(first_term));
+    assert!(step.descends_from(first_term));
+    assert_eq!(stale.term().number, step.term().number);
+    assert!(!stale.descends_from(step.term()));
+}
+
+/// Guards against a term that changes on its way through the trainer.
+#[test]
+fn term_text() {
+    let term = Term { number: 3, owner: 77 };
+    assert_eq!(term.to_string().parse(), Ok(term));
+    for text in ["", "3", "3-", "-7", "x-7", "3-7-1"] {
+        assert!(text.parse::<Term>().is_err(), "{text}");
+    }
+}
--- a/crates/jm-usage/src/burn.rs
+++ b/crates/jm-usage/src/burn.rs
@@ -181,12 +181,11 @@
         self.buckets[(self.newest % LONG_BUCKETS) as usize].record(outcome);
     }
 
-    /// Sum of the last `count` buckets up to `bucket`.
+    /// Sum of the last `count` buckets up to `bucket`, which is not before the newest one.
     fn sum(&self, bucket: u64, count: u64) -> Tally {
         let mut sum = Tally::default();
-        let oldest_kept = self.newest.saturating_sub(LONG_BUCKETS - 1);
-        let first = bucket.saturating_sub(count - 1).max(oldest_kept);
-        for number in first..=bucket.min(self.newest) {
+        let first = bucket.saturating_sub(count - 1);
+        for number in first..=self.newest {
             sum.add(self.buckets[(number % LONG_BUCKETS) as usize]);
         }
         sum
@@ -277,7 +276,7 @@
     }
 
     fn row(&self, key: &SeriesKey, series: &Series, now: Timestamp) -> BurnRow {
-        let bucket = bucket_of(now);
+        let bucket = bucket_of(now).max(series.newest);
         let default = self.options.default_objective;
         BurnRow {
             organisation: key.0.clone(),
