jm-dispatch: queue, engines, plain services, orders and steps

Cause: the decision crates need a daemon that carries their decisions out. Change: requests wait in the scheduler of the daemon that owns the targets; orders run in tasks of their own, so that a lost connection does not end them; steps start drafts through the router, copy bindings to a second daemon in another zone before they are handed out, and are taken over when their owner is no longer live. Ruled out: running an order in the task of its call, because a cancelled call would leave its outcome unknown.

--- /dev/null
+++ b/crates/jm-dispatch/src/daemon.rs
@@ -0,0 +1,114 @@
+//! The state of the daemon and its tasks.
+
+use std::sync::Arc;
+
+use async_std::task;
+use jm_link::LinkHandler;
+use jm_node::{Node, OwnedLoad};
+use jm_route::SchedulerOptions;
+use jm_types::{DurationMs, OrganisationId};
+
+use crate::{
+    handler::DispatchHandler, order, order::Orders, queue::Queue, step::Steps, targets, targets::Targets,
+    usage::Usage,
+};
+
+/// Organisation under which requests on routes open to everyone share targets and hold tickets. The name cannot be
+/// configured, because section names do not start with a colon.
+const OPEN_ORGANISATION: &str = ":open";
+
+/// Interval at which old steps are forgotten.
+const STEP_EXPIRE_INTERVAL_MS: DurationMs = DurationMs::new(60_000);
+
+/// Behaviour of a dispatch daemon.
+#[derive(Debug, Clone, Default)]
+pub struct DispatchOptions {
+    /// Settings of the queue; its bounds are replaced by those in the daemon's settings.
+    pub scheduler: SchedulerOptions,
+}
+
+/// A dispatch daemon.
+pub struct Dispatch {
+    pub(crate) node: Arc<Node>,
+    pub(crate) queue: Arc<Queue>,
+    pub(crate) targets: Arc<Targets>,
+    pub(crate) orders: Orders,
+    pub(crate) steps: Steps,
+    pub(crate) usage: Arc<Usage>,
+    pub(crate) open_organisation: OrganisationId,
+}
+
+impl Dispatch {
+    /// A daemon that owns nothing yet.
+    pub fn new(node: Arc<Node>, options: DispatchOptions) -> Arc<Self> {
+        let queue_bound = node
+            .settings
+            .dispatch
+            .as_ref()
+            .map(|dispatch| dispatch.queue_bound);
+        let mut scheduler = options.scheduler;
+        if let Some(bound) = queue_bound {
+            scheduler.service_queue_limit = usize::try_from(bound).unwrap_or(usize::MAX);
+        }
+        let orders = Orders::new(node.peers.own_id().clone(), node.incarnation);
+        Arc::new(Self {
+            queue: Queue::new(Arc::clone(&node), scheduler),
+            targets: Arc::default(),
+            orders,
+            steps: Steps::default(),
+            usage: Usage::new(Arc::clone(&node)),
+            open_organisation: OPEN_ORGANISATION.parse().expect("the constant is a valid id"),
+            node,
+        })
+    }
+
+    /// Starts the daemon's tasks; they run until the process ends.
+    pub fn start(self: &Arc<Self>) {
+        let node = &self.node;
+        task::spawn(Arc::clone(&self.targets).keep_current(Arc::clone(node), Arc::clone(&self.queue)));
+        task::spawn(Arc::clone(&self.targets).poll_engines(Arc::clone(node), Arc::clone(&self.queue)));
+        task::spawn(Arc::clone(&self.queue).run());
+        task::spawn(Arc::clone(&self.usage).run());
+        task::spawn(order::expire_tickets(Arc::clone(self)));
+        task::spawn(expire_steps(Arc::clone(self)));
+        task::spawn(report_own_load(Arc::clone(self)));
+    }
+
+    /// The handler of calls from other daemons.
+    pub fn link_handler(self: &Arc<Self>) -> Arc<dyn LinkHandler> {
+        Arc::new(DispatchHandler::new(Arc::clone(self)))
+    }
+
+    /// What other daemons are told of the owned targets.
+    pub fn owned_load(&self) -> OwnedLoad {
+        OwnedLoad {
+            summaries: self.queue.scheduler().summary(),
+            versions: self.targets.version_capacity(targets::default_window(&self.node)),
+        }
+    }
+
+    /// Writes the last usage counts at the end of a planned stop; `false` when the store did not take them.
+    pub async fn flush_usage(&self) -> bool {
+        self.usage.flush().await;
+        self.usage.is_flushed()
+    }
+}
+
+async fn expire_steps(dispatch: Arc<Dispatch>) {
+    loop {
+        task::sleep(STEP_EXPIRE_INTERVAL_MS.as_std()).await;
+        dispatch.steps.expire(dispatch.node.now());
+    }
+}
+
+/// Interval at which the own load is given to the own router; other daemons read it with their exchanges.
+const OWN_LOAD_INTERVAL_MS: DurationMs = DurationMs::new(100);
+
+async fn report_own_load(dispatch: Arc<Dispatch>) {
+    loop {
+        let node = &dispatch.node;
+        node.router
+            .update(node.peers.own_id(), dispatch.owned_load(), node.now());
+        task::sleep(OWN_LOAD_INTERVAL_MS.as_std()).await;
+    }
+}
--- /dev/null
+++ b/crates/jm-dispatch/src/handler.rs
@@ -0,0 +1,139 @@
+//! Calls from other daemons.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use jm_link::{ExecuteRequest, LinkHandler, PeerReply, PeerRequest, ReplySender};
+use jm_node::{OwnedLoad, answer_hello, encode};
+use jm_types::{ResultCode, Revision};
+use serde::Serialize;
+
+use crate::{
+    Dispatch,
+    order::{answer_replies, issue_ticket, run_order},
+    sink::{Failure, LinkSink},
+    step::{StepKey, hold_copy, serve_step},
+};
+
+/// Answers calls with the state of one dispatch daemon.
+pub(crate) struct DispatchHandler {
+    dispatch: Arc<Dispatch>,
+}
+
+impl DispatchHandler {
+    pub(crate) fn new(dispatch: Arc<Dispatch>) -> Self {
+        Self { dispatch }
+    }
+
+    async fn answer(&self, request: PeerRequest, replies: &ReplySender) -> Result<(), Failure> {
+        let dispatch = &self.dispatch;
+        match request {
+            PeerRequest::Hello { member, revision, .. } => {
+                let owned: OwnedLoad = dispatch.owned_load();
+                send_all(replies, answer_hello(&dispatch.node, &member, revision, owned)).await
+            }
+            PeerRequest::Execute(request) => self.execute(*request, replies).await,
+            PeerRequest::IssueTicket {
+                organisation,
+                service,
+            } => send_all(replies, [issue_ticket(dispatch, organisation, service)]).await,
+            PeerRequest::Step {
+                organisation,
+                step,
+                operation,
+            } => serve_step(dispatch, StepKey { organisation, step }, operation, replies).await,
+            PeerRequest::HoldBinding {
+                organisation,
+                step,
+                message,
+            } => {
+                send_all(
+                    replies,
+                    [hold_copy(dispatch, StepKey { organisation, step }, &message)],
+                )
+                .await
+            }
+            PeerRequest::ReadConfig { after } => self.send_changes(after, replies).await,
+            PeerRequest::Status => send_all(replies, [PeerReply::Message(self.status().into())]).await,
+        }
+    }
+
+    async fn execute(&self, request: ExecuteRequest, replies: &ReplySender) -> Result<(), Failure> {
+        if let Some(ticket) = request.ticket.clone() {
+            let answer = run_order(&self.dispatch, request, &ticket).await?;
+            return send_all(replies, answer_replies(&answer)).await;
+        }
+        self.dispatch.run_request(&request, &LinkSink(replies)).await?;
+        send_all(replies, [PeerReply::Done]).await
+    }
+
+    async fn send_changes(&self, after: Revision, replies: &ReplySender) -> Result<(), Failure> {
+        let unknown = || Failure::new(ResultCode::Internal, "older changes are no longer held");
+        let changes = self
+            .dispatch
+            .node
+            .config
+            .changes_after(after)
+            .ok_or_else(unknown)?;
+        let messages = changes
+            .iter()
+            .map(|change| PeerReply::Message(encode(change).into()));
+        send_all(replies, messages.collect::<Vec<_>>()).await
+    }
+
+    fn status(&self) -> Vec<u8> {
+        let scheduler = self.dispatch.queue.scheduler();
+        let targets = scheduler.targets().into_iter().map(|target| TargetLine {
+            id: target.id.to_string(),
+            health: format!("{:?}", target.health).to_lowercase(),
+            window: target.window,
+            in_flight: target.in_flight,
+        });
+        let status = StatusPage {
+            member: self.dispatch.node.peers.own_id().to_string(),
+            targets: targets.collect(),
+            services: scheduler.summary(),
+            steps: self.dispatch.steps.owned().len(),
+        };
+        serde_json::to_vec(&status).expect("the status has only text and numbers")
+    }
+}
+
+#[derive(Serialize)]
+struct StatusPage {
+    member: String,
+    targets: Vec<TargetLine>,
+    services: Vec<jm_route::ServiceSummary>,
+    steps: usize,
+}
+
+#[derive(Serialize)]
+struct TargetLine {
+    id: String,
+    health: String,
+    window: u64,
+    in_flight: u64,
+}
+
+async fn send_all(
+    replies: &ReplySender,
+    messages: impl IntoIterator<Item = PeerReply>,
+) -> Result<(), Failure> {
+    for message in messages {
+        replies.send(message).await.map_err(|_| Failure::caller_gone())?;
+    }
+    Ok(())
+}
+
+#[async_trait]
+impl LinkHandler for DispatchHandler {
+    async fn call(&self, request: PeerRequest, replies: ReplySender) {
+        if let Err(failure) = self.answer(request, &replies).await {
+            self.dispatch.node.metrics.count_refusal(failure.code);
+            // A caller that is gone needs no refusal.
+            let _ = replies
+                .send(PeerReply::refused(failure.code, failure.message))
+                .await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-dispatch/src/step/drafts.rs
@@ -0,0 +1,180 @@
+//! One draft: a training request through the router, with its segments taken from the engine's own answer.
+
+use std::sync::Arc;
+
+use jm_link::{ExecuteRequest, PeerReply, PeerRequest, ReplyStream, RequestHead, TrafficClass};
+use jm_route::Class;
+use jm_step::{Draft, Segment, StepSpec};
+use jm_types::{AttemptId, DurationMs, LogEvent, TargetId, TokenCount, WeightVersion};
+use serde::Deserialize;
+
+use super::owner::OwnedStep;
+use crate::{
+    call::{SharedDispatch, prefix_hashes},
+    engine::Prompt,
+};
+
+/// Time after which a draft is given up; a straggler is issued again long before.
+const DRAFT_TIMEOUT_MS: DurationMs = DurationMs::new(960_000);
+
+/// Pause after a failed draft, so that a step without live engines does not spin.
+const FAILURE_PAUSE_MS: DurationMs = DurationMs::new(100);
+
+#[derive(Deserialize)]
+struct Piece {
+    token: String,
+    version: Option<WeightVersion>,
+}
+
+/// What a draft has received so far.
+#[derive(Default)]
+struct Received {
+    target: Option<TargetId>,
+    started: bool,
+    text: String,
+    tokens: u64,
+    segments: Vec<Segment>,
+}
+
+impl Received {
+    fn add(&mut self, piece: &Piece) {
+        self.text.push_str(&piece.token);
+        self.tokens += 1;
+        match self.segments.last_mut() {
+            Some(last) if last.version == piece.version => last.tokens = last.tokens.next(),
+            _ => self.segments.push(Segment {
+                version: piece.version,
+                tokens: TokenCount::new(1),
+            }),
+        }
+    }
+}
+
+/// Runs one draft and reports its end to the step.
+pub(crate) async fn run_draft(dispatch: SharedDispatch, step: Arc<OwnedStep>, draft: Draft) {
+    let attempt = draft.attempt;
+    let result = generate(&dispatch, &step, &draft).await;
+    let failed = result.is_err();
+    let effects = match result {
+        Ok(received) => {
+            let now = dispatch.node.now();
+            step.assembly()
+                .on_finished(attempt, received.segments, received.text, now)
+        }
+        Err(reason) => {
+            LogEvent::RequestFailed.write(format_args!(
+                "draft {attempt} of step {}: {reason}",
+                step.key.step
+            ));
+            step.assembly().on_failed(attempt)
+        }
+    };
+    if failed {
+        async_std::task::sleep(FAILURE_PAUSE_MS.as_std()).await;
+    }
+    step.forget_draft(attempt);
+    step.carry_out(&dispatch, effects);
+    step.changed();
+}
+
+async fn generate(
+    dispatch: &SharedDispatch,
+    step: &Arc<OwnedStep>,
+    draft: &Draft,
+) -> Result<Received, String> {
+    let request = {
+        let assembly = step.assembly();
+        build_request(dispatch, step, assembly.spec(), draft)
+    };
+    let mut replies = send(dispatch, request).await?;
+    let mut received = Received::default();
+    loop {
+        match replies.next().await.map_err(|error| error.to_string())? {
+            Some(PeerReply::Head { headers, .. }) => {
+                let target = headers.into_iter().find(|line| line.name == "jm-target");
+                received.target = target.and_then(|line| line.value.parse().ok());
+            }
+            Some(PeerReply::Chunk(bytes)) => {
+                take_pieces(dispatch, step, draft.attempt, &mut received, &bytes)?
+            }
+            Some(PeerReply::Done) => return Ok(received),
+            Some(PeerReply::Refused { code, message }) => return Err(format!("{code}: {message}")),
+            Some(_) => return Err("the dispatch daemon sent an unexpected reply".to_owned()),
+            None => return Err("the answer ended without its last reply".to_owned()),
+        }
+    }
+}
+
+fn take_pieces(
+    dispatch: &SharedDispatch,
+    step: &Arc<OwnedStep>,
+    attempt: AttemptId,
+    received: &mut Received,
+    bytes: &[u8],
+) -> Result<(), String> {
+    let piece: Piece = serde_json::from_slice(bytes).map_err(|error| error.to_string())?;
+    received.add(&piece);
+    if !received.started {
+        received.started = true;
+        let target = received
+            .target
+            .clone()
+            .ok_or("the answer does not name its target")?;
+        let effects = step
+            .assembly()
+            .on_started(attempt, target, piece.version, dispatch.node.now());
+        step.carry_out(dispatch, effects);
+    }
+    step.assembly()
+        .on_progress(attempt, TokenCount::new(received.tokens));
+    Ok(())
+}
+
+async fn send(dispatch: &SharedDispatch, request: ExecuteRequest) -> Result<ReplyStream, String> {
+    let prompt = Prompt::read(&request.body).map_err(|failure| failure.to_string())?;
+    let prefix = prefix_hashes(prompt.prompt.as_bytes()).last().copied();
+    let node = &dispatch.node;
+    let member = node.choose_dispatcher(&request.service, Class::Training, prefix, &[]);
+    let member = member.ok_or_else(|| format!("no live target serves {}", request.service))?;
+    let called = node
+        .call_member(&member, PeerRequest::Execute(Box::new(request)))
+        .await;
+    called.map_err(|error| error.to_string())
+}
+
+fn build_request(
+    dispatch: &SharedDispatch,
+    step: &OwnedStep,
+    spec: &StepSpec,
+    draft: &Draft,
+) -> ExecuteRequest {
+    let prompt = Prompt {
+        prompt: spec.prompts[draft.prompt].clone(),
+        max_tokens: spec.max_tokens.get(),
+    };
+    let body = serde_json::to_vec(&prompt).expect("a prompt has only text and numbers");
+    ExecuteRequest {
+        request: format!(
+            "{}-{}-{}",
+            dispatch.node.peers.own_id(),
+            dispatch.node.incarnation,
+            draft.attempt
+        ),
+        organisation: Some(step.key.organisation.clone()),
+        key: None,
+        service: spec.service.clone(),
+        class: TrafficClass::Training,
+        deadline_ms: DRAFT_TIMEOUT_MS,
+        repeatable: true,
+        ticket: None,
+        avoid: draft.avoid.iter().cloned().collect(),
+        resume_tokens: 0,
+        minimum_version: Some(draft.minimum_version),
+        head: RequestHead {
+            method: "POST".to_owned(),
+            path: "/v1/generate".to_owned(),
+            headers: Vec::new(),
+        },
+        body: body.into(),
+    }
+}
--- /dev/null
+++ b/crates/jm-dispatch/src/step/serve.rs
@@ -0,0 +1,262 @@
+//! Answers to trainers and to owners of other steps.
+
+use std::sync::Arc;
+
+use async_std::task;
+use futures::{FutureExt, select};
+use jm_link::{HeaderLine, PeerReply, ReplySender, StepOperation};
+use jm_node::{decode, encode};
+use jm_step::{Sample, StepAssembly, StepCopy, StepOptions, StepSpec, Term};
+use jm_types::{DurationMs, LogEvent, MemberId, ResultCode, Sequence, Timestamp};
+
+use super::{
+    copies::OwnerMessage,
+    owner::OwnedStep,
+    registry::{HeldCopy, StepKey},
+};
+use crate::{call::SharedDispatch, sink::Failure};
+
+/// Samples sent in one piece at most.
+const READ_LIMIT: usize = 64;
+
+/// Longest time that a read waits before it looks at the step again.
+const READ_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
+
+/// Answers one request of a trainer.
+pub(crate) async fn serve_step(
+    dispatch: &SharedDispatch,
+    key: StepKey,
+    operation: StepOperation,
+    replies: &ReplySender,
+) -> Result<(), Failure> {
+    let step = match &operation {
+        StepOperation::Create { spec } => create(dispatch, key, spec)?,
+        _ => find(dispatch, &key)?,
+    };
+    step.touch(dispatch.node.now());
+    match operation {
+        StepOperation::Create { .. } => send(replies, accepted(dispatch)).await,
+        StepOperation::Read { after, term } => read(dispatch, &step, after, term, replies).await,
+        StepOperation::Acknowledge { through } => {
+            let effects = step.assembly().acknowledge(through);
+            let effects = effects.map_err(|error| Failure::new(error.code(), error.to_string()))?;
+            step.carry_out(dispatch, effects);
+            step.changed();
+            send(replies, accepted(dispatch)).await
+        }
+        StepOperation::NameVersion { version, received } => {
+            let effects = step.assembly().named_version(version, received);
+            step.carry_out(dispatch, effects);
+            step.changed();
+            send(replies, accepted(dispatch)).await
+        }
+        StepOperation::Delete => {
+            step.end();
+            dispatch.steps.owned().swap_remove(&step.key);
+            send(replies, accepted(dispatch)).await
+        }
+    }
+}
+
+fn accepted(dispatch: &SharedDispatch) -> PeerReply {
+    PeerReply::Accepted {
+        revision: dispatch.node.config.revision(),
+    }
+}
+
+async fn send(replies: &ReplySender, reply: PeerReply) -> Result<(), Failure> {
+    replies.send(reply).await.map_err(|_| Failure::caller_gone())
+}
+
+/// The options of steps that this run owns; the owner number tells terms of different runs apart.
+fn options(dispatch: &SharedDispatch) -> StepOptions {
+    let owner = format!("{}-{}", dispatch.node.peers.own_id(), dispatch.node.incarnation);
+    StepOptions {
+        owner: jm_route::stable_hash(owner.as_bytes()),
+        ..StepOptions::default()
+    }
+}
+
+fn create(dispatch: &SharedDispatch, key: StepKey, spec: &[u8]) -> Result<Arc<OwnedStep>, Failure> {
+    let spec: StepSpec = serde_json::from_slice(spec).map_err(|error| {
+        Failure::new(
+            ResultCode::MalformedRequest,
+            format!("step specification: {error}"),
+        )
+    })?;
+    if let Ok(step) = find(dispatch, &key) {
+        let same = StepSpec {
+            held: Vec::new(),
+            ..step.assembly().spec().clone()
+        } == StepSpec {
+            held: Vec::new(),
+            ..spec
+        };
+        if same {
+            return Ok(step);
+        }
+        let message = format!("step {} exists with another specification", key.step);
+        return Err(Failure::new(ResultCode::StepConflict, message));
+    }
+    let assembly = StepAssembly::new(spec, options(dispatch));
+    let assembly = assembly.map_err(|error| Failure::new(error.code(), error.to_string()))?;
+    LogEvent::StepCreated.write(format_args!("step {} of {}", key.step, key.organisation));
+    Ok(start(dispatch, key, assembly))
+}
+
+fn start(dispatch: &SharedDispatch, key: StepKey, assembly: StepAssembly) -> Arc<OwnedStep> {
+    let step = OwnedStep::new(key.clone(), assembly, dispatch.node.now());
+    dispatch.steps.owned().insert(key, Arc::clone(&step));
+    task::spawn(Arc::clone(&step).run(Arc::clone(dispatch)));
+    step
+}
+
+/// The step if this daemon owns it, or takes it over when its owner is no longer live.
+fn find(dispatch: &SharedDispatch, key: &StepKey) -> Result<Arc<OwnedStep>, Failure> {
+    let unknown = || {
+        Failure::new(
+            ResultCode::UnknownStep,
+            format!("step {} is not known here", key.step),
+        )
+    };
+    if let Some(step) = dispatch.steps.get(key).filter(|step| !step.is_ended()) {
+        return Ok(step);
+    }
+    let now = dispatch.node.now();
+    let copy = {
+        let mut copies = dispatch.steps.copies();
+        let held = copies.get(key).ok_or_else(unknown)?;
+        let owner_lives = dispatch
+            .node
+            .peers
+            .get(&held.owner, now)
+            .is_some_and(|peer| peer.live && !peer.record.leaving);
+        if owner_lives || !held.copy.is_complete() {
+            return Err(unknown());
+        }
+        copies.swap_remove(key).ok_or_else(unknown)?.copy
+    };
+    let assembly = StepAssembly::restore(copy, options(dispatch)).map_err(|_| unknown())?;
+    LogEvent::StepTakenOver.write(format_args!("step {}: its owner is no longer live", key.step));
+    Ok(start(dispatch, key.clone(), assembly))
+}
+
+async fn read(
+    dispatch: &SharedDispatch,
+    step: &Arc<OwnedStep>,
+    mut after: Sequence,
+    term: Option<String>,
+    replies: &ReplySender,
+) -> Result<(), Failure> {
+    check_term(step, term)?;
+    let changed = step.subscribe();
+    let term = step.assembly().term().to_string();
+    let header = HeaderLine {
+        name: "jm-step-term".to_owned(),
+        value: term,
+    };
+    send(
+        replies,
+        PeerReply::Head {
+            status: 200,
+            headers: vec![header],
+        },
+    )
+    .await?;
+    loop {
+        let (samples, finished) = next_samples(step, after);
+        if let Some(last) = samples.last() {
+            after = last.sequence;
+            send(replies, PeerReply::Chunk(lines(&samples).into())).await?;
+            continue;
+        }
+        if finished {
+            return send(replies, PeerReply::Done).await;
+        }
+        if step.is_ended() {
+            return Err(Failure::new(
+                ResultCode::UnknownStep,
+                "the step was ended or taken over",
+            ));
+        }
+        step.touch(dispatch.node.now());
+        select! {
+            _ = changed.recv().fuse() => {}
+            () = task::sleep(READ_INTERVAL_MS.as_std()).fuse() => {}
+        }
+    }
+}
+
+fn check_term(step: &OwnedStep, term: Option<String>) -> Result<(), Failure> {
+    let Some(term) = term else { return Ok(()) };
+    let parsed = term.parse::<Term>();
+    let parsed = parsed.map_err(|error| Failure::new(ResultCode::MalformedRequest, error.to_string()))?;
+    if step.assembly().descends_from(parsed) {
+        return Ok(());
+    }
+    Err(Failure::new(
+        ResultCode::UnknownStep,
+        "the step's state does not include what was delivered before",
+    ))
+}
+
+fn next_samples(step: &OwnedStep, after: Sequence) -> (Vec<Arc<Sample>>, bool) {
+    let assembly = step.assembly();
+    let samples = assembly.deliver(after, READ_LIMIT);
+    let status = assembly.status();
+    let produced = status.waiting == 0 && status.running == 0;
+    // Samples that are bound but not yet copied are still to come.
+    let last = assembly
+        .bindings()
+        .iter()
+        .map(|bound| bound.sequence)
+        .max()
+        .unwrap_or_default();
+    (samples, produced && last <= after)
+}
+
+fn lines(samples: &[Arc<Sample>]) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    for sample in samples {
+        serde_json::to_writer(&mut bytes, sample.as_ref()).expect("a sample has only text and numbers");
+        bytes.push(b'\n');
+    }
+    bytes
+}
+
+/// Stores a copy message of a step's owner.
+pub(crate) fn hold_copy(dispatch: &SharedDispatch, key: StepKey, message: &[u8]) -> PeerReply {
+    let Ok(OwnerMessage { owner, message }) = decode::<OwnerMessage>(message) else {
+        return PeerReply::refused(ResultCode::MalformedRequest, "cannot decode the copy message");
+    };
+    // A daemon that took the step over refuses its former owner, which then gives the step up.
+    if dispatch
+        .steps
+        .get(&key)
+        .is_some_and(|step| !step.is_ended() && step.assembly().term() >= message.term)
+    {
+        return PeerReply::refused(
+            ResultCode::StepConflict,
+            "the step was taken over by its copy holder",
+        );
+    }
+    let now = dispatch.node.now();
+    let mut copies = dispatch.steps.copies();
+    let held = copies.entry(key).or_insert_with(|| new_copy(&owner, now));
+    held.touched = now;
+    match held.copy.accept(&message) {
+        Ok(receipt) => {
+            held.owner = owner;
+            PeerReply::Message(encode(&receipt).into())
+        }
+        Err(error) => PeerReply::refused(ResultCode::StepConflict, error.to_string()),
+    }
+}
+
+fn new_copy(owner: &MemberId, now: Timestamp) -> HeldCopy {
+    HeldCopy {
+        copy: StepCopy::default(),
+        owner: owner.clone(),
+        touched: now,
+    }
+}
--- /dev/null
+++ b/crates/jm-dispatch/src/usage.rs
@@ -0,0 +1,96 @@
+//! Usage counts of this daemon and their parts in the store.
+
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use async_std::task;
+use jm_config::{Target, TargetKind};
+use jm_node::{Node, encode};
+use jm_platform::{Condition, ObjectError};
+use jm_types::{DurationMs, OrganisationId};
+use jm_usage::{UsageCounter, UsageCounterOptions, UsageCounts, UsageKey, WallTime, WindowSchedule};
+
+/// Length of a usage window.
+pub(crate) const WINDOW_MS: DurationMs = DurationMs::new(60_000);
+
+/// Time after the end of a window in which parts are still taken into it.
+pub(crate) const GRACE_MS: DurationMs = DurationMs::new(15_000);
+
+/// Interval between two flushes; a crash loses the counts of at most this time.
+const FLUSH_INTERVAL_MS: DurationMs = DurationMs::new(5_000);
+
+/// Counts what targets served.
+pub(crate) struct Usage {
+    node: Arc<Node>,
+    counter: Mutex<UsageCounter>,
+}
+
+impl Usage {
+    pub(crate) fn new(node: Arc<Node>) -> Arc<Self> {
+        let schedule = WindowSchedule::new(WINDOW_MS, GRACE_MS);
+        let id = node.peers.own_id().clone();
+        let counter = UsageCounter::new(id, node.incarnation, schedule, UsageCounterOptions::default());
+        Arc::new(Self {
+            node,
+            counter: Mutex::new(counter),
+        })
+    }
+
+    fn counter(&self) -> std::sync::MutexGuard<'_, UsageCounter> {
+        self.counter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Counts one answered request. Requests on routes open to everyone belong to no organisation and are not charged.
+    pub(crate) fn record(&self, organisation: Option<&OrganisationId>, target: &Target, counts: UsageCounts) {
+        let Some(organisation) = organisation else { return };
+        let kind = match target.kind {
+            TargetKind::Regular => jm_usage::TargetKind::Regular,
+            TargetKind::Cheap => jm_usage::TargetKind::Cheap,
+        };
+        let key = UsageKey {
+            organisation: organisation.clone(),
+            service: target.service.clone(),
+            kind,
+        };
+        self.counter().record(key, counts, wall_time());
+    }
+
+    /// Writes the counts to the store every few seconds until the process ends.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            task::sleep(FLUSH_INTERVAL_MS.as_std()).await;
+            self.flush().await;
+        }
+    }
+
+    /// Writes every part that the store has not confirmed.
+    pub(crate) async fn flush(&self) {
+        let parts = self.counter().flush();
+        for part in parts {
+            let value = encode(&part);
+            match self
+                .node
+                .platform
+                .objects
+                .put(&part.object_key(), value, Condition::Absent)
+                .await
+            {
+                Ok(_) | Err(ObjectError::Conflict { .. }) => self.counter().written(part.id.number),
+                // The part keeps its number, so that a second write of it cannot count twice.
+                Err(_) => return,
+            }
+        }
+    }
+
+    /// Whether every count is in the store.
+    pub(crate) fn is_flushed(&self) -> bool {
+        self.counter().is_flushed()
+    }
+}
+
+fn wall_time() -> WallTime {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime::new(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
--- a/crates/jm-link/src/message.rs
+++ b/crates/jm-link/src/message.rs
@@ -143,8 +143,6 @@
         /// The newest revision that the caller holds.
         after: Revision,
     },
-    /// Asks for the load summary of a dispatch daemon.
-    Summary,
     /// Asks for a status page as JSON.
     Status,
 }
