--- a/crates/jm-platform/tests/watch_once.rs
+++ b/crates/jm-platform/tests/watch_once.rs
@@ -4,7 +4,9 @@
 #[allow(dead_code, reason = "each test file uses a part of the helpers")]
 mod common;
 
-use async_std::task;
+use std::time::Duration;
+
+use async_std::{future::timeout, task};
 use common::{remote, remote_with};
 use jm_platform::{Condition, HttpPlatform, MemoryOptions, MemoryPlatform, ObjectStore, Version, WatchError};
 use jm_types::DurationMs;
@@ -68,7 +70,26 @@
     }
 }
 
-/// Guards against a waiting watch that a change does not wake, and against one that counts more than one call.
+/// Guards against a waiting watch that a change does not wake: its wait outlasts the test's patience.
+#[async_std::test]
+async fn change_wakes_watch() {
+    const PATIENCE: Duration = Duration::from_secs(20);
+    let platform = MemoryPlatform::default();
+    let writing = platform.clone();
+    let writer = task::spawn(async move {
+        wait_for_watch(&writing).await;
+        writing.put("elsewhere", vec![], Condition::Any).await.unwrap();
+        wait_for_watch(&writing).await;
+        writing.put("a/1", vec![], Condition::Any).await.unwrap();
+    });
+    let an_hour = DurationMs::new(3_600_000);
+    let watch = platform.watch("a/", Version::default(), an_hour);
+    let found = timeout(PATIENCE, watch).await.unwrap().unwrap();
+    writer.await;
+    assert_eq!((found.changes.len(), found.version), (1, Version::new(2)));
+}
+
+/// Guards against a watch over HTTP that counts more than one call.
 #[async_std::test]
 async fn waiting_watch_wakes() {
     let remote = remote().await;
--- a/crates/jm-standins/src/engine/mod.rs
+++ b/crates/jm-standins/src/engine/mod.rs
@@ -213,9 +213,11 @@
         self.front.relay().address()
     }
 
-    /// Changes the settings.
+    /// Changes the settings. A stream that waits for a token keeps the wait that it got at the old rate.
     pub fn configure(&self, change: impl FnOnce(&mut EngineSettings)) {
-        change(&mut self.state.inner().settings);
+        let mut inner = self.state.inner();
+        change(&mut inner.settings);
+        inner.pace = Pace::default();
     }
 
     /// Adds a fault for one later answer; answers meet these faults in the order in which they were added.
