Model owners of a step that freeze and go on

Cause: the model of takeover only had owners that die; one that was taken for dead can answer reads again. Change: the model freezes owners, lets the holder take over and routes reads back to the frozen owner. Conclusion: nothing in the step assembly had to change.

--- a/crates/jm-step/tests/takeover.rs
+++ b/crates/jm-step/tests/takeover.rs
@@ -47,6 +47,7 @@
     assert!(reached.dropped_too_old > 100, "{reached:?}");
     assert!(reached.late_answers > 100, "{reached:?}");
     assert!(reached.repeated_samples > 100, "{reached:?}");
+    assert!(reached.resumed > 20, "{reached:?}");
     assert!(reached.stale_takeovers > 20, "{reached:?}");
     assert!(reached.refused_reads > 20, "{reached:?}");
     assert!(reached.degraded > 100, "{reached:?}");
--- a/crates/jm-step/tests/world/mod.rs
+++ b/crates/jm-step/tests/world/mod.rs
@@ -1,5 +1,6 @@
 //! The model behind the takeover test.
 
+mod failures;
 mod ops;
 
 use std::{
@@ -13,6 +14,7 @@
 };
 use jm_types::{AttemptId, Sequence, SlotIndex, Timestamp, TokenCount, WeightVersion};
 
+use failures::{Frozen, REFUSING_HOLDER};
 use ops::Flight;
 pub(crate) use ops::{Fate, Op, Reached};
 
@@ -58,7 +60,10 @@
     holder: StepCopy,
     /// Copies that were replaced; a daemon that was taken for dead may still have one.
     stale: Vec<StepCopy>,
+    /// Owners that were taken for dead, with their holders, and can go on at any time.
+    frozen: Vec<Frozen>,
     holder_number: u64,
+    last_holder: u64,
     owner_number: u64,
     trainer: Trainer,
     drafts: Flight<Draft>,
@@ -105,7 +110,9 @@
             owner: new_step(FIRST_VERSION, Vec::new()),
             holder: StepCopy::default(),
             stale: Vec::new(),
+            frozen: Vec::new(),
             holder_number: 0,
+            last_holder: 0,
             owner_number: 0,
             trainer: Trainer {
                 version: FIRST_VERSION,
@@ -145,6 +152,8 @@
             Op::TakeAcknowledge { pick, fate } => self.take_acknowledge(pick, fate),
             Op::NameVersion => self.name_version(),
             Op::OwnerDies { pick } => self.owner_dies(pick),
+            Op::OwnerFreezes => self.owner_freezes(),
+            Op::OwnerResumes { pick } => self.owner_resumes(pick),
             Op::NoHolder => self.no_holder(),
             Op::HolderChanges => self.holder_changes(),
             Op::CopyRound { fate } => self.copy_round(fate),
@@ -215,6 +224,7 @@
             return;
         };
         if holder == self.holder_number
+            && holder != REFUSING_HOLDER
             && let Ok(receipt) = self.holder.accept(&message)
         {
             self.receipts.0.push(receipt);
@@ -360,69 +370,15 @@
         self.trainer.reads += 1;
     }
 
-    /// The copy holder takes over, or once in a while a daemon with a copy that was replaced.
-    fn owner_dies(&mut self, pick: usize) {
-        let mut copy = std::mem::take(&mut self.holder);
-        self.holder_number += 1;
-        if pick.is_multiple_of(3) && !self.stale.is_empty() {
-            let index = pick / 3 % self.stale.len();
-            std::mem::swap(&mut copy, &mut self.stale[index]);
-            self.reached.stale_takeovers += 1;
-        }
-        self.owner_number += 1;
-        match StepAssembly::restore(copy, options(self.owner_number)) {
-            Ok(owner) => {
-                self.owner = owner;
-                self.reached.takeovers += 1;
-            }
-            Err(_) => self.create_again(),
-        }
-        self.resend_copies();
-    }
-
-    /// The trainer creates a lost step under a new name, so that no message of the old one arrives at it.
-    fn create_again(&mut self) {
-        self.reached.lost_steps += 1;
-        let held = self.trainer.held.iter().copied().collect();
-        self.owner = new_step(self.trainer.version, held);
-        self.holder = StepCopy::default();
-        self.stale.clear();
-        self.holder_number += 1;
-        self.trainer.term = None;
-        self.trainer.after = Sequence::default();
-        self.trainer.reads += 1;
-        self.drafts = Flight::new();
-        self.copies = Flight::new();
-        self.receipts = Flight::new();
-        self.reads = Flight::new();
-        self.replies = Flight::new();
-        self.acknowledgements = Flight::new();
-        self.produced.clear();
-        self.delivered.clear();
-    }
-
-    /// Nothing is sent to a holder until there is one again.
-    fn no_holder(&mut self) {
-        self.reached.degraded += 1;
-        self.stale.push(std::mem::take(&mut self.holder));
-        self.holder_number += 1;
-        self.owner.no_copy_holder();
-    }
-
-    fn holder_changes(&mut self) {
-        self.reached.holder_changes += 1;
-        self.stale.push(std::mem::take(&mut self.holder));
-        self.holder_number += 1;
-        self.owner.copy_holder_changed();
-        self.resend_copies();
-    }
-
     /// Runs the step to its end with nothing lost from now on.
     pub(crate) fn drain(&mut self) {
         // Answers to drafts of a dead owner, and drafts whose answer was lost, end as failures.
         for attempt in self.produced.keys().copied().collect::<Vec<_>>() {
             self.owner.on_failed(attempt);
         }
+        if self.holder_number == REFUSING_HOLDER {
+            self.holder_changes();
+        }
         for _ in 0..DRAIN_ROUNDS {
             self.now += 10;
             self.end_lost_drafts();
--- a/crates/jm-step/tests/world/ops.rs
+++ b/crates/jm-step/tests/world/ops.rs
@@ -61,6 +61,10 @@
     OwnerDies {
         pick: usize,
     },
+    OwnerFreezes,
+    OwnerResumes {
+        pick: usize,
+    },
     HolderChanges,
     NoHolder,
     /// Copy messages and receipts arrive; without this, random single messages seldom get a sample through.
@@ -78,7 +82,9 @@
         let pick = usize::arbitrary(g) % 64;
         let fate = Fate::arbitrary(g);
         match u8::arbitrary(g) % 50 {
-            0..=3 => Self::Draft { places: pick % 4 },
+            0..=2 => Self::Draft { places: pick % 4 },
+            3 if pick >= 32 => Self::OwnerResumes { pick },
+            3 => Self::Draft { places: pick % 4 },
             4..=8 => Self::Answer {
                 pick,
                 age: u64::arbitrary(g) % 4,
@@ -94,6 +100,7 @@
             32 | 33 => Self::Acknowledge,
             34 | 35 => Self::TakeAcknowledge { pick, fate },
             36 | 37 => Self::NameVersion,
+            38 if pick < 24 => Self::OwnerFreezes,
             38 => Self::OwnerDies { pick },
             39 if pick < 44 => Self::HolderChanges,
             39 => Self::NoHolder,
@@ -132,6 +139,7 @@
 pub(crate) struct Reached {
     pub(crate) takeovers: u64,
     pub(crate) stale_takeovers: u64,
+    pub(crate) resumed: u64,
     pub(crate) refused_reads: u64,
     pub(crate) degraded: u64,
     pub(crate) lost_steps: u64,
@@ -146,6 +154,7 @@
     pub(crate) fn add(&mut self, other: &Self) {
         self.takeovers += other.takeovers;
         self.stale_takeovers += other.stale_takeovers;
+        self.resumed += other.resumed;
         self.refused_reads += other.refused_reads;
         self.degraded += other.degraded;
         self.lost_steps += other.lost_steps;
