Wrap long comments

Cause: rustfmt leaves comments alone, and some were wider than the 110 columns of rustfmt.toml. Change: the comments of jm-order, jm-step, jm-usage and jm-bench are wrapped; no code changes.

--- a/crates/jm-bench/src/bin/jm-bench-steps.rs
+++ b/crates/jm-bench/src/bin/jm-bench-steps.rs
@@ -1,5 +1,5 @@
-//! Prints how long training steps take with and without re-issue of slow drafts, against the stated bounds, and
-//! the time and memory that the step assembly needs for a slot.
+//! Prints how long training steps take with and without re-issue of slow drafts, against the stated bounds,
+//! and the time and memory that the step assembly needs for a slot.
 
 use std::{error::Error, fs, time::Instant};
 
--- a/crates/jm-order/tests/order_key.rs
+++ b/crates/jm-order/tests/order_key.rs
@@ -92,8 +92,8 @@
     begun.windows(2).all(|pair| pair[0] == pair[1])
 }
 
-/// Guards against two tickets for one key, whatever responses are lost: all requests that begin a ticket begin
-/// the same one.
+/// Guards against two tickets for one key, whatever responses are lost: all requests that begin a ticket
+/// begin the same one.
 #[test]
 fn lost_response() {
     QuickCheck::new()
--- a/crates/jm-order/tests/table_limits.rs
+++ b/crates/jm-order/tests/table_limits.rs
@@ -109,8 +109,8 @@
     }
 }
 
-/// Guards against an expired ticket that runs, before and after its entry is removed, and against the removal of
-/// a ticket whose run is under way.
+/// Guards against an expired ticket that runs, before and after its entry is removed, and against the removal
+/// of a ticket whose run is under way.
 #[test]
 fn expired_ticket() {
     let lifetime = DurationMs::new(50);
--- a/crates/jm-step/src/assembly.rs
+++ b/crates/jm-step/src/assembly.rs
@@ -127,8 +127,8 @@
     }
 
     /// Whether the state includes everything that was handed out up to a term, which the trainer sends with a
-    /// read. It does not when a daemon took over from a copy that was replaced by another holder's before; the
-    /// read is then refused as for an unknown step.
+    /// read. It does not when a daemon took over from a copy that was replaced by another holder's before;
+    /// the read is then refused as for an unknown step.
     pub fn descends_from(&self, term: Term) -> bool {
         self.lineage.contains(&term)
     }
@@ -283,9 +283,9 @@
     }
 
     /// Records that the trainer names a version and holds every sample up to `received`. Samples after that
-    /// one which are now too old are dropped and drafted again: the trainer does not have them, and takes none
-    /// from a read that it sent before it named the version. A version that is not newer changes nothing, so
-    /// late and doubled requests do no harm.
+    /// one which are now too old are dropped and drafted again: the trainer does not have them, and takes
+    /// none from a read that it sent before it named the version. A version that is not newer changes
+    /// nothing, so late and doubled requests do no harm.
     pub fn named_version(&mut self, version: WeightVersion, received: Sequence) -> Effects {
         let mut effects = Effects::default();
         if version <= self.version() {
--- a/crates/jm-step/src/copy.rs
+++ b/crates/jm-step/src/copy.rs
@@ -77,7 +77,8 @@
     fn accept_begin(&mut self, snapshot: &Snapshot) -> CopyPart {
         self.accept_namings(&snapshot.namings);
         self.accept_acknowledged(snapshot.acknowledged);
-        // A repetition lists samples that were bound since; the first list is the one that has to be complete.
+        // A repetition lists samples that were bound since; the first list is the one that has to be
+        // complete.
         if self.begin.is_none() {
             self.begin = Some(snapshot.clone());
         }
--- a/crates/jm-step/src/lib.rs
+++ b/crates/jm-step/src/lib.rs
@@ -1,15 +1,15 @@
 //! Step assembly for trainers; see section 4.5 of `docs/design.md`.
 //!
-//! [`StepAssembly`] is the state of the dispatch daemon that owns a step, [`StepCopy`] that of the daemon that
-//! holds the copy. Neither does I/O: the daemon carries out the returned [`Effects`].
+//! [`StepAssembly`] is the state of the dispatch daemon that owns a step, [`StepCopy`] that of the daemon
+//! that holds the copy. Neither does I/O: the daemon carries out the returned [`Effects`].
 //!
 //! # Messages from the owner to the copy holder
 //!
-//! Each [`CopyMessage`] carries the owner's term and may be lost, doubled or crossed; it is sent again until its
-//! [`CopyReceipt`] returns.
+//! Each [`CopyMessage`] carries the owner's term and may be lost, doubled or crossed; it is sent again until
+//! its [`CopyReceipt`] returns.
 //!
-//! * `Begin`: specification, slots that are done, acknowledgement, named versions and the list of bindings that
-//!   the copy needs before it may take over. Sent first in each term.
+//! * `Begin`: specification, slots that are done, acknowledgement, named versions and the list of bindings
+//!   that the copy needs before it may take over. Sent first in each term.
 //! * `Binding`: one sample with its slot and sequence number, before it is handed out.
 //! * `Named`: every version that the trainer named mid-step, with what it had received by then. Nothing is
 //!   handed out until the newest one is copied.
@@ -22,8 +22,8 @@
 //!
 //! A read carries the last sequence number that the trainer received, its weight version and the term of the
 //! last reply it took. The daemon calls [`StepAssembly::descends_from`], [`StepAssembly::named_version`] and
-//! [`StepAssembly::deliver`] in this order. The trainer takes only the reply to its newest read. If the step is
-//! unknown or the term is refused, it creates the step again under a new name with the slots it holds.
+//! [`StepAssembly::deliver`] in this order. The trainer takes only the reply to its newest read. If the step
+//! is unknown or the term is refused, it creates the step again under a new name with the slots it holds.
 
 #![deny(missing_docs, unsafe_code)]
 
--- a/crates/jm-step/tests/drafting.rs
+++ b/crates/jm-step/tests/drafting.rs
@@ -194,8 +194,8 @@
     assert_eq!(start(&mut step, 5, 1_000), []);
 }
 
-/// Guards against attempt ids of a dead owner, or of another one that took over from the same state, that meet
-/// those of the present one: a late answer would be bound to another slot.
+/// Guards against attempt ids of a dead owner, or of another one that took over from the same state, that
+/// meet those of the present one: a late answer would be bound to another slot.
 #[test]
 fn attempt_ids() {
     let mut old = step(2, &[]);
--- a/crates/jm-usage/src/counter.rs
+++ b/crates/jm-usage/src/counter.rs
@@ -10,8 +10,8 @@
 /// Limits of a [`UsageCounter`].
 #[derive(Debug, Clone)]
 pub struct UsageCounterOptions {
-    /// Most parts that wait for the store. Beyond that, counts stay in the open windows, which take one row for
-    /// each key, so that a long outage of the store needs little memory.
+    /// Most parts that wait for the store. Beyond that, counts stay in the open windows, which take one row
+    /// for each key, so that a long outage of the store needs little memory.
     pub max_pending: usize,
 }
 
--- a/crates/jm-usage/src/lib.rs
+++ b/crates/jm-usage/src/lib.rs
@@ -1,7 +1,7 @@
 //! Usage counters, window sealing and service-level burn; see section 4.6 of `docs/design.md`.
 //!
-//! Each dispatch daemon counts with a [`UsageCounter`] and writes its [`UsagePart`]s to the store. The holder of
-//! the `usage` lease seals windows in their order with [`seal`]; the stored [`SealedWindow`] is what
+//! Each dispatch daemon counts with a [`UsageCounter`] and writes its [`UsagePart`]s to the store. The holder
+//! of the `usage` lease seals windows in their order with [`seal`]; the stored [`SealedWindow`] is what
 //! [`ReportState`] reports, however often. [`BurnMeter`] tells how fast error budgets are used up.
 
 #![deny(missing_docs, unsafe_code)]
--- a/crates/jm-usage/tests/crashes.rs
+++ b/crates/jm-usage/tests/crashes.rs
@@ -315,8 +315,8 @@
     no_gap && reported == world.recorded - world.lost
 }
 
-/// Guards against a window with two figures, and against usage that is lost or counted twice beyond the stated
-/// loss of what was not flushed, with two sealers at the same time.
+/// Guards against a window with two figures, and against usage that is lost or counted twice beyond the
+/// stated loss of what was not flushed, with two sealers at the same time.
 #[test]
 fn any_crash() {
     QuickCheck::new()
--- a/crates/jm-usage/tests/sealing.rs
+++ b/crates/jm-usage/tests/sealing.rs
@@ -185,8 +185,8 @@
     }
 }
 
-/// Guards against counts that are lost or doubled on the way into parts, against parts that change between two
-/// writes, and against parts that pile up.
+/// Guards against counts that are lost or doubled on the way into parts, against parts that change between
+/// two writes, and against parts that pile up.
 #[test]
 fn flushed_parts() {
     QuickCheck::new()
