--- /dev/null
+++ b/crates/jm-lease/src/writer.rs
@@ -0,0 +1,98 @@
+//! A writer that refuses to write without a valid lease.
+
+use std::{
+    fmt, io,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll},
+};
+
+use futures::{AsyncRead, AsyncWrite};
+use jm_types::Clock;
+
+use crate::LeaseGuard;
+
+/// The lease is not valid any more. [`GuardedWriter`] returns it inside an [`io::Error`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseExpired;
+
+impl fmt::Display for LeaseExpired {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the lease is not valid any more; nothing was written")
+    }
+}
+
+impl std::error::Error for LeaseExpired {}
+
+/// Passes writes on while the lease is valid. The check stands directly before the inner write, so that a process
+/// that was stopped between its decision and the write does not write.
+///
+/// The inner writer must not buffer: bytes in a buffer would leave the process after the check. Flushing and closing
+/// are refused as well without a valid lease, in case it does.
+pub struct GuardedWriter<W> {
+    inner: W,
+    guard: LeaseGuard,
+    clock: Arc<dyn Clock>,
+    written_bytes: u64,
+}
+
+impl<W> GuardedWriter<W> {
+    /// Guards `inner` by the validity of `guard` on the boot clock `clock`.
+    pub fn new(inner: W, guard: LeaseGuard, clock: Arc<dyn Clock>) -> Self {
+        Self {
+            inner,
+            guard,
+            clock,
+            written_bytes: 0,
+        }
+    }
+
+    /// Bytes that the inner writer accepted.
+    pub fn written_bytes(&self) -> u64 {
+        self.written_bytes
+    }
+
+    /// The inner writer.
+    pub fn into_inner(self) -> W {
+        self.inner
+    }
+
+    fn check(&self) -> io::Result<()> {
+        if self.guard.valid(self.clock.now()) {
+            Ok(())
+        } else {
+            Err(io::Error::new(io::ErrorKind::PermissionDenied, LeaseExpired))
+        }
+    }
+}
+
+impl<W: AsyncWrite + Unpin> AsyncWrite for GuardedWriter<W> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        self.check()?;
+        let polled = Pin::new(&mut self.inner).poll_write(cx, bytes);
+        if let Poll::Ready(Ok(count)) = &polled {
+            self.written_bytes += *count as u64;
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check()?;
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check()?;
+        Pin::new(&mut self.inner).poll_close(cx)
+    }
+}
+
+impl<W: AsyncRead + Unpin> AsyncRead for GuardedWriter<W> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_read(cx, buffer)
+    }
+}
