--- a/crates/jm-dispatch/src/daemon.rs
+++ b/crates/jm-dispatch/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use jm_link::LinkHandler;
-use jm_node::{Node, OwnedLoad};
+use jm_node::{Node, OpenCount, OwnedLoad};
 use jm_route::SchedulerOptions;
 use jm_types::{DurationMs, OrganisationId};
 
@@ -36,6 +36,7 @@
     pub(crate) steps: Steps,
     pub(crate) usage: Arc<Usage>,
     pub(crate) open_organisation: OrganisationId,
+    pub(crate) open_calls: OpenCount,
 }
 
 impl Dispatch {
@@ -56,6 +57,7 @@
             targets: Arc::default(),
             orders,
             steps: Steps::default(),
+            open_calls: OpenCount::default(),
             usage: Usage::new(Arc::clone(&node)),
             open_organisation: OPEN_ORGANISATION.parse().expect("the constant is a valid id"),
             node,
@@ -87,6 +89,11 @@
         }
     }
 
+    /// Waits until no request of another daemon runs here; steps are given to their copy holders first.
+    pub async fn finish_requests(&self) {
+        self.open_calls.wait_for_none().await;
+    }
+
     /// Writes the last usage counts at the end of a planned stop; `false` when the store did not take them.
     pub async fn flush_usage(&self) -> bool {
         self.usage.flush().await;
--- a/crates/jm-dispatch/src/handler.rs
+++ b/crates/jm-dispatch/src/handler.rs
@@ -59,6 +59,7 @@
     }
 
     async fn execute(&self, request: ExecuteRequest, replies: &ReplySender) -> Result<(), Failure> {
+        let _open = self.dispatch.open_calls.enter();
         if let Some(ticket) = request.ticket.clone() {
             let answer = run_order(&self.dispatch, request, &ticket).await?;
             return send_all(replies, answer_replies(&answer)).await;
--- a/crates/jm-dispatch/src/step/copies.rs
+++ b/crates/jm-dispatch/src/step/copies.rs
@@ -56,7 +56,8 @@
     }
     let other_zone = others.iter().find(|peer| peer.record.zone != own.zone);
     let next = other_zone.or(others.first()).map(|peer| peer.record.id.clone());
-    if next.is_none() && !step.assembly().status().degraded {
+    // A daemon that is cut off sees no other one either; only a fresh view tells that there is none.
+    if next.is_none() && !step.assembly().status().degraded && node.is_fresh() {
         LogEvent::BindingDegraded.write(format_args!(
             "step {}: no other dispatch daemon is live",
             step.key.step
--- a/crates/jm-dispatch/src/step/serve.rs
+++ b/crates/jm-dispatch/src/step/serve.rs
@@ -1,6 +1,6 @@
 //! Answers to trainers and to owners of other steps.
 
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use async_std::task;
 use futures::{FutureExt, select};
@@ -119,6 +119,9 @@
             format!("step {} is not known here", key.step),
         )
     };
+    if dispatch.node.stop.is_leaving() && has_copy_holder(dispatch, key) {
+        return Err(unknown());
+    }
     if let Some(step) = dispatch.steps.get(key).filter(|step| !step.is_ended()) {
         return Ok(step);
     }
@@ -141,6 +144,17 @@
     Ok(start(dispatch, key.clone(), assembly))
 }
 
+/// Whether another daemon can go on with an owned step.
+fn has_copy_holder(dispatch: &SharedDispatch, key: &StepKey) -> bool {
+    let step = dispatch.steps.get(key);
+    step.is_none_or(|step| {
+        step.copy_holder
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .is_some()
+    })
+}
+
 async fn read(
     dispatch: &SharedDispatch,
     step: &Arc<OwnedStep>,
@@ -170,7 +184,8 @@
             send(replies, PeerReply::Chunk(lines(&samples).into())).await?;
             continue;
         }
-        if finished {
+        // A read ends early when the daemon is about to stop; the trainer reads on at the next owner.
+        if finished || dispatch.node.stop.is_leaving() {
             return send(replies, PeerReply::Done).await;
         }
         if step.is_ended() {
--- a/crates/jm-node/src/lib.rs
+++ b/crates/jm-node/src/lib.rs
@@ -25,4 +25,4 @@
 pub use peers::{FRESHNESS_MS, MemberRecord, Peer, Peers};
 pub use propose::{Proposal, ProposeError};
 pub use router::{RouteError, Router};
-pub use stop::{Stop, StopTrigger, stop_on_signals};
+pub use stop::{OpenCount, OpenRequest, Stop, StopTrigger, stop_on_signals};
--- a/crates/jm-node/src/stop.rs
+++ b/crates/jm-node/src/stop.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{
     Arc,
-    atomic::{AtomicBool, Ordering},
+    atomic::{AtomicBool, AtomicUsize, Ordering},
 };
 
 use async_std::{
@@ -13,6 +13,7 @@
     FutureExt, StreamExt,
     future::{BoxFuture, Shared},
 };
+use jm_types::DurationMs;
 use signal_hook::consts::signal::{SIGINT, SIGTERM};
 use signal_hook_async_std::Signals;
 
@@ -98,3 +99,40 @@
     task::spawn(async move { handle.close() }).await;
     Ok(())
 }
+
+/// Counts requests that are open, so that a planned stop can wait for them.
+#[derive(Debug, Clone, Default)]
+pub struct OpenCount(Arc<AtomicUsize>);
+
+/// One open request; dropping it ends the request.
+#[derive(Debug)]
+pub struct OpenRequest(Arc<AtomicUsize>);
+
+/// Interval at which a planned stop looks at the number of open requests.
+const OPEN_POLL_MS: DurationMs = DurationMs::new(20);
+
+impl OpenCount {
+    /// Counts a request until the returned guard is dropped.
+    pub fn enter(&self) -> OpenRequest {
+        self.0.fetch_add(1, Ordering::SeqCst);
+        OpenRequest(Arc::clone(&self.0))
+    }
+
+    /// The number of open requests.
+    pub fn get(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+
+    /// Waits until no request is open.
+    pub async fn wait_for_none(&self) {
+        while self.get() > 0 {
+            task::sleep(OPEN_POLL_MS.as_std()).await;
+        }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/src/daemon/process.rs
@@ -0,0 +1,205 @@
+//! The daemons of one process.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use async_std::{
+    net::TcpListener,
+    task::{self, JoinHandle},
+};
+use jm_config::{Role, Settings};
+use jm_dispatch::{Dispatch, DispatchOptions};
+use jm_entry::Entry;
+use jm_http::{Handler, Limits, Server, Url};
+use jm_link::{FleetSecret, LinkHandler, LinkOptions, LinkServer};
+use jm_node::{AdminHandler, ConfigKeeper, Node, NodeOptions, Platform, Stop, StopTrigger, exchange_hellos};
+use jm_platform::HttpPlatform;
+use jm_types::{DurationMs, LogEvent, SystemClock};
+use snafu::{OptionExt, ResultExt};
+
+use super::error::{ListenSnafu, MissingRoleSnafu, MissingSectionSnafu, PlatformAddressSnafu, StartError};
+
+/// Time in which the other daemons learn that this one is leaving, besides the time that callers keep addresses.
+const LEAVE_NOTICE_MS: DurationMs = DurationMs::new(2_000);
+
+/// Interval at which the start looks whether the process is ready.
+const READY_POLL_MS: DurationMs = DurationMs::new(20);
+
+/// What a process is started with.
+pub struct ProcessOptions {
+    /// Checked settings.
+    pub settings: Settings,
+    /// The roles to start; each must be listed in the settings.
+    pub roles: Vec<Role>,
+    /// The platform.
+    pub platform: Platform,
+}
+
+/// The daemons of one process, running.
+pub struct Process {
+    node: Arc<Node>,
+    trigger: StopTrigger,
+    entry: Option<Arc<Entry>>,
+    dispatch: Option<Arc<Dispatch>>,
+    servers: Vec<JoinHandle<()>>,
+}
+
+impl Process {
+    /// Binds every listener, then starts the daemons.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a role is not in the settings or an address cannot be bound; nothing runs then.
+    pub async fn start(options: ProcessOptions) -> Result<Self, StartError> {
+        let mut settings = options.settings;
+        for role in &options.roles {
+            snafu::ensure!(settings.daemon.roles.contains(role), MissingRoleSnafu { role: *role });
+        }
+        settings.daemon.roles = options.roles;
+        let listeners = Listeners::bind(&settings).await?;
+        let (trigger, stop) = Stop::new();
+        let clock = Arc::new(SystemClock);
+        let node = Node::new(NodeOptions { settings, platform: options.platform, clock, stop });
+        LogEvent::DaemonStarting.write(format_args!("daemon {}", node.peers.own_id()));
+        let mut process = Self { node, trigger, entry: None, dispatch: None, servers: Vec::new() };
+        process.start_daemons(listeners);
+        process.start_shared_tasks();
+        Ok(process)
+    }
+
+    /// The shared state of the process.
+    pub fn node(&self) -> &Arc<Node> {
+        &self.node
+    }
+
+    /// Waits until the configuration is known to be current.
+    pub async fn ready(&self) {
+        while !self.node.is_fresh() {
+            task::sleep(READY_POLL_MS.as_std()).await;
+        }
+        LogEvent::DaemonReady.write(format_args!("daemon {}", self.node.peers.own_id()));
+    }
+
+    /// Stops without cutting off a request: callers are no longer sent here, then open requests are finished.
+    pub async fn stop(self) {
+        LogEvent::DaemonStopping.write(format_args!("daemon {}", self.node.peers.own_id()));
+        self.trigger.leave();
+        self.node.announce_leaving().await;
+        let keep_s = self.node.settings.entry.as_ref().map_or(0, |entry| entry.keep_s);
+        let keep_ms = DurationMs::new(keep_s * 1_000).saturating_add(LEAVE_NOTICE_MS);
+        task::sleep(keep_ms.as_std()).await;
+        self.trigger.stop();
+        for server in self.servers {
+            server.await;
+        }
+        if let Some(dispatch) = &self.dispatch {
+            dispatch.finish_requests().await;
+            if !dispatch.flush_usage().await {
+                LogEvent::WindowDelayed.write("the store did not take the last usage counts; they are lost");
+            }
+        }
+        self.node.deregister().await;
+        LogEvent::DaemonStopped.write(format_args!("daemon {}", self.node.peers.own_id()));
+    }
+
+    fn start_daemons(&mut self, listeners: Listeners) {
+        let common: Arc<dyn Handler> = Arc::new(AdminHandler::new(Arc::clone(&self.node)));
+        if let Some((callers, admin)) = listeners.entry {
+            let entry = Entry::new(Arc::clone(&self.node));
+            self.serve_http(callers, entry.caller_handler());
+            self.serve_http(admin, entry.admin_handler());
+            self.entry = Some(entry);
+        }
+        if let Some((link, admin)) = listeners.dispatch {
+            let dispatch = Dispatch::new(Arc::clone(&self.node), DispatchOptions::default());
+            dispatch.start();
+            self.serve_link(link, dispatch.link_handler());
+            self.serve_http(admin, common);
+            self.dispatch = Some(dispatch);
+        }
+        let _ = listeners.control;
+    }
+
+    fn start_shared_tasks(&self) {
+        task::spawn(ConfigKeeper::follow(Arc::clone(&self.node)));
+        task::spawn(Arc::clone(&self.node).keep_registered());
+        task::spawn(exchange_hellos(Arc::clone(&self.node)));
+    }
+
+    fn serve_http(&mut self, listener: TcpListener, handler: Arc<dyn Handler>) {
+        let server = Server::new(self.node.settings.limits.clone(), handler);
+        let stopped = self.node.stop.stopped();
+        self.servers.push(task::spawn(async move {
+            if let Err(error) = server.serve(listener, stopped).await {
+                LogEvent::ConnectionFailed.write(format_args!("HTTP listener: {error}"));
+            }
+        }));
+    }
+
+    /// Link connections are not waited for here; their requests are counted by the dispatch daemon.
+    fn serve_link(&self, listener: TcpListener, handler: Arc<dyn LinkHandler>) {
+        let secret = FleetSecret::new(self.node.settings.link.secret.expose().to_vec());
+        let server = Arc::new(LinkServer::new(secret, LinkOptions::default(), handler));
+        task::spawn(server.serve(listener, self.node.stop.stopped()));
+    }
+}
+
+type Pair = Option<(TcpListener, TcpListener)>;
+
+/// Bound before anything starts, so that an address in use leaves nothing half started.
+struct Listeners {
+    entry: Pair,
+    dispatch: Pair,
+    control: Pair,
+}
+
+impl Listeners {
+    async fn bind(settings: &Settings) -> Result<Self, StartError> {
+        let mut listeners = Self { entry: None, dispatch: None, control: None };
+        for role in &settings.daemon.roles {
+            let missing = MissingSectionSnafu { role: *role };
+            match role {
+                Role::Entry => {
+                    let entry = settings.entry.as_ref().context(missing)?;
+                    listeners.entry = Some(bind_pair(entry.listen, entry.admin_listen).await?);
+                }
+                Role::Dispatch => {
+                    let dispatch = settings.dispatch.as_ref().context(missing)?;
+                    listeners.dispatch = Some(bind_pair(dispatch.link_listen, dispatch.admin_listen).await?);
+                }
+                Role::Control => {
+                    let control = settings.control.as_ref().context(missing)?;
+                    listeners.control = Some(bind_pair(control.link_listen, control.admin_listen).await?);
+                }
+            }
+        }
+        Ok(listeners)
+    }
+}
+
+async fn bind_pair(first: SocketAddr, second: SocketAddr) -> Result<(TcpListener, TcpListener), StartError> {
+    let first = TcpListener::bind(first).await.context(ListenSnafu { address: first })?;
+    let second = TcpListener::bind(second).await.context(ListenSnafu { address: second })?;
+    Ok((first, second))
+}
+
+/// The platform at the addresses in the settings.
+///
+/// # Errors
+///
+/// Fails when a URL names a host instead of an IP address, because the daemons resolve no names.
+pub fn http_platform(settings: &Settings) -> Result<Platform, StartError> {
+    let client = |url: &Url| platform_client(url, &settings.limits);
+    Ok(Platform {
+        objects: client(&settings.platform.object_url)?,
+        hosts: client(&settings.platform.host_list_url)?,
+        targets: client(&settings.platform.targets_url)?,
+        usage: client(&settings.platform.usage_url)?,
+        weights: client(&settings.platform.weights_url)?,
+    })
+}
+
+fn platform_client(url: &Url, limits: &Limits) -> Result<Arc<HttpPlatform>, StartError> {
+    let address = url.socket_addrs(|| None).ok().and_then(|addresses| addresses.first().copied());
+    let address = address.context(PlatformAddressSnafu { url: url.to_string() })?;
+    Ok(Arc::new(HttpPlatform::new(address, limits.clone())))
+}
--- /dev/null
+++ b/src/demo/fleet.rs
@@ -0,0 +1,204 @@
+//! Settings and an operators' document for a small fleet on loopback.
+
+use std::{
+    fmt::Write,
+    io,
+    net::{SocketAddr, TcpListener, UdpSocket},
+};
+
+use jm_config::KeySecret;
+
+/// The admin token of the fleet. It protects nothing: every address is on loopback.
+pub const ADMIN_TOKEN: &str = "demonstration-admin-token";
+
+/// The model that the engines load.
+pub const SAMPLE_MODEL: &str = "rack-small";
+
+/// Availability zones of the hosts, in turn.
+const ZONES: [&str; 3] = ["riga-a", "riga-b", "riga-c"];
+
+/// Time for which callers keep an address answer, in seconds.
+const KEEP_S: u64 = 1;
+
+/// Ports of one host's process.
+#[derive(Debug, Clone, Copy)]
+pub struct HostPorts {
+    /// Callers.
+    pub entry: u16,
+    /// Operators.
+    pub entry_admin: u16,
+    /// Links to the dispatch daemon.
+    pub dispatch: u16,
+    /// Metrics of the dispatch daemon.
+    pub dispatch_admin: u16,
+    /// Links to the control daemon.
+    pub control: u16,
+    /// Metrics of the control daemon.
+    pub control_admin: u16,
+    /// Failure detection.
+    pub member: u16,
+}
+
+/// Ports that are free now for a number of hosts.
+///
+/// # Errors
+///
+/// Fails when the system has no free port.
+pub fn free_ports(hosts: usize) -> io::Result<Vec<HostPorts>> {
+    // All sockets stay bound until every port is chosen, so that no port is chosen twice.
+    let mut held = Vec::new();
+    let mut ports = Vec::new();
+    for _ in 0..hosts {
+        let mut next = || -> io::Result<u16> {
+            let listener = TcpListener::bind("127.0.0.1:0")?;
+            let port = listener.local_addr()?.port();
+            held.push(listener);
+            Ok(port)
+        };
+        ports.push(HostPorts {
+            entry: next()?,
+            entry_admin: next()?,
+            dispatch: next()?,
+            dispatch_admin: next()?,
+            control: next()?,
+            control_admin: next()?,
+            member: UdpSocket::bind("127.0.0.1:0")?.local_addr()?.port(),
+        });
+    }
+    Ok(ports)
+}
+
+/// Settings of the process of one host with all roles. `platform` is the address of the platform.
+pub fn settings_text(index: usize, ports: HostPorts, platform: SocketAddr) -> String {
+    let zone = ZONES[index % ZONES.len()];
+    let token = KeySecret::from_text(ADMIN_TOKEN).hash();
+    let HostPorts { entry, entry_admin, dispatch, dispatch_admin, control, control_admin, member } = ports;
+    format!(
+        "[daemon]\nid = host-{index}\nzone = {zone}\nregion = baltic-north\nroles = entry, dispatch, control\n\
+         [entry]\nlisten = 127.0.0.1:{entry}\nadmin_listen = 127.0.0.1:{entry_admin}\n\
+         advertised = 127.0.0.1:{entry}\nkeep_s = {KEEP_S}\n\
+         [dispatch]\nlink_listen = 127.0.0.1:{dispatch}\nadvertised = 127.0.0.1:{dispatch}\n\
+         admin_listen = 127.0.0.1:{dispatch_admin}\n\
+         [control]\nlink_listen = 127.0.0.1:{control}\nadvertised = 127.0.0.1:{control}\n\
+         admin_listen = 127.0.0.1:{control_admin}\n\
+         [member]\nlisten = 127.0.0.1:{member}\nadvertised = 127.0.0.1:{member}\n\
+         [platform]\nobject_url = http://{platform}/objects/\nhost_list_url = http://{platform}/hosts\n\
+         targets_url = http://{platform}/targets\nusage_url = http://{platform}/usage\n\
+         weights_url = http://{platform}/weights\n\
+         [log]\nlevel = warn\n\
+         [link]\nsecret = demonstration-fleet-secret-0123456789\n\
+         [admin]\ntoken_sha256 = {token}\n"
+    )
+}
+
+/// What the document of the fleet names.
+#[derive(Debug, Clone, Default)]
+pub struct DocumentParts {
+    /// Engines of the service `drafts`.
+    pub engines: Vec<SocketAddr>,
+    /// Instances of the plain service `order-desk`.
+    pub desks: Vec<SocketAddr>,
+    /// Instances of the plain service `catalogue`, which is open to everyone.
+    pub catalogues: Vec<SocketAddr>,
+    /// Keys by name, organisation and secret.
+    pub keys: Vec<(String, String, String)>,
+}
+
+/// The operators' document of the fleet.
+pub fn document(parts: &DocumentParts) -> String {
+    let mut text = String::from(FIXED_SECTIONS);
+    for (name, organisation, secret) in &parts.keys {
+        let hash = KeySecret::from_text(secret.clone()).hash();
+        write_section(&mut text, &format!("[key {name}]\norganisation = {organisation}\nsha256 = {hash}"));
+    }
+    for zone in ZONES {
+        write_section(&mut text, &format!("[zone {zone}]\nregion = baltic-north"));
+    }
+    let targets = [("drafts", &parts.engines), ("order-desk", &parts.desks), ("catalogue", &parts.catalogues)];
+    for (service, addresses) in targets {
+        for (index, address) in addresses.iter().enumerate() {
+            let zone = ZONES[index % ZONES.len()];
+            let section = format!(
+                "[target {service}-{index}]\nservice = {service}\nzone = {zone}\naddress = {address}\n\
+                 kind = regular\nchecks_orders = yes"
+            );
+            write_section(&mut text, &section);
+        }
+    }
+    text
+}
+
+fn write_section(text: &mut String, section: &str) {
+    writeln!(text, "\n{section}").expect("writing to a string does not fail");
+}
+
+const FIXED_SECTIONS: &str = "\
+[organisation kurpju]
+name = Kurpju Plaukts SIA, day teams
+
+[organisation parish]
+name = Parish clerks
+
+[service drafts]
+kind = engine
+model = rack-small
+access = keyed
+timeout = 2m
+objective_percent = 99.9
+objective_latency = 10s
+
+[service order-desk]
+kind = plain
+access = keyed
+timeout = 10s
+objective_percent = 99.9
+objective_latency = 1s
+
+[service catalogue]
+kind = plain
+access = open
+timeout = 5s
+
+[route completions]
+service = drafts
+method = POST
+path = /
+organisations = all
+
+[route place-order]
+service = order-desk
+method = POST
+path = /orders
+repeatable = no
+organisations = parish
+
+[route read-order]
+service = order-desk
+method = GET
+path = /orders
+organisations = parish, kurpju
+
+[route catalogue]
+service = catalogue
+method = GET
+path = /
+organisations = all
+
+[sharing kurpju-drafts]
+service = drafts
+organisation = kurpju
+weight = 1
+max_queued = 4096
+
+[sharing parish-drafts]
+service = drafts
+organisation = parish
+weight = 2
+max_queued = 256
+
+[training kurpju]
+organisation = kurpju
+service = drafts
+max_staleness = 2
+max_group_size = 16
+";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,3 +3,6 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod cli;
+pub mod daemon;
+pub mod demo;
+pub mod standin;
