jm-entry: serve callers, trainers and operators

Change: one module for each endpoint of section 3.1. Bodies run their writer inside the body, so that a caller who disconnects cancels the call to the dispatch daemon. Open keyed requests are watched by one task that cuts them on withdrawal and when freshness is lost.

Ruled out: one spawned task for each stream, which goes on after its caller has gone until the next piece.

--- /dev/null
+++ b/crates/jm-entry/src/call.rs
@@ -0,0 +1,166 @@
+//! One call to a dispatch daemon that runs a request.
+
+use std::sync::Arc;
+
+use jm_link::{HeaderLine, LinkError, PeerReply, ReplyStream};
+use jm_node::{Node, RouteError};
+use jm_types::{DurationMs, ResultCode, TargetId, Timestamp};
+
+use crate::{open_streams::StreamWatch, refusal::Refusal};
+
+/// Header by which a dispatch daemon names the target.
+pub(crate) const TARGET_HEADER: &str = "jm-target";
+
+/// Time that a reply may take beyond the deadline, so that the answer of the dispatch daemon about the deadline arrives.
+const DEADLINE_GRACE_MS: DurationMs = DurationMs::new(500);
+
+/// Why a call gave no whole answer.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// The dispatch daemon refused or reported a failure; its code says whether the request ran.
+    Refused(Refusal),
+    /// The link failed.
+    Link {
+        /// Whether the request may have reached the dispatch daemon.
+        written: bool,
+        /// The cause.
+        reason: String,
+    },
+    /// The deadline passed after the request was written.
+    Late,
+    /// The key is not valid any more.
+    Cut(Refusal),
+}
+
+impl Failure {
+    pub(crate) fn refused(code: ResultCode, message: impl Into<String>) -> Self {
+        Self::Refused(Refusal::new(code, message))
+    }
+
+    /// Whether another target or dispatch daemon may do better.
+    pub(crate) fn is_repeatable(&self) -> bool {
+        match self {
+            Self::Link { .. } => true,
+            Self::Late | Self::Cut(_) => false,
+            Self::Refused(refusal) => matches!(
+                refusal.code,
+                ResultCode::NoTarget
+                    | ResultCode::Stopping
+                    | ResultCode::DispatchUnreachable
+                    | ResultCode::OutcomeUnknown
+                    | ResultCode::TargetFailed
+                    | ResultCode::AnswerCut
+                    | ResultCode::MalformedAnswer
+            ),
+        }
+    }
+
+    /// Whether the dispatch daemon, not a target, is the one to avoid.
+    pub(crate) fn is_of_daemon(&self) -> bool {
+        match self {
+            Self::Link { .. } => true,
+            Self::Refused(refusal) => {
+                matches!(refusal.code, ResultCode::NoTarget | ResultCode::Stopping)
+            }
+            Self::Late | Self::Cut(_) => false,
+        }
+    }
+
+    /// The refusal for the caller.
+    pub(crate) fn into_refusal(self) -> Refusal {
+        match self {
+            Self::Refused(refusal) | Self::Cut(refusal) => refusal,
+            Self::Link {
+                written: true,
+                reason,
+            } => Refusal::new(ResultCode::OutcomeUnknown, reason),
+            Self::Link {
+                written: false,
+                reason,
+            } => Refusal::new(ResultCode::DispatchUnreachable, reason),
+            Self::Late => Refusal::new(
+                ResultCode::AnswerTimeout,
+                "no answer within the service's timeout",
+            ),
+        }
+    }
+}
+
+impl From<RouteError> for Failure {
+    fn from(error: RouteError) -> Self {
+        match error {
+            RouteError::Link { source, .. } => source.into(),
+            RouteError::NoDispatcher { .. } => Self::Refused(error.into()),
+        }
+    }
+}
+
+impl From<LinkError> for Failure {
+    fn from(error: LinkError) -> Self {
+        match error {
+            LinkError::Timeout { .. } => Self::Late,
+            LinkError::Connect { .. } | LinkError::Closed { .. } => Self::Link {
+                written: error.request_written(),
+                reason: error.to_string(),
+            },
+        }
+    }
+}
+
+/// A part of a target's answer.
+#[derive(Debug)]
+pub(crate) enum Part {
+    /// Status and headers.
+    Head(AnswerHead),
+    /// A piece of the body.
+    Chunk(Vec<u8>),
+    /// The body is whole.
+    Done,
+}
+
+/// Status and headers of a target's answer.
+#[derive(Debug, Clone)]
+pub(crate) struct AnswerHead {
+    pub(crate) status: u16,
+    pub(crate) headers: Vec<HeaderLine>,
+}
+
+impl AnswerHead {
+    /// The target that answered.
+    pub(crate) fn target(&self) -> Option<TargetId> {
+        let line = self.headers.iter().find(|line| line.name == TARGET_HEADER)?;
+        line.value.parse().ok()
+    }
+}
+
+/// One call. Dropping it cancels the request.
+pub(crate) struct Call {
+    pub(crate) node: Arc<Node>,
+    pub(crate) replies: ReplyStream,
+    pub(crate) watch: Arc<StreamWatch>,
+    pub(crate) deadline: Timestamp,
+}
+
+impl Call {
+    /// The next part of the answer.
+    pub(crate) async fn next(&mut self) -> Result<Part, Failure> {
+        loop {
+            let left = self.deadline.since(self.node.now());
+            let limit = left.saturating_add(DEADLINE_GRACE_MS);
+            let reply = self.watch.unless_cut(self.replies.next_within(limit)).await;
+            match reply.map_err(Failure::Cut)?? {
+                Some(PeerReply::Head { status, headers }) => {
+                    return Ok(Part::Head(AnswerHead { status, headers }));
+                }
+                Some(PeerReply::Chunk(bytes)) => return Ok(Part::Chunk(bytes.into_vec())),
+                Some(PeerReply::Done) => return Ok(Part::Done),
+                Some(PeerReply::Refused { code, message }) => return Err(Failure::refused(code, message)),
+                Some(PeerReply::Accepted { .. } | PeerReply::Message(_) | PeerReply::Ticket(_)) => {}
+                None => {
+                    let message = "the dispatch daemon ended the call without an end of the answer";
+                    return Err(Failure::refused(ResultCode::OutcomeUnknown, message));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-entry/src/entry.rs
@@ -0,0 +1,84 @@
+//! State of the entry daemon.
+
+use std::sync::{
+    Arc, Mutex, Weak,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use async_std::{channel::Receiver, future::timeout, task};
+use jm_http::Handler;
+use jm_node::Node;
+use jm_types::DurationMs;
+use jm_usage::{BurnMeter, BurnMeterOptions};
+
+use crate::{admin::EntryAdminHandler, caller::CallerHandler, open_streams::OpenStreams};
+
+/// Longest time between two checks of the keys of open streams. Freshness is lost without an event, so it has to be
+/// looked at; 3.1 s after the last answer of the store, streams are cut.
+const CHECK_INTERVAL_MS: DurationMs = DurationMs::new(100);
+
+/// The entry daemon of a process.
+pub struct Entry {
+    pub(crate) node: Arc<Node>,
+    pub(crate) streams: Arc<OpenStreams>,
+    pub(crate) burn: Mutex<BurnMeter>,
+    open: Arc<AtomicUsize>,
+}
+
+/// Counts one request as open until it is dropped.
+pub(crate) struct OpenRequest {
+    open: Arc<AtomicUsize>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Entry {
+    /// Starts to watch over the keys of open streams, until the value is dropped.
+    pub fn new(node: Arc<Node>) -> Arc<Self> {
+        let changes = node.config.subscribe();
+        let entry = Arc::new(Self {
+            node,
+            streams: Arc::default(),
+            burn: Mutex::new(BurnMeter::new(BurnMeterOptions::default())),
+            open: Arc::default(),
+        });
+        task::spawn(check_streams(Arc::downgrade(&entry), changes));
+        entry
+    }
+
+    /// Serves callers and trainers.
+    pub fn caller_handler(self: &Arc<Self>) -> Arc<dyn Handler> {
+        Arc::new(CallerHandler::new(Arc::clone(self)))
+    }
+
+    /// Serves operators and metrics.
+    pub fn admin_handler(self: &Arc<Self>) -> Arc<dyn Handler> {
+        Arc::new(EntryAdminHandler::new(Arc::clone(self)))
+    }
+
+    /// Requests of callers whose answers are not written yet. A planned stop waits until there are none.
+    pub fn open_requests(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn open_request(&self) -> OpenRequest {
+        self.open.fetch_add(1, Ordering::SeqCst);
+        OpenRequest {
+            open: Arc::clone(&self.open),
+        }
+    }
+}
+
+async fn check_streams(entry: Weak<Entry>, changes: Receiver<()>) {
+    loop {
+        // Both a change and the passed time are reasons to check.
+        let _ = timeout(CHECK_INTERVAL_MS.as_std(), changes.recv()).await;
+        let Some(entry) = entry.upgrade() else { return };
+        let config = entry.node.config.active();
+        entry.streams.check(&config, entry.node.is_fresh());
+    }
+}
--- /dev/null
+++ b/crates/jm-entry/src/input.rs
@@ -0,0 +1,36 @@
+//! Reading of request bodies.
+
+use jm_http::{Request, Response, StatusCode, read_whole};
+use jm_node::Node;
+use jm_types::ResultCode;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::refusal::Refusal;
+
+/// Reads the whole body.
+pub(crate) async fn body_bytes(node: &Node, request: &mut Request) -> Result<Vec<u8>, Refusal> {
+    let limit = node.settings.limits.body_bytes;
+    let bytes = read_whole(request.take_body(), limit).await;
+    bytes.map_err(|error| match error.kind() {
+        std::io::ErrorKind::FileTooLarge => Refusal::new(ResultCode::BodyTooLarge, error.to_string()),
+        _ => Refusal::new(ResultCode::CutBody, error.to_string()),
+    })
+}
+
+/// Reads a JSON body.
+pub(crate) fn parse_json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(bytes).map_err(|error| {
+        let message = format!("the body cannot be read: {error}");
+        Refusal::new(ResultCode::MalformedRequest, message)
+    })
+}
+
+/// An answer with a JSON body.
+pub(crate) fn json_response(status: StatusCode, content: &impl Serialize) -> Result<Response, Refusal> {
+    let text = serde_json::to_string(content)
+        .map_err(|error| Refusal::new(ResultCode::Internal, error.to_string()))?;
+    let mut response = Response::new(status);
+    response.set_body(format!("{text}\n"));
+    response.insert_header("content-type", "application/json");
+    Ok(response)
+}
--- a/crates/jm-entry/src/lib.rs
+++ b/crates/jm-entry/src/lib.rs
@@ -1,8 +1,32 @@
-//! The entry daemon.
+//! The entry daemon: serves callers, trainers and operators over HTTP. Section 3.1 of `docs/design.md` lists its
+//! endpoints.
+//!
+//! An entry daemon keeps no state that outlives a request. It decides who may call, and passes the work to dispatch
+//! daemons over links.
 
 #![deny(missing_docs, unsafe_code)]
 
+mod access;
+mod addresses;
+mod admin;
+mod burn;
+mod call;
+mod caller;
+mod completions;
+mod driven_body;
+mod entry;
+mod execution;
 mod forward;
+mod input;
 mod key_search;
+mod open_streams;
+mod order_store;
+mod orders;
+mod refusal;
+mod services;
+mod status;
+mod steps;
+mod tickets;
 
+pub use entry::Entry;
 pub use forward::{CallerHead, ForwardError, ForwardedHead, Place, check_body, forward_head};
--- a/crates/jm-node/src/config.rs
+++ b/crates/jm-node/src/config.rs
@@ -10,7 +10,7 @@
     future::timeout,
     task,
 };
-use jm_config::{ActiveConfig, ApplyError, Change, ChangeLog, Document, HistoryEntry};
+use jm_config::{ActiveConfig, ApplyError, Change, ChangeLog, ConfigView, Document, HistoryEntry};
 use jm_platform::{Changes, ObjectStore, Version, WatchError};
 use jm_types::{DurationMs, LogEvent, Revision, Timestamp};
 
@@ -94,6 +94,11 @@
         receiver
     }
 
+    /// The sections in force with their revisions, for operators.
+    pub fn view(&self) -> ConfigView {
+        self.state().log.view()
+    }
+
     /// The accepted changes, newest last.
     pub fn history(&self) -> Vec<HistoryEntry> {
         self.state().history.clone()
