--- /dev/null
+++ b/crates/jm-member/src/freshness.rs
@@ -0,0 +1,225 @@
+//! Whether the configuration of this daemon is known to be current; section 4.2 of `docs/design.md`.
+//!
+//! The evidence is a set of statements "at time T this member had no revision above R", with T on the own clock and
+//! never too late. A daemon that has applied R, and holds such statements about a majority that are younger than the
+//! bound, has applied every change that a majority had applied one bound ago: two majorities have a member in common.
+//! `docs/membership.md` gives the full argument.
+
+use std::collections::{BTreeSet, HashMap};
+
+use jm_types::{DurationMs, MemberId, Revision, Timestamp, ZoneId};
+
+use crate::MemberView;
+
+/// Age up to which evidence counts.
+pub const FRESHNESS_BOUND: DurationMs = DurationMs::new(3_000);
+
+/// Statements kept about one member, zone or the store. More revisions than this within the bound cost freshness,
+/// never correctness.
+const MAX_STATEMENTS: usize = 8;
+
+/// A contact at `at` with `count` members, none of which had a revision above `bound`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Contact {
+    pub(crate) bound: Revision,
+    pub(crate) at: Timestamp,
+    pub(crate) count: usize,
+}
+
+impl Contact {
+    fn covers(&self, other: &Self) -> bool {
+        self.bound <= other.bound && self.at >= other.at && self.count >= other.count
+    }
+}
+
+/// The contacts that no other contact covers.
+#[derive(Debug, Clone, Default)]
+struct Contacts(Vec<Contact>);
+
+impl Contacts {
+    fn insert(&mut self, contact: Contact) {
+        if self.0.iter().any(|known| known.covers(&contact)) {
+            return;
+        }
+        self.0.retain(|known| !contact.covers(known));
+        self.0.push(contact);
+        if self.0.len() > MAX_STATEMENTS {
+            let oldest = (0..self.0.len()).min_by_key(|index| self.0[*index].at);
+            oldest.map(|index| self.0.swap_remove(index));
+        }
+    }
+
+    fn usable(&self, revision: Revision) -> impl Iterator<Item = &Contact> {
+        self.0.iter().filter(move |contact| contact.bound <= revision)
+    }
+
+    fn newest(&self, revision: Revision) -> Option<Contact> {
+        self.usable(revision).max_by_key(|contact| contact.at).copied()
+    }
+}
+
+/// Collects evidence and decides whether the daemon is fresh.
+#[derive(Debug, Clone, Default)]
+pub struct Freshness {
+    applied: Revision,
+    store: Contacts,
+    members: HashMap<MemberId, Contacts>,
+    zones: HashMap<ZoneId, Contacts>,
+}
+
+impl Freshness {
+    /// No evidence, at the given applied revision.
+    pub fn new(applied: Revision) -> Self {
+        Self {
+            applied,
+            ..Self::default()
+        }
+    }
+
+    /// The applied revision.
+    pub fn applied(&self) -> Revision {
+        self.applied
+    }
+
+    /// The daemon has applied a revision; an older one changes nothing.
+    pub fn set_applied(&mut self, revision: Revision) {
+        self.applied = self.applied.max(revision);
+    }
+
+    /// The store answered a request that was sent at `requested_at`, and `current` was the newest accepted revision.
+    pub fn store_answered(&mut self, requested_at: Timestamp, current: Revision) {
+        self.store.insert(Contact {
+            bound: current,
+            at: requested_at,
+            count: 1,
+        });
+    }
+
+    /// A member had no revision above `revision` at `at` or later. For an answer to a request, `at` is when the
+    /// request was sent; for a contact that was passed on, the age that came with it is taken off.
+    pub fn peer_answered(&mut self, member: &MemberId, at: Timestamp, revision: Revision) {
+        let contact = Contact {
+            bound: revision,
+            at,
+            count: 1,
+        };
+        insert(&mut self.members, member, contact);
+    }
+
+    /// `count` members of a zone had no revision above `revision` at `at` or later.
+    pub fn zone_answered(&mut self, zone: &ZoneId, at: Timestamp, revision: Revision, count: usize) {
+        let contact = Contact {
+            bound: revision,
+            at,
+            count,
+        };
+        insert(&mut self.zones, zone, contact);
+    }
+
+    /// Whether the daemon is fresh at `now`.
+    pub fn is_fresh(&self, now: Timestamp, members: &MemberView) -> bool {
+        self.fresh_until(now, members).is_some_and(|until| now < until)
+    }
+
+    /// When the present evidence expires, or none when there is too little. Evidence from after `now` does not count.
+    pub fn fresh_until(&self, now: Timestamp, members: &MemberView) -> Option<Timestamp> {
+        let store = self.store.newest(self.applied).map(|contact| contact.at);
+        let peers = self.majority_at(now, members);
+        store.max(peers).map(|at| at.min(now).after(FRESHNESS_BOUND))
+    }
+
+    /// The latest time at or after which a majority of the registered members is known to have had no revision above
+    /// the applied one.
+    fn majority_at(&self, now: Timestamp, members: &MemberView) -> Option<Timestamp> {
+        let mut contacts = Vec::new();
+        let mut times = BTreeSet::new();
+        for (zone, ids) in members.zones() {
+            let of_zone = self.zone_contacts(zone, ids, now, members.own());
+            times.extend(of_zone.iter().flatten().map(|contact| contact.at));
+            contacts.push((ids.len(), of_zone));
+        }
+        let majority = members.majority();
+        let times: Vec<_> = times.into_iter().rev().collect();
+        let reached = |at: Timestamp| counted(&contacts, at) >= majority;
+        let index = times.partition_point(|at| !reached(*at));
+        times.get(index).copied()
+    }
+
+    /// Usable contacts of a zone: first those with single members, then those with several.
+    fn zone_contacts(
+        &self,
+        zone: &ZoneId,
+        ids: &[MemberId],
+        now: Timestamp,
+        own: &MemberId,
+    ) -> [Vec<Contact>; 2] {
+        let singles = ids
+            .iter()
+            .filter_map(|id| self.member_contact(id, now, own, self.applied));
+        let totals = self.zones.get(zone);
+        let totals = totals
+            .into_iter()
+            .flat_map(|zone| zone.usable(self.applied).copied());
+        [singles.collect(), totals.collect()]
+    }
+
+    /// The newest contact with a member that showed no revision above `revision`. A daemon is in contact with itself.
+    pub(crate) fn member_contact(
+        &self,
+        member: &MemberId,
+        now: Timestamp,
+        own: &MemberId,
+        revision: Revision,
+    ) -> Option<Contact> {
+        if member != own {
+            return self.members.get(member)?.newest(revision);
+        }
+        let contact = Contact {
+            bound: self.applied,
+            at: now,
+            count: 1,
+        };
+        (self.applied <= revision).then_some(contact)
+    }
+
+    /// The contact with the most members of a zone that are not older than `since`, and of those the newest.
+    pub(crate) fn zone_contact(
+        &self,
+        zone: &ZoneId,
+        since: Timestamp,
+        revision: Revision,
+    ) -> Option<Contact> {
+        let usable = self.zones.get(zone)?.usable(revision);
+        usable
+            .filter(|contact| contact.at >= since)
+            .max_by_key(|contact| (contact.count, contact.at))
+            .copied()
+    }
+
+    /// Forgets members and zones that are not registered any more.
+    pub(crate) fn retain(&mut self, members: &MemberView) {
+        self.members.retain(|id, _| members.get(id).is_some());
+        self.zones.retain(|zone, _| members.zone_members(zone).is_some());
+    }
+}
+
+fn insert<K: Clone + Eq + std::hash::Hash>(map: &mut HashMap<K, Contacts>, key: &K, contact: Contact) {
+    match map.get_mut(key) {
+        Some(contacts) => contacts.insert(contact),
+        None => {
+            map.insert(key.clone(), Contacts(vec![contact]));
+        }
+    }
+}
+
+/// Number of members contacted at `at` or later. Within a zone the larger of the two counts holds, because they can be
+/// about the same members.
+fn counted(zones: &[(usize, [Vec<Contact>; 2])], at: Timestamp) -> usize {
+    let of_zone = |(size, [singles, totals]): &(usize, [Vec<Contact>; 2])| {
+        let single = singles.iter().filter(|contact| contact.at >= at).count();
+        let recent = totals.iter().filter(|contact| contact.at >= at);
+        let total = recent.map(|contact| contact.count).max().unwrap_or(0);
+        single.max(total).min(*size)
+    };
+    zones.iter().map(of_zone).sum()
+}
--- /dev/null
+++ b/crates/jm-member/src/sync.rs
@@ -0,0 +1,63 @@
+//! Comparison of two views. Members fall into buckets by their id; only buckets whose digests differ are sent.
+
+use sha2::{Digest, Sha256};
+
+use crate::{MemberView, Update, record::short_id, view::ViewedMember};
+
+/// Number of buckets. At 350 members a bucket has about 22, which fit into one datagram.
+const BUCKETS: u32 = 16;
+
+pub(crate) fn bucket_of(member: &str) -> u8 {
+    (short_id(member) % BUCKETS) as u8
+}
+
+/// One digest for each bucket; the order of the members in the view does not matter.
+pub(crate) fn digests(view: &MemberView) -> Vec<u32> {
+    let mut digests = vec![0; BUCKETS as usize];
+    for member in view.iter() {
+        digests[usize::from(bucket_of(member.record.id.as_str()))] ^= member_digest(member);
+    }
+    digests
+}
+
+fn member_digest(member: &ViewedMember) -> u32 {
+    let digest = Sha256::new()
+        .chain_update(member.record.id.as_str())
+        .chain_update([member.state as u8])
+        .chain_update(member.epoch.incarnation.get().to_be_bytes())
+        .chain_update(member.epoch.statement.to_be_bytes())
+        .finalize();
+    u32::from_be_bytes([digest[0], digest[1], digest[2], digest[3]])
+}
+
+/// The first bucket from `start` on that differs.
+pub(crate) fn differing(own: &[u32], other: &[u32], start: usize) -> Option<u8> {
+    let order = (0..own.len()).map(|step| (start + step) % own.len());
+    let mut differing = order.filter(|bucket| other.get(*bucket) != Some(&own[*bucket]));
+    differing.next().and_then(|bucket| u8::try_from(bucket).ok())
+}
+
+/// Statements about the members of a bucket, without registrations.
+pub(crate) fn bucket_updates(view: &MemberView, bucket: u8) -> Vec<Update> {
+    let members = view.iter();
+    let of_bucket = members.filter(|member| bucket_of(member.record.id.as_str()) == bucket);
+    of_bucket.map(short_update).collect()
+}
+
+/// Statements of the own view that are newer than those received about a bucket.
+pub(crate) fn newer_updates(view: &MemberView, received: &[Update]) -> Vec<Update> {
+    let mut newer = Vec::new();
+    for update in received {
+        let known = view.get(&update.member);
+        let is_newer = |known: &&ViewedMember| (known.epoch, known.state) > (update.epoch, update.state);
+        newer.extend(known.filter(is_newer).map(short_update));
+    }
+    newer
+}
+
+fn short_update(member: &ViewedMember) -> Update {
+    Update {
+        record: None,
+        ..member.update()
+    }
+}
--- /dev/null
+++ b/crates/jm-member/src/updates.rs
@@ -0,0 +1,47 @@
+//! Membership changes that wait to be sent on.
+
+use indexmap::IndexMap;
+use jm_types::MemberId;
+
+use crate::Update;
+
+#[derive(Debug, Clone)]
+struct Queued {
+    update: Update,
+    sent: u32,
+}
+
+/// The newest change of each member, sent a limited number of times.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct UpdateQueue {
+    queued: IndexMap<MemberId, Queued>,
+}
+
+impl UpdateQueue {
+    pub(crate) fn push(&mut self, update: Update) {
+        let member = update.member.clone();
+        self.queued.insert(member, Queued { update, sent: 0 });
+    }
+
+    pub(crate) fn remove(&mut self, member: &MemberId) {
+        self.queued.swap_remove(member);
+    }
+
+    /// Changes that were sent least often, up to `budget_bytes`. Each is sent `resends` times.
+    pub(crate) fn take(&mut self, budget_bytes: usize, resends: u32) -> Vec<Update> {
+        let mut due: Vec<_> = self.queued.values_mut().collect();
+        due.sort_by_key(|queued| queued.sent);
+        let mut left = budget_bytes;
+        let mut taken = Vec::new();
+        for queued in due {
+            let Some(rest) = left.checked_sub(queued.update.bytes()) else {
+                break;
+            };
+            left = rest;
+            queued.sent += 1;
+            taken.push(queued.update.clone());
+        }
+        self.queued.retain(|_, queued| queued.sent < resends);
+        taken
+    }
+}
