Thin path complete: demonstration serves an answer, an order and a step

Change: the router passes a turn to the dispatcher choice; the demonstration posts a document, waits until the engines are known, and checks every answer.

--- a/crates/jm-node/src/router.rs
+++ b/crates/jm-node/src/router.rs
@@ -1,6 +1,9 @@
 //! Choice of the dispatch daemon for a request.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicU64, Ordering},
+};
 
 use indexmap::IndexMap;
 use jm_link::{LinkError, PeerRequest, ReplyStream};
@@ -49,6 +52,7 @@
     table: Mutex<DispatcherTable>,
     known: Mutex<IndexMap<MemberId, OwnedLoad>>,
     budget: Mutex<RetryBudget>,
+    next_turn: AtomicU64,
 }
 
 impl Router {
@@ -59,6 +63,7 @@
             table: Mutex::default(),
             known: Mutex::default(),
             budget: Mutex::new(RetryBudget::default()),
+            next_turn: AtomicU64::new(rand::random()),
         }
     }
 
@@ -130,7 +135,9 @@
         let live = |id: &MemberId| self.peers.get(id, now).is_some_and(|peer| peer.live);
         let mut avoid = avoid.to_vec();
         loop {
+            let turn = self.router.next_turn.fetch_add(1, Ordering::Relaxed);
             let query = DispatcherQuery {
+                turn,
                 service,
                 class,
                 prefix_hash,
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -52,15 +52,29 @@
     pub async fn start(options: ProcessOptions) -> Result<Self, StartError> {
         let mut settings = options.settings;
         for role in &options.roles {
-            snafu::ensure!(settings.daemon.roles.contains(role), MissingRoleSnafu { role: *role });
+            snafu::ensure!(
+                settings.daemon.roles.contains(role),
+                MissingRoleSnafu { role: *role }
+            );
         }
         settings.daemon.roles = options.roles;
         let listeners = Listeners::bind(&settings).await?;
         let (trigger, stop) = Stop::new();
         let clock = Arc::new(SystemClock);
-        let node = Node::new(NodeOptions { settings, platform: options.platform, clock, stop });
+        let node = Node::new(NodeOptions {
+            settings,
+            platform: options.platform,
+            clock,
+            stop,
+        });
         LogEvent::DaemonStarting.write(format_args!("daemon {}", node.peers.own_id()));
-        let mut process = Self { node, trigger, entry: None, dispatch: None, servers: Vec::new() };
+        let mut process = Self {
+            node,
+            trigger,
+            entry: None,
+            dispatch: None,
+            servers: Vec::new(),
+        };
         process.start_daemons(listeners);
         process.start_shared_tasks();
         Ok(process)
@@ -154,7 +168,11 @@
 
 impl Listeners {
     async fn bind(settings: &Settings) -> Result<Self, StartError> {
-        let mut listeners = Self { entry: None, dispatch: None, control: None };
+        let mut listeners = Self {
+            entry: None,
+            dispatch: None,
+            control: None,
+        };
         for role in &settings.daemon.roles {
             let missing = MissingSectionSnafu { role: *role };
             match role {
@@ -177,8 +195,12 @@
 }
 
 async fn bind_pair(first: SocketAddr, second: SocketAddr) -> Result<(TcpListener, TcpListener), StartError> {
-    let first = TcpListener::bind(first).await.context(ListenSnafu { address: first })?;
-    let second = TcpListener::bind(second).await.context(ListenSnafu { address: second })?;
+    let first = TcpListener::bind(first)
+        .await
+        .context(ListenSnafu { address: first })?;
+    let second = TcpListener::bind(second)
+        .await
+        .context(ListenSnafu { address: second })?;
     Ok((first, second))
 }
 
@@ -199,7 +221,10 @@
 }
 
 fn platform_client(url: &Url, limits: &Limits) -> Result<Arc<HttpPlatform>, StartError> {
-    let address = url.socket_addrs(|| None).ok().and_then(|addresses| addresses.first().copied());
+    let address = url
+        .socket_addrs(|| None)
+        .ok()
+        .and_then(|addresses| addresses.first().copied());
     let address = address.context(PlatformAddressSnafu { url: url.to_string() })?;
     Ok(Arc::new(HttpPlatform::new(address, limits.clone())))
 }
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -20,12 +20,23 @@
 /// Fails when the settings are not valid or the process cannot start; nothing runs then.
 pub async fn run_process(file: &Path, roles: Vec<Role>) -> Result<(), StartError> {
     let name = file.display().to_string();
-    let text = async_std::fs::read_to_string(file).await.context(ReadSettingsSnafu { file: &name })?;
+    let text = async_std::fs::read_to_string(file)
+        .await
+        .context(ReadSettingsSnafu { file: &name })?;
     let settings = Settings::parse(&name, &text).context(SettingsSnafu)?;
     set_up_logging(&settings.log).context(LogSnafu)?;
     let platform = http_platform(&settings)?;
-    let roles = if roles.is_empty() { settings.daemon.roles.clone() } else { roles };
-    let process = Process::start(ProcessOptions { settings, roles, platform }).await?;
+    let roles = if roles.is_empty() {
+        settings.daemon.roles.clone()
+    } else {
+        roles
+    };
+    let process = Process::start(ProcessOptions {
+        settings,
+        roles,
+        platform,
+    })
+    .await?;
     println!("started {}", process.node().peers.own_id());
     stop_on_signals().await.context(SignalsSnafu)?;
     process.stop().await;
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -72,7 +72,15 @@
 pub fn settings_text(index: usize, ports: HostPorts, platform: SocketAddr) -> String {
     let zone = ZONES[index % ZONES.len()];
     let token = KeySecret::from_text(ADMIN_TOKEN).hash();
-    let HostPorts { entry, entry_admin, dispatch, dispatch_admin, control, control_admin, member } = ports;
+    let HostPorts {
+        entry,
+        entry_admin,
+        dispatch,
+        dispatch_admin,
+        control,
+        control_admin,
+        member,
+    } = ports;
     format!(
         "[daemon]\nid = host-{index}\nzone = {zone}\nregion = baltic-north\nroles = entry, dispatch, control\n\
          [entry]\nlisten = 127.0.0.1:{entry}\nadmin_listen = 127.0.0.1:{entry_admin}\n\
@@ -109,12 +117,19 @@
     let mut text = String::from(FIXED_SECTIONS);
     for (name, organisation, secret) in &parts.keys {
         let hash = KeySecret::from_text(secret.clone()).hash();
-        write_section(&mut text, &format!("[key {name}]\norganisation = {organisation}\nsha256 = {hash}"));
+        write_section(
+            &mut text,
+            &format!("[key {name}]\norganisation = {organisation}\nsha256 = {hash}"),
+        );
     }
     for zone in ZONES {
         write_section(&mut text, &format!("[zone {zone}]\nregion = baltic-north"));
     }
-    let targets = [("drafts", &parts.engines), ("order-desk", &parts.desks), ("catalogue", &parts.catalogues)];
+    let targets = [
+        ("drafts", &parts.engines),
+        ("order-desk", &parts.desks),
+        ("catalogue", &parts.catalogues),
+    ];
     for (service, addresses) in targets {
         for (index, address) in addresses.iter().enumerate() {
             let zone = ZONES[index % ZONES.len()];
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -1,6 +1,6 @@
 //! Runs the demonstration and prints what it did.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, iter::once, net::SocketAddr, sync::Arc};
 
 use async_std::task;
 use futures::future::join_all;
@@ -9,16 +9,16 @@
 use jm_node::Platform;
 use jm_platform::MemoryPlatform;
 use jm_standins::{
-    Engine, EngineOptions, PlainService, ServiceOptions, StepError, StepRequest, StepResult, Trainer, TrainerOptions,
+    Engine, EngineOptions, PlainService, ServiceOptions, StepError, StepRequest, StepResult, Trainer,
+    TrainerOptions,
 };
-use jm_types::{ByteSize, DurationMs, WeightVersion};
+use jm_types::{ByteSize, DurationMs, ModelId, WeightVersion};
 use snafu::{OptionExt, ResultExt, Snafu};
 
-use super::fleet::{ADMIN_TOKEN, DocumentParts, HostPorts, SAMPLE_MODEL, document, free_ports, settings_text};
-use crate::{
-    cli::{CliError, OperatorCommand},
-    daemon::{Process, ProcessOptions, StartError},
+use super::fleet::{
+    ADMIN_TOKEN, DocumentParts, HostPorts, SAMPLE_MODEL, document, free_ports, settings_text,
 };
+use crate::daemon::{Process, ProcessOptions, StartError};
 
 const HOSTS: usize = 3;
 const ENGINES: usize = 3;
@@ -56,12 +56,6 @@
         /// The cause.
         source: StartError,
     },
-    /// An operator command failed.
-    #[snafu(display("{source}"))]
-    Operator {
-        /// The cause.
-        source: CliError,
-    },
     /// A call failed.
     #[snafu(display("{source}"))]
     Call {
@@ -101,11 +95,20 @@
     println!("live answer: {}", live_answer(ports[0]).await?);
     println!("order: {}", place_order(ports[1]).await?);
     let step = run_step(&ports).await?;
-    println!("training step: {} samples, {} lines read", step.samples.len(), step.lines);
+    println!(
+        "training step: {} samples, {} lines read",
+        step.samples.len(),
+        step.lines
+    );
     for violation in &step.violations {
         println!("rule broken: {violation:?}");
     }
-    snafu::ensure!(step.violations.is_empty(), UnexpectedSnafu { reason: "the step broke a rule" });
+    snafu::ensure!(
+        step.violations.is_empty(),
+        UnexpectedSnafu {
+            reason: "the step broke a rule"
+        }
+    );
     println!("{}", burn_report(ports[0]).await?);
     join_all(processes.into_iter().map(Process::stop)).await;
     for engine in stand_ins.engines {
@@ -117,14 +120,20 @@
 }
 
 async fn start_stand_ins() -> Result<StandIns, DemoError> {
-    let model = SAMPLE_MODEL.parse().expect("the constant is a valid id");
+    let model: ModelId = SAMPLE_MODEL.parse().expect("the constant is a valid id");
     let mut engines = Vec::new();
     for _ in 0..ENGINES {
-        let models = std::iter::once((std::clone::Clone::clone(&model), VERSION)).collect();
-        let options = EngineOptions { seed: ENGINE_SEED, models, ..EngineOptions::default() };
+        let models = once((ModelId::clone(&model), VERSION)).collect();
+        let options = EngineOptions {
+            seed: ENGINE_SEED,
+            models,
+            ..EngineOptions::default()
+        };
         engines.push(Engine::start(options).await.context(StandInSnafu)?);
     }
-    let desk = PlainService::start(ServiceOptions::default()).await.context(StandInSnafu)?;
+    let desk = PlainService::start(ServiceOptions::default())
+        .await
+        .context(StandInSnafu)?;
     Ok(StandIns { engines, desk })
 }
 
@@ -143,7 +152,11 @@
         let text = settings_text(index, *ports, SocketAddr::from(([127, 0, 0, 1], 1)));
         let settings = Settings::parse("demonstration", &text).context(SettingsSnafu)?;
         let roles = settings.daemon.roles.clone();
-        let options = ProcessOptions { settings, roles, platform: platform.clone() };
+        let options = ProcessOptions {
+            settings,
+            roles,
+            platform: platform.clone(),
+        };
         processes.push(Process::start(options).await.context(StartSnafu)?);
     }
     for process in &processes {
@@ -153,14 +166,18 @@
 }
 
 async fn apply_document(stand_ins: &StandIns, ports: &[HostPorts]) -> Result<(), DemoError> {
-    let key = |name: &str, organisation: &str, secret: &str| (name.into(), organisation.into(), secret.into());
+    let key =
+        |name: &str, organisation: &str, secret: &str| (name.into(), organisation.into(), secret.into());
     let parts = DocumentParts {
         engines: stand_ins.engines.iter().map(Engine::address).collect(),
         desks: vec![stand_ins.desk.address()],
         catalogues: Vec::new(),
-        keys: vec![key("trainer", "kurpju", TRAINER_KEY), key("clerk", "parish", CLERK_KEY)],
+        keys: vec![
+            key("trainer", "kurpju", TRAINER_KEY),
+            key("clerk", "parish", CLERK_KEY),
+        ],
     };
-    let accepted = super::run::post_document(ports[0].entry_admin, &document(&parts)).await?;
+    let accepted = post_document(ports[0].entry_admin, &document(&parts)).await?;
     println!("configuration: {accepted}");
     Ok(())
 }
@@ -180,14 +197,21 @@
 }
 
 async fn call(method: Method, url: &str, key: &str, body: &[u8]) -> Result<String, DemoError> {
-    let url = Url::parse(url).ok().context(UnexpectedSnafu { reason: "the URL is not valid" })?;
+    let url = Url::parse(url).ok().context(UnexpectedSnafu {
+        reason: "the URL is not valid",
+    })?;
     let mut request = Request::new(method, url);
     request.insert_header("authorization", format!("Bearer {key}"));
     request.insert_header("content-type", "application/json");
     request.set_body(body.to_vec());
-    let mut response = Client::new(Limits::default()).send(request).await.context(CallSnafu)?;
+    let mut response = Client::new(Limits::default())
+        .send(request)
+        .await
+        .context(CallSnafu)?;
     let body = read_whole(response.take_body(), ANSWER_BYTES).await;
-    let body = body.map_err(|error| DemoError::Unexpected { reason: error.to_string() })?;
+    let body = body.map_err(|error| DemoError::Unexpected {
+        reason: error.to_string(),
+    })?;
     let text = String::from_utf8_lossy(&body).trim().to_owned();
     snafu::ensure!(response.status().is_success(), UnexpectedSnafu { reason: text });
     Ok(text)
@@ -221,7 +245,9 @@
 }
 
 async fn run_step(ports: &[HostPorts]) -> Result<StepResult, DemoError> {
-    let prompts = (0..SAMPLES / GROUP_SIZE).map(|group| format!("Draft a rack layout for floor note {group}")).collect();
+    let prompts = (0..SAMPLES / GROUP_SIZE)
+        .map(|group| format!("Draft a rack layout for floor note {group}"))
+        .collect();
     let step = StepRequest {
         step: "demonstration-1".parse().expect("the constant is a valid id"),
         service: "drafts".parse().expect("the constant is a valid id"),
@@ -234,7 +260,10 @@
         held: Vec::new(),
     };
     let options = TrainerOptions {
-        addresses: ports.iter().map(|ports| SocketAddr::from(([127, 0, 0, 1], ports.entry))).collect(),
+        addresses: ports
+            .iter()
+            .map(|ports| SocketAddr::from(([127, 0, 0, 1], ports.entry)))
+            .collect(),
         key: Some(TRAINER_KEY.to_owned()),
         engine_seed: Some(ENGINE_SEED),
         ..TrainerOptions::default()
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,9 +22,14 @@
 }
 
 fn daemon(name: &'static str, description: &'static str, roles: Vec<Role>) -> impl Parser<Command> {
-    let settings = long("settings").help("File with the settings of the process").argument::<PathBuf>("FILE");
+    let settings = long("settings")
+        .help("File with the settings of the process")
+        .argument::<PathBuf>("FILE");
     settings
-        .map(move |settings| Command::Daemon { roles: roles.clone(), settings })
+        .map(move |settings| Command::Daemon {
+            roles: roles.clone(),
+            settings,
+        })
         .to_options()
         .descr(description)
         .command(name)
@@ -34,9 +39,14 @@
     let entry = daemon("entry", "Run the entry daemon", vec![Role::Entry]);
     let dispatch = daemon("dispatch", "Run the dispatch daemon", vec![Role::Dispatch]);
     let control = daemon("control", "Run the control daemon", vec![Role::Control]);
-    let run = daemon("run", "Run every daemon that the settings list, in one process", Vec::new());
+    let run = daemon(
+        "run",
+        "Run every daemon that the settings list, in one process",
+        Vec::new(),
+    );
     let operator = operator_command().map(Command::Operator);
-    let demo = bpaf::pure(Command::Demo)
+    let demo = bpaf::pure(())
+        .map(|()| Command::Demo)
         .to_options()
         .descr("Run the main job with everything in one process on loopback")
         .command("demo");
@@ -45,20 +55,28 @@
 }
 
 fn main() -> ExitCode {
-    let parser = command().to_options().descr("A rollout service for reinforcement learning");
+    let parser = command()
+        .to_options()
+        .descr("A rollout service for reinforcement learning");
     match parser.run_inner(bpaf::Args::current_args()) {
         Ok(command) => async_std::task::block_on(run(command)),
         Err(failure) => {
             let is_error = matches!(failure, ParseFailure::Stderr(_));
             failure.print_message(100);
-            if is_error { ExitCode::from(USAGE_STATUS) } else { ExitCode::SUCCESS }
+            if is_error {
+                ExitCode::from(USAGE_STATUS)
+            } else {
+                ExitCode::SUCCESS
+            }
         }
     }
 }
 
 async fn run(command: Command) -> ExitCode {
     match command {
-        Command::Daemon { roles, settings } => exit_code(run_process(&settings, roles).await.inspect_err(log_failure)),
+        Command::Daemon { roles, settings } => {
+            exit_code(run_process(&settings, roles).await.inspect_err(log_failure))
+        }
         Command::Demo => exit_code(run_demo().await),
         Command::StandIn(command) => exit_code(command.run().await),
         Command::Operator(command) => match command.run().await {
--- a/src/standin.rs
+++ b/src/standin.rs
@@ -1,12 +1,12 @@
 //! Commands that run a stand-in as a process of its own, for trials with separate processes.
 
-use std::{future::Future, io, net::SocketAddr};
+use std::{io, net::SocketAddr};
 
 use bpaf::{OptionParser, Parser, construct};
 use jm_node::stop_on_signals;
 use jm_standins::{
-    EngineOptions, PlatformOptions, ServiceOptions, engine_arguments, platform_arguments, run_engine, run_platform,
-    run_service, service_arguments,
+    EngineOptions, PlatformOptions, ServiceOptions, engine_arguments, platform_arguments, run_engine,
+    run_platform, run_service, service_arguments,
 };
 
 /// `standin ...`
@@ -24,8 +24,9 @@
     let platform = described(platform_arguments(), "Run a platform stand-in")
         .command("platform")
         .map(StandInCommand::Platform);
-    let engine =
-        described(engine_arguments(), "Run an engine stand-in").command("engine").map(StandInCommand::Engine);
+    let engine = described(engine_arguments(), "Run an engine stand-in")
+        .command("engine")
+        .map(StandInCommand::Engine);
     let service = described(service_arguments(), "Run a plain service stand-in")
         .command("service")
         .map(StandInCommand::Service);
@@ -58,10 +59,8 @@
     println!("listening on {address}");
 }
 
-fn stopped() -> impl Future<Output = ()> {
-    async {
-        if let Err(error) = stop_on_signals().await {
-            eprintln!("cannot receive signals: {error}");
-        }
+async fn stopped() {
+    if let Err(error) = stop_on_signals().await {
+        eprintln!("cannot receive signals: {error}");
     }
 }
