--- /dev/null
+++ b/tests/fleet/harness.rs
@@ -0,0 +1,387 @@
+//! A fleet of daemons in separate processes, with stand-ins in the test's own process.
+
+use std::{
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU64, Ordering},
+    time::Duration,
+};
+
+use async_std::task;
+use jacinthmoor::demo::{
+    ADMIN_TOKEN, DocumentParts, HostPorts, SAMPLE_MODEL, document, free_ports, settings_text,
+};
+use jm_http::{Client, Limits, Method, Request, Response, Url, read_whole};
+use jm_standins::{
+    Engine, EngineOptions, PlainService, PlatformOptions, PlatformServer, ServiceOptions, StepRequest,
+    Trainer, TrainerOptions,
+};
+use jm_types::{ByteSize, ModelId, WeightVersion};
+
+pub(crate) const CLERK_KEY: &str = "test-clerk-key-000001";
+pub(crate) const TRAINER_KEY: &str = "test-trainer-key-000001";
+pub(crate) const ENGINE_SEED: u64 = 11;
+pub(crate) const VERSION: WeightVersion = WeightVersion::new(5);
+
+/// Looks at a condition before the test fails; long enough for a busy machine.
+const POLL_ATTEMPTS: usize = 1_200;
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
+
+/// One daemon process.
+pub(crate) struct Daemon {
+    pub(crate) ports: HostPorts,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// The whole fleet. Dropping it kills its processes.
+pub(crate) struct Fleet {
+    pub(crate) platform: PlatformServer,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) desks: Vec<PlainService>,
+    pub(crate) daemons: Vec<Daemon>,
+    folder: PathBuf,
+}
+
+/// What a test reads of an answer.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) ticket: Option<String>,
+    /// An error means that the body was cut.
+    pub(crate) body: io::Result<String>,
+}
+
+impl Answer {
+    pub(crate) fn text(&self) -> &str {
+        self.body.as_ref().expect("the body is whole")
+    }
+
+    /// The number of the result code in an error body.
+    pub(crate) fn code(&self) -> Option<String> {
+        let json: serde_json::Value = serde_json::from_str(self.body.as_ref().ok()?).ok()?;
+        Some(json.get("code")?.as_str()?.to_owned())
+    }
+}
+
+impl Daemon {
+    fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_jacinthmoor"))
+            .args(["run", "--settings"])
+            .arg(&self.settings)
+            .env("ASYNC_STD_THREAD_COUNT", "2")
+            .stdout(Stdio::null())
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program starts");
+        self.child = Some(child);
+    }
+
+    /// Sends a signal by its name, such as `STOP`.
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.child.as_ref().expect("the daemon runs").id().to_string();
+        let status = Command::new("kill")
+            .args(["-s", name, &id])
+            .status()
+            .expect("kill starts");
+        assert!(status.success());
+    }
+
+    /// Kills the process without notice.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("the process can be killed");
+            child.wait().expect("the process ends");
+        }
+    }
+
+    /// Stops the process gracefully and waits for its end.
+    pub(crate) async fn stop(&mut self) {
+        self.signal("TERM");
+        let mut child = self.child.take().expect("the daemon runs");
+        let status = task::spawn_blocking(move || child.wait())
+            .await
+            .expect("the process ends");
+        assert!(status.success(), "the daemon ended with {status}");
+    }
+
+    pub(crate) fn restart(&mut self) {
+        self.start();
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for daemon in &mut self.daemons {
+            daemon.kill();
+        }
+        // The folder only holds generated settings; what cannot be removed does no harm.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+impl Fleet {
+    /// Starts stand-ins and daemons, and applies a document that names them.
+    pub(crate) async fn start(hosts: usize, engines: usize, desks: usize) -> Self {
+        let mut fleet = Self::start_empty(hosts, engines, desks).await;
+        fleet.wait_ready().await;
+        fleet.post_document().await;
+        fleet.wait_served().await;
+        fleet
+    }
+
+    async fn start_empty(hosts: usize, engines: usize, desks: usize) -> Self {
+        static NEXT_FOLDER: AtomicU64 = AtomicU64::new(0);
+        let number = NEXT_FOLDER.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("jacinthmoor-test-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("the folder can be created");
+        let platform = PlatformServer::start(PlatformOptions::default())
+            .await
+            .expect("the platform starts");
+        let ports = free_ports(hosts).expect("ports are free");
+        let mut daemons = Vec::new();
+        for (index, ports) in ports.into_iter().enumerate() {
+            let settings = folder.join(format!("host-{index}.ini"));
+            std::fs::write(&settings, settings_text(index, ports, platform.address()))
+                .expect("settings are written");
+            daemons.push(Daemon {
+                ports,
+                settings,
+                child: None,
+            });
+        }
+        let mut fleet = Self {
+            platform,
+            engines: Vec::new(),
+            desks: Vec::new(),
+            daemons,
+            folder,
+        };
+        for _ in 0..engines {
+            fleet.engines.push(start_engine().await);
+        }
+        for _ in 0..desks {
+            fleet.desks.push(
+                PlainService::start(ServiceOptions::default())
+                    .await
+                    .expect("the service starts"),
+            );
+        }
+        for daemon in &mut fleet.daemons {
+            daemon.start();
+        }
+        fleet
+    }
+
+    /// The document that names every stand-in and key of the fleet.
+    pub(crate) fn document(&self) -> String {
+        let key =
+            |name: &str, organisation: &str, secret: &str| (name.into(), organisation.into(), secret.into());
+        document(&DocumentParts {
+            engines: self.engines.iter().map(Engine::address).collect(),
+            desks: self.desks.iter().map(PlainService::address).collect(),
+            catalogues: Vec::new(),
+            keys: vec![
+                key("trainer", "kurpju", TRAINER_KEY),
+                key("clerk", "parish", CLERK_KEY),
+            ],
+        })
+    }
+
+    async fn post_document(&self) {
+        let answer = self.change("start", 0, &self.edits()).await;
+        assert_eq!(answer.status, 200, "{answer:?}");
+    }
+
+    /// Edits that create every section of the document.
+    fn edits(&self) -> serde_json::Value {
+        let document = jm_config::Document::parse("test", &self.document()).expect("the document is valid");
+        let edit = |(name, body)| serde_json::json!({"section": name, "expected": null, "body": body});
+        document.sections().map(edit).collect()
+    }
+
+    /// Sends a change to the first daemon.
+    pub(crate) async fn change(&self, id: &str, base: u64, edits: &serde_json::Value) -> Answer {
+        let author = serde_json::json!({"actor": "test", "team": null});
+        let change = serde_json::json!({"change_id": id, "author": author, "base": base, "edits": edits});
+        let url = format!(
+            "http://127.0.0.1:{}/admin/v1/config",
+            self.daemons[0].ports.entry_admin
+        );
+        call(
+            Method::Post,
+            &url,
+            Some(ADMIN_TOKEN),
+            &[],
+            change.to_string().as_bytes(),
+        )
+        .await
+        .expect("an answer")
+    }
+
+    /// Waits until every daemon is ready.
+    pub(crate) async fn wait_ready(&self) {
+        for daemon in &self.daemons {
+            let url = format!("http://127.0.0.1:{}/readyz", daemon.ports.entry_admin);
+            wait_for("readiness", || status_is(&url, 200)).await;
+        }
+    }
+
+    /// Waits until every daemon can reach a dispatch daemon for each service.
+    pub(crate) async fn wait_served(&self) {
+        for index in 0..self.daemons.len() {
+            if !self.engines.is_empty() {
+                wait_for("engines", || async move {
+                    self.complete(index, 1).await.is_some_and(|a| a.status == 200)
+                })
+                .await;
+            }
+            if !self.desks.is_empty() {
+                wait_for("desks", || async move {
+                    self.read_orders(index).await.is_some_and(|a| a.status == 200)
+                })
+                .await;
+            }
+        }
+    }
+
+    /// A live completion by the clerk at one daemon; `None` when it cannot be reached.
+    pub(crate) async fn complete(&self, daemon: usize, tokens: u64) -> Option<Answer> {
+        let body = format!(r#"{{"service":"drafts","prompt":"a rack","max_tokens":{tokens}}}"#);
+        let url = self.caller_url(daemon, "/v1/completions");
+        call(Method::Post, &url, Some(CLERK_KEY), &[], body.as_bytes()).await
+    }
+
+    async fn read_orders(&self, daemon: usize) -> Option<Answer> {
+        let url = self.caller_url(daemon, "/v1/services/order-desk/orders");
+        call(Method::Get, &url, Some(CLERK_KEY), &[], b"").await
+    }
+
+    /// A ticket for the order desk.
+    pub(crate) async fn ticket(&self, daemon: usize) -> String {
+        let url = self.caller_url(daemon, "/v1/tickets");
+        let answer = call(
+            Method::Post,
+            &url,
+            Some(CLERK_KEY),
+            &[],
+            br#"{"service":"order-desk"}"#,
+        )
+        .await;
+        let answer = answer.expect("an answer");
+        let json: serde_json::Value = serde_json::from_str(answer.text()).expect("JSON");
+        json["ticket"]
+            .as_str()
+            .unwrap_or_else(|| panic!("no ticket in {answer:?}"))
+            .to_owned()
+    }
+
+    /// An order with a request id that the stand-in counts.
+    pub(crate) async fn order(&self, daemon: usize, id: &str, headers: &[(&str, &str)]) -> Option<Answer> {
+        let url = self.caller_url(daemon, "/v1/services/order-desk/orders");
+        let body = format!(r#"{{"request_id":"{id}"}}"#);
+        call(Method::Post, &url, Some(CLERK_KEY), headers, body.as_bytes()).await
+    }
+
+    /// How often the desks ran an order.
+    pub(crate) fn executions(&self, id: &str) -> u64 {
+        self.desks.iter().map(|desk| desk.executions(id)).sum()
+    }
+
+    /// A trainer that reads from every daemon in turn.
+    pub(crate) fn trainer(&self) -> Trainer {
+        Trainer::new(TrainerOptions {
+            addresses: self
+                .daemons
+                .iter()
+                .map(|daemon| loopback(daemon.ports.entry))
+                .collect(),
+            key: Some(TRAINER_KEY.to_owned()),
+            engine_seed: Some(ENGINE_SEED),
+            most_failures: 400,
+            ..TrainerOptions::default()
+        })
+    }
+
+    pub(crate) fn caller_url(&self, daemon: usize, path: &str) -> String {
+        format!("http://127.0.0.1:{}{path}", self.daemons[daemon].ports.entry)
+    }
+}
+
+/// A step with groups of four.
+pub(crate) fn step(name: &str, samples: u64, tokens: u64) -> StepRequest {
+    StepRequest {
+        step: name.parse().expect("a valid id"),
+        service: "drafts".parse().expect("a valid id"),
+        weight_version: VERSION,
+        staleness_bound: 1,
+        group_size: 4,
+        samples,
+        prompts: (0..samples / 4)
+            .map(|group| format!("floor note {group}"))
+            .collect(),
+        max_tokens: tokens,
+        held: Vec::new(),
+    }
+}
+
+async fn start_engine() -> Engine {
+    let model: ModelId = SAMPLE_MODEL.parse().expect("a valid id");
+    let models = std::iter::once((model, VERSION)).collect();
+    let options = EngineOptions {
+        seed: ENGINE_SEED,
+        models,
+        ..EngineOptions::default()
+    };
+    Engine::start(options).await.expect("the engine starts")
+}
+
+pub(crate) fn loopback(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+/// Waits until `condition` holds; the test fails when it does not in a long time.
+pub(crate) async fn wait_for<F: Future<Output = bool>>(what: &str, mut condition: impl FnMut() -> F) {
+    for _ in 0..POLL_ATTEMPTS {
+        if condition().await {
+            return;
+        }
+        task::sleep(POLL_INTERVAL).await;
+    }
+    panic!("waited in vain for {what}");
+}
+
+async fn status_is(url: &str, status: u16) -> bool {
+    call(Method::Get, url, None, &[], b"")
+        .await
+        .is_some_and(|answer| answer.status == status)
+}
+
+/// One call; `None` when no answer came.
+pub(crate) async fn call(
+    method: Method,
+    url: &str,
+    key: Option<&str>,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> Option<Answer> {
+    let mut request = Request::new(method, Url::parse(url).expect("a valid URL"));
+    if let Some(key) = key {
+        request.insert_header("authorization", format!("Bearer {key}"));
+    }
+    for (name, value) in headers {
+        request.insert_header(*name, *value);
+    }
+    request.set_body(body.to_vec());
+    let mut response: Response = Client::new(Limits::default()).send(request).await.ok()?;
+    let body = read_whole(response.take_body(), ByteSize::new(10_000_000)).await;
+    Some(Answer {
+        status: response.status().into(),
+        ticket: response
+            .header("jm-ticket")
+            .map(|value| value.last().as_str().to_owned()),
+        body: body.map(|bytes| String::from_utf8_lossy(&bytes).into_owned()),
+    })
+}
--- /dev/null
+++ b/tests/fleet/main.rs
@@ -0,0 +1,4 @@
+//! Fleets of daemons in separate processes.
+
+mod harness;
+mod main_path;
