Listeners with a backlog of 4,096, and a benchmark of the whole path

The standard library listens with a backlog of 128, and the kernel drops what arrives beyond it. Change: jm_http::listen binds with a backlog of 4,096; daemons and stand-ins use it. jm-bench-path measures the path against a direct connection in the same run. Ruled out: failures inside the daemons, because direct streams failed too; the connection limit, which is 10,000 here.

--- a/crates/jm-bench/src/lib.rs
+++ b/crates/jm-bench/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 pub mod decisions;
+pub mod path;
 mod row;
 pub mod sim;
 pub mod steps;
--- a/crates/jm-standins/src/front.rs
+++ b/crates/jm-standins/src/front.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use async_std::{io, net::TcpListener, task};
+use async_std::{io, task};
 use futures::{FutureExt, channel::oneshot};
 use jm_http::{Handler, Limits, Request, Response, Server, StatusCode, error_response};
 use jm_types::{ByteSize, DurationMs, ResultCode};
@@ -38,7 +38,7 @@
         recorded_bytes: usize,
         handler: impl FnOnce(RelayControl) -> Arc<H>,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind(any_loopback_port()).await?;
+        let listener = jm_http::listen(any_loopback_port())?;
         let relay = Relay::start(listen, listener.local_addr()?, recorded_bytes).await?;
         let (stop, stopped) = oneshot::channel::<()>();
         let server = Server::new(limits(), handler(relay.control()));
--- a/crates/jm-standins/src/relay.rs
+++ b/crates/jm-standins/src/relay.rs
@@ -91,7 +91,7 @@
     /// Listens on `listen` and passes each connection on to `target`. Records up to `recorded_bytes` of what callers
     /// send.
     pub async fn start(listen: SocketAddr, target: SocketAddr, recorded_bytes: usize) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen).await?;
+        let listener = jm_http::listen(listen)?;
         let state = RelayState {
             address: listener.local_addr()?,
             target,
@@ -204,7 +204,7 @@
     }
 
     pub(crate) async fn open(&self) -> io::Result<()> {
-        let listener = TcpListener::bind(self.state.address).await?;
+        let listener = jm_http::listen(self.state.address)?;
         self.accept_on(listener);
         Ok(())
     }
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -9,7 +9,7 @@
 use jm_config::{Role, Settings};
 use jm_dispatch::{Dispatch, DispatchOptions};
 use jm_entry::Entry;
-use jm_http::{Handler, Limits, Server, Url};
+use jm_http::{Handler, Limits, Server, Url, listen};
 use jm_link::{FleetSecret, LinkHandler, LinkOptions, LinkServer};
 use jm_node::{AdminHandler, ConfigKeeper, Node, NodeOptions, Platform, Stop, StopTrigger, exchange_hellos};
 use jm_platform::HttpPlatform;
@@ -49,7 +49,7 @@
     /// # Errors
     ///
     /// Fails when a role is not in the settings or an address cannot be bound; nothing runs then.
-    pub async fn start(options: ProcessOptions) -> Result<Self, StartError> {
+    pub fn start(options: ProcessOptions) -> Result<Self, StartError> {
         let mut settings = options.settings;
         for role in &options.roles {
             snafu::ensure!(
@@ -58,7 +58,7 @@
             );
         }
         settings.daemon.roles = options.roles;
-        let listeners = Listeners::bind(&settings).await?;
+        let listeners = Listeners::bind(&settings)?;
         let (trigger, stop) = Stop::new();
         let clock = Arc::new(SystemClock);
         let node = Node::new(NodeOptions {
@@ -167,7 +167,7 @@
 }
 
 impl Listeners {
-    async fn bind(settings: &Settings) -> Result<Self, StartError> {
+    fn bind(settings: &Settings) -> Result<Self, StartError> {
         let mut listeners = Self {
             entry: None,
             dispatch: None,
@@ -178,15 +178,15 @@
             match role {
                 Role::Entry => {
                     let entry = settings.entry.as_ref().context(missing)?;
-                    listeners.entry = Some(bind_pair(entry.listen, entry.admin_listen).await?);
+                    listeners.entry = Some(bind_pair(entry.listen, entry.admin_listen)?);
                 }
                 Role::Dispatch => {
                     let dispatch = settings.dispatch.as_ref().context(missing)?;
-                    listeners.dispatch = Some(bind_pair(dispatch.link_listen, dispatch.admin_listen).await?);
+                    listeners.dispatch = Some(bind_pair(dispatch.link_listen, dispatch.admin_listen)?);
                 }
                 Role::Control => {
                     let control = settings.control.as_ref().context(missing)?;
-                    listeners.control = Some(bind_pair(control.link_listen, control.admin_listen).await?);
+                    listeners.control = Some(bind_pair(control.link_listen, control.admin_listen)?);
                 }
             }
         }
@@ -194,13 +194,9 @@
     }
 }
 
-async fn bind_pair(first: SocketAddr, second: SocketAddr) -> Result<(TcpListener, TcpListener), StartError> {
-    let first = TcpListener::bind(first)
-        .await
-        .context(ListenSnafu { address: first })?;
-    let second = TcpListener::bind(second)
-        .await
-        .context(ListenSnafu { address: second })?;
+fn bind_pair(first: SocketAddr, second: SocketAddr) -> Result<(TcpListener, TcpListener), StartError> {
+    let first = listen(first).context(ListenSnafu { address: first })?;
+    let second = listen(second).context(ListenSnafu { address: second })?;
     Ok((first, second))
 }
 
--- a/src/daemon/run.rs
+++ b/src/daemon/run.rs
@@ -35,8 +35,7 @@
         settings,
         roles,
         platform,
-    })
-    .await?;
+    })?;
     println!("started {}", process.node().peers.own_id());
     stop_on_signals().await.context(SignalsSnafu)?;
     process.stop().await;
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -5,4 +5,4 @@
 mod run;
 
 pub use fleet::{ADMIN_TOKEN, DocumentParts, HostPorts, SAMPLE_MODEL, document, free_ports, settings_text};
-pub use run::{DemoError, run_demo};
+pub use run::{DemoError, post_document, run_demo};
--- a/src/demo/run.rs
+++ b/src/demo/run.rs
@@ -157,7 +157,7 @@
             roles,
             platform: platform.clone(),
         };
-        processes.push(Process::start(options).await.context(StartSnafu)?);
+        processes.push(Process::start(options).context(StartSnafu)?);
     }
     for process in &processes {
         process.ready().await;
@@ -183,7 +183,11 @@
 }
 
 /// Sends a whole document to an empty fleet through the admin API.
-pub(crate) async fn post_document(admin_port: u16, text: &str) -> Result<String, DemoError> {
+///
+/// # Errors
+///
+/// Fails when the document is not valid or the entry daemon does not accept it.
+pub async fn post_document(admin_port: u16, text: &str) -> Result<String, DemoError> {
     let document = jm_config::Document::parse("demonstration", text).context(SettingsSnafu)?;
     let edits: Vec<_> = document
         .sections()
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -125,7 +125,7 @@
 impl Fleet {
     /// Starts stand-ins and daemons, and applies a document that names them.
     pub(crate) async fn start(hosts: usize, engines: usize, desks: usize) -> Self {
-        let mut fleet = Self::start_empty(hosts, engines, desks).await;
+        let fleet = Self::start_empty(hosts, engines, desks).await;
         fleet.wait_ready().await;
         fleet.post_document().await;
         fleet.wait_served().await;
