jm-route: estimate tokens when a request starts

Cause: requests that waited were charged by the estimate made when they arrived.

Change: the estimate is made when the request starts.

Ruled out: limiting refunds to one request behind virtual time; no effect.

--- a/crates/jm-route/src/explain.rs
+++ b/crates/jm-route/src/explain.rs
@@ -94,7 +94,7 @@
 
     fn wait_reason(&self, tracked: &Tracked) -> WaitReason {
         let service = &self.services[tracked.service];
-        let own = tracked.need();
+        let own = tracked.need(service.estimate(tracked));
         match service.place(own, self.now, &self.options) {
             Placement::NoTarget => WaitReason::NoTarget,
             Placement::Degraded => WaitReason::TargetsDegraded,
--- a/crates/jm-route/src/fair.rs
+++ b/crates/jm-route/src/fair.rs
@@ -96,14 +96,13 @@
             .filter_map(|(_, organisation)| self.flows[*organisation].waiting.values().next().copied())
     }
 
-    /// Removes a request that was given to a target and charges its estimated tokens.
-    pub(crate) fn serve(&mut self, organisation: usize, sequence: u64, tokens: u64, share: f64) {
+    /// Removes a request that is given to a target, and advances virtual time; `tokens` as at [`Self::push`].
+    pub(crate) fn serve(&mut self, organisation: usize, sequence: u64, tokens: u64) {
         self.virtual_time = self.virtual_time.max(self.flows[organisation].tag);
         self.remove(organisation, sequence, tokens);
-        self.charge(organisation, tokens as i64, share);
     }
 
-    /// Charges tokens beyond the estimate, or refunds those that were not used.
+    /// Charges the estimate of a started request or tokens beyond it, or refunds those that were not used.
     pub(crate) fn charge(&mut self, organisation: usize, tokens: i64, share: f64) {
         let units = tokens as f64 * UNITS_PER_TOKEN / share.max(LEAST_SHARE);
         let flow = self.flow(organisation);
--- a/crates/jm-route/src/flight.rs
+++ b/crates/jm-route/src/flight.rs
@@ -46,11 +46,12 @@
         (self.request.prompt_tokens.get() + generated).max(1)
     }
 
-    /// What the choice of a target depends on.
-    pub(crate) fn need(&self) -> Need<'_> {
+    /// What the choice of a target depends on; `tokens` is the present estimate, which knows more than the one at
+    /// submission.
+    pub(crate) fn need(&self, tokens: u64) -> Need<'_> {
         Need {
             class: self.class(),
-            tokens: self.tokens,
+            tokens,
             prompt_tokens: self.request.prompt_tokens.get(),
             prefix_hashes: &self.request.prefix_hashes,
             avoid: &self.request.avoid,
--- a/crates/jm-route/src/scheduler.rs
+++ b/crates/jm-route/src/scheduler.rs
@@ -207,7 +207,9 @@
         let service = &self.services[index];
         for class in Class::ALL {
             for request in service.heads(class) {
-                match service.place(self.requests[&request].need(), now, &self.options) {
+                let tracked = &self.requests[&request];
+                let need = tracked.need(service.estimate(tracked));
+                match service.place(need, now, &self.options) {
                     Placement::Slot(slot) => return Some((request, slot)),
                     // A request behind must not overtake one that waits for a free window: a large request would
                     // never start, and training would take the place of a live call.
@@ -226,21 +228,23 @@
             .expect("a request in a queue is tracked");
         let service = &mut self.services[tracked.service];
         let share = self.organisations[tracked.organisation].get();
+        let tokens = service.estimate(tracked);
         if let Stage::Waiting(sequence) = tracked.stage {
             let queue = service.queue_mut(tracked.request.class);
-            queue.serve(tracked.organisation, sequence, tracked.tokens, share);
+            queue.serve(tracked.organisation, sequence, tracked.tokens);
+            queue.charge(tracked.organisation, tokens as i64, share);
         }
         service
             .prefixes
             .store(slot, &tracked.request.prefix_hashes, self.options.prefix_limit);
         let target = &mut service.targets[slot];
-        let cost = target.cost(tracked.tokens);
+        let cost = target.cost(tokens);
         target.start(tracked.request.class, cost, now, &self.options);
         target.pending_prompt[tracked.request.class as usize] += tracked.request.prompt_tokens.get();
         tracked.stage = Stage::Running(Flight {
             slot,
             cost,
-            charged: tracked.tokens,
+            charged: tokens,
             generated: 0,
             last_progress: now,
         });
--- a/crates/jm-route/src/service.rs
+++ b/crates/jm-route/src/service.rs
@@ -7,6 +7,7 @@
     Class, SchedulerOptions, ServiceSummary,
     cache::PrefixIndex,
     fair::FairQueue,
+    flight::Tracked,
     health,
     placement::{self, Need, Placement},
     target::{Health, Target, TargetSpec},
@@ -83,6 +84,14 @@
             .any(|target| placement::allowed(target, avoid))
     }
 
+    /// The tokens that a request is expected to use, from what is known now.
+    pub(crate) fn estimate(&self, tracked: &Tracked) -> u64 {
+        let request = &tracked.request;
+        let (prompt, most) = (request.prompt_tokens.get(), request.max_tokens.get());
+        self.queue(request.class)
+            .estimate(tracked.organisation, prompt, most)
+    }
+
     pub(crate) fn place(&self, need: Need<'_>, now: Timestamp, options: &SchedulerOptions) -> Placement {
         placement::place(&self.targets, &self.prefixes, need, now, options)
     }
