--- a/crates/jm-route/src/fair.rs
+++ b/crates/jm-route/src/fair.rs
@@ -17,25 +17,42 @@
 /// Weight of a new observation in the estimate of generated tokens.
 const ESTIMATE_GAIN: f64 = 0.1;
 
-#[derive(Debug)]
+/// Observations from which on an organisation's own estimate is used instead of that of all organisations.
+const OWN_OBSERVATIONS: u32 = 5;
+
+#[derive(Debug, Default)]
 struct Flow {
     tag: u64,
     waiting: BTreeMap<u64, RequestId>,
-    /// Generated tokens as a part of `max_tokens`; starts at 1 so that an unknown organisation is not
-    /// undercharged.
-    output_part: f64,
+    output: OutputPart,
 }
 
-impl Default for Flow {
+/// Generated tokens as a part of `max_tokens`.
+#[derive(Debug)]
+struct OutputPart {
+    mean: f64,
+    observations: u32,
+}
+
+impl Default for OutputPart {
+    /// Starts at 1 so that nobody is undercharged before anything is known.
     fn default() -> Self {
         Self {
-            tag: 0,
-            waiting: BTreeMap::new(),
-            output_part: 1.0,
+            mean: 1.0,
+            observations: 0,
         }
     }
 }
 
+impl OutputPart {
+    /// A plain mean at first, so that a wrong start is forgotten soon, then a running one.
+    fn observe(&mut self, part: f64) {
+        self.observations = self.observations.saturating_add(1);
+        let gain = (1.0 / f64::from(self.observations)).max(ESTIMATE_GAIN);
+        self.mean += gain * (part - self.mean);
+    }
+}
+
 /// Waiting requests of one service and class.
 #[derive(Debug, Default)]
 pub(crate) struct FairQueue {
@@ -46,6 +63,8 @@
     next_sequence: u64,
     waiting: usize,
     waiting_tokens: u64,
+    /// Of all organisations.
+    output: OutputPart,
 }
 
 impl FairQueue {
@@ -119,14 +138,16 @@
     pub(crate) fn learn(&mut self, organisation: usize, generated: u64, max_tokens: u64) {
         if max_tokens > 0 {
             let part = (generated as f64 / max_tokens as f64).min(1.0);
-            let flow = self.flow(organisation);
-            flow.output_part += ESTIMATE_GAIN * (part - flow.output_part);
+            self.output.observe(part);
+            self.flow(organisation).output.observe(part);
         }
     }
 
     /// The tokens that a request is expected to use; at least 1, so that requests of plain services count.
     pub(crate) fn estimate(&self, organisation: usize, prompt_tokens: u64, max_tokens: u64) -> u64 {
-        let part = self.flows.get(organisation).map_or(1.0, |flow| flow.output_part);
+        let own = self.flows.get(organisation).map(|flow| &flow.output);
+        let known = own.filter(|output| output.observations >= OWN_OBSERVATIONS);
+        let part = known.unwrap_or(&self.output).mean;
         (prompt_tokens + (max_tokens as f64 * part).ceil() as u64).max(1)
     }
 
