--- a/crates/jm-lease/src/keeper.rs
+++ b/crates/jm-lease/src/keeper.rs
@@ -218,7 +218,9 @@
         let (expected, guard) = match &self.observation {
             Some(current) => {
                 let longest = current.record.longest_order_ms;
-                let orders_allowed_at = current.takeover_at().after(longest);
+                // The margin again covers clocks of different speeds, here over the longest order time.
+                let wait = longest.saturating_add(self.options.margin_ms);
+                let orders_allowed_at = current.takeover_at().after(wait);
                 let fencing = current.record.fencing.next();
                 (
                     current.version.into(),
--- /dev/null
+++ b/crates/jm-lease/tests/lease_handover.rs
@@ -0,0 +1,85 @@
+//! Guards against a lease that is taken too early, is not taken at all, or loses its fencing number.
+
+use async_std::task;
+use jm_lease::{Acquisition, Duty, LeaseError, LeaseKeeper, LeaseOptions};
+use jm_platform::{Condition, MemoryPlatform, ObjectStore};
+use jm_types::{Clock, DurationMs, Incarnation, ManualClock};
+
+fn keeper(holder: &str, incarnation: u64) -> LeaseKeeper {
+    let holder = holder.parse().expect("a valid id");
+    let options = LeaseOptions::new(Duty::Usage, holder, Incarnation::new(incarnation));
+    LeaseKeeper::new(options).expect("consistent options")
+}
+
+async fn is_held(keeper: &mut LeaseKeeper, store: &MemoryPlatform, clock: &ManualClock) -> bool {
+    let acquired = keeper.acquire(store, clock).await.expect("the store answers");
+    matches!(acquired, Acquisition::Held(guard) if guard.valid(clock.now()))
+}
+
+#[test]
+fn free_after_release() {
+    task::block_on(async {
+        let (store, clock) = (MemoryPlatform::default(), ManualClock::default());
+        let (mut old, mut new) = (keeper("control-1", 1), keeper("control-2", 1));
+        assert!(is_held(&mut old, &store, &clock).await);
+        assert!(!is_held(&mut new, &store, &clock).await);
+        let guard = old.guard().cloned().expect("held");
+        old.release(&store, &clock).await.expect("the store answers");
+        assert!(
+            !guard.valid(clock.now()),
+            "a released guard must not allow writing"
+        );
+        assert!(is_held(&mut new, &store, &clock).await);
+        assert!(matches!(
+            old.renew(&store, &clock).await,
+            Err(LeaseError::NotHeld)
+        ));
+    });
+}
+
+/// An unchanged object counts; a renewal starts the wait again.
+#[test]
+fn renewed_in_time() {
+    task::block_on(async {
+        let (store, clock) = (MemoryPlatform::default(), ManualClock::default());
+        let (mut old, mut new) = (keeper("control-1", 1), keeper("control-2", 1));
+        for _ in 0..20 {
+            assert!(is_held(&mut old, &store, &clock).await);
+            clock.advance(DurationMs::new(6_000));
+            assert!(!is_held(&mut new, &store, &clock).await);
+        }
+        clock.advance(DurationMs::new(10_000));
+        assert!(is_held(&mut new, &store, &clock).await);
+        assert!(matches!(old.renew(&store, &clock).await, Err(LeaseError::Lost)));
+    });
+}
+
+/// The earlier run of a restarted daemon may still be running.
+#[test]
+fn restarted_holder() {
+    task::block_on(async {
+        let (store, clock) = (MemoryPlatform::default(), ManualClock::default());
+        assert!(is_held(&mut keeper("control-1", 1), &store, &clock).await);
+        let mut restarted = keeper("control-1", 2);
+        assert!(!is_held(&mut restarted, &store, &clock).await);
+        clock.advance(DurationMs::new(10_000));
+        assert!(is_held(&mut restarted, &store, &clock).await);
+    });
+}
+
+/// Somebody deletes the object, which the system itself never does.
+#[test]
+fn deleted_object() {
+    task::block_on(async {
+        let (store, clock) = (MemoryPlatform::default(), ManualClock::default());
+        let (mut old, mut new) = (keeper("control-1", 1), keeper("control-2", 1));
+        assert!(is_held(&mut old, &store, &clock).await);
+        let fencing = old.guard().expect("held").fencing();
+        let deleted = store.delete(&Duty::Usage.key(), Condition::Any).await;
+        deleted.expect("the store answers");
+        assert!(is_held(&mut new, &store, &clock).await);
+        assert!(new.guard().expect("held").fencing() > fencing);
+        assert!(old.renew(&store, &clock).await.is_err());
+        assert!(old.guard().is_none());
+    });
+}
