jm-entry: tests of callers' endpoints against scripted dispatch daemons

Cause: the endpoints had no tests.

Change: one file a feature: key checks, broken streams, order outcomes, idempotency keys, withdrawn keys and lost freshness, addresses, steps. The dispatch daemons are link servers behind the relay that cuts links; the clock stands still. After several attempts the refusal is that of the attempt that may have run, so that "not run" stays true.

--- a/crates/jm-entry/src/execution.rs
+++ b/crates/jm-entry/src/execution.rs
@@ -29,8 +29,8 @@
     member: Option<MemberId>,
     /// The target of the current attempt, once it is known.
     target: Option<TargetId>,
-    /// Whether an earlier attempt may have run.
-    may_have_run: bool,
+    /// How an earlier attempt failed that may have run.
+    earlier: Option<Refusal>,
 }
 
 /// An answer that has begun.
@@ -54,7 +54,7 @@
             attempts: 0,
             member: None,
             target: None,
-            may_have_run: false,
+            earlier: None,
         }
     }
 
@@ -73,8 +73,12 @@
         };
         // A daemon whose link broke may still be there; it is asked again when there is no other.
         let member = choose(&self.avoid).or_else(|| choose(&[]));
-        let none = || Failure::refused(ResultCode::NoTarget, "no live target serves the service");
-        let member = member.ok_or_else(none)?;
+        let Some(member) = member else {
+            // Another attempt would find the same.
+            self.attempts = MAX_ATTEMPTS;
+            let message = "no live target serves the service";
+            return Err(Failure::refused(ResultCode::NoTarget, message));
+        };
         self.start_at(&member).await
     }
 
@@ -130,14 +134,12 @@
         if !may_retry {
             return Err(self.settle(refusal));
         }
-        self.may_have_run |= refusal.code.execution() != Run::NotRun;
-        self.entry
-            .node
-            .metrics
-            .retries
-            .with_label_values(&["entry"])
-            .inc();
+        let node = &self.entry.node;
+        node.metrics.retries.with_label_values(&["entry"]).inc();
         LogEvent::RequestRetried.write(format_args!("request {}: {}", self.request.request, refusal.code));
+        if refusal.code.execution() != Run::NotRun {
+            self.earlier = Some(refusal);
+        }
         Ok(())
     }
 
@@ -148,11 +150,12 @@
         self.request.avoid.extend(self.target.take());
     }
 
-    /// The refusal with a code that is true for all attempts together.
-    pub(crate) fn settle(&self, refusal: Refusal) -> Refusal {
-        match self.may_have_run {
-            true => refusal.after_possible_run(ResultCode::OutcomeUnknown),
-            false => refusal,
+    /// The refusal that is true for all attempts together: when an earlier attempt may have run, the last one must not
+    /// say "not run".
+    fn settle(&self, refusal: Refusal) -> Refusal {
+        match &self.earlier {
+            Some(earlier) if refusal.code.execution() == Run::NotRun => earlier.clone(),
+            _ => refusal,
         }
     }
 }
--- /dev/null
+++ b/crates/jm-entry/tests/broken_stream.rs
@@ -0,0 +1,146 @@
+//! Completions over links and engines that break.
+
+#[path = "common/mod.rs"]
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses a part of the helpers"
+)]
+mod common;
+
+use common::{Act, Fixture, KEY_A, body, completion, post, refuse};
+use futures::{AsyncBufReadExt, StreamExt};
+use jm_types::ResultCode;
+use serde_json::{Value, json};
+
+fn tokens(text: &str) -> Vec<Value> {
+    let lines = text
+        .lines()
+        .map(|line| serde_json::from_str::<Value>(line).unwrap());
+    lines
+        .filter(|line| line.get("token").is_some())
+        .map(|line| line["token"].clone())
+        .collect()
+}
+
+fn last(text: &str) -> Value {
+    serde_json::from_str(text.lines().last().unwrap()).unwrap()
+}
+
+/// Guards against a token that is lost or sent twice when the link breaks within an answer.
+#[async_std::test]
+async fn broken_link_is_resumed() {
+    let fixture = Fixture::start(2).await;
+    let first = [
+        Act::Head(200, "gen-1"),
+        Act::Piece("a", 1),
+        Act::Piece("b", 1),
+        Act::Hold,
+    ];
+    fixture.script.add(first.into());
+    let second = [
+        Act::Head(200, "gen-1"),
+        Act::Piece("c", 2),
+        Act::Piece("d", 2),
+        Act::Done,
+    ];
+    fixture.script.add(second.into());
+    let mut lines = fixture.send(completion(Some(KEY_A))).await.lines();
+    let mut text = String::new();
+    for _ in 0..2 {
+        text += &(lines.next().await.unwrap().unwrap() + "\n");
+    }
+    let (member, _) = fixture.script.executed().remove(0);
+    let broken = fixture
+        .dispatchers
+        .iter()
+        .find(|fake| fake.member == member)
+        .unwrap();
+    broken.relay.cut_connections();
+    while let Some(line) = lines.next().await {
+        text += &(line.unwrap() + "\n");
+    }
+    assert_eq!(tokens(&text), ["a", "b", "c", "d"]);
+    let segments = json!([{"version": 1, "tokens": 2}, {"version": 2, "tokens": 2}]);
+    assert_eq!(
+        last(&text),
+        json!({"done": true, "segments": segments, "tokens": 4})
+    );
+    let executed = fixture.script.executed();
+    let (other, resumed) = &executed[1];
+    assert_eq!((resumed.resume_tokens, executed.len()), (2, 2));
+    assert_ne!(*other, member);
+}
+
+/// Guards against a resumed stream that meets the same broken engine, and against a lost last token.
+#[async_std::test]
+async fn failed_engine_is_avoided() {
+    let fixture = Fixture::start(1).await;
+    let failing = [
+        Act::Head(200, "gen-1"),
+        Act::Piece("a", 1),
+        Act::Refuse(ResultCode::TargetFailed),
+    ];
+    fixture.script.add(failing.into());
+    let rest = [Act::Head(200, "gen-2"), Act::Piece("b", 1), Act::Done];
+    fixture.script.add(rest.into());
+    let text = body(fixture.send(completion(Some(KEY_A))).await).await.unwrap();
+    assert_eq!(tokens(&text), ["a", "b"]);
+    let (_, resumed) = &fixture.script.executed()[1];
+    assert_eq!(resumed.avoid, ["gen-1".parse().unwrap()]);
+}
+
+/// Guards against a cut answer that looks whole, against "not run" after delivered tokens, and against endless attempts.
+#[async_std::test]
+async fn given_up_stream_is_cut() {
+    let fixture = Fixture::start(1).await;
+    let failing = [
+        Act::Head(200, "gen-1"),
+        Act::Piece("a", 1),
+        Act::Refuse(ResultCode::TargetFailed),
+    ];
+    fixture.script.add(failing.into());
+    (0..9).for_each(|_| fixture.script.add(refuse(ResultCode::NoTarget)));
+    let mut lines = fixture.send(completion(Some(KEY_A))).await.lines();
+    let piece = lines.next().await.unwrap().unwrap();
+    let error: Value = serde_json::from_str(&lines.next().await.unwrap().unwrap()).unwrap();
+    assert_eq!(tokens(&piece), ["a"]);
+    assert_eq!(error["error"]["execution"], "outcome unknown");
+    assert!(lines.next().await.unwrap().is_err());
+    assert_eq!(fixture.script.executed().len(), 3);
+}
+
+/// Guards against a refusal that comes as a stream, and against a repeated request that the queue refused.
+#[async_std::test]
+async fn early_refusal_is_plain() {
+    let fixture = Fixture::start(1).await;
+    fixture.script.add(refuse(ResultCode::QueueFull));
+    assert_eq!(
+        fixture.refusal(completion(Some(KEY_A))).await,
+        ResultCode::QueueFull
+    );
+    assert_eq!(fixture.script.executed().len(), 1);
+}
+
+/// Guards against retries that multiply the load of an outage.
+#[async_std::test]
+async fn spent_budget_ends_retries() {
+    let fixture = Fixture::start(1).await;
+    while fixture.node.router.may_retry() {}
+    fixture.script.add(refuse(ResultCode::TargetFailed));
+    assert_eq!(
+        fixture.refusal(completion(Some(KEY_A))).await,
+        ResultCode::TargetFailed
+    );
+    assert_eq!(fixture.script.executed().len(), 1);
+}
+
+/// Guards against misspelt fields that are silently ignored.
+#[async_std::test]
+async fn unknown_field_is_refused() {
+    let fixture = Fixture::start(1).await;
+    let body = r#"{"service":"gen","prompt":"a","max_tokens":1,"max_token":9}"#;
+    let request = post("/v1/completions", Some(KEY_A), body);
+    assert_eq!(fixture.refusal(request).await, ResultCode::MalformedRequest);
+    assert_eq!(fixture.entry.open_requests(), 0);
+}
--- /dev/null
+++ b/crates/jm-entry/tests/common/dispatch.rs
@@ -0,0 +1,239 @@
+//! Scripted dispatch daemons behind relays.
+
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use async_std::{net::TcpListener, task};
+use async_trait::async_trait;
+use futures::FutureExt;
+use jm_link::{
+    ExecuteRequest, FleetSecret, HeaderLine, LinkHandler, LinkOptions, LinkServer, PeerReply, PeerRequest,
+    ReplySender, StepOperation,
+};
+use jm_node::{MemberRecord, Node, OwnedLoad};
+use jm_order::{Ticket, TicketSecret};
+use jm_route::ServiceSummary;
+use jm_standins::Relay;
+use jm_types::{
+    Incarnation, MemberId, OrganisationId, Rate, ResultCode, Revision, ServiceId, StepId, TokenCount,
+};
+
+const INCARNATION: u64 = 7;
+
+/// One step of an answer.
+pub(crate) enum Act {
+    Head(u16, &'static str),
+    Piece(&'static str, u64),
+    Chunk(&'static str),
+    Done,
+    Refuse(ResultCode),
+    /// Says nothing more and keeps the call open.
+    Hold,
+}
+
+/// The only act of an answer.
+pub(crate) fn refuse(code: ResultCode) -> Vec<Act> {
+    vec![Act::Refuse(code)]
+}
+
+/// Answers to the calls that run requests or work on steps, in the order in which the calls come, and the calls.
+#[derive(Clone, Default)]
+pub(crate) struct Script {
+    answers: Arc<Mutex<VecDeque<Vec<Act>>>>,
+    executed: Arc<Mutex<Vec<(MemberId, ExecuteRequest)>>>,
+}
+
+impl Script {
+    pub(crate) fn add(&self, answer: Vec<Act>) {
+        self.answers.lock().unwrap().push_back(answer);
+    }
+
+    /// The requests that dispatch daemons received.
+    pub(crate) fn executed(&self) -> Vec<(MemberId, ExecuteRequest)> {
+        self.executed.lock().unwrap().clone()
+    }
+}
+
+type StepCall = (OrganisationId, StepId, StepOperation);
+
+pub(crate) struct FakeDispatch {
+    pub(crate) member: MemberId,
+    pub(crate) relay: Relay,
+    pub(crate) handler: Arc<Handler>,
+}
+
+pub(crate) struct Handler {
+    member: MemberId,
+    script: Script,
+    secret: TicketSecret,
+    serial: AtomicU64,
+    pub(crate) steps: Mutex<Vec<StepCall>>,
+    /// Answers to steps of this daemon; without one, it knows no step.
+    pub(crate) step_answers: Mutex<VecDeque<Vec<Act>>>,
+}
+
+impl FakeDispatch {
+    pub(crate) async fn start(id: &str, script: &Script, node: &Node) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let relay = Relay::start("127.0.0.1:0".parse().unwrap(), address, 0)
+            .await
+            .unwrap();
+        let secret = node.settings.link.secret.expose().to_vec();
+        let handler = Arc::new(Handler {
+            member: MemberId::new(id).unwrap(),
+            script: script.clone(),
+            secret: TicketSecret::new(secret.clone()),
+            serial: AtomicU64::new(1),
+            steps: Mutex::default(),
+            step_answers: Mutex::default(),
+        });
+        let secret = FleetSecret::new(secret);
+        let server = LinkServer::new(secret, LinkOptions::default(), Arc::clone(&handler) as _);
+        let never = futures::future::pending::<()>().shared();
+        task::spawn(Arc::new(server).serve(listener, never));
+        Self {
+            member: handler.member.clone(),
+            relay,
+            handler,
+        }
+    }
+
+    pub(crate) fn record(&self) -> MemberRecord {
+        MemberRecord {
+            id: self.member.clone(),
+            incarnation: Incarnation::new(INCARNATION),
+            roles: vec!["dispatch".to_owned()],
+            zone: "zone-a".parse().unwrap(),
+            region: "region".parse().unwrap(),
+            link_address: Some(self.relay.address().to_string()),
+            entry_address: None,
+            leaving: false,
+        }
+    }
+}
+
+/// Makes the daemons known to `node`, with room for every service. They have every revision in force, so that a
+/// proposal is not waited for.
+pub(crate) fn register(node: &Node, fakes: &[FakeDispatch]) {
+    let now = node.now();
+    node.peers
+        .set_registered(fakes.iter().map(FakeDispatch::record).collect(), now);
+    for fake in fakes {
+        let services = ["gen", "desk", "hasty", "catalogue"];
+        let owned = OwnedLoad {
+            summaries: services.into_iter().map(summary).collect(),
+            versions: Vec::new(),
+        };
+        node.router.update(&fake.member, owned, now);
+        node.peers.contact(&fake.member, Revision::new(1_000), false, now);
+    }
+}
+
+fn summary(service: &str) -> ServiceSummary {
+    let room = TokenCount::new(1_000);
+    ServiceSummary {
+        zone: "zone-a".parse().unwrap(),
+        service: ServiceId::new(service).unwrap(),
+        targets: 1,
+        queued_live: TokenCount::default(),
+        queued_training: TokenCount::default(),
+        free_window: room,
+        free_training_window: room,
+        window: room,
+        served_rate: Rate::default(),
+        live_fair_rate: Rate::default(),
+        training_fair_rate: Rate::default(),
+    }
+}
+
+impl Handler {
+    fn ticket(&self, organisation: Option<OrganisationId>, service: ServiceId) -> String {
+        let ticket = Ticket {
+            member: self.member.clone(),
+            incarnation: Incarnation::new(INCARNATION),
+            organisation: organisation.unwrap_or_else(|| "everyone".parse().unwrap()),
+            service,
+            serial: self.serial.fetch_add(1, Ordering::SeqCst),
+            issued: Default::default(),
+        };
+        self.secret.sign(ticket).to_string()
+    }
+
+    fn next_step_answer(&self) -> Vec<Act> {
+        let answer = self.step_answers.lock().unwrap().pop_front();
+        answer.unwrap_or_else(|| refuse(ResultCode::UnknownStep))
+    }
+}
+
+#[async_trait]
+impl LinkHandler for Handler {
+    async fn call(&self, request: PeerRequest, replies: ReplySender) {
+        let acts = match request {
+            PeerRequest::Execute(request) => {
+                self.script
+                    .executed
+                    .lock()
+                    .unwrap()
+                    .push((self.member.clone(), *request));
+                let answer = self.script.answers.lock().unwrap().pop_front();
+                answer.unwrap_or_else(|| refuse(ResultCode::Internal))
+            }
+            PeerRequest::Step {
+                organisation,
+                step,
+                operation,
+            } => {
+                self.steps.lock().unwrap().push((organisation, step, operation));
+                self.next_step_answer()
+            }
+            PeerRequest::IssueTicket {
+                organisation,
+                service,
+            } => {
+                let ticket = PeerReply::Ticket(self.ticket(organisation, service));
+                let _ = replies.send(ticket).await;
+                return;
+            }
+            PeerRequest::Status => {
+                let _ = replies
+                    .send(PeerReply::Message(br#"{"queued":3}"#.to_vec().into()))
+                    .await;
+                return;
+            }
+            _ => return,
+        };
+        for act in acts {
+            let Some(reply) = reply(act) else {
+                return futures::future::pending().await;
+            };
+            let _ = replies.send(reply).await;
+        }
+    }
+}
+
+fn reply(act: Act) -> Option<PeerReply> {
+    Some(match act {
+        Act::Head(status, target) => PeerReply::Head {
+            status,
+            headers: vec![HeaderLine {
+                name: "jm-target".to_owned(),
+                value: target.to_owned(),
+            }],
+        },
+        Act::Piece(token, version) => PeerReply::Chunk(
+            format!("{{\"token\":\"{token}\",\"version\":{version}}}\n")
+                .into_bytes()
+                .into(),
+        ),
+        Act::Chunk(text) => PeerReply::Chunk(text.as_bytes().to_vec().into()),
+        Act::Done => PeerReply::Done,
+        Act::Refuse(code) => PeerReply::refused(code, "scripted"),
+        Act::Hold => return None,
+    })
+}
--- /dev/null
+++ b/crates/jm-entry/tests/common/mod.rs
@@ -0,0 +1,222 @@
+//! An entry daemon over a store in memory and scripted dispatch daemons.
+
+mod dispatch;
+mod store;
+
+use std::sync::Arc;
+
+use async_std::task;
+use jm_config::{Author, Change, ConfigView, Document, Edit, KeySecret, SectionName, Settings, diff};
+use jm_entry::Entry;
+use jm_http::{Connection, Method, Request, Response, Url, read_whole};
+use jm_node::{ConfigKeeper, Node, NodeOptions, Platform, Stop, StopTrigger};
+use jm_platform::MemoryPlatform;
+use jm_types::{ByteSize, DurationMs, ResultCode, Revision, Timestamp};
+use serde_json::Value;
+
+pub(crate) use dispatch::{Act, FakeDispatch, Script, refuse};
+pub(crate) use store::TestStore;
+
+pub(crate) const KEY_A: &str = "first-secret-of-org-a";
+pub(crate) const KEY_B: &str = "second-secret-of-org-b";
+pub(crate) const ADMIN_TOKEN: &str = "token-for-all-sections";
+pub(crate) const SALES_TOKEN: &str = "token-for-sales-alone";
+
+/// A clock that stands still, so that nothing times out or grows old unless a test says so.
+pub(crate) use jm_types::ManualClock;
+
+pub(crate) struct Fixture {
+    pub(crate) node: Arc<Node>,
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) store: Arc<TestStore>,
+    pub(crate) clock: Arc<ManualClock>,
+    pub(crate) script: Script,
+    pub(crate) dispatchers: Vec<FakeDispatch>,
+    pub(crate) trigger: StopTrigger,
+}
+
+fn hash(secret: &str) -> String {
+    KeySecret::from_text(secret).hash().to_string()
+}
+
+fn settings(id: &str) -> Settings {
+    let text = include_str!("settings.ini")
+        .replace("ID", id)
+        .replace("ADMIN_HASH", &hash(ADMIN_TOKEN))
+        .replace("SALES_HASH", &hash(SALES_TOKEN));
+    Settings::parse("settings.ini", &text).expect("valid settings")
+}
+
+fn document() -> Document {
+    let text = include_str!("document.ini")
+        .replace("HASH_A", &hash(KEY_A))
+        .replace("HASH_B", &hash(KEY_B));
+    Document::parse("document.ini", &text).expect("a valid document")
+}
+
+/// A node that follows the store, without any other daemon.
+pub(crate) async fn node(
+    id: &str,
+    store: &Arc<TestStore>,
+    clock: &Arc<ManualClock>,
+) -> (Arc<Node>, StopTrigger) {
+    let memory = Arc::new(MemoryPlatform::default());
+    let (trigger, stop) = Stop::new();
+    let platform = Platform {
+        objects: Arc::clone(store) as _,
+        hosts: Arc::clone(&memory) as _,
+        targets: Arc::clone(&memory) as _,
+        usage: Arc::clone(&memory) as _,
+        weights: memory,
+    };
+    let node = Node::new(NodeOptions {
+        settings: settings(id),
+        platform,
+        clock: Arc::clone(clock) as _,
+        stop,
+    });
+    task::spawn(ConfigKeeper::follow(Arc::clone(&node)));
+    until(|| node.is_fresh()).await;
+    (node, trigger)
+}
+
+impl Fixture {
+    /// An entry daemon with the sample document and `dispatchers` scripted dispatch daemons, which share one script.
+    pub(crate) async fn start(dispatchers: usize) -> Self {
+        let store = Arc::new(TestStore::default());
+        let clock = Arc::new(ManualClock::new(Timestamp::new(1_000_000)));
+        let (node, trigger) = node("entry-1", &store, &clock).await;
+        let change = change("first", diff(&node.config.view(), &document()));
+        node.propose(&change).await.expect("the document is accepted");
+        let script = Script::default();
+        let mut fakes = Vec::new();
+        for number in 1..=dispatchers {
+            fakes.push(FakeDispatch::start(&format!("dispatch-{number}"), &script, &node).await);
+        }
+        dispatch::register(&node, &fakes);
+        // The retry budget starts empty.
+        (0..50).for_each(|_| node.router.count_request());
+        Self {
+            entry: Entry::new(Arc::clone(&node)),
+            node,
+            store,
+            clock,
+            script,
+            dispatchers: fakes,
+            trigger,
+        }
+    }
+
+    pub(crate) async fn send(&self, request: Request) -> Response {
+        self.entry
+            .caller_handler()
+            .handle(request, &Connection { peer: None })
+            .await
+    }
+
+    /// The status and the whole JSON body of an answer.
+    pub(crate) async fn json(&self, request: Request) -> (u16, Value) {
+        json_answer(self.send(request).await).await
+    }
+
+    /// The result code of a refusal.
+    pub(crate) async fn refusal(&self, request: Request) -> ResultCode {
+        code_of(&self.json(request).await.1)
+    }
+
+    /// Removes a section, as an operator does.
+    pub(crate) async fn remove(&self, section: &str) {
+        let change = change(
+            &format!("remove-{}", section.replace(' ', "-")),
+            vec![removal(&self.node, section)],
+        );
+        self.node.propose(&change).await.expect("the removal is accepted");
+    }
+
+    /// Makes the daemon lose its proof that the configuration is current.
+    pub(crate) async fn lose_freshness(&self) {
+        self.store.set_down(true);
+        self.clock.advance(DurationMs::new(3_500));
+        // A watch that was waiting when the store went down may still be answered.
+        until(|| !self.node.is_fresh()).await;
+    }
+}
+
+pub(crate) fn change(id: &str, edits: Vec<Edit>) -> Change {
+    Change {
+        change_id: id.parse().unwrap(),
+        author: Author {
+            actor: "tester".to_owned(),
+            team: None,
+        },
+        base: Revision::default(),
+        edits,
+    }
+}
+
+pub(crate) fn removal(node: &Node, section: &str) -> Edit {
+    let section: SectionName = section.parse().unwrap();
+    let view: ConfigView = node.config.view();
+    let found = view.sections.iter().find(|found| found.name == section);
+    Edit {
+        expected: Some(found.expect("the section exists").revision),
+        section,
+        body: None,
+    }
+}
+
+/// Waits for a condition that must come true; the test hangs and is killed when it does not.
+pub(crate) async fn until(mut condition: impl FnMut() -> bool) {
+    while !condition() {
+        task::sleep(DurationMs::new(5).as_std()).await;
+    }
+}
+
+pub(crate) fn request(method: Method, path: &str, key: Option<&str>, body: &str) -> Request {
+    let mut request = Request::new(method, Url::parse(&format!("http://entry{path}")).unwrap());
+    if let Some(key) = key {
+        request.insert_header("authorization", format!("Bearer {key}"));
+    }
+    request.set_body(body);
+    request
+}
+
+pub(crate) fn get(path: &str, key: Option<&str>) -> Request {
+    request(Method::Get, path, key, "")
+}
+
+pub(crate) fn post(path: &str, key: Option<&str>, body: &str) -> Request {
+    request(Method::Post, path, key, body)
+}
+
+/// A request for four tokens.
+pub(crate) fn completion(key: Option<&str>) -> Request {
+    let body = r#"{"service":"gen","prompt":"a b c","max_tokens":4}"#;
+    post("/v1/completions", key, body)
+}
+
+pub(crate) fn order(header: Option<(&str, &str)>) -> Request {
+    let mut request = post("/v1/services/desk/orders", Some(KEY_A), "one rack");
+    if let Some((name, value)) = header {
+        request.insert_header(name, value);
+    }
+    request
+}
+
+pub(crate) async fn body(mut response: Response) -> std::io::Result<String> {
+    let bytes = read_whole(response.take_body(), ByteSize::new(100_000)).await?;
+    Ok(String::from_utf8(bytes).expect("a text"))
+}
+
+pub(crate) async fn json_answer(response: Response) -> (u16, Value) {
+    let status = response.status().into();
+    let text = body(response).await.expect("a whole body");
+    (status, serde_json::from_str(&text).unwrap_or_default())
+}
+
+pub(crate) fn code_of(content: &Value) -> ResultCode {
+    let code = content["code"].as_str();
+    code.unwrap_or_else(|| panic!("no code in {content}"))
+        .parse()
+        .unwrap()
+}
--- /dev/null
+++ b/crates/jm-entry/tests/key_access.rs
@@ -0,0 +1,131 @@
+//! Who may call what, and what a target sees of the caller.
+
+#[path = "common/mod.rs"]
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses a part of the helpers"
+)]
+mod common;
+
+use common::{Act, Fixture, KEY_A, KEY_B, body, completion, get, order, post};
+use jm_types::ResultCode;
+
+fn whole(text: &'static str) -> Vec<Act> {
+    vec![Act::Head(200, "target-1"), Act::Chunk(text), Act::Done]
+}
+
+/// Guards against keyed calls without a valid key.
+#[async_std::test]
+async fn keyed_service_needs_key() {
+    let fixture = Fixture::start(1).await;
+    assert_eq!(fixture.refusal(completion(None)).await, ResultCode::MissingKey);
+    assert_eq!(
+        fixture.refusal(completion(Some("wrong"))).await,
+        ResultCode::UnknownKey
+    );
+    let mut basic = completion(None);
+    basic.insert_header("authorization", format!("Basic {KEY_A}"));
+    assert_eq!(fixture.refusal(basic).await, ResultCode::MissingKey);
+    let mut two = completion(Some(KEY_A));
+    two.append_header("authorization", format!("Bearer {KEY_B}"));
+    assert_eq!(fixture.refusal(two).await, ResultCode::MissingKey);
+    let ticket = post("/v1/tickets", None, r#"{"service":"desk"}"#);
+    assert_eq!(fixture.refusal(ticket).await, ResultCode::MissingKey);
+    assert!(fixture.script.executed().is_empty());
+}
+
+/// Guards against a call of an organisation that the route does not name, and against calls that no route covers.
+#[async_std::test]
+async fn route_decides() {
+    let fixture = Fixture::start(1).await;
+    let refused = [
+        (
+            post("/v1/services/desk/orders", Some(KEY_B), ""),
+            ResultCode::RouteNotAllowed,
+        ),
+        (
+            get("/v1/services/desk/secret", Some(KEY_A)),
+            ResultCode::RouteNotAllowed,
+        ),
+        (
+            get("/v1/services/desk/orders", Some(KEY_A)),
+            ResultCode::RouteNotAllowed,
+        ),
+        (
+            post("/v1/services/gen/v1/completions", Some(KEY_A), ""),
+            ResultCode::UnknownService,
+        ),
+        (
+            get("/v1/services/none/x", Some(KEY_A)),
+            ResultCode::UnknownService,
+        ),
+        (get("/v2/other", Some(KEY_A)), ResultCode::UnknownEndpoint),
+        (get("/v1/completions", Some(KEY_A)), ResultCode::MethodNotAllowed),
+    ];
+    for (request, code) in refused {
+        assert_eq!(fixture.refusal(request).await, code);
+    }
+    assert!(fixture.script.executed().is_empty());
+}
+
+/// Guards against an organisation that a caller names itself, and against headers that reach a target.
+#[async_std::test]
+async fn key_names_organisation() {
+    let fixture = Fixture::start(1).await;
+    fixture.script.add(whole("ok"));
+    let mut request = order(None);
+    request.insert_header("organisation", "org-b");
+    request.insert_header("jm-organisation", "org-b");
+    request.insert_header("accept", "text/plain");
+    assert_eq!(body(fixture.send(request).await).await.unwrap(), "ok");
+    let (_, executed) = fixture.script.executed().remove(0);
+    assert_eq!(executed.organisation.unwrap().as_str(), "org-a");
+    assert_eq!(executed.key.unwrap().as_str(), "key-a");
+    assert_eq!(executed.head.path, "/orders");
+    let names = executed.head.headers.iter().map(|line| line.name.as_str());
+    assert!(
+        names
+            .clone()
+            .all(|name| name == "accept" || name.starts_with("content-")),
+        "{names:?}"
+    );
+}
+
+/// Guards against a target that sees a key.
+#[async_std::test]
+async fn key_never_forwarded() {
+    let fixture = Fixture::start(1).await;
+    let in_query = post(&format!("/v1/services/desk/orders?k={KEY_A}"), Some(KEY_A), "");
+    let in_body = post("/v1/services/desk/orders", Some(KEY_A), KEY_A);
+    let prompt = format!(r#"{{"service":"gen","prompt":"{KEY_A}","max_tokens":1}}"#);
+    let in_prompt = post("/v1/completions", Some(KEY_A), &prompt);
+    let in_open_query = get(&format!("/v1/services/catalogue/x?k={KEY_A}"), Some(KEY_A));
+    for request in [in_query, in_body, in_prompt, in_open_query] {
+        assert_eq!(fixture.refusal(request).await, ResultCode::KeyInRequest);
+    }
+    assert!(fixture.script.executed().is_empty());
+}
+
+/// Guards against an open service that uses, needs or forwards a key.
+#[async_std::test]
+async fn open_service_takes_everyone() {
+    let fixture = Fixture::start(1).await;
+    for key in [None, Some("nonsense"), Some(KEY_A)] {
+        fixture.script.add(whole("list"));
+        let answer = fixture.send(get("/v1/services/catalogue/list?page=2", key)).await;
+        assert!(answer.header("jm-target").is_none());
+        assert_eq!(body(answer).await.unwrap(), "list");
+    }
+    for (_, executed) in fixture.script.executed() {
+        assert_eq!((executed.organisation, executed.key), (None, None));
+        assert_eq!(executed.head.path, "/list?page=2");
+        assert!(
+            executed
+                .head
+                .headers
+                .iter()
+                .all(|line| line.name != "authorization")
+        );
+    }
+}
--- /dev/null
+++ b/crates/jm-entry/tests/key_validity.rs
@@ -0,0 +1,109 @@
+//! Requests whose key is withdrawn or can no longer be checked.
+
+#[path = "common/mod.rs"]
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses a part of the helpers"
+)]
+mod common;
+
+use common::{Act, Fixture, KEY_A, KEY_B, body, completion, get, until};
+use futures::{AsyncBufReadExt, StreamExt};
+use jm_types::ResultCode;
+use serde_json::Value;
+
+fn endless() -> Vec<Act> {
+    vec![Act::Head(200, "gen-1"), Act::Piece("a", 1), Act::Hold]
+}
+
+async fn lines_of(fixture: &Fixture, key: &str) -> futures::io::Lines<jm_http::Response> {
+    fixture.script.add(endless());
+    let mut lines = fixture.send(completion(Some(key))).await.lines();
+    lines.next().await.unwrap().unwrap();
+    lines
+}
+
+async fn cut_code(lines: &mut futures::io::Lines<jm_http::Response>) -> Value {
+    let last: Value = serde_json::from_str(&lines.next().await.unwrap().unwrap()).unwrap();
+    assert!(lines.next().await.unwrap().is_err(), "the body ends as whole");
+    last["error"]["code"].clone()
+}
+
+/// Guards against a withdrawn key that goes on working on an open stream, and against a cut of other keys.
+#[async_std::test]
+async fn withdrawal_cuts_streams() {
+    let fixture = Fixture::start(1).await;
+    let mut withdrawn = lines_of(&fixture, KEY_A).await;
+    let mut other = lines_of(&fixture, KEY_B).await;
+    fixture.remove("key key-a").await;
+    assert_eq!(
+        cut_code(&mut withdrawn).await,
+        ResultCode::CutByWithdrawal.to_string()
+    );
+    assert_eq!(
+        fixture.refusal(completion(Some(KEY_A))).await,
+        ResultCode::UnknownKey
+    );
+    fixture.dispatchers[0].relay.cut_connections();
+    fixture
+        .script
+        .add(vec![Act::Head(200, "gen-1"), Act::Piece("b", 1), Act::Done]);
+    assert!(other.next().await.unwrap().unwrap().contains('b'));
+}
+
+/// Guards against samples that reach the holder of a withdrawn key, and against a request that waits for its head.
+#[async_std::test]
+async fn withdrawal_cuts_waiting_calls() {
+    let fixture = Fixture::start(1).await;
+    let sample = [Act::Chunk("{\"sequence\":1}"), Act::Hold];
+    fixture.dispatchers[0]
+        .handler
+        .step_answers
+        .lock()
+        .unwrap()
+        .push_back(sample.into());
+    let samples = fixture
+        .send(get("/v1/steps/s/samples?after=0", Some(KEY_A)))
+        .await;
+    fixture.script.add(vec![Act::Hold]);
+    let withdraw = async {
+        until(|| !fixture.script.executed().is_empty()).await;
+        fixture.remove("key key-a").await;
+    };
+    let (code, ()) = futures::join!(fixture.refusal(completion(Some(KEY_A))), withdraw);
+    assert_eq!(code, ResultCode::CutByWithdrawal);
+    assert!(body(samples).await.is_err());
+    assert_eq!(fixture.entry.open_requests(), 0);
+}
+
+/// Guards against keyed requests under a configuration that may be old, and against an outage for everyone.
+#[async_std::test]
+async fn stale_daemon_serves_open_routes() {
+    let fixture = Fixture::start(1).await;
+    let mut stream = lines_of(&fixture, KEY_A).await;
+    fixture.lose_freshness().await;
+    assert_eq!(
+        cut_code(&mut stream).await,
+        ResultCode::OutcomeUnknown.to_string()
+    );
+    assert_eq!(
+        fixture.refusal(completion(Some(KEY_A))).await,
+        ResultCode::NotFresh
+    );
+    assert_eq!(
+        fixture.refusal(get("/v1/steps/s/samples", Some(KEY_A))).await,
+        ResultCode::NotFresh
+    );
+    fixture
+        .script
+        .add(vec![Act::Head(200, "c"), Act::Chunk("list"), Act::Done]);
+    let open = fixture
+        .send(get("/v1/services/catalogue/list", Some(KEY_A)))
+        .await;
+    assert_eq!(body(open).await.unwrap(), "list");
+    fixture.store.set_down(false);
+    until(|| fixture.node.is_fresh()).await;
+    fixture.script.add(endless());
+    assert!(fixture.send(completion(Some(KEY_A))).await.status().is_success());
+}
--- /dev/null
+++ b/crates/jm-entry/tests/order_outcome.rs
@@ -0,0 +1,189 @@
+//! What an order's answer says about its outcome, for each way in which it can fail.
+
+#[path = "common/mod.rs"]
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses a part of the helpers"
+)]
+mod common;
+
+use async_std::task;
+use common::{Act, Fixture, KEY_A, KEY_B, body, code_of, get, json_answer, order, post, refuse, until};
+use jm_types::{Incarnation, ResultCode};
+
+fn ran() -> Vec<Act> {
+    vec![
+        Act::Head(201, "desk-1"),
+        Act::Chunk("cut"),
+        Act::Chunk(" wood"),
+        Act::Done,
+    ]
+}
+
+async fn ticket(fixture: &Fixture, key: &str, service: &str) -> String {
+    let request = post("/v1/tickets", Some(key), &format!(r#"{{"service":"{service}"}}"#));
+    let (status, content) = fixture.json(request).await;
+    assert_eq!(status, 200);
+    content["ticket"].as_str().unwrap().to_owned()
+}
+
+/// Guards against a lost answer of an order that ran.
+#[async_std::test]
+async fn answer_names_ticket() {
+    let fixture = Fixture::start(2).await;
+    fixture.script.add(ran());
+    let answer = fixture.send(order(None)).await;
+    assert_eq!(u16::from(answer.status()), 201);
+    let named = answer.header("jm-ticket").unwrap().as_str().to_owned();
+    assert_eq!(body(answer).await.unwrap(), "cut wood");
+    let (member, executed) = fixture.script.executed().remove(0);
+    assert_eq!(executed.ticket, Some(named.clone()));
+    assert!(!executed.repeatable && named.contains(member.as_str()));
+}
+
+/// Guards against "outcome unknown" where nothing was written, and against an order that is tried elsewhere.
+#[async_std::test]
+async fn refused_connection_is_not_run() {
+    let fixture = Fixture::start(1).await;
+    fixture.dispatchers[0].relay.close().await;
+    let code = fixture.refusal(order(None)).await;
+    assert_eq!(code, ResultCode::DispatchUnreachable);
+}
+
+/// Guards against "not run" after the request was written, and against a second run.
+#[async_std::test]
+async fn closed_link_is_unknown() {
+    let fixture = Fixture::start(2).await;
+    fixture.script.add(vec![Act::Hold]);
+    let cut = async {
+        until(|| !fixture.script.executed().is_empty()).await;
+        fixture
+            .dispatchers
+            .iter()
+            .for_each(|fake| fake.relay.cut_connections());
+    };
+    let (answer, ()) = futures::join!(fixture.send(order(None)), cut);
+    let named = answer.header("jm-ticket").unwrap().as_str().to_owned();
+    let (_, content) = json_answer(answer).await;
+    assert_eq!(code_of(&content), ResultCode::OutcomeUnknown);
+    assert_eq!(fixture.script.executed().len(), 1);
+    fixture.script.add(ran());
+    let again = fixture.send(order(Some(("order-ticket", &named)))).await;
+    assert_eq!(body(again).await.unwrap(), "cut wood");
+    let executed = fixture.script.executed();
+    assert_eq!(executed[1].1.ticket, Some(named));
+    assert_eq!(executed[0].0, executed[1].0);
+}
+
+/// Guards against an order that is repeated after a target failed, and against a changed code.
+#[async_std::test]
+async fn failed_target_is_told() {
+    let fixture = Fixture::start(2).await;
+    let codes = [
+        ResultCode::TargetFailed,
+        ResultCode::QueueFull,
+        ResultCode::OutcomeUnknown,
+    ];
+    for code in codes {
+        fixture.script.add(refuse(code));
+        assert_eq!(fixture.refusal(order(None)).await, code);
+    }
+    assert_eq!(fixture.script.executed().len(), codes.len());
+}
+
+/// Guards against a cut answer that looks whole.
+#[async_std::test]
+async fn cut_answer_is_cut() {
+    let fixture = Fixture::start(1).await;
+    let acts = [
+        Act::Head(200, "desk-1"),
+        Act::Chunk("half"),
+        Act::Refuse(ResultCode::AnswerCut),
+    ];
+    fixture.script.add(acts.into());
+    assert!(body(fixture.send(order(None)).await).await.is_err());
+}
+
+/// Guards against "not run" when the deadline passes without a word from the dispatch daemon.
+#[async_std::test]
+async fn silence_is_unknown() {
+    let fixture = Fixture::start(1).await;
+    fixture.script.add(vec![Act::Hold]);
+    let request = post("/v1/services/hasty/orders", Some(KEY_A), "");
+    assert_eq!(fixture.refusal(request).await, ResultCode::AnswerTimeout);
+}
+
+/// Guards against a ticket that runs for another organisation or service, or that somebody made up.
+#[async_std::test]
+async fn foreign_ticket_is_refused() {
+    let fixture = Fixture::start(1).await;
+    let of_other = ticket(&fixture, KEY_B, "desk").await;
+    let other_service = ticket(&fixture, KEY_A, "hasty").await;
+    let forged = ticket(&fixture, KEY_A, "desk").await.replace("org-a", "org-b");
+    let refused = [
+        (of_other, ResultCode::TicketMismatch),
+        (other_service, ResultCode::TicketMismatch),
+        (forged, ResultCode::MalformedTicket),
+        ("none".to_owned(), ResultCode::MalformedTicket),
+    ];
+    for (text, code) in refused {
+        assert_eq!(fixture.refusal(order(Some(("order-ticket", &text)))).await, code);
+    }
+    assert!(fixture.script.executed().is_empty());
+}
+
+/// Guards against an order that runs at another daemon or a later run than its ticket names.
+#[async_std::test]
+async fn lost_issuer_is_unknown() {
+    let fixture = Fixture::start(2).await;
+    let text = ticket(&fixture, KEY_A, "desk").await;
+    let issuer = fixture
+        .dispatchers
+        .iter()
+        .find(|fake| text.contains(fake.member.as_str()))
+        .unwrap();
+    let again = || order(Some(("order-ticket", &text)));
+    // The ticket may have been used before, so a refused connection says nothing about the order.
+    issuer.relay.close().await;
+    assert_eq!(fixture.refusal(again()).await, ResultCode::OutcomeUnknown);
+    issuer.relay.open().await.unwrap();
+    let mut restarted = issuer.record();
+    restarted.incarnation = Incarnation::new(restarted.incarnation.get() + 1);
+    fixture
+        .node
+        .peers
+        .set_registered(vec![restarted], fixture.node.now());
+    assert_eq!(fixture.refusal(again()).await, ResultCode::OutcomeUnknown);
+    fixture.node.peers.set_registered(Vec::new(), fixture.node.now());
+    assert_eq!(fixture.refusal(again()).await, ResultCode::OutcomeUnknown);
+    assert!(fixture.script.executed().is_empty());
+}
+
+/// Guards against repeatable calls that are given up at the first failure, and against a retry at the same daemon.
+#[async_std::test]
+async fn repeatable_call_is_retried() {
+    let fixture = Fixture::start(2).await;
+    let requests = [
+        post("/v1/services/desk/quotes", Some(KEY_A), ""),
+        get("/v1/services/catalogue/list", None),
+    ];
+    for request in requests {
+        let before = fixture.script.executed().len();
+        fixture.script.add(vec![Act::Head(200, "desk-1"), Act::Hold]);
+        fixture.script.add(ran());
+        let cut = async {
+            until(|| fixture.script.executed().len() > before).await;
+            let (member, _) = fixture.script.executed().pop().unwrap();
+            // Lets the head arrive, which delivers nothing to the caller yet.
+            task::yield_now().await;
+            let broken = fixture.dispatchers.iter().find(|fake| fake.member == member);
+            broken.unwrap().relay.cut_connections();
+        };
+        let (answer, ()) = futures::join!(fixture.send(request), cut);
+        assert!(answer.header("jm-ticket").is_none());
+        assert_eq!(body(answer).await.unwrap(), "cut wood");
+        let executed = fixture.script.executed();
+        assert_ne!(executed[before].0, executed[before + 1].0);
+    }
+}
--- /dev/null
+++ b/crates/jm-entry/tests/step_calls.rs
@@ -0,0 +1,141 @@
+//! Training steps: which dispatch daemon is asked, and what a trainer may ask for.
+
+#[path = "common/mod.rs"]
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses a part of the helpers"
+)]
+mod common;
+
+use common::{Act, Fixture, KEY_A, KEY_B, body, get, post, request};
+use jm_http::Method;
+use jm_link::StepOperation;
+use jm_types::{MemberId, ResultCode, Sequence, StepId};
+
+fn spec(staleness_bound: u64, group_size: u64) -> String {
+    format!(
+        r#"{{"step":"s","service":"gen","weight_version":3,"staleness_bound":{staleness_bound},
+            "group_size":{group_size},"samples":4,"prompts":["p"],"max_tokens":8,"held":[]}}"#
+    )
+}
+
+/// Positions of the fixture's daemons in the order in which they own the step.
+fn owners(fixture: &Fixture) -> Vec<usize> {
+    let candidates = fixture.node.step_candidates(&StepId::new("s").unwrap());
+    let position = |member: &MemberId| fixture.dispatchers.iter().position(|fake| fake.member == *member);
+    candidates
+        .iter()
+        .map(|member| position(member).unwrap())
+        .collect()
+}
+
+fn answer(fixture: &Fixture, owner: usize, acts: Vec<Act>) {
+    let handler = &fixture.dispatchers[owners(fixture)[owner]].handler;
+    handler.step_answers.lock().unwrap().push_back(acts);
+}
+
+fn creations(fixture: &Fixture) -> Vec<usize> {
+    let count = |owner: &usize| {
+        let steps = fixture.dispatchers[*owner].handler.steps.lock().unwrap();
+        let is_create = |operation: &StepOperation| matches!(operation, StepOperation::Create { .. });
+        steps
+            .iter()
+            .filter(|(_, _, operation)| is_create(operation))
+            .count()
+    };
+    owners(fixture).iter().map(count).collect()
+}
+
+fn create() -> jm_http::Request {
+    post("/v1/steps", Some(KEY_A), &spec(2, 4))
+}
+
+/// Guards against a second step when a daemon that came up later precedes the one that holds it.
+#[async_std::test]
+async fn create_finds_holder() {
+    let fixture = Fixture::start(3).await;
+    answer(&fixture, 2, vec![Act::Done]);
+    answer(&fixture, 2, vec![Act::Done]);
+    assert_eq!(fixture.json(create()).await.0, 200);
+    assert_eq!(creations(&fixture), [0, 0, 1]);
+}
+
+/// Guards against a new step that two daemons hold, or that nobody creates because one daemon is down.
+#[async_std::test]
+async fn create_uses_first_reachable() {
+    let fixture = Fixture::start(3).await;
+    fixture.dispatchers[owners(&fixture)[0]].relay.close().await;
+    answer(&fixture, 1, vec![Act::Refuse(ResultCode::UnknownStep)]);
+    answer(&fixture, 1, vec![Act::Done]);
+    assert_eq!(fixture.json(create()).await.0, 200);
+    assert_eq!(creations(&fixture), [0, 1, 0]);
+}
+
+/// Guards against steps beyond the operators' bounds.
+#[async_std::test]
+async fn bounds_are_kept() {
+    let fixture = Fixture::start(1).await;
+    let refused = [
+        (KEY_A, spec(3, 4), ResultCode::OutOfRange),
+        (KEY_A, spec(2, 5), ResultCode::OutOfRange),
+        (KEY_B, spec(2, 4), ResultCode::RouteNotAllowed),
+        (
+            KEY_A,
+            spec(2, 4).replace("\"gen\"", "\"desk\""),
+            ResultCode::UnknownService,
+        ),
+    ];
+    for (key, body, code) in refused {
+        assert_eq!(fixture.refusal(post("/v1/steps", Some(key), &body)).await, code);
+    }
+    assert_eq!(creations(&fixture), [0]);
+}
+
+/// Guards against samples that wait for the end of the step or that are taken for whole when the link breaks.
+#[async_std::test]
+async fn samples_come_from_holder() {
+    let fixture = Fixture::start(2).await;
+    let samples = [
+        Act::Chunk("{\"sequence\":3}"),
+        Act::Chunk("{\"sequence\":4}\n"),
+        Act::Done,
+    ];
+    answer(&fixture, 1, samples.into());
+    let read = fixture
+        .send(get("/v1/steps/s/samples?after=2&term=1-9", Some(KEY_B)))
+        .await;
+    assert_eq!(body(read).await.unwrap(), "{\"sequence\":3}\n{\"sequence\":4}\n");
+    let holder = &fixture.dispatchers[owners(&fixture)[1]];
+    let (organisation, step, operation) = holder.handler.steps.lock().unwrap().remove(0);
+    assert_eq!((organisation.as_str(), step.as_str()), ("org-b", "s"));
+    let term = Some("1-9".to_owned());
+    let after = Sequence::new(2);
+    assert_eq!(operation, StepOperation::Read { after, term });
+    answer(&fixture, 0, vec![Act::Chunk("{\"sequence\":1}"), Act::Hold]);
+    let read = fixture.send(get("/v1/steps/s/samples", Some(KEY_A))).await;
+    fixture
+        .dispatchers
+        .iter()
+        .for_each(|fake| fake.relay.cut_connections());
+    assert!(body(read).await.is_err());
+}
+
+/// Guards against a step that is taken for lost while its daemon cannot be reached.
+#[async_std::test]
+async fn unreachable_is_not_unknown() {
+    let fixture = Fixture::start(2).await;
+    let acknowledge = || post("/v1/steps/s/ack", Some(KEY_A), r#"{"through":4}"#);
+    assert_eq!(fixture.refusal(acknowledge()).await, ResultCode::UnknownStep);
+    fixture.dispatchers[0].relay.close().await;
+    assert_eq!(
+        fixture.refusal(acknowledge()).await,
+        ResultCode::DispatchUnreachable
+    );
+    let delete = || request(Method::Delete, "/v1/steps/s", Some(KEY_A), "");
+    fixture.dispatchers[0].relay.open().await.unwrap();
+    answer(&fixture, 1, vec![Act::Done]);
+    assert_eq!(fixture.json(delete()).await.0, 200);
+    let version = post("/v1/steps/s/version", Some(KEY_A), r#"{"weight_version":4}"#);
+    assert_eq!(fixture.refusal(version).await, ResultCode::MalformedRequest);
+}
