--- /dev/null
+++ b/crates/jm-node/tests/racing_changes.rs
@@ -0,0 +1,245 @@
+//! Configuration changes of several operators through two daemons on one store.
+
+use std::sync::Arc;
+
+use async_std::task;
+use futures::future::join_all;
+use jm_config::{Author, Change, Edit, Settings};
+use jm_http::Limits;
+use jm_node::{ConfigKeeper, Node, NodeOptions, Platform, ProposeError, Stop, change_key};
+use jm_platform::{HttpPlatform, MemoryPlatform, ObjectStore};
+use jm_standins::{PlatformOptions, PlatformServer};
+use jm_types::{DurationMs, ManualClock, ResultCode, Revision, Timestamp};
+
+const SETTINGS: &str = "
+[daemon]
+id = ID
+zone = zone-a
+region = region
+roles = entry
+[entry]
+listen = 127.0.0.1:7000
+admin_listen = 127.0.0.1:7001
+advertised = 127.0.0.1:7000
+[member]
+listen = 127.0.0.1:7300
+advertised = 127.0.0.1:7300
+[platform]
+object_url = http://127.0.0.1:9000/objects/
+host_list_url = http://127.0.0.1:9000/hosts
+targets_url = http://127.0.0.1:9000/targets
+usage_url = http://127.0.0.1:9000/usage
+weights_url = http://127.0.0.1:9000/weights
+[link]
+secret = secret-of-the-tests-0123456789abcdef
+";
+
+struct Fleet {
+    server: PlatformServer,
+    clock: Arc<ManualClock>,
+    nodes: [Arc<Node>; 2],
+}
+
+fn node(id: &str, server: &PlatformServer, clock: &Arc<ManualClock>) -> Arc<Node> {
+    let platform = Arc::new(HttpPlatform::new(server.address(), Limits::default()));
+    Node::new(NodeOptions {
+        settings: Settings::parse("settings.ini", &SETTINGS.replace("ID", id)).expect("valid settings"),
+        platform: Platform {
+            objects: Arc::clone(&platform) as _,
+            hosts: Arc::clone(&platform) as _,
+            targets: Arc::clone(&platform) as _,
+            usage: Arc::clone(&platform) as _,
+            weights: platform,
+        },
+        clock: Arc::clone(clock) as _,
+        stop: Stop::new().1,
+    })
+}
+
+impl Fleet {
+    /// Two nodes that learn of changes only by their own proposals, unless a test lets them follow the log.
+    async fn start() -> Self {
+        let server = PlatformServer::start(PlatformOptions::default()).await.unwrap();
+        let clock = Arc::new(ManualClock::new(Timestamp::new(1_000_000)));
+        let nodes = ["one", "two"].map(|id| node(id, &server, &clock));
+        Self { server, clock, nodes }
+    }
+
+    fn store(&self) -> &MemoryPlatform {
+        self.server.platform()
+    }
+
+    /// How many stored changes have an id, in the log that a new daemon would read.
+    async fn stored(&self, id: &str) -> usize {
+        let objects = self.store().list("config/change/").await.unwrap().objects;
+        let is_it = |value: &[u8]| jm_node::decode::<Change>(value).unwrap().change_id.as_str() == id;
+        objects
+            .iter()
+            .filter(|object| is_it(&object.object.value))
+            .count()
+    }
+}
+
+fn change(id: &str, section: &str, expected: Option<u64>, name: &str) -> Change {
+    Change {
+        change_id: id.parse().unwrap(),
+        author: Author {
+            actor: id.to_owned(),
+            team: None,
+        },
+        base: Revision::new(expected.unwrap_or(0)),
+        edits: vec![Edit {
+            section: section.parse().unwrap(),
+            expected: expected.map(Revision::new),
+            body: Some(format!("name = {name}\n").parse().unwrap()),
+        }],
+    }
+}
+
+async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        task::sleep(DurationMs::new(5).as_std()).await;
+    }
+}
+
+/// Guards against a change that is lost or refused because another operator changed something else.
+#[async_std::test]
+async fn different_sections_are_both_accepted() {
+    let fleet = Fleet::start().await;
+    let changes: Vec<_> = (0..8)
+        .map(|number| {
+            change(
+                &format!("c{number}"),
+                &format!("organisation org-{number}"),
+                None,
+                "x",
+            )
+        })
+        .collect();
+    let proposals = changes
+        .iter()
+        .enumerate()
+        .map(|(number, change)| fleet.nodes[number % 2].propose(change));
+    let mut revisions: Vec<_> = join_all(proposals)
+        .await
+        .into_iter()
+        .map(|accepted| accepted.unwrap().revision)
+        .collect();
+    revisions.sort();
+    assert_eq!(revisions, (1..=8).map(Revision::new).collect::<Vec<_>>());
+}
+
+/// Guards against one operator's change that silently replaces another's.
+#[async_std::test]
+async fn same_section_has_one_winner() {
+    let fleet = Fleet::start().await;
+    let changes = [
+        change("a", "organisation x", None, "A"),
+        change("b", "organisation x", None, "B"),
+    ];
+    let proposals = fleet
+        .nodes
+        .iter()
+        .zip(&changes)
+        .map(|(node, change)| node.propose(change));
+    let (won, lost): (Vec<_>, Vec<_>) = join_all(proposals).await.into_iter().partition(Result::is_ok);
+    assert_eq!((won.len(), lost.len()), (1, 1));
+    let error = lost.into_iter().next().unwrap().unwrap_err();
+    assert_eq!(error.code(), ResultCode::SectionConflict);
+    assert!(error.to_string().contains("revision 1"), "{error}");
+}
+
+/// Guards against a change that takes effect twice, or is reported as refused, after its answer was lost.
+#[async_std::test]
+async fn lost_answer_is_settled_once() {
+    let fleet = Fleet::start().await;
+    let change = change("a", "organisation x", None, "A");
+    fleet.server.set_faults(|faults| faults.lose_next = 1);
+    let accepted = fleet.nodes[0].propose(&change).await.unwrap();
+    assert_eq!(accepted.revision, Revision::new(1));
+    let repeated = fleet.nodes[1].propose(&change).await.unwrap();
+    assert_eq!(
+        (repeated.revision, fleet.stored("a").await),
+        (accepted.revision, 1)
+    );
+}
+
+/// Guards against a repeat under an old id that stores a second time or replaces other edits.
+#[async_std::test]
+async fn repeat_finds_its_revision() {
+    let fleet = Fleet::start().await;
+    let [first, second] = &fleet.nodes;
+    let change_a = change("a", "organisation x", None, "A");
+    first.propose(&change_a).await.unwrap();
+    second
+        .propose(&change("b", "organisation y", None, "B"))
+        .await
+        .unwrap();
+    assert_eq!(
+        second.propose(&change_a).await.unwrap().revision,
+        Revision::new(1)
+    );
+    let reused = second
+        .propose(&change("a", "organisation z", None, "Z"))
+        .await
+        .unwrap_err();
+    assert_eq!(reused.code(), ResultCode::RequestMismatch);
+    assert_eq!(fleet.stored("a").await, 1);
+}
+
+/// Guards against a change that is reported as accepted or unknown although the store was never reached.
+#[async_std::test]
+async fn store_down_is_not_stored() {
+    let fleet = Fleet::start().await;
+    let change = change("a", "organisation x", None, "A");
+    fleet.server.set_faults(|faults| faults.down = true);
+    let refused = fleet.nodes[0].propose(&change).await.unwrap_err();
+    assert!(matches!(refused, ProposeError::Unavailable { .. }), "{refused}");
+    fleet.server.set_faults(|faults| faults.down = false);
+    assert_eq!(fleet.stored("a").await, 0);
+    assert_eq!(
+        fleet.nodes[1].propose(&change).await.unwrap().revision,
+        Revision::new(1)
+    );
+}
+
+/// Guards against a daemon that misses a change, goes back to an older one, or counts as fresh without the store.
+#[async_std::test]
+async fn follower_never_goes_back() {
+    let fleet = Fleet::start().await;
+    let [writer, follower] = &fleet.nodes;
+    assert!(!follower.is_fresh());
+    let first = change("a", "organisation x", None, "A");
+    writer.propose(&first).await.unwrap();
+    let updates = follower.config.subscribe();
+    task::spawn(ConfigKeeper::follow(Arc::clone(follower)));
+    updates.recv().await.unwrap();
+    writer
+        .propose(&change("b", "organisation x", Some(1), "B"))
+        .await
+        .unwrap();
+    updates.recv().await.unwrap();
+    follower.config.apply(Revision::new(1), &first).unwrap();
+    assert_eq!(follower.config.revision(), Revision::new(2));
+    assert_eq!(follower.config.view(), writer.config.view());
+    let ids: Vec<_> = follower
+        .config
+        .history()
+        .into_iter()
+        .map(|entry| entry.change_id.to_string())
+        .collect();
+    assert_eq!(ids, ["a", "b"]);
+    until(|| follower.is_fresh()).await;
+    fleet.server.set_faults(|faults| faults.down = true);
+    fleet.clock.advance(DurationMs::new(3_001));
+    // The own daemon is the only registered one, and a majority of one needs no answer.
+    assert!(follower.peers.majority_answers(Timestamp::new(0)));
+    assert!(
+        fleet
+            .store()
+            .get(&change_key(Revision::new(3)))
+            .await
+            .unwrap()
+            .is_none()
+    );
+}
