--- a/crates/jm-entry/tests/admin_changes.rs
+++ b/crates/jm-entry/tests/admin_changes.rs
@@ -31,6 +31,10 @@
     json_answer(send(entry, request).await).await
 }
 
+async fn refused(entry: &Arc<Entry>, request: Request, code: ResultCode) {
+    assert_eq!(code_of(&admin(entry, request).await.1), code);
+}
+
 fn proposal(change: &Change, token: &str) -> Request {
     post(
         "/admin/v1/config",
@@ -63,8 +67,7 @@
             (None, ResultCode::MissingKey),
             (Some(KEY_A), ResultCode::UnknownKey),
         ] {
-            let (_, content) = admin(&fixture.entry, get(&path, key)).await;
-            assert_eq!(code_of(&content), code);
+            refused(&fixture.entry, get(&path, key), code).await;
         }
     }
     for path in ["/healthz", "/readyz", "/metrics"] {
@@ -78,8 +81,12 @@
     let fixture = Fixture::start(0).await;
     let mut foreign = change("foreign", vec![removal(&fixture.node, "route quote")]);
     foreign.author.team = None;
-    let (_, content) = admin(&fixture.entry, proposal(&foreign, SALES_TOKEN)).await;
-    assert_eq!(code_of(&content), ResultCode::WrongTeam);
+    refused(
+        &fixture.entry,
+        proposal(&foreign, SALES_TOKEN),
+        ResultCode::WrongTeam,
+    )
+    .await;
     let own = Change {
         author: Author {
             actor: "clerk".to_owned(),
@@ -130,11 +137,14 @@
     let fixture = Fixture::start(2).await;
     let add = change("add", vec![organisation("org-c", "Third", None)]);
     fixture.set_down(true);
-    let (_, content) = admin(&fixture.entry, proposal(&add, ADMIN_TOKEN)).await;
-    assert_eq!(code_of(&content), ResultCode::StoreUnavailable);
+    refused(
+        &fixture.entry,
+        proposal(&add, ADMIN_TOKEN),
+        ResultCode::StoreUnavailable,
+    )
+    .await;
     fixture.lose_freshness().await;
-    let (_, content) = admin(&fixture.entry, proposal(&add, ADMIN_TOKEN)).await;
-    assert_eq!(code_of(&content), ResultCode::NotFresh);
+    refused(&fixture.entry, proposal(&add, ADMIN_TOKEN), ResultCode::NotFresh).await;
     assert_eq!(send(&fixture.entry, get("/readyz", None)).await.status(), 503);
     fixture.set_down(false);
     until(|| fixture.node.is_fresh()).await;
@@ -154,20 +164,18 @@
 async fn burn_counts_live_requests() {
     let fixture = Fixture::start(1).await;
     while fixture.node.router.may_retry() {}
-    fixture.script.add("head 200 gen-1 | piece a 1 | done");
-    body(fixture.send(completion(Some(KEY_A))).await).await.unwrap();
-    fixture
-        .script
-        .add("head 200 gen-1 | piece a 1 | refuse TargetFailed");
+    fixture.add("head 200 gen-1 | piece a 1 | done");
+    fixture.text(completion(Some(KEY_A))).await;
+    fixture.add("head 200 gen-1 | piece a 1 | refuse TargetFailed");
     body(fixture.send(completion(Some(KEY_A))).await)
         .await
         .unwrap_err();
-    fixture.script.add("refuse NoTarget");
+    fixture.add("refuse NoTarget");
     fixture.refusal(completion(Some(KEY_A))).await;
     fixture.send(post("/v1/completions", Some(KEY_A), "{}")).await;
-    fixture.script.add("head 404 desk-1 | chunk none | done");
-    body(fixture.send(order(None)).await).await.unwrap();
-    fixture.script.add("head 200 desk-1 | chunk late | done");
+    fixture.add("head 404 desk-1 | chunk none | done");
+    fixture.text(order(None)).await;
+    fixture.add("head 200 desk-1 | chunk late | done");
     let late = fixture.send(order(None)).await;
     fixture.clock.advance(DurationMs::new(1_001));
     body(late).await.unwrap();
--- a/crates/jm-entry/tests/common/dispatch.rs
+++ b/crates/jm-entry/tests/common/dispatch.rs
@@ -38,7 +38,6 @@
         self.answers.lock().unwrap().push_back(answer.to_owned());
     }
 
-    /// The requests that dispatch daemons received.
     pub(crate) fn executed(&self) -> Vec<(MemberId, ExecuteRequest)> {
         self.executed.lock().unwrap().clone()
     }
@@ -57,11 +56,28 @@
     script: Script,
     secret: TicketSecret,
     serial: AtomicU64,
+    /// Calls that stay open; a cancelled one is not among them.
+    pub(crate) held: Arc<AtomicU64>,
     pub(crate) steps: Mutex<Vec<StepCall>>,
     /// Answers to steps of this daemon; without one, it knows no step.
     pub(crate) step_answers: Mutex<VecDeque<String>>,
 }
 
+struct OpenCall(Arc<AtomicU64>);
+
+impl OpenCall {
+    fn new(held: &Arc<AtomicU64>) -> Self {
+        held.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(held))
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 impl FakeDispatch {
     pub(crate) async fn start(id: &str, script: &Script, node: &Node) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -75,6 +91,7 @@
             script: script.clone(),
             secret: TicketSecret::new(secret.clone()),
             serial: AtomicU64::new(1),
+            held: Arc::default(),
             steps: Mutex::default(),
             step_answers: Mutex::default(),
         });
@@ -195,6 +212,7 @@
         };
         for act in acts.split(" | ") {
             let Some(reply) = reply(act) else {
+                let _open = OpenCall::new(&self.held);
                 return futures::future::pending().await;
             };
             let _ = replies.send(reply).await;
--- a/crates/jm-entry/tests/common/mod.rs
+++ b/crates/jm-entry/tests/common/mod.rs
@@ -8,18 +8,19 @@
 use jm_config::{Author, Change, ConfigView, Document, Edit, KeySecret, SectionName, Settings, diff};
 use jm_entry::Entry;
 use jm_http::{Connection, Limits, Method, Request, Response, Url, read_whole};
+use jm_link::ExecuteRequest;
 use jm_node::{ConfigKeeper, Node, NodeOptions, Platform, Stop, StopTrigger};
 use jm_platform::HttpPlatform;
 use jm_standins::{PlatformOptions, PlatformServer};
-use jm_types::{ByteSize, DurationMs, ResultCode, Revision, Timestamp};
+use jm_types::{ByteSize, DurationMs, MemberId, ResultCode, Revision, Timestamp};
 use serde_json::Value;
 
 pub(crate) use dispatch::{FakeDispatch, Script};
 
 pub(crate) const KEY_A: &str = "first-secret-of-org-a";
 pub(crate) const KEY_B: &str = "second-secret-of-org-b";
-pub(crate) const ADMIN_TOKEN: &str = "token-for-all-sections";
-pub(crate) const SALES_TOKEN: &str = "token-for-sales-alone";
+pub(crate) const ADMIN_TOKEN: &str = "sample-admin-token";
+pub(crate) const SALES_TOKEN: &str = "sample-sales-token";
 
 /// A clock that stands still, so that nothing times out or grows old unless a test says so.
 pub(crate) use jm_types::ManualClock;
@@ -39,10 +40,7 @@
 }
 
 fn settings(id: &str) -> Settings {
-    let text = include_str!("settings.ini")
-        .replace("ID", id)
-        .replace("ADMIN_HASH", &hash(ADMIN_TOKEN))
-        .replace("SALES_HASH", &hash(SALES_TOKEN));
+    let text = include_str!("settings.ini").replace("ID", id);
     Settings::parse("settings.ini", &text).expect("valid settings")
 }
 
@@ -124,6 +122,38 @@
         code_of(&self.json(request).await.1)
     }
 
+    /// Adds the answer to the next request; see [`Script`].
+    pub(crate) fn add(&self, answer: &str) {
+        self.script.add(answer);
+    }
+
+    /// The requests that dispatch daemons received.
+    pub(crate) fn executed(&self) -> Vec<(MemberId, ExecuteRequest)> {
+        self.script.executed()
+    }
+
+    /// The dispatch daemon that a text names.
+    pub(crate) fn fake(&self, text: &str) -> &FakeDispatch {
+        let mut fakes = self.dispatchers.iter();
+        fakes.find(|fake| text.contains(fake.member.as_str())).unwrap()
+    }
+
+    pub(crate) fn cut_links(&self) {
+        self.dispatchers
+            .iter()
+            .for_each(|fake| fake.relay.cut_connections());
+    }
+
+    /// Sends a request that must be refused with a code.
+    pub(crate) async fn refused(&self, request: Request, code: ResultCode) {
+        assert_eq!(self.refusal(request).await, code);
+    }
+
+    /// The whole body of an answer.
+    pub(crate) async fn text(&self, request: Request) -> String {
+        body(self.send(request).await).await.expect("a whole body")
+    }
+
     /// Removes a section, as an operator does.
     pub(crate) async fn remove(&self, section: &str) {
         let change = change(
--- a/crates/jm-entry/tests/idempotency_key.rs
+++ b/crates/jm-entry/tests/idempotency_key.rs
@@ -8,7 +8,7 @@
 )]
 mod common;
 
-use common::{Fixture, body, get, order, post};
+use common::{Fixture, get, order, post};
 use jm_types::ResultCode;
 
 const RAN: &str = "head 201 desk-1 | chunk done | done";
@@ -18,9 +18,9 @@
 }
 
 async fn run(fixture: &Fixture) -> String {
-    fixture.script.add(RAN);
-    assert_eq!(body(fixture.send(keyed()).await).await.unwrap(), "done");
-    let (_, executed) = fixture.script.executed().pop().unwrap();
+    fixture.add(RAN);
+    assert_eq!(fixture.text(keyed()).await, "done");
+    let (_, executed) = fixture.executed().pop().unwrap();
     executed.ticket.unwrap()
 }
 
@@ -31,12 +31,7 @@
     fixture.server.set_faults(|faults| faults.lose_next = 1);
     let first = run(&fixture).await;
     assert_eq!(run(&fixture).await, first);
-    let members: Vec<_> = fixture
-        .script
-        .executed()
-        .into_iter()
-        .map(|(member, _)| member)
-        .collect();
+    let members: Vec<_> = fixture.executed().into_iter().map(|(member, _)| member).collect();
     assert_eq!(members[0], members[1]);
 }
 
@@ -45,8 +40,8 @@
 async fn store_down_is_not_run() {
     let fixture = Fixture::start(1).await;
     fixture.set_down(true);
-    assert_eq!(fixture.refusal(keyed()).await, ResultCode::StoreUnavailable);
-    assert!(fixture.script.executed().is_empty());
+    fixture.refused(keyed(), ResultCode::StoreUnavailable).await;
+    assert!(fixture.executed().is_empty());
     fixture.set_down(false);
     run(&fixture).await;
 }
@@ -58,11 +53,11 @@
     run(&fixture).await;
     let mut other = post("/v1/services/desk/orders", Some(common::KEY_A), "two racks");
     other.insert_header("idempotency-key", "order 17");
-    assert_eq!(fixture.refusal(other).await, ResultCode::RequestMismatch);
+    fixture.refused(other, ResultCode::RequestMismatch).await;
     let mut both = keyed();
     both.insert_header("order-ticket", "x");
-    assert_eq!(fixture.refusal(both).await, ResultCode::MalformedRequest);
-    assert_eq!(fixture.script.executed().len(), 1);
+    fixture.refused(both, ResultCode::MalformedRequest).await;
+    assert_eq!(fixture.executed().len(), 1);
 }
 
 /// Guards against an order that is refused as "not run" although a request with the same key may have run it.
@@ -70,15 +65,11 @@
 async fn lost_daemon_is_unknown() {
     let fixture = Fixture::start(2).await;
     let ticket = run(&fixture).await;
-    let issuer = fixture
-        .dispatchers
-        .iter()
-        .find(|fake| ticket.contains(fake.member.as_str()))
-        .unwrap();
+    let issuer = fixture.fake(&ticket);
     issuer.relay.close().await;
-    assert_eq!(fixture.refusal(keyed()).await, ResultCode::OutcomeUnknown);
-    assert_eq!(fixture.script.executed().len(), 1);
+    fixture.refused(keyed(), ResultCode::OutcomeUnknown).await;
+    assert_eq!(fixture.executed().len(), 1);
     let open = get("/v1/services/catalogue/x", None);
-    fixture.script.add(RAN);
-    assert_eq!(body(fixture.send(open).await).await.unwrap(), "done");
+    fixture.add(RAN);
+    assert_eq!(fixture.text(open).await, "done");
 }
--- a/crates/jm-entry/tests/key_access.rs
+++ b/crates/jm-entry/tests/key_access.rs
@@ -15,20 +15,19 @@
 #[async_std::test]
 async fn keyed_service_needs_key() {
     let fixture = Fixture::start(1).await;
-    assert_eq!(fixture.refusal(completion(None)).await, ResultCode::MissingKey);
-    assert_eq!(
-        fixture.refusal(completion(Some("wrong"))).await,
-        ResultCode::UnknownKey
-    );
+    fixture.refused(completion(None), ResultCode::MissingKey).await;
+    fixture
+        .refused(completion(Some("wrong")), ResultCode::UnknownKey)
+        .await;
     let mut basic = completion(None);
     basic.insert_header("authorization", format!("Basic {KEY_A}"));
-    assert_eq!(fixture.refusal(basic).await, ResultCode::MissingKey);
+    fixture.refused(basic, ResultCode::MissingKey).await;
     let mut two = completion(Some(KEY_A));
     two.append_header("authorization", format!("Bearer {KEY_B}"));
-    assert_eq!(fixture.refusal(two).await, ResultCode::MissingKey);
+    fixture.refused(two, ResultCode::MissingKey).await;
     let ticket = post("/v1/tickets", None, r#"{"service":"desk"}"#);
-    assert_eq!(fixture.refusal(ticket).await, ResultCode::MissingKey);
-    assert!(fixture.script.executed().is_empty());
+    fixture.refused(ticket, ResultCode::MissingKey).await;
+    assert!(fixture.executed().is_empty());
 }
 
 /// Guards against a call of an organisation that the route does not name, and against calls that no route covers.
@@ -60,22 +59,22 @@
         (get("/v1/completions", Some(KEY_A)), ResultCode::MethodNotAllowed),
     ];
     for (request, code) in refused {
-        assert_eq!(fixture.refusal(request).await, code);
+        fixture.refused(request, code).await;
     }
-    assert!(fixture.script.executed().is_empty());
+    assert!(fixture.executed().is_empty());
 }
 
 /// Guards against an organisation that a caller names itself, and against headers that reach a target.
 #[async_std::test]
 async fn key_names_organisation() {
     let fixture = Fixture::start(1).await;
-    fixture.script.add("head 200 target-1 | chunk ok | done");
+    fixture.add("head 200 target-1 | chunk ok | done");
     let mut request = order(None);
     request.insert_header("organisation", "org-b");
     request.insert_header("jm-organisation", "org-b");
     request.insert_header("accept", "text/plain");
-    assert_eq!(body(fixture.send(request).await).await.unwrap(), "ok");
-    let (_, executed) = fixture.script.executed().remove(0);
+    assert_eq!(fixture.text(request).await, "ok");
+    let (_, executed) = fixture.executed().remove(0);
     assert_eq!(executed.organisation.unwrap().as_str(), "org-a");
     assert_eq!(executed.key.unwrap().as_str(), "key-a");
     assert_eq!(executed.head.path, "/orders");
@@ -98,9 +97,9 @@
     let in_prompt = post("/v1/completions", Some(KEY_A), &prompt);
     let in_open_query = get(&format!("/v1/services/catalogue/x?k={KEY_A}"), Some(KEY_A));
     for request in [in_query, in_body, in_prompt, in_open_query] {
-        assert_eq!(fixture.refusal(request).await, ResultCode::KeyInRequest);
+        fixture.refused(request, ResultCode::KeyInRequest).await;
     }
-    assert!(fixture.script.executed().is_empty());
+    assert!(fixture.executed().is_empty());
 }
 
 /// Guards against an open service that uses, needs or forwards a key.
@@ -108,12 +107,12 @@
 async fn open_service_takes_everyone() {
     let fixture = Fixture::start(1).await;
     for key in [None, Some("nonsense"), Some(KEY_A)] {
-        fixture.script.add("head 200 target-1 | chunk list | done");
+        fixture.add("head 200 target-1 | chunk list | done");
         let answer = fixture.send(get("/v1/services/catalogue/list?page=2", key)).await;
         assert!(answer.header("jm-target").is_none());
         assert_eq!(body(answer).await.unwrap(), "list");
     }
-    for (_, executed) in fixture.script.executed() {
+    for (_, executed) in fixture.executed() {
         assert_eq!((executed.organisation, executed.key), (None, None));
         assert_eq!(executed.head.path, "/list?page=2");
         assert!(
--- a/crates/jm-entry/tests/key_validity.rs
+++ b/crates/jm-entry/tests/key_validity.rs
@@ -16,7 +16,7 @@
 const ENDLESS: &str = "head 200 gen-1 | piece a 1 | hold";
 
 async fn lines_of(fixture: &Fixture, key: &str) -> futures::io::Lines<jm_http::Response> {
-    fixture.script.add(ENDLESS);
+    fixture.add(ENDLESS);
     let mut lines = fixture.send(completion(Some(key))).await.lines();
     lines.next().await.unwrap().unwrap();
     lines
@@ -39,12 +39,11 @@
         cut_code(&mut withdrawn).await,
         ResultCode::CutByWithdrawal.to_string()
     );
-    assert_eq!(
-        fixture.refusal(completion(Some(KEY_A))).await,
-        ResultCode::UnknownKey
-    );
+    fixture
+        .refused(completion(Some(KEY_A)), ResultCode::UnknownKey)
+        .await;
     fixture.dispatchers[0].relay.cut_connections();
-    fixture.script.add("head 200 gen-1 | piece b 1 | done");
+    fixture.add("head 200 gen-1 | piece b 1 | done");
     assert!(other.next().await.unwrap().unwrap().contains('b'));
 }
 
@@ -62,9 +61,9 @@
     let samples = fixture
         .send(get("/v1/steps/s/samples?after=0", Some(KEY_A)))
         .await;
-    fixture.script.add("hold");
+    fixture.add("hold");
     let withdraw = async {
-        until(|| !fixture.script.executed().is_empty()).await;
+        until(|| !fixture.executed().is_empty()).await;
         fixture.remove("key key-a").await;
     };
     let (code, ()) = futures::join!(fixture.refusal(completion(Some(KEY_A))), withdraw);
@@ -83,21 +82,19 @@
         cut_code(&mut stream).await,
         ResultCode::OutcomeUnknown.to_string()
     );
-    assert_eq!(
-        fixture.refusal(completion(Some(KEY_A))).await,
-        ResultCode::NotFresh
-    );
-    assert_eq!(
-        fixture.refusal(get("/v1/steps/s/samples", Some(KEY_A))).await,
-        ResultCode::NotFresh
-    );
-    fixture.script.add("head 200 c | chunk list | done");
+    fixture
+        .refused(completion(Some(KEY_A)), ResultCode::NotFresh)
+        .await;
+    fixture
+        .refused(get("/v1/steps/s/samples", Some(KEY_A)), ResultCode::NotFresh)
+        .await;
+    fixture.add("head 200 c | chunk list | done");
     let open = fixture
         .send(get("/v1/services/catalogue/list", Some(KEY_A)))
         .await;
     assert_eq!(body(open).await.unwrap(), "list");
     fixture.set_down(false);
     until(|| fixture.node.is_fresh()).await;
-    fixture.script.add(ENDLESS);
+    fixture.add(ENDLESS);
     assert!(fixture.send(completion(Some(KEY_A))).await.status().is_success());
 }
--- a/crates/jm-entry/tests/order_outcome.rs
+++ b/crates/jm-entry/tests/order_outcome.rs
@@ -25,12 +25,12 @@
 #[async_std::test]
 async fn answer_names_ticket() {
     let fixture = Fixture::start(2).await;
-    fixture.script.add(RAN);
+    fixture.add(RAN);
     let answer = fixture.send(order(None)).await;
     assert_eq!(u16::from(answer.status()), 201);
     let named = answer.header("jm-ticket").unwrap().as_str().to_owned();
     assert_eq!(body(answer).await.unwrap(), "cut wood");
-    let (member, executed) = fixture.script.executed().remove(0);
+    let (member, executed) = fixture.executed().remove(0);
     assert_eq!(executed.ticket, Some(named.clone()));
     assert!(!executed.repeatable && named.contains(member.as_str()));
 }
@@ -48,23 +48,20 @@
 #[async_std::test]
 async fn closed_link_is_unknown() {
     let fixture = Fixture::start(2).await;
-    fixture.script.add("hold");
+    fixture.add("hold");
     let cut = async {
-        until(|| !fixture.script.executed().is_empty()).await;
-        fixture
-            .dispatchers
-            .iter()
-            .for_each(|fake| fake.relay.cut_connections());
+        until(|| !fixture.executed().is_empty()).await;
+        fixture.cut_links();
     };
     let (answer, ()) = futures::join!(fixture.send(order(None)), cut);
     let named = answer.header("jm-ticket").unwrap().as_str().to_owned();
     let (_, content) = json_answer(answer).await;
     assert_eq!(code_of(&content), ResultCode::OutcomeUnknown);
-    assert_eq!(fixture.script.executed().len(), 1);
-    fixture.script.add(RAN);
+    assert_eq!(fixture.executed().len(), 1);
+    fixture.add(RAN);
     let again = fixture.send(order(Some(("order-ticket", &named)))).await;
     assert_eq!(body(again).await.unwrap(), "cut wood");
-    let executed = fixture.script.executed();
+    let executed = fixture.executed();
     assert_eq!(executed[1].1.ticket, Some(named));
     assert_eq!(executed[0].0, executed[1].0);
 }
@@ -79,19 +76,17 @@
         ResultCode::OutcomeUnknown,
     ];
     for code in codes {
-        fixture.script.add(&format!("refuse {}", code.name()));
-        assert_eq!(fixture.refusal(order(None)).await, code);
+        fixture.add(&format!("refuse {}", code.name()));
+        fixture.refused(order(None), code).await;
     }
-    assert_eq!(fixture.script.executed().len(), codes.len());
+    assert_eq!(fixture.executed().len(), codes.len());
 }
 
 /// Guards against a cut answer that looks whole.
 #[async_std::test]
 async fn cut_answer_is_cut() {
     let fixture = Fixture::start(1).await;
-    fixture
-        .script
-        .add("head 200 desk-1 | chunk half | refuse AnswerCut");
+    fixture.add("head 200 desk-1 | chunk half | refuse AnswerCut");
     assert!(body(fixture.send(order(None)).await).await.is_err());
 }
 
@@ -99,9 +94,9 @@
 #[async_std::test]
 async fn silence_is_unknown() {
     let fixture = Fixture::start(1).await;
-    fixture.script.add("hold");
+    fixture.add("hold");
     let request = post("/v1/services/hasty/orders", Some(KEY_A), "");
-    assert_eq!(fixture.refusal(request).await, ResultCode::AnswerTimeout);
+    fixture.refused(request, ResultCode::AnswerTimeout).await;
 }
 
 /// Guards against a ticket that runs for another organisation or service, or that somebody made up.
@@ -118,9 +113,9 @@
         ("none".to_owned(), ResultCode::MalformedTicket),
     ];
     for (text, code) in refused {
-        assert_eq!(fixture.refusal(order(Some(("order-ticket", &text)))).await, code);
+        fixture.refused(order(Some(("order-ticket", &text))), code).await;
     }
-    assert!(fixture.script.executed().is_empty());
+    assert!(fixture.executed().is_empty());
 }
 
 /// Guards against an order that runs at another daemon or a later run than its ticket names.
@@ -128,15 +123,11 @@
 async fn lost_issuer_is_unknown() {
     let fixture = Fixture::start(2).await;
     let text = ticket(&fixture, KEY_A, "desk").await;
-    let issuer = fixture
-        .dispatchers
-        .iter()
-        .find(|fake| text.contains(fake.member.as_str()))
-        .unwrap();
+    let issuer = fixture.fake(&text);
     let again = || order(Some(("order-ticket", &text)));
     // The ticket may have been used before, so a refused connection says nothing about the order.
     issuer.relay.close().await;
-    assert_eq!(fixture.refusal(again()).await, ResultCode::OutcomeUnknown);
+    fixture.refused(again(), ResultCode::OutcomeUnknown).await;
     issuer.relay.open().await.unwrap();
     let mut restarted = issuer.record();
     restarted.incarnation = Incarnation::new(restarted.incarnation.get() + 1);
@@ -144,10 +135,10 @@
         .node
         .peers
         .set_registered(vec![restarted], fixture.node.now());
-    assert_eq!(fixture.refusal(again()).await, ResultCode::OutcomeUnknown);
+    fixture.refused(again(), ResultCode::OutcomeUnknown).await;
     fixture.node.peers.set_registered(Vec::new(), fixture.node.now());
-    assert_eq!(fixture.refusal(again()).await, ResultCode::OutcomeUnknown);
-    assert!(fixture.script.executed().is_empty());
+    fixture.refused(again(), ResultCode::OutcomeUnknown).await;
+    assert!(fixture.executed().is_empty());
 }
 
 /// Guards against repeatable calls that are given up at the first failure, and against a retry at the same daemon.
@@ -159,21 +150,21 @@
         get("/v1/services/catalogue/list", None),
     ];
     for request in requests {
-        let before = fixture.script.executed().len();
-        fixture.script.add("head 200 desk-1 | hold");
-        fixture.script.add(RAN);
+        let before = fixture.executed().len();
+        fixture.add("head 200 desk-1 | hold");
+        fixture.add(RAN);
         let cut = async {
-            until(|| fixture.script.executed().len() > before).await;
-            let (member, _) = fixture.script.executed().pop().unwrap();
+            until(|| fixture.executed().len() > before).await;
+            let (member, _) = fixture.executed().pop().unwrap();
             // Lets the head arrive, which delivers nothing to the caller yet.
             task::yield_now().await;
-            let broken = fixture.dispatchers.iter().find(|fake| fake.member == member);
-            broken.unwrap().relay.cut_connections();
+            let broken = fixture.fake(member.as_str());
+            broken.relay.cut_connections();
         };
         let (answer, ()) = futures::join!(fixture.send(request), cut);
         assert!(answer.header("jm-ticket").is_none());
         assert_eq!(body(answer).await.unwrap(), "cut wood");
-        let executed = fixture.script.executed();
+        let executed = fixture.executed();
         assert_ne!(executed[before].0, executed[before + 1].0);
     }
 }
--- a/crates/jm-entry/tests/step_calls.rs
+++ b/crates/jm-entry/tests/step_calls.rs
@@ -87,7 +87,7 @@
         ),
     ];
     for (key, body, code) in refused {
-        assert_eq!(fixture.refusal(post("/v1/steps", Some(key), &body)).await, code);
+        fixture.refused(post("/v1/steps", Some(key), &body), code).await;
     }
     assert_eq!(creations(&fixture), [0]);
 }
@@ -110,10 +110,7 @@
     assert_eq!(operation, StepOperation::Read { after, term });
     answer(&fixture, 0, "chunk {\"sequence\":1} | hold");
     let read = fixture.send(get("/v1/steps/s/samples", Some(KEY_A))).await;
-    fixture
-        .dispatchers
-        .iter()
-        .for_each(|fake| fake.relay.cut_connections());
+    fixture.cut_links();
     assert!(body(read).await.is_err());
 }
 
@@ -122,16 +119,15 @@
 async fn unreachable_is_not_unknown() {
     let fixture = Fixture::start(2).await;
     let acknowledge = || post("/v1/steps/s/ack", Some(KEY_A), r#"{"through":4}"#);
-    assert_eq!(fixture.refusal(acknowledge()).await, ResultCode::UnknownStep);
+    fixture.refused(acknowledge(), ResultCode::UnknownStep).await;
     fixture.dispatchers[0].relay.close().await;
-    assert_eq!(
-        fixture.refusal(acknowledge()).await,
-        ResultCode::DispatchUnreachable
-    );
+    fixture
+        .refused(acknowledge(), ResultCode::DispatchUnreachable)
+        .await;
     let delete = || request(Method::Delete, "/v1/steps/s", Some(KEY_A), "");
     fixture.dispatchers[0].relay.open().await.unwrap();
     answer(&fixture, 1, "done");
     assert_eq!(fixture.json(delete()).await.0, 200);
     let version = post("/v1/steps/s/version", Some(KEY_A), r#"{"weight_version":4}"#);
-    assert_eq!(fixture.refusal(version).await, ResultCode::MalformedRequest);
+    fixture.refused(version, ResultCode::MalformedRequest).await;
 }
