--- /dev/null
+++ b/crates/jm-entry/tests/idempotency_key.rs
@@ -0,0 +1,75 @@
+//! Orders under the caller's own key.
+
+#[path = "common/mod.rs"]
+#[allow(
+    dead_code,
+    unused_imports,
+    reason = "each test file uses a part of the helpers"
+)]
+mod common;
+
+use common::{Fixture, get, order, post};
+use jm_types::ResultCode;
+
+const RAN: &str = "head 201 desk-1 | chunk done | done";
+
+fn keyed() -> jm_http::Request {
+    order(Some(("idempotency-key", "order 17")))
+}
+
+async fn run(fixture: &Fixture) -> String {
+    fixture.add(RAN);
+    assert_eq!(fixture.text(keyed()).await, "done");
+    let (_, executed) = fixture.executed().pop().unwrap();
+    executed.ticket.unwrap()
+}
+
+/// Guards against a second ticket, and so a second run, when the answer of the store was lost.
+#[async_std::test]
+async fn lost_answer_keeps_ticket() {
+    let fixture = Fixture::start(2).await;
+    fixture.server.set_faults(|faults| faults.lose_next = 1);
+    let first = run(&fixture).await;
+    assert_eq!(run(&fixture).await, first);
+    let members: Vec<_> = fixture.executed().into_iter().map(|(member, _)| member).collect();
+    assert_eq!(members[0], members[1]);
+}
+
+/// Guards against an order that runs without its key in the store, and against a false "not run" after it.
+#[async_std::test]
+async fn store_down_is_not_run() {
+    let fixture = Fixture::start(1).await;
+    fixture.set_down(true);
+    fixture.refused(keyed(), ResultCode::StoreUnavailable).await;
+    assert!(fixture.executed().is_empty());
+    fixture.set_down(false);
+    run(&fixture).await;
+}
+
+/// Guards against one key for two different orders.
+#[async_std::test]
+async fn other_request_is_refused() {
+    let fixture = Fixture::start(1).await;
+    run(&fixture).await;
+    let mut other = post("/v1/services/desk/orders", Some(common::KEY_A), "two racks");
+    other.insert_header("idempotency-key", "order 17");
+    fixture.refused(other, ResultCode::RequestMismatch).await;
+    let mut both = keyed();
+    both.insert_header("order-ticket", "x");
+    fixture.refused(both, ResultCode::MalformedRequest).await;
+    assert_eq!(fixture.executed().len(), 1);
+}
+
+/// Guards against an order that is refused as "not run" although a request with the same key may have run it.
+#[async_std::test]
+async fn lost_daemon_is_unknown() {
+    let fixture = Fixture::start(2).await;
+    let ticket = run(&fixture).await;
+    let issuer = fixture.fake(&ticket);
+    issuer.relay.close().await;
+    fixture.refused(keyed(), ResultCode::OutcomeUnknown).await;
+    assert_eq!(fixture.executed().len(), 1);
+    let open = get("/v1/services/catalogue/x", None);
+    fixture.add(RAN);
+    assert_eq!(fixture.text(open).await, "done");
+}
