jm-control: usage windows are sealed and reported under a lease

Cause: dispatch daemons write usage parts and nothing sealed or reported them.

Change: the control daemon holds lease/usage. The first conditional create of usage/sealed/<window> fixes the figures, the report sends the bytes of that object, usage/progress tells a new holder which window is next, and parts are deleted after their window is acknowledged. Every changing call is polled only while the lease is valid. The length of windows and the grace time moved to jm-usage; the answer to ReadConfig moved to jm-node, so that dispatch and control daemons share it.

Ruled out: a Duty for each zone in jm-lease, whose interface is in other hands; an adapter gives the keeper the object of its lease instead.

--- /dev/null
+++ b/crates/jm-control/src/duty.rs
@@ -0,0 +1,65 @@
+//! A duty with its lease and with what its holder remembers during one term.
+
+use std::sync::Arc;
+
+use async_std::sync::Mutex;
+use async_trait::async_trait;
+use jm_node::Node;
+use jm_types::FencingNumber;
+
+use crate::{daemon::ControlOptions, error::DutyError, guarded::Term, lease::DutyLease};
+
+/// What rounds of all duties are given.
+#[derive(Clone)]
+pub(crate) struct DutyContext {
+    pub(crate) node: Arc<Node>,
+    pub(crate) options: ControlOptions,
+}
+
+/// The work of one duty. The value lives for one term, so that a new holder starts from the store.
+#[async_trait]
+pub(crate) trait DutyWork: Sized + Send {
+    /// Reads what earlier holders left in the store.
+    async fn begin(context: &DutyContext, term: &Term) -> Result<Self, DutyError>;
+
+    /// Carries out what is due now.
+    async fn round(&mut self, context: &DutyContext, term: &Term) -> Result<(), DutyError>;
+}
+
+struct Held<W> {
+    fencing: FencingNumber,
+    work: W,
+}
+
+/// One duty of this daemon.
+pub(crate) struct DutySlot<W> {
+    pub(crate) lease: DutyLease,
+    held: Mutex<Option<Held<W>>>,
+}
+
+impl<W: DutyWork> DutySlot<W> {
+    pub(crate) fn new(lease: &str, node: &Arc<Node>) -> Self {
+        Self {
+            lease: DutyLease::new(lease.to_owned(), Arc::clone(node)),
+            held: Mutex::new(None),
+        }
+    }
+
+    /// Carries out one round when the lease is held.
+    pub(crate) async fn round(&self, context: &DutyContext) -> Result<(), DutyError> {
+        let mut held = self.held.lock().await;
+        let Some(term) = self.lease.term() else {
+            *held = None;
+            return Ok(());
+        };
+        let fencing = term.guard.fencing();
+        if held.as_ref().is_none_or(|held| held.fencing != fencing) {
+            let work = W::begin(context, &term).await?;
+            *held = Some(Held { fencing, work });
+        }
+        match held.as_mut() {
+            Some(held) => held.work.round(context, &term).await,
+            None => Ok(()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-control/src/usage.rs
@@ -0,0 +1,307 @@
+//! Sealing and reporting of usage windows; section 4.6 of `docs/design.md`.
+//!
+//! The figures of a window are fixed by the conditional create of `usage/sealed/<window>`: whoever loses it reads the
+//! winner's object back. A report sends the bytes of that object. Two daemons that both believe that they hold the
+//! lease can therefore only repeat the same report, which the intake takes for one.
+
+use async_trait::async_trait;
+use jm_node::decode;
+use jm_platform::{Condition, ObjectError, ReportError, Version};
+use jm_types::LogEvent;
+use jm_usage::{CountedParts, SealedWindow, UsagePart, WindowId, WindowSchedule, seal};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    duty::{DutyContext, DutyWork},
+    error::DutyError,
+    guarded::Term,
+};
+
+const PART_PREFIX: &str = "usage/part/";
+const SEALED_PREFIX: &str = "usage/sealed/";
+const PROGRESS_KEY: &str = "usage/progress";
+
+/// Most windows that one round seals, so that a round after an outage ends within the term of the lease.
+const WINDOWS_PER_ROUND: usize = 16;
+
+/// Reported windows that are kept: 12 hours. Their lists of parts recognise a part that a daemon writes again because
+/// it lost the answer to its first write.
+const KEPT_WINDOWS: u64 = 720;
+
+/// Value of `usage/progress`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Progress {
+    /// First window whose report is not acknowledged.
+    next: WindowId,
+}
+
+/// A sealed window as its object holds it.
+struct StoredWindow {
+    window: SealedWindow,
+    value: Vec<u8>,
+}
+
+/// A part and the key of its object.
+struct StoredPart {
+    key: String,
+    part: UsagePart,
+}
+
+/// What the holder knows of parts and windows.
+pub(crate) struct UsageWork {
+    schedule: WindowSchedule,
+    counted: CountedParts,
+    next_seal: WindowId,
+    progress: Progress,
+    progress_version: Version,
+    /// Sealed windows without an acknowledgement, in their order.
+    unreported: Vec<StoredWindow>,
+    /// Windows whose objects are kept, oldest first.
+    kept: Vec<WindowId>,
+}
+
+#[async_trait]
+impl DutyWork for UsageWork {
+    async fn begin(context: &DutyContext, term: &Term) -> Result<Self, DutyError> {
+        let (progress, progress_version) = read_or_create_progress(context, term).await?;
+        let mut work = Self {
+            schedule: WindowSchedule::of_fleet(),
+            counted: CountedParts::default(),
+            next_seal: progress.next,
+            progress,
+            progress_version,
+            unreported: Vec::new(),
+            kept: Vec::new(),
+        };
+        let sealed = context.node.platform.objects.list(SEALED_PREFIX).await?;
+        for object in sealed.objects {
+            work.take(decode_sealed(&object.key, object.object.value)?);
+        }
+        Ok(work)
+    }
+
+    async fn round(&mut self, context: &DutyContext, term: &Term) -> Result<(), DutyError> {
+        let mut parts = Vec::new();
+        if self.is_due(context) {
+            parts = list_parts(context).await?;
+        }
+        for _ in 0..WINDOWS_PER_ROUND {
+            if !self.is_due(context) {
+                break;
+            }
+            self.seal_next(context, term, &parts).await?;
+            self.report_all(context, term).await?;
+        }
+        self.report_all(context, term).await?;
+        self.remove_reported(context, term, &parts).await
+    }
+}
+
+impl UsageWork {
+    fn is_due(&self, context: &DutyContext) -> bool {
+        self.schedule
+            .is_sealable(self.next_seal, (context.options.wall_clock)())
+    }
+
+    /// Takes note of a sealed window. Windows come in their order.
+    fn take(&mut self, stored: StoredWindow) {
+        let window = stored.window.window;
+        self.counted.add(&stored.window);
+        self.next_seal = self.next_seal.max(window.next());
+        self.kept.push(window);
+        if window >= self.progress.next {
+            self.unreported.push(stored);
+        }
+    }
+
+    async fn seal_next(
+        &mut self,
+        context: &DutyContext,
+        term: &Term,
+        parts: &[StoredPart],
+    ) -> Result<(), DutyError> {
+        let window = self.next_seal;
+        let stored = match self.create_sealed(context, term, parts).await? {
+            Some(stored) => stored,
+            None => read_sealed(context, window).await?,
+        };
+        LogEvent::WindowSealed.write(format_args!(
+            "window {window} with {} rows",
+            stored.window.rows.len()
+        ));
+        self.take(stored);
+        Ok(())
+    }
+
+    /// Creates the object of the next window; `None` when it has to be read back.
+    async fn create_sealed(
+        &self,
+        context: &DutyContext,
+        term: &Term,
+        parts: &[StoredPart],
+    ) -> Result<Option<StoredWindow>, DutyError> {
+        let mut parts: Vec<UsagePart> = parts.iter().map(|stored| stored.part.clone()).collect();
+        parts.sort_unstable();
+        loop {
+            let window = seal(self.next_seal, &parts, &self.counted);
+            let value = window.encode();
+            let key = self.next_seal.sealed_key();
+            let put = context
+                .node
+                .platform
+                .objects
+                .put(&key, value.clone(), Condition::Absent);
+            match term.run(put).await? {
+                Ok(_) => return Ok(Some(StoredWindow { window, value })),
+                Err(ObjectError::Conflict { .. } | ObjectError::AnswerLost { .. }) => return Ok(None),
+                // Any choice of parts is valid; those that are left out count in the next window.
+                Err(ObjectError::TooLarge { .. }) if parts.len() > 1 => parts.truncate(parts.len() / 2),
+                Err(error) => return Err(error.into()),
+            }
+        }
+    }
+
+    /// Reports every sealed window and stores how far the acknowledgements go.
+    async fn report_all(&mut self, context: &DutyContext, term: &Term) -> Result<(), DutyError> {
+        while let Some(stored) = self.unreported.first() {
+            let window = stored.window.window;
+            let name = window.to_string();
+            let report = context.node.platform.usage.report(&name, &stored.value);
+            match term.run(report).await? {
+                Ok(()) => LogEvent::WindowReported.write(format_args!("window {window}")),
+                // The platform keeps its first report whatever is sent, so a repetition changes nothing.
+                Err(error @ ReportError::DifferentReport { .. }) => LogEvent::ReportDisputed.write(error),
+                Err(error) => return Err(error.into()),
+            }
+            self.unreported.remove(0);
+            self.progress.next = self.progress.next.max(window.next());
+            self.store_progress(context, term).await?;
+        }
+        Ok(())
+    }
+
+    /// Stores how far the acknowledgements go. A lost update only repeats a report.
+    async fn store_progress(&mut self, context: &DutyContext, term: &Term) -> Result<(), DutyError> {
+        let objects = &context.node.platform.objects;
+        let value = encode_progress(self.progress);
+        let put = objects.put(PROGRESS_KEY, value, Condition::Version(self.progress_version));
+        match term.run(put).await? {
+            Ok(version) => {
+                self.progress_version = version;
+                Ok(())
+            }
+            Err(ObjectError::Conflict { .. } | ObjectError::AnswerLost { .. }) => {
+                let (stored, version) = read_progress(context).await?.ok_or_else(missing_progress)?;
+                self.progress_version = version;
+                self.progress.next = self.progress.next.max(stored.next);
+                Ok(())
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Deletes the objects of parts that reported windows contain, and of windows that are no longer needed.
+    async fn remove_reported(
+        &mut self,
+        context: &DutyContext,
+        term: &Term,
+        parts: &[StoredPart],
+    ) -> Result<(), DutyError> {
+        if !self.unreported.is_empty() {
+            return Ok(());
+        }
+        let objects = &context.node.platform.objects;
+        for stored in parts
+            .iter()
+            .filter(|stored| self.counted.contains(&stored.part.id))
+        {
+            term.run(objects.delete(&stored.key, Condition::Any)).await??;
+        }
+        let oldest_kept = WindowId::new(self.progress.next.get().saturating_sub(KEPT_WINDOWS));
+        while let Some(window) = self.kept.first().copied().filter(|window| *window < oldest_kept) {
+            let key = window.sealed_key();
+            term.run(objects.delete(&key, Condition::Any)).await??;
+            self.kept.remove(0);
+        }
+        Ok(())
+    }
+}
+
+/// Reads the progress. The first holder of all creates it, at the oldest window that has a part.
+async fn read_or_create_progress(
+    context: &DutyContext,
+    term: &Term,
+) -> Result<(Progress, Version), DutyError> {
+    if let Some(known) = read_progress(context).await? {
+        return Ok(known);
+    }
+    let now = WindowSchedule::of_fleet().window_at((context.options.wall_clock)());
+    let parts = list_parts(context).await?;
+    let oldest = parts.iter().map(|stored| stored.part.window).min();
+    let first = Progress {
+        next: oldest.map_or(now, |oldest| oldest.min(now)),
+    };
+    let objects = &context.node.platform.objects;
+    let put = objects.put(PROGRESS_KEY, encode_progress(first), Condition::Absent);
+    match term.run(put).await? {
+        Ok(version) => Ok((first, version)),
+        Err(ObjectError::Conflict { .. } | ObjectError::AnswerLost { .. }) => {
+            read_progress(context).await?.ok_or_else(missing_progress)
+        }
+        Err(error) => Err(error.into()),
+    }
+}
+
+async fn read_progress(context: &DutyContext) -> Result<Option<(Progress, Version)>, DutyError> {
+    let Some(object) = context.node.platform.objects.get(PROGRESS_KEY).await? else {
+        return Ok(None);
+    };
+    let progress = serde_json::from_slice(&object.value).map_err(|error| unreadable(PROGRESS_KEY, error))?;
+    Ok(Some((progress, object.version)))
+}
+
+async fn list_parts(context: &DutyContext) -> Result<Vec<StoredPart>, DutyError> {
+    let listing = context.node.platform.objects.list(PART_PREFIX).await?;
+    let mut parts = Vec::with_capacity(listing.objects.len());
+    for object in listing.objects {
+        match decode(&object.object.value) {
+            Ok(part) => parts.push(StoredPart {
+                key: object.key,
+                part,
+            }),
+            // The object stays for the operators; one unreadable part does not hold up the others.
+            Err(error) => LogEvent::WindowDelayed.write(unreadable(&object.key, error)),
+        }
+    }
+    Ok(parts)
+}
+
+async fn read_sealed(context: &DutyContext, window: WindowId) -> Result<StoredWindow, DutyError> {
+    let key = window.sealed_key();
+    match context.node.platform.objects.get(&key).await? {
+        Some(object) => decode_sealed(&key, object.value),
+        None => Err(DutyError::Missing { key }),
+    }
+}
+
+fn decode_sealed(key: &str, value: Vec<u8>) -> Result<StoredWindow, DutyError> {
+    let window = SealedWindow::decode(&value).map_err(|error| unreadable(key, error))?;
+    Ok(StoredWindow { window, value })
+}
+
+fn encode_progress(progress: Progress) -> Vec<u8> {
+    serde_json::to_vec(&progress).expect("the progress has only a number")
+}
+
+fn unreadable(key: &str, error: impl ToString) -> DutyError {
+    DutyError::Unreadable {
+        key: key.to_owned(),
+        reason: error.to_string(),
+    }
+}
+
+fn missing_progress() -> DutyError {
+    DutyError::Missing {
+        key: PROGRESS_KEY.to_owned(),
+    }
+}
--- a/crates/jm-dispatch/src/handler.rs
+++ b/crates/jm-dispatch/src/handler.rs
@@ -4,8 +4,7 @@
 
 use async_trait::async_trait;
 use jm_link::{ExecuteRequest, LinkHandler, PeerReply, PeerRequest, ReplySender};
-use jm_node::{OwnedLoad, answer_hello, encode};
-use jm_types::{ResultCode, Revision};
+use jm_node::{OwnedLoad, answer_hello, answer_read_config};
 use serde::Serialize;
 
 use crate::{
@@ -53,7 +52,9 @@
                 )
                 .await
             }
-            PeerRequest::ReadConfig { after } => self.send_changes(after, replies).await,
+            PeerRequest::ReadConfig { after } => {
+                send_all(replies, answer_read_config(&dispatch.node, after)).await
+            }
             PeerRequest::Status => send_all(replies, [PeerReply::Message(self.status().into())]).await,
         }
     }
@@ -67,20 +68,6 @@
         send_all(replies, [PeerReply::Done]).await
     }
 
-    async fn send_changes(&self, after: Revision, replies: &ReplySender) -> Result<(), Failure> {
-        let unknown = || Failure::new(ResultCode::Internal, "older changes are no longer held");
-        let changes = self
-            .dispatch
-            .node
-            .config
-            .changes_after(after)
-            .ok_or_else(unknown)?;
-        let messages = changes
-            .iter()
-            .map(|change| PeerReply::Message(encode(change).into()));
-        send_all(replies, messages.collect::<Vec<_>>()).await
-    }
-
     fn status(&self) -> Vec<u8> {
         let scheduler = self.dispatch.queue.scheduler();
         let targets = scheduler.targets().into_iter().map(|target| TargetLine {
--- a/crates/jm-dispatch/src/usage.rs
+++ b/crates/jm-dispatch/src/usage.rs
@@ -12,12 +12,6 @@
 use jm_types::{DurationMs, OrganisationId};
 use jm_usage::{UsageCounter, UsageCounterOptions, UsageCounts, UsageKey, WallTime, WindowSchedule};
 
-/// Length of a usage window.
-pub(crate) const WINDOW_MS: DurationMs = DurationMs::new(60_000);
-
-/// Time after the end of a window in which parts are still taken into it.
-pub(crate) const GRACE_MS: DurationMs = DurationMs::new(15_000);
-
 /// Interval between two flushes; a crash loses the counts of at most this time.
 const FLUSH_INTERVAL_MS: DurationMs = DurationMs::new(5_000);
 
@@ -29,7 +23,7 @@
 
 impl Usage {
     pub(crate) fn new(node: Arc<Node>) -> Arc<Self> {
-        let schedule = WindowSchedule::new(WINDOW_MS, GRACE_MS);
+        let schedule = WindowSchedule::of_fleet();
         let id = node.peers.own_id().clone();
         let counter = UsageCounter::new(id, node.incarnation, schedule, UsageCounterOptions::default());
         Arc::new(Self {
--- a/crates/jm-node/src/hello.rs
+++ b/crates/jm-node/src/hello.rs
@@ -6,7 +6,9 @@
 use futures::future::join_all;
 use jm_link::{LinkError, PeerReply, PeerRequest};
 use jm_route::ServiceSummary;
-use jm_types::{DurationMs, Incarnation, MemberId, Revision, ServiceId, TokenCount, WeightVersion};
+use jm_types::{
+    DurationMs, Incarnation, MemberId, ResultCode, Revision, ServiceId, TokenCount, WeightVersion,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{MemberRecord, Node, codec};
@@ -139,3 +141,16 @@
         PeerReply::Message(codec::encode(&answer).into()),
     ]
 }
+
+/// The replies to `ReadConfig`: the changes after a revision, or a refusal when older ones are no longer held.
+pub fn answer_read_config(node: &Node, after: Revision) -> Vec<PeerReply> {
+    let Some(changes) = node.config.changes_after(after) else {
+        let code = ResultCode::Internal;
+        node.metrics.count_refusal(code);
+        return vec![PeerReply::refused(code, "older changes are no longer held")];
+    };
+    let changes = changes.iter();
+    changes
+        .map(|change| PeerReply::Message(codec::encode(change).into()))
+        .collect()
+}
--- a/crates/jm-node/src/lib.rs
+++ b/crates/jm-node/src/lib.rs
@@ -18,7 +18,7 @@
 pub use admin::AdminHandler;
 pub use codec::{DecodeError, decode, encode};
 pub use config::{ConfigKeeper, change_key};
-pub use hello::{OwnedLoad, VersionCapacity, answer_hello, exchange_hellos};
+pub use hello::{OwnedLoad, VersionCapacity, answer_hello, answer_read_config, exchange_hellos};
 pub use logging::{LogSetupError, set_up_logging};
 pub use metrics::Metrics;
 pub use node::{Node, NodeOptions, Platform};
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -97,6 +97,8 @@
     WindowReported = 6002, Info;
     /// A usage window could not be sealed or reported; it is tried again.
     WindowDelayed = 6003, Warn;
+    /// The platform holds another report for a usage window than the sealed one; the platform's stands.
+    ReportDisputed = 6004, Error;
 }
 
 impl LogEvent {
--- a/crates/jm-usage/src/lib.rs
+++ b/crates/jm-usage/src/lib.rs
@@ -24,4 +24,4 @@
 pub use part::{PartId, TargetKind, UsageCounts, UsageKey, UsagePart};
 pub use report::{Report, ReportState};
 pub use seal::{DecodeError, PartRange, SealedWindow, UsageRow, seal};
-pub use window::{WallTime, WindowId, WindowSchedule};
+pub use window::{GRACE_MS, WINDOW_MS, WallTime, WindowId, WindowSchedule};
--- a/crates/jm-usage/src/window.rs
+++ b/crates/jm-usage/src/window.rs
@@ -56,6 +56,12 @@
     }
 }
 
+/// Length of a usage window.
+pub const WINDOW_MS: DurationMs = DurationMs::new(60_000);
+
+/// Time after the end of a window in which parts are still taken into it. Three flushes of a dispatch daemon.
+pub const GRACE_MS: DurationMs = DurationMs::new(15_000);
+
 /// Length of windows and how long parts may arrive after the end of one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct WindowSchedule {
@@ -64,6 +70,11 @@
 }
 
 impl WindowSchedule {
+    /// The schedule of every daemon: [`WINDOW_MS`] and [`GRACE_MS`].
+    pub fn of_fleet() -> Self {
+        Self::new(WINDOW_MS, GRACE_MS)
+    }
+
     /// Every daemon of a fleet needs the same length. A length of zero counts as 1 ms.
     pub fn new(length: DurationMs, grace: DurationMs) -> Self {
         let length_ms = NonZeroU64::new(length.get()).unwrap_or(NonZeroU64::MIN);
