jm-control: targets are ordered, drained and published under a lease

Cause: nothing ordered targets, and dispatch daemons knew only those of the configuration.

Change: the holder of lease/targets plans each service within its capacity section, orders through TargetOrders and publishes targets/ordered, which dispatch daemons watch and merge with the configuration. An order id names service, zone, kind and place, so a repeated order yields the same target. Targets that are not needed get no new work for the longest request time plus 5 s before they are released. Reclaimed targets and all targets on hosts that the host list calls leaving are published as leaving in the next round, one second later at most.

Ruled out: order ids with the fencing number, because an order of an earlier holder that lands late would leave an extra target; plain reads once a second, because a watch of one second is as fast and sends the object only when it changes; one flat list, because 12,000 targets must fit into 1 MB.

--- a/crates/jm-control/src/daemon.rs
+++ b/crates/jm-control/src/daemon.rs
@@ -16,6 +16,7 @@
     error::DutyError,
     handler::ControlHandler,
     lease::DutyLease,
+    targets::TargetsWork,
     usage::UsageWork,
 };
 
@@ -45,16 +46,20 @@
 pub enum ControlDuty {
     /// Sealing and reporting usage windows.
     Usage,
+    /// Ordering and releasing targets.
+    Targets,
 }
 
 impl ControlDuty {
     /// Every duty.
-    pub const ALL: [Self; 1] = [Self::Usage];
+    pub const ALL: [Self; 2] = [Self::Usage, Self::Targets];
 
     /// Pause between two rounds.
     const fn interval_ms(self) -> DurationMs {
         match self {
             Self::Usage => DurationMs::new(5_000),
+            // A leaving target gets no new work after 3 s at most; a round and a read by dispatch daemons fit in.
+            Self::Targets => DurationMs::new(1_000),
         }
     }
 }
@@ -63,6 +68,7 @@
 pub struct Control {
     context: DutyContext,
     usage: DutySlot<UsageWork>,
+    targets: DutySlot<TargetsWork>,
 }
 
 impl Control {
@@ -70,6 +76,7 @@
     pub fn new(node: Arc<Node>, options: ControlOptions) -> Arc<Self> {
         Arc::new(Self {
             usage: DutySlot::new("usage", &node),
+            targets: DutySlot::new("targets", &node),
             context: DutyContext { node, options },
         })
     }
@@ -125,6 +132,7 @@
     fn leases_of(&self, duty: ControlDuty) -> Vec<&DutyLease> {
         match duty {
             ControlDuty::Usage => vec![&self.usage.lease],
+            ControlDuty::Targets => vec![&self.targets.lease],
         }
     }
 
@@ -154,6 +162,7 @@
     async fn round(&self, duty: ControlDuty) {
         let (result, event) = match duty {
             ControlDuty::Usage => (self.usage.round(&self.context).await, LogEvent::WindowDelayed),
+            ControlDuty::Targets => (self.targets.round(&self.context).await, LogEvent::OrderFailed),
         };
         if let Err(error) = result {
             report_failure(event, &error);
--- a/crates/jm-control/src/lib.rs
+++ b/crates/jm-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod guarded;
 mod handler;
 mod lease;
+mod targets;
 mod usage;
 
 pub use daemon::{Control, ControlDuty, ControlOptions, WallClock};
--- a/crates/jm-control/tests/common/mod.rs
+++ b/crates/jm-control/tests/common/mod.rs
@@ -9,12 +9,13 @@
     atomic::{AtomicU64, Ordering},
 };
 
+use async_std::task;
 pub(crate) use faulty::{Fault, FaultyPlatform};
-use jm_config::Settings;
+use jm_config::{Author, Change, ConfigView, Document, Settings, diff};
 use jm_control::{Control, ControlDuty, ControlOptions};
-use jm_node::{Node, NodeOptions, Platform, Stop};
-use jm_platform::MemoryPlatform;
-use jm_types::{DurationMs, ManualClock, Timestamp};
+use jm_node::{ConfigKeeper, Node, NodeOptions, Platform, Stop, change_key, encode};
+use jm_platform::{Condition, MemoryPlatform, ObjectStore};
+use jm_types::{DurationMs, ManualClock, Revision, Timestamp};
 use jm_usage::WallTime;
 
 const SETTINGS: &str = "\
@@ -51,6 +52,37 @@
     pub(crate) control: Arc<Control>,
 }
 
+/// Stores the first change of the configuration, which leads to the document `text`.
+pub(crate) async fn store_config(platform: &MemoryPlatform, text: &str) {
+    let empty = ConfigView {
+        revision: Revision::new(0),
+        sections: Vec::new(),
+    };
+    let change = Change {
+        change_id: "first".parse().unwrap(),
+        author: Author {
+            actor: "test".to_owned(),
+            team: None,
+        },
+        base: Revision::new(0),
+        edits: diff(&empty, &Document::parse("test.ini", text).unwrap()),
+    };
+    let key = change_key(Revision::new(1));
+    let put = platform.put(&key, encode(&change), Condition::Absent);
+    put.await.unwrap();
+}
+
+/// Polls until `holds` is true; gives up after about 10 s.
+pub(crate) async fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    for _ in 0..5_000 {
+        if holds() {
+            return;
+        }
+        task::sleep(DurationMs::new(2).as_std()).await;
+    }
+    panic!("never happened: {what}");
+}
+
 /// The wall clock of all daemons of a test.
 #[derive(Clone, Default)]
 pub(crate) struct Wall(Arc<AtomicU64>);
@@ -91,6 +123,12 @@
         }
     }
 
+    /// Follows the configuration and waits until it is read.
+    pub(crate) async fn load_config(&self) {
+        task::spawn(ConfigKeeper::follow(Arc::clone(&self.node)));
+        wait_until("the configuration is read", || self.node.config.is_loaded()).await;
+    }
+
     /// Sees the lease of an earlier holder, waits for its term and takes it over.
     pub(crate) async fn take_over(&self, duty: ControlDuty) {
         self.control.run_once(duty).await;
--- a/crates/jm-dispatch/src/daemon.rs
+++ b/crates/jm-dispatch/src/daemon.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use jm_link::LinkHandler;
-use jm_node::{Node, OwnedLoad};
+use jm_node::{Node, OrderedKeeper, OwnedLoad};
 use jm_route::SchedulerOptions;
 use jm_types::{DurationMs, OrganisationId};
 
@@ -65,6 +65,7 @@
     /// Starts the daemon's tasks; they run until the process ends.
     pub fn start(self: &Arc<Self>) {
         let node = &self.node;
+        task::spawn(OrderedKeeper::follow(Arc::clone(node)));
         task::spawn(Arc::clone(&self.targets).keep_current(Arc::clone(node), Arc::clone(&self.queue)));
         task::spawn(Arc::clone(&self.targets).poll_engines(Arc::clone(node), Arc::clone(&self.queue)));
         task::spawn(Arc::clone(&self.queue).run());
--- a/crates/jm-dispatch/src/targets.rs
+++ b/crates/jm-dispatch/src/targets.rs
@@ -121,13 +121,8 @@
         let members = node.peers.dispatchers(node.now());
         let own = node.peers.own_id();
         let is_own = |target: &&Target| owner_of(&target.id, &target.zone, &members).as_ref() == Some(own);
-        let targets: Vec<Target> = config
-            .document()
-            .targets
-            .values()
-            .filter(is_own)
-            .cloned()
-            .collect();
+        let mut targets = node.ordered.current().merge(&config);
+        targets.retain(|target| is_own(&target));
         let default_window = default_window(node);
         let specs = targets
             .iter()
--- a/crates/jm-node/src/lib.rs
+++ b/crates/jm-node/src/lib.rs
@@ -10,6 +10,7 @@
 mod logging;
 mod metrics;
 mod node;
+mod ordered;
 mod peers;
 mod propose;
 mod router;
@@ -22,6 +23,7 @@
 pub use logging::{LogSetupError, set_up_logging};
 pub use metrics::Metrics;
 pub use node::{Node, NodeOptions, Platform};
+pub use ordered::{ORDERED_KEY, OrderedEntry, OrderedGroup, OrderedKeeper, OrderedState, OrderedTargets};
 pub use peers::{FRESHNESS_MS, MemberRecord, Peer, Peers};
 pub use propose::{Proposal, ProposeError};
 pub use router::{RouteError, Router};
--- a/crates/jm-node/src/node.rs
+++ b/crates/jm-node/src/node.rs
@@ -16,7 +16,9 @@
 use jm_platform::{Condition, HostList, ObjectStore, TargetOrders, UsageIntake, WeightStore};
 use jm_types::{Clock, DurationMs, Incarnation, LogEvent, RequestId, Timestamp};
 
-use crate::{ConfigKeeper, MemberRecord, Metrics, Peers, Router, Stop, codec, peers::FRESHNESS_MS};
+use crate::{
+    ConfigKeeper, MemberRecord, Metrics, OrderedKeeper, Peers, Router, Stop, codec, peers::FRESHNESS_MS,
+};
 
 /// Interval at which the registered daemons are listed.
 const REGISTRATION_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
@@ -63,6 +65,8 @@
     pub stop: Stop,
     /// The configuration in force.
     pub config: ConfigKeeper,
+    /// Targets that were ordered from the platform.
+    pub ordered: OrderedKeeper,
     /// The other daemons.
     pub peers: Peers,
     /// Connections to other daemons.
@@ -93,6 +97,7 @@
         let secret = settings.link.secret.expose().to_vec();
         Arc::new(Self {
             config: ConfigKeeper::new(),
+            ordered: OrderedKeeper::default(),
             peers: Peers::new(own_record(&settings, incarnation), clock.now()),
             links: LinkPool::new(FleetSecret::new(secret.clone()), LinkOptions::default()),
             router: Router::new(settings.daemon.zone.clone()),
--- a/crates/jm-node/src/router.rs
+++ b/crates/jm-node/src/router.rs
@@ -89,6 +89,14 @@
             .collect()
     }
 
+    /// Load of all services at the daemons for which `is_live` holds.
+    pub fn summaries(&self, is_live: impl Fn(&MemberId) -> bool) -> Vec<ServiceSummary> {
+        let known = lock(&self.known);
+        let live = known.iter().filter(|(member, _)| is_live(member));
+        live.flat_map(|(_, owned)| owned.summaries.iter().cloned())
+            .collect()
+    }
+
     /// Counts a request that was offered, for the retry budget.
     pub fn count_request(&self) {
         lock(&self.budget).deposit();
@@ -148,8 +156,8 @@
     /// Before summaries have arrived, any owner of a target of the service will do.
     fn owner_of_some_target(&self, service: &ServiceId, avoid: &[MemberId]) -> Option<MemberId> {
         let members = self.peers.dispatchers(self.now());
-        let config = self.config.active();
-        let mut targets = config.targets_of(service);
+        let targets = self.targets();
+        let mut targets = targets.iter().filter(|target| target.service == *service);
         targets.find_map(|target| {
             owner_of(&target.id, &target.zone, &members).filter(|owner| !avoid.contains(owner))
         })
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -79,6 +79,8 @@
     OrderFailed = 4101, Warn;
     /// A weight version was ordered on a target.
     WeightsOrdered = 4102, Info;
+    /// A service has fewer targets than its demand needs, and the zones offer no more.
+    CapacityShort = 4103, Warn;
     /// A step was created.
     StepCreated = 5001, Info;
     /// A step's samples are all delivered and acknowledged.
