jm-control: weight versions are rolled out zone by zone under a lease

Cause: nothing ordered engines to load the versions that trainers publish.

Change: the holder of lease/weights-<zone> compares the newest version of each model with what the engines of the zone report, and orders the difference by jm_plan::Rollout, each order in one write of a guarded writer. Engines that do not check orders are left out until orders_allowed_at. A control daemon leaves the lease of a zone to a live control daemon inside that zone.

--- a/crates/jm-control/src/daemon.rs
+++ b/crates/jm-control/src/daemon.rs
@@ -1,14 +1,17 @@
 //! The state of the daemon and its tasks.
 
 use std::{
-    sync::Arc,
+    sync::{Arc, Mutex, PoisonError},
     time::{SystemTime, UNIX_EPOCH},
 };
 
 use async_std::task;
+use futures::future::join_all;
+use indexmap::IndexMap;
+use jm_config::Role;
 use jm_link::LinkHandler;
-use jm_node::Node;
-use jm_types::{DurationMs, LogEvent};
+use jm_node::{Node, OrderedKeeper, Peer};
+use jm_types::{DurationMs, LogEvent, ZoneId};
 use jm_usage::WallTime;
 
 use crate::{
@@ -18,6 +21,7 @@
     lease::DutyLease,
     targets::TargetsWork,
     usage::UsageWork,
+    weights::WeightsWork,
 };
 
 /// Interval at which leases are taken or renewed; several fit into the term.
@@ -48,11 +52,13 @@
     Usage,
     /// Ordering and releasing targets.
     Targets,
+    /// Rolling out weight versions, zone by zone.
+    Weights,
 }
 
 impl ControlDuty {
     /// Every duty.
-    pub const ALL: [Self; 2] = [Self::Usage, Self::Targets];
+    pub const ALL: [Self; 3] = [Self::Usage, Self::Targets, Self::Weights];
 
     /// Pause between two rounds.
     const fn interval_ms(self) -> DurationMs {
@@ -60,6 +66,7 @@
             Self::Usage => DurationMs::new(5_000),
             // A leaving target gets no new work after 3 s at most; a round and a read by dispatch daemons fit in.
             Self::Targets => DurationMs::new(1_000),
+            Self::Weights => DurationMs::new(100),
         }
     }
 }
@@ -69,6 +76,7 @@
     context: DutyContext,
     usage: DutySlot<UsageWork>,
     targets: DutySlot<TargetsWork>,
+    weights: Mutex<IndexMap<ZoneId, Arc<DutySlot<WeightsWork>>>>,
 }
 
 impl Control {
@@ -77,12 +85,18 @@
         Arc::new(Self {
             usage: DutySlot::new("usage", &node),
             targets: DutySlot::new("targets", &node),
-            context: DutyContext { node, options },
+            weights: Mutex::default(),
+            context: DutyContext {
+                zone: node.settings.daemon.zone.clone(),
+                node,
+                options,
+            },
         })
     }
 
     /// Starts the daemon's tasks; they run until the process ends.
     pub fn start(self: &Arc<Self>) {
+        task::spawn(OrderedKeeper::follow(Arc::clone(self.node())));
         for duty in ControlDuty::ALL {
             task::spawn(Arc::clone(self).keep_lease(duty));
             task::spawn(Arc::clone(self).carry_out(duty));
@@ -97,7 +111,8 @@
     /// Gives all leases up at a planned stop, so that other daemons need not wait for their terms. The daemon takes
     /// no lease any more once its process is leaving.
     pub async fn release_leases(&self) {
-        for lease in self.leases() {
+        let slots = self.weight_slots();
+        for lease in self.leases(&slots) {
             lease.release().await;
         }
     }
@@ -111,7 +126,8 @@
 
     /// Names of the leases that are held.
     pub fn held_leases(&self) -> Vec<String> {
-        let leases = self.leases().into_iter();
+        let slots = self.weight_slots();
+        let leases = self.leases(&slots).into_iter();
         leases
             .filter(|lease| lease.term().is_some())
             .map(|lease| lease.name().to_owned())
@@ -122,29 +138,66 @@
         &self.context.node
     }
 
-    fn leases(&self) -> Vec<&DutyLease> {
-        ControlDuty::ALL
-            .into_iter()
-            .flat_map(|duty| self.leases_of(duty))
-            .collect()
+    fn weight_slots(&self) -> IndexMap<ZoneId, Arc<DutySlot<WeightsWork>>> {
+        self.weights
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
     }
 
-    fn leases_of(&self, duty: ControlDuty) -> Vec<&DutyLease> {
-        match duty {
-            ControlDuty::Usage => vec![&self.usage.lease],
-            ControlDuty::Targets => vec![&self.targets.lease],
-        }
+    fn leases<'a>(&'a self, weights: &'a IndexMap<ZoneId, Arc<DutySlot<WeightsWork>>>) -> Vec<&'a DutyLease> {
+        let others = [&self.usage.lease, &self.targets.lease];
+        others
+            .into_iter()
+            .chain(weights.values().map(|slot| &slot.lease))
+            .collect()
     }
 
     async fn keep_leases_of(&self, duty: ControlDuty) {
         if self.context.node.stop.is_leaving() {
             return;
         }
-        for lease in self.leases_of(duty) {
-            lease.keep().await;
+        match duty {
+            ControlDuty::Usage => self.usage.lease.keep().await,
+            ControlDuty::Targets => self.targets.lease.keep().await,
+            ControlDuty::Weights => self.keep_weight_leases().await,
         }
     }
 
+    async fn keep_weight_leases(&self) {
+        self.add_weight_zones();
+        let slots = self.weight_slots();
+        let kept = slots
+            .iter()
+            .filter(|(zone, slot)| slot.lease.term().is_some() || !self.has_nearer_daemon(zone));
+        join_all(kept.map(|(_, slot)| slot.lease.keep())).await;
+    }
+
+    /// Adds the zones of the configuration. A zone that is removed has no engines, so its slot does nothing.
+    fn add_weight_zones(&self) {
+        let config = self.context.node.config.active();
+        let mut slots = self.weights.lock().unwrap_or_else(PoisonError::into_inner);
+        for zone in config.document().zones.keys() {
+            slots.entry(zone.clone()).or_insert_with(|| {
+                let name = format!("weights-{zone}");
+                Arc::new(DutySlot::new(&name, &self.context.node))
+            });
+        }
+    }
+
+    /// Whether a zone has control daemons of its own and this is not one of them. Zones are then shared between the
+    /// daemons, and orders stay within the zone.
+    fn has_nearer_daemon(&self, zone: &ZoneId) -> bool {
+        let node = &self.context.node;
+        let is_near = |peer: &Peer| {
+            peer.live
+                && !peer.record.leaving
+                && peer.record.zone == *zone
+                && peer.record.has_role(Role::Control)
+        };
+        node.settings.daemon.zone != *zone && node.peers.all(node.now()).iter().any(is_near)
+    }
+
     async fn keep_lease(self: Arc<Self>, duty: ControlDuty) {
         loop {
             self.keep_leases_of(duty).await;
@@ -160,20 +213,35 @@
     }
 
     async fn round(&self, duty: ControlDuty) {
-        let (result, event) = match duty {
-            ControlDuty::Usage => (self.usage.round(&self.context).await, LogEvent::WindowDelayed),
-            ControlDuty::Targets => (self.targets.round(&self.context).await, LogEvent::OrderFailed),
-        };
-        if let Err(error) = result {
-            report_failure(event, &error);
+        match duty {
+            ControlDuty::Usage => {
+                report(LogEvent::WindowDelayed, self.usage.round(&self.context).await);
+            }
+            ControlDuty::Targets => {
+                report(LogEvent::OrderFailed, self.targets.round(&self.context).await);
+            }
+            ControlDuty::Weights => self.weight_rounds().await,
         }
     }
+
+    async fn weight_rounds(&self) {
+        let slots = self.weight_slots();
+        let rounds = slots.iter().map(|(zone, slot)| {
+            let context = DutyContext {
+                zone: zone.clone(),
+                ..self.context.clone()
+            };
+            async move { report(LogEvent::OrderFailed, slot.round(&context).await) }
+        });
+        join_all(rounds).await;
+    }
 }
 
-fn report_failure(event: LogEvent, error: &DutyError) {
-    match error {
-        DutyError::LeaseLapsed => LogEvent::LeaseLost.write(error),
-        error => event.write(error),
+fn report(event: LogEvent, result: Result<(), DutyError>) {
+    match result {
+        Ok(()) => {}
+        Err(error @ DutyError::LeaseLapsed) => LogEvent::LeaseLost.write(error),
+        Err(error) => event.write(error),
     }
 }
 
--- a/crates/jm-control/src/duty.rs
+++ b/crates/jm-control/src/duty.rs
@@ -5,7 +5,7 @@
 use async_std::sync::Mutex;
 use async_trait::async_trait;
 use jm_node::Node;
-use jm_types::FencingNumber;
+use jm_types::{FencingNumber, ZoneId};
 
 use crate::{daemon::ControlOptions, error::DutyError, guarded::Term, lease::DutyLease};
 
@@ -14,6 +14,8 @@
 pub(crate) struct DutyContext {
     pub(crate) node: Arc<Node>,
     pub(crate) options: ControlOptions,
+    /// The zone of a duty that has a lease for each zone, and otherwise that of the daemon.
+    pub(crate) zone: ZoneId,
 }
 
 /// The work of one duty. The value lives for one term, so that a new holder starts from the store.
--- a/crates/jm-control/src/lease.rs
+++ b/crates/jm-control/src/lease.rs
@@ -17,6 +17,10 @@
 /// that a slow store does not use up the term with one call.
 const LEASE_CALL_MS: DurationMs = DurationMs::new(3_000);
 
+/// Longest time for which an order to a target can still take effect after it was written. A new holder waits for
+/// it before it orders targets that ignore fencing numbers.
+pub(crate) const LONGEST_ORDER_MS: DurationMs = DurationMs::new(5_000);
+
 /// One lease that this daemon holds or tries to get.
 pub(crate) struct DutyLease {
     name: String,
@@ -30,7 +34,10 @@
     /// A lease with the object `lease/<name>`.
     pub(crate) fn new(name: String, node: Arc<Node>) -> Self {
         // The name of the duty in the options only gives the key, which the adapter replaces.
-        let options = LeaseOptions::new(Duty::Usage, node.peers.own_id().clone(), node.incarnation);
+        let options = LeaseOptions {
+            longest_order_ms: LONGEST_ORDER_MS,
+            ..LeaseOptions::new(Duty::Usage, node.peers.own_id().clone(), node.incarnation)
+        };
         let keeper = LeaseKeeper::new(options).expect("the usual durations are consistent");
         Self {
             store: LeaseStore {
--- a/crates/jm-control/src/lib.rs
+++ b/crates/jm-control/src/lib.rs
@@ -12,5 +12,6 @@
 mod lease;
 mod targets;
 mod usage;
+mod weights;
 
 pub use daemon::{Control, ControlDuty, ControlOptions, WallClock};
--- a/crates/jm-control/src/targets/mod.rs
+++ b/crates/jm-control/src/targets/mod.rs
@@ -124,11 +124,7 @@
     async fn carry_out_plan(&mut self, context: &DutyContext, term: &Term) -> Result<(), DutyError> {
         let config = context.node.config.active();
         let document = config.document();
-        let live = |member: &_| {
-            let peer = context.node.peers.get(member, context.node.now());
-            peer.is_some_and(|peer| peer.live)
-        };
-        let summaries = context.node.router.summaries(live);
+        let summaries = context.node.live_summaries();
         for capacity in document.capacities.values() {
             let demand = service_demand(document, &capacity.service, &summaries);
             let (wanted, current) = self.plan(context, document, capacity, demand);
--- a/crates/jm-control/tests/common/mod.rs
+++ b/crates/jm-control/tests/common/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
-mod faulty;
+pub(crate) mod faulty;
 
 use std::sync::{
     Arc,
@@ -10,7 +10,7 @@
 };
 
 use async_std::task;
-pub(crate) use faulty::{Fault, FaultyPlatform};
+use faulty::FaultyPlatform;
 use jm_config::{Author, Change, ConfigView, Document, Settings, diff};
 use jm_control::{Control, ControlDuty, ControlOptions};
 use jm_node::{ConfigKeeper, Node, NodeOptions, Platform, Stop, change_key, encode};
--- a/crates/jm-control/tests/ordered_targets.rs
+++ b/crates/jm-control/tests/ordered_targets.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use common::{Daemon, Fault, Wall, store_config, wait_until};
+use common::{Daemon, Wall, faulty::Fault, store_config, wait_until};
 use jm_config::TargetState as MergedState;
 use jm_control::ControlDuty;
 use jm_node::{ORDERED_KEY, OrderedKeeper, OrderedState, OrderedTargets, decode, encode};
--- a/crates/jm-control/tests/usage_windows.rs
+++ b/crates/jm-control/tests/usage_windows.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use common::{Daemon, Fault, Wall};
+use common::{Daemon, Wall, faulty::Fault};
 use jm_control::ControlDuty;
 use jm_node::encode;
 use jm_platform::{Condition, MemoryPlatform, ObjectStore};
--- a/crates/jm-node/src/router.rs
+++ b/crates/jm-node/src/router.rs
@@ -89,8 +89,7 @@
             .collect()
     }
 
-    /// Load of all services at the daemons for which `is_live` holds.
-    pub fn summaries(&self, is_live: impl Fn(&MemberId) -> bool) -> Vec<ServiceSummary> {
+    fn summaries(&self, is_live: impl Fn(&MemberId) -> bool) -> Vec<ServiceSummary> {
         let known = lock(&self.known);
         let live = known.iter().filter(|(member, _)| is_live(member));
         live.flat_map(|(_, owned)| owned.summaries.iter().cloned())
@@ -126,6 +125,13 @@
 }
 
 impl Node {
+    /// Load of all services at the live dispatch daemons.
+    pub fn live_summaries(&self) -> Vec<ServiceSummary> {
+        let now = self.now();
+        self.router
+            .summaries(|id| self.peers.get(id, now).is_some_and(|peer| peer.live))
+    }
+
     /// The dispatch daemon for a request, by load and prefix.
     pub fn choose_dispatcher(
         &self,
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -81,6 +81,8 @@
     WeightsOrdered = 4102, Info;
     /// A service has fewer targets than its demand needs, and the zones offer no more.
     CapacityShort = 4103, Warn;
+    /// All engines of a zone report a new weight version.
+    WeightsLoaded = 4104, Info;
     /// A step was created.
     StepCreated = 5001, Info;
     /// A step's samples are all delivered and acknowledged.
