jm-route: judge observed targets only; charge nothing for failed requests

Cause: a target with one slow reading that then stood idle was judged by the same reading in each interval and became slow. An organisation was charged the prompt of a request that a target failed without any answer.

Change: only targets observed in an interval are judged; a request that failed with no token is refunded. A test for each fails on the old sources.

--- a/crates/jm-route/src/health.rs
+++ b/crates/jm-route/src/health.rs
@@ -19,12 +19,22 @@
 /// Fewest targets with known speed among which a slow one can be told.
 const LEAST_PEERS: usize = 2;
 
-/// Closes a control interval for the targets of one service; `demand` tells whether requests waited for room.
+/// Closes a control interval for the targets of one service; `demand` tells whether requests waited for room. Only
+/// targets that were observed in the interval are judged, so that one bad reading of an idle target does not count
+/// again and again.
 pub(crate) fn control(targets: &mut [Target], demand: bool, now: Timestamp, options: &SchedulerOptions) {
     let mut times = Vec::with_capacity(targets.len());
-    for target in targets.iter_mut().filter(|target| !target.removed) {
-        if close_interval(target, now, options) && target.health == Health::Normal {
-            adapt_window(target, demand);
+    let mut observed = Vec::with_capacity(targets.len());
+    for (slot, target) in targets
+        .iter_mut()
+        .enumerate()
+        .filter(|(_, target)| !target.removed)
+    {
+        if close_interval(target, now, options) {
+            observed.push(slot);
+            if target.health == Health::Normal {
+                adapt_window(target, demand);
+            }
         }
         if target.time_per_token_us > 0.0 {
             times.push(target.time_per_token_us);
@@ -36,8 +46,8 @@
     times.sort_by(f64::total_cmp);
     // The lower median, so that of two targets the faster one is the measure.
     let median = times[(times.len() - 1) / 2];
-    for target in targets.iter_mut().filter(|target| !target.removed) {
-        judge(target, median, options);
+    for slot in observed {
+        judge(&mut targets[slot], median, options);
     }
 }
 
--- a/crates/jm-route/src/scheduler.rs
+++ b/crates/jm-route/src/scheduler.rs
@@ -21,7 +21,8 @@
 /// the targets, because engines admit whatever arrives and know no priority.
 ///
 /// The daemon calls [`Self::next`] until it answers `None` after each `submit`, `progress`, `finish`, `cancel` and
-/// `set_targets`, and [`Self::expire`] a few times a second.
+/// `set_targets`. It also calls `next` and [`Self::expire`] a few times a second, because probes and deadlines become
+/// due without any other event.
 #[derive(Debug, Default)]
 pub struct Scheduler {
     pub(crate) options: SchedulerOptions,
@@ -322,7 +323,13 @@
                 tracked.request.max_tokens.get(),
             );
         }
-        let correction = tracked.used_tokens(flight.generated) as i64 - flight.charged as i64;
+        let nothing_served = outcome == Outcome::Failed && flight.generated == 0;
+        let used = if nothing_served {
+            0
+        } else {
+            tracked.used_tokens(flight.generated)
+        };
+        let correction = used as i64 - flight.charged as i64;
         queue.charge(
             tracked.organisation,
             correction,
--- a/crates/jm-route/tests/fair_share.rs
+++ b/crates/jm-route/tests/fair_share.rs
@@ -131,6 +131,40 @@
     assert!(served[0].abs_diff(served[1]) <= 100, "{served:?}");
 }
 
+/// Guards against charging an organisation for a request that a target failed without an answer.
+#[test]
+fn failure_is_not_charged() {
+    let options = SchedulerOptions {
+        failure_limit: 1_000,
+        ..SchedulerOptions::default()
+    };
+    let mut scheduler = engines_with(1, 2, options);
+    let mut order = Vec::new();
+    for id in 0..20 {
+        scheduler
+            .submit(request(id, id % 2, Class::Live, 100), at(0))
+            .unwrap();
+    }
+    for _ in 0..12 {
+        let id = scheduler.next(at(0)).unwrap().request;
+        let failed = id.get().is_multiple_of(2) && id.get() < 6;
+        let outcome = if failed {
+            Outcome::Failed
+        } else {
+            Outcome::Finished(TokenCount::new(0))
+        };
+        scheduler.finish(id, outcome, at(0));
+        order.push((id.get() % 2, failed));
+    }
+    let served = |number| {
+        order
+            .iter()
+            .filter(|(other, failed)| *other == number && !failed)
+            .count()
+    };
+    assert!(served(0).abs_diff(served(1)) <= 1, "{order:?}");
+}
+
 /// Guards against an organisation that names a small `max_tokens` estimate and is charged less than it used, or one
 /// that names a large one and is charged for tokens it never used.
 #[test]
--- a/crates/jm-route/tests/target_state.rs
+++ b/crates/jm-route/tests/target_state.rs
@@ -194,6 +194,26 @@
     assert_eq!(status(&scheduler, 0).health, Health::Slow);
 }
 
+/// Guards against one slow request on an otherwise idle target that marks it as slow.
+#[test]
+fn one_slow_reading_is_not_slow() {
+    let mut scheduler = engines(4, 60);
+    run(&mut scheduler, 0, 50, |_| 100);
+    let mut single = request(900_000, 0, Class::Training, 0);
+    single.max_tokens = TokenCount::new(2);
+    single.avoid = vec![target(0), target(1), target(2)];
+    scheduler.submit(single, at(6_000)).unwrap();
+    assert_eq!(scheduler.next(at(6_000)).unwrap().target, target(3));
+    scheduler.progress(RequestId::new(900_000), TokenCount::new(1), at(6_100));
+    scheduler.finish(
+        RequestId::new(900_000),
+        Outcome::Finished(TokenCount::new(2)),
+        at(7_100),
+    );
+    (0..20).for_each(|tick| assert_eq!(scheduler.next(at(7_200 + tick * 500)), None));
+    assert_eq!(status(&scheduler, 3).health, Health::Normal);
+}
+
 /// Guards against a target that fails fast and therefore attracts the most work.
 #[test]
 fn failing_gets_probes_only() {
