jm-control: absent members are removed, the configuration log is snapshotted and trimmed

Cause: registrations of dead daemons and changes of the configuration stayed in the store for ever, and a daemon read the whole log at its start.

Change: the holder of lease/members removes registrations after ten minutes without an answer; a running daemon that finds its registration missing registers again. It compiles the document once for each batch instead of after each change. A stored change counts as accepted only while its predecessor exists: without that, a daemon behind the deleted changes could create a deleted revision again and report it as accepted.

--- a/crates/jm-control/src/daemon.rs
+++ b/crates/jm-control/src/daemon.rs
@@ -19,6 +19,7 @@
     error::DutyError,
     handler::ControlHandler,
     lease::DutyLease,
+    members::MembersWork,
     targets::TargetsWork,
     usage::UsageWork,
     weights::WeightsWork,
@@ -54,11 +55,13 @@
     Targets,
     /// Rolling out weight versions, zone by zone.
     Weights,
+    /// Removing registrations of absent daemons, and snapshots of the configuration.
+    Members,
 }
 
 impl ControlDuty {
     /// Every duty.
-    pub const ALL: [Self; 3] = [Self::Usage, Self::Targets, Self::Weights];
+    pub const ALL: [Self; 4] = [Self::Usage, Self::Targets, Self::Weights, Self::Members];
 
     /// Pause between two rounds.
     const fn interval_ms(self) -> DurationMs {
@@ -67,6 +70,7 @@
             // A leaving target gets no new work after 3 s at most; a round and a read by dispatch daemons fit in.
             Self::Targets => DurationMs::new(1_000),
             Self::Weights => DurationMs::new(100),
+            Self::Members => DurationMs::new(10_000),
         }
     }
 }
@@ -76,6 +80,7 @@
     context: DutyContext,
     usage: DutySlot<UsageWork>,
     targets: DutySlot<TargetsWork>,
+    members: DutySlot<MembersWork>,
     weights: Mutex<IndexMap<ZoneId, Arc<DutySlot<WeightsWork>>>>,
 }
 
@@ -85,6 +90,7 @@
         Arc::new(Self {
             usage: DutySlot::new("usage", &node),
             targets: DutySlot::new("targets", &node),
+            members: DutySlot::new("members", &node),
             weights: Mutex::default(),
             context: DutyContext {
                 zone: node.settings.daemon.zone.clone(),
@@ -146,7 +152,7 @@
     }
 
     fn leases<'a>(&'a self, weights: &'a IndexMap<ZoneId, Arc<DutySlot<WeightsWork>>>) -> Vec<&'a DutyLease> {
-        let others = [&self.usage.lease, &self.targets.lease];
+        let others = [&self.usage.lease, &self.targets.lease, &self.members.lease];
         others
             .into_iter()
             .chain(weights.values().map(|slot| &slot.lease))
@@ -161,6 +167,7 @@
             ControlDuty::Usage => self.usage.lease.keep().await,
             ControlDuty::Targets => self.targets.lease.keep().await,
             ControlDuty::Weights => self.keep_weight_leases().await,
+            ControlDuty::Members => self.members.lease.keep().await,
         }
     }
 
@@ -206,6 +213,7 @@
     }
 
     async fn carry_out(self: Arc<Self>, duty: ControlDuty) {
+        self.keep_leases_of(duty).await;
         loop {
             self.round(duty).await;
             task::sleep(duty.interval_ms().as_std()).await;
@@ -221,6 +229,9 @@
                 report(LogEvent::OrderFailed, self.targets.round(&self.context).await);
             }
             ControlDuty::Weights => self.weight_rounds().await,
+            ControlDuty::Members => {
+                report(LogEvent::UpkeepFailed, self.members.round(&self.context).await);
+            }
         }
     }
 
--- a/crates/jm-control/src/lib.rs
+++ b/crates/jm-control/src/lib.rs
@@ -10,6 +10,7 @@
 mod guarded;
 mod handler;
 mod lease;
+mod members;
 mod targets;
 mod usage;
 mod weights;
--- /dev/null
+++ b/crates/jm-control/src/members/log_upkeep.rs
@@ -0,0 +1,110 @@
+//! Snapshots of the configuration, and deletion of changes that nobody needs any more; section 4.1 of
+//! `docs/design.md`.
+
+use jm_config::REMEMBERED_CHANGES;
+use jm_node::{
+    CHANGE_PREFIX, SNAPSHOT_PREFIX, StoredSnapshot, change_revision, is_snapshot_manifest, snapshot_revision,
+};
+use jm_platform::{Condition, KeyedObject, ObjectError};
+use jm_types::{LogEvent, Revision};
+
+use super::MembersWork;
+use crate::{duty::DutyContext, error::DutyError, guarded::Term};
+
+/// Changes between two snapshots.
+const SNAPSHOT_CHANGES: Revision = Revision::new(256);
+
+/// Changes before the newest snapshot that are kept: as many as a daemon remembers, so that whoever is behind by less
+/// goes on without a snapshot.
+const KEPT_CHANGES: Revision = Revision::new(REMEMBERED_CHANGES);
+
+/// Snapshots that are kept. The one before the newest stays for a reader that is listing.
+const KEPT_SNAPSHOTS: usize = 2;
+
+/// The revision of the newest snapshot; 0 when there is none.
+pub(super) async fn newest_snapshot(context: &DutyContext) -> Result<Revision, DutyError> {
+    let listing = context.node.platform.objects.list(SNAPSHOT_PREFIX).await?;
+    Ok(manifests(&listing.objects).last().copied().unwrap_or_default())
+}
+
+/// Revisions of the snapshots in a listing, oldest first.
+fn manifests(objects: &[KeyedObject]) -> Vec<Revision> {
+    objects
+        .iter()
+        .filter(|object| is_snapshot_manifest(&object.key))
+        .filter_map(|object| snapshot_revision(&object.key))
+        .collect()
+}
+
+impl MembersWork {
+    /// Writes a snapshot when it is due, and deletes what the newest one makes dispensable.
+    pub(super) async fn keep_log(&mut self, context: &DutyContext, term: &Term) -> Result<(), DutyError> {
+        let config = &context.node.config;
+        let due = self.newest_snapshot.saturating_add(SNAPSHOT_CHANGES);
+        if config.is_loaded() && config.revision() >= due {
+            let snapshot = config.snapshot();
+            let revision = snapshot.revision;
+            let stored = StoredSnapshot::split(&snapshot, term.guard.fencing());
+            write_snapshot(context, term, stored).await?;
+            LogEvent::SnapshotWritten.write(format_args!("revision {revision}"));
+            self.newest_snapshot = revision;
+            self.is_tidy = false;
+        }
+        if !self.is_tidy {
+            delete_old_changes(context, term, self.newest_snapshot).await?;
+            delete_old_snapshots(context, term).await?;
+            self.is_tidy = true;
+        }
+        Ok(())
+    }
+}
+
+/// Writes the parts and then the manifest. A manifest that exists is as good: equal logs give equal states.
+async fn write_snapshot(
+    context: &DutyContext,
+    term: &Term,
+    snapshot: StoredSnapshot,
+) -> Result<(), DutyError> {
+    let objects = &context.node.platform.objects;
+    for part in snapshot.parts {
+        term.run(objects.put(&part.key, part.value, Condition::Any))
+            .await??;
+    }
+    let manifest = snapshot.manifest;
+    let put = objects.put(&manifest.key, manifest.value, Condition::Absent);
+    match term.run(put).await? {
+        Ok(_) | Err(ObjectError::Conflict { .. }) => Ok(()),
+        Err(error) => Err(error.into()),
+    }
+}
+
+/// Deletes changes in their order. A daemon that proposes a change relies on it: a revision whose predecessor exists
+/// was not deleted.
+async fn delete_old_changes(context: &DutyContext, term: &Term, snapshot: Revision) -> Result<(), DutyError> {
+    let objects = &context.node.platform.objects;
+    let oldest_kept = snapshot.saturating_sub(KEPT_CHANGES);
+    let listing = objects.list(CHANGE_PREFIX).await?;
+    for object in &listing.objects {
+        if change_revision(&object.key).is_some_and(|revision| revision < oldest_kept) {
+            term.run(objects.delete(&object.key, Condition::Any)).await??;
+        }
+    }
+    Ok(())
+}
+
+/// Deletes older snapshots, and parts of snapshots that were never completed.
+async fn delete_old_snapshots(context: &DutyContext, term: &Term) -> Result<(), DutyError> {
+    let objects = &context.node.platform.objects;
+    let listing = objects.list(SNAPSHOT_PREFIX).await?;
+    let known = manifests(&listing.objects);
+    let Some(oldest_kept) = known.iter().rev().nth(KEPT_SNAPSHOTS - 1) else {
+        return Ok(());
+    };
+    // A manifest sorts before its parts, so it goes first.
+    for object in &listing.objects {
+        if snapshot_revision(&object.key).is_some_and(|revision| revision < *oldest_kept) {
+            term.run(objects.delete(&object.key, Condition::Any)).await??;
+        }
+    }
+    Ok(())
+}
--- a/crates/jm-node/src/config.rs
+++ b/crates/jm-node/src/config.rs
@@ -10,14 +10,17 @@
     future::timeout,
     task,
 };
-use jm_config::{ActiveConfig, ApplyError, Change, ChangeLog, Document, HistoryEntry};
-use jm_platform::{Changes, ObjectStore, Version, WatchError};
+use jm_config::{ActiveConfig, ApplyError, Change, ChangeLog, Document, HistoryEntry, Snapshot};
+use jm_platform::{Changes, Listing, ObjectStore, Version, WatchError};
 use jm_types::{DurationMs, LogEvent, Revision, Timestamp};
 
-use crate::{Node, codec};
+use crate::{
+    Node, codec,
+    snapshot::{SNAPSHOT_PREFIX, newest_snapshot},
+};
 
 /// Prefix of the accepted changes in the store.
-pub(crate) const CHANGE_PREFIX: &str = "config/change/";
+pub const CHANGE_PREFIX: &str = "config/change/";
 
 /// Length of one watch call; shorter than the freshness time, so that each answer proves freshness in time.
 const WATCH_WAIT_MS: DurationMs = DurationMs::new(1_000);
@@ -36,6 +39,11 @@
     format!("{CHANGE_PREFIX}{:012}", revision.get())
 }
 
+/// The revision of a change by its key.
+pub fn change_revision(key: &str) -> Option<Revision> {
+    key.strip_prefix(CHANGE_PREFIX)?.parse().ok()
+}
+
 /// The configuration log and the configuration in force.
 pub struct ConfigKeeper {
     state: Mutex<LogState>,
@@ -135,24 +143,36 @@
 
     /// Applies one stored change. A change that is already applied is ignored; a gap is an error.
     pub fn apply(&self, revision: Revision, change: &Change) -> Result<(), ApplyError> {
-        let compiled = {
-            let mut state = self.state();
-            match state.log.apply(revision, change) {
-                Ok(_) => {}
-                Err(ApplyError::Older { .. }) => return Ok(()),
-                Err(gap) => return Err(gap),
+        self.extend_log(revision, change)?;
+        self.compile();
+        Ok(())
+    }
+
+    fn extend_log(&self, revision: Revision, change: &Change) -> Result<(), ApplyError> {
+        let mut state = self.state();
+        match state.log.apply(revision, change) {
+            Ok(_) => {
+                state.remember(revision, change);
+                Ok(())
             }
-            state.remember(revision, change);
-            state
-                .log
-                .document()
-                .map(|document| ActiveConfig::compile(revision, document))
+            Err(ApplyError::Older { .. }) => Ok(()),
+            Err(gap) => Err(gap),
+        }
+    }
+
+    /// Brings the state of the log into force.
+    fn compile(&self) {
+        let (revision, document) = {
+            let state = self.state();
+            (state.log.revision(), state.log.document())
         };
-        match compiled {
-            Ok(active) => self.put_in_force(active),
+        if revision <= self.revision() {
+            return;
+        }
+        match document {
+            Ok(document) => self.put_in_force(ActiveConfig::compile(revision, document)),
             Err(errors) => LogEvent::ConfigUnreadable.write(format_args!("revision {revision}: {errors}")),
         }
-        Ok(())
     }
 
     fn put_in_force(&self, active: Arc<ActiveConfig>) {
@@ -183,29 +203,107 @@
         }
     }
 
-    /// Reads the whole log and gives the store version to watch after.
+    /// Reads the newest snapshot and the log after it, and gives the store version to watch after.
     async fn load(node: &Node) -> Option<Version> {
         let requested = node.now();
-        let list = node.platform.objects.list(CHANGE_PREFIX);
-        let listing = timeout(STORE_TIMEOUT_MS.as_std(), list).await.ok()?.ok()?;
-        for object in &listing.objects {
-            node.config.apply_object(&object.key, &object.object.value);
+        if node.config.revision() == Revision::default() {
+            Self::load_snapshot(node).await?;
+        }
+        let mut listing = Self::list(node, CHANGE_PREFIX).await?;
+        if node.config.has_gap_before(&listing) {
+            // Changes that this daemon has not seen were deleted; the snapshot contains them.
+            Self::load_snapshot(node).await?;
+            listing = Self::list(node, CHANGE_PREFIX).await?;
+        }
+        if node.config.has_gap_before(&listing) {
+            return None;
         }
+        node.config.recall(&listing);
+        let objects = listing.objects.iter();
+        node.config
+            .apply_objects(objects.map(|object| (object.key.as_str(), object.object.value.as_slice())));
         node.config.loaded.store(true, Ordering::SeqCst);
         node.after_store_answer(requested);
         Some(listing.version)
     }
 
+    async fn load_snapshot(node: &Node) -> Option<()> {
+        let listing = Self::list(node, SNAPSHOT_PREFIX).await?;
+        if let Some(snapshot) = newest_snapshot(&listing.objects) {
+            node.config.restore(snapshot);
+        }
+        Some(())
+    }
+
+    async fn list(node: &Node, prefix: &str) -> Option<Listing> {
+        let list = node.platform.objects.list(prefix);
+        timeout(STORE_TIMEOUT_MS.as_std(), list).await.ok()?.ok()
+    }
+
+    fn has_gap_before(&self, listing: &Listing) -> bool {
+        let first = listing
+            .objects
+            .first()
+            .and_then(|object| change_revision(&object.key));
+        first.is_some_and(|first| first > self.state().log.revision().next())
+    }
+
+    /// The state for a snapshot object.
+    pub fn snapshot(&self) -> Snapshot {
+        self.state().log.snapshot()
+    }
+
+    /// Replaces the state by a newer one.
+    fn restore(&self, snapshot: Snapshot) {
+        {
+            let mut state = self.state();
+            if snapshot.revision <= state.log.revision() {
+                return;
+            }
+            state.log = ChangeLog::from_snapshot(snapshot);
+            state.history.clear();
+            state.changes.clear();
+        }
+        self.compile();
+    }
+
+    /// Remembers the changes that a snapshot contains and that are still in the store, for the history and for daemons
+    /// that are behind.
+    fn recall(&self, listing: &Listing) {
+        let mut state = self.state();
+        if !state.changes.is_empty() {
+            return;
+        }
+        let contained = listing.objects.iter().filter(|object| {
+            let revision = change_revision(&object.key);
+            revision.is_some_and(|revision| revision <= state.log.revision())
+        });
+        let surplus = contained.count().saturating_sub(HISTORY_CHANGES);
+        for object in listing.objects.iter().skip(surplus) {
+            let revision = change_revision(&object.key);
+            let Some(revision) = revision.filter(|revision| *revision <= state.log.revision()) else {
+                continue;
+            };
+            match codec::decode(&object.object.value) {
+                Ok(change) => state.remember(revision, &change),
+                Err(_) => {
+                    // The history has no gaps: it begins after a change that cannot be read.
+                    state.history.clear();
+                    state.changes.clear();
+                }
+            }
+        }
+    }
+
     async fn watch(node: &Node, mut after: Version) {
         loop {
             let requested = node.now();
             match Self::next_changes(node.platform.objects.as_ref(), after).await {
                 Some(Ok(changes)) => {
-                    for change in &changes.changes {
-                        if let Some(value) = &change.value {
-                            node.config.apply_object(&change.key, value);
-                        }
-                    }
+                    let changed = changes.changes.iter();
+                    node.config.apply_objects(
+                        changed.filter_map(|change| Some((change.key.as_str(), change.value.as_deref()?))),
+                    );
                     after = changes.version;
                     node.after_store_answer(requested);
                 }
@@ -220,14 +318,27 @@
         timeout(STORE_TIMEOUT_MS.as_std(), watch).await.ok()
     }
 
+    /// Applies stored changes. The document is compiled once after all of them: compiling takes time in proportion to
+    /// the document, and a daemon reads some thousand changes at its start.
+    fn apply_objects<'a>(&self, objects: impl Iterator<Item = (&'a str, &'a [u8])>) {
+        let before = self.state().log.revision();
+        for (key, value) in objects {
+            self.apply_object(key, value);
+        }
+        if self.state().log.revision() > before {
+            self.compile();
+        }
+    }
+
     fn apply_object(&self, key: &str, value: &[u8]) {
-        let revision = key
-            .strip_prefix(CHANGE_PREFIX)
-            .and_then(|number| number.parse::<u64>().ok());
+        let revision = change_revision(key);
+        if revision.is_some_and(|revision| revision <= self.state().log.revision()) {
+            return;
+        }
         let change = codec::decode::<Change>(value);
         match (revision, change) {
             (Some(revision), Ok(change)) => {
-                if let Err(error) = self.apply(Revision::new(revision), &change) {
+                if let Err(error) = self.extend_log(revision, &change) {
                     LogEvent::ConfigUnreadable.write(format_args!("object {key}: {error}"));
                 }
             }
--- a/crates/jm-node/src/node.rs
+++ b/crates/jm-node/src/node.rs
@@ -24,7 +24,7 @@
 const REGISTRATION_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
 
 /// Prefix of the registrations in the store.
-const MEMBER_PREFIX: &str = "member/";
+pub const MEMBER_PREFIX: &str = "member/";
 
 /// The platform's interfaces. Trait objects so that the demonstration and tests run without a network.
 #[derive(Clone)]
@@ -137,7 +137,10 @@
             if !registered {
                 registered = self.register(self.peers.own_record()).await;
             }
-            self.read_registrations().await;
+            // A control daemon that could not reach this one for long has removed the registration.
+            if self.read_registrations().await == OwnRegistration::Missing && !self.stop.is_leaving() {
+                registered = false;
+            }
             task::sleep(REGISTRATION_INTERVAL_MS.as_std()).await;
         }
     }
@@ -152,15 +155,21 @@
         written.is_ok()
     }
 
-    async fn read_registrations(&self) {
+    async fn read_registrations(&self) -> OwnRegistration {
         let Ok(listing) = self.platform.objects.list(MEMBER_PREFIX).await else {
-            return;
+            return OwnRegistration::Unknown;
         };
         let records = listing
             .objects
             .iter()
             .filter_map(|object| codec::decode(&object.object.value).ok());
-        self.peers.set_registered(records.collect(), self.now());
+        let records: Vec<MemberRecord> = records.collect();
+        let is_listed = records.iter().any(|record| record.id == *self.peers.own_id());
+        self.peers.set_registered(records, self.now());
+        match is_listed {
+            true => OwnRegistration::Listed,
+            false => OwnRegistration::Missing,
+        }
     }
 
     /// Tells the other daemons that this one is about to stop.
@@ -180,6 +189,14 @@
     }
 }
 
+/// What a listing of the registrations says of the own one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum OwnRegistration {
+    Listed,
+    Missing,
+    Unknown,
+}
+
 fn own_record(settings: &Settings, incarnation: Incarnation) -> MemberRecord {
     let dispatch = settings.dispatch.as_ref().map(|dispatch| dispatch.advertised);
     let control = settings.control.as_ref().map(|control| control.advertised);
--- a/crates/jm-node/src/propose.rs
+++ b/crates/jm-node/src/propose.rs
@@ -66,7 +66,8 @@
 }
 
 enum Attempt {
-    Accepted(Revision),
+    /// The change is in the store at the revision that was tried.
+    Stored,
     LostRace,
     Failed(ProposeError),
 }
@@ -92,7 +93,7 @@
                 Err(refused) => return Err(refused),
             };
             match self.create(next, change, &mut uncertain).await {
-                Attempt::Accepted(revision) => return Ok(revision),
+                Attempt::Stored => return self.confirm_place(next, change).await,
                 Attempt::LostRace => {}
                 Attempt::Failed(_) if uncertain => return UnknownSnafu.fail(),
                 Attempt::Failed(error) => return Err(error),
@@ -123,10 +124,7 @@
             .put(&key, codec::encode(change), Condition::Absent)
             .await
         {
-            Ok(_) => {
-                self.apply_accepted(next, change);
-                Attempt::Accepted(next)
-            }
+            Ok(_) => Attempt::Stored,
             Err(ObjectError::Conflict { .. }) => self.read_winner(next, change).await,
             Err(ObjectError::AnswerLost { .. }) => {
                 *uncertain = true;
@@ -155,12 +153,40 @@
         let Ok(winner) = codec::decode::<Change>(value) else {
             return Attempt::Failed(ProposeError::Unknown);
         };
-        self.apply_accepted(revision, &winner);
         if winner == *change {
-            Attempt::Accepted(revision)
-        } else {
-            Attempt::LostRace
+            return Attempt::Stored;
+        }
+        self.apply_accepted(revision, &winner);
+        Attempt::LostRace
+    }
+
+    /// Accepts a stored change, unless its predecessor is missing. Old changes are deleted in their order, so this
+    /// daemon is then behind the deleted ones, and no other daemon will ever apply what it stored there.
+    async fn confirm_place(&self, revision: Revision, change: &Change) -> Result<Revision, ProposeError> {
+        let before = revision.saturating_sub(Revision::new(1));
+        if before > Revision::default() && !self.is_stored(before).await? {
+            // A change that stays there is without effect, and is deleted with the other old ones.
+            let _ = self
+                .platform
+                .objects
+                .delete(&change_key(revision), Condition::Any)
+                .await;
+            let reason = format!("revision {before} of this daemon is older than the log in the store");
+            let code = ResultCode::NotFresh;
+            return RefusedSnafu { code, reason }.fail();
+        }
+        self.apply_accepted(revision, change);
+        Ok(revision)
+    }
+
+    async fn is_stored(&self, revision: Revision) -> Result<bool, ProposeError> {
+        for _ in 0..MAX_ATTEMPTS {
+            match self.platform.objects.get(&change_key(revision)).await {
+                Ok(object) => return Ok(object.is_some()),
+                Err(_) => task::sleep(RETRY_MS.as_std()).await,
+            }
         }
+        UnknownSnafu.fail()
     }
 
     fn apply_accepted(&self, revision: Revision, change: &Change) {
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -55,6 +55,10 @@
     FreshnessLost = 2003, Warn;
     /// The daemon's configuration is known to be current again.
     FreshnessRegained = 2004, Info;
+    /// A snapshot of the configuration was written.
+    SnapshotWritten = 2005, Info;
+    /// Old registrations, changes or snapshots could not be tidied up; it is tried again.
+    UpkeepFailed = 2006, Warn;
     /// The object API does not answer.
     StoreUnavailable = 2101, Warn;
     /// The object API answers again.
@@ -69,6 +73,8 @@
     MemberFailed = 3102, Warn;
     /// A member has joined or is alive again.
     MemberAlive = 3103, Info;
+    /// The registration of a member that has not answered for ten minutes was removed.
+    MemberRemoved = 3104, Info;
     /// A target is slow or failing and gets less work.
     TargetDegraded = 4001, Warn;
     /// A target recovered.
