jm-http: repeat only safe requests; merge control

The client repeated a conditional DELETE on a fresh connection after its answer was lost; the repetition found nothing to delete and was reported as not applied, although the first attempt had taken effect. PUT with a condition has the same fault, and so would an operators' route that declares a DELETE as not repeatable. Change: only GET, HEAD, OPTIONS and TRACE use pooled connections and are repeated; send_once never does either, and dispatch uses it for orders whatever their method. Ruled out: excluding only requests with if-match or if-none-match, because orders by PUT or DELETE carry neither.

--- a/crates/jm-dispatch/src/plain.rs
+++ b/crates/jm-dispatch/src/plain.rs
@@ -100,7 +100,10 @@
         delivered: false,
     };
     let http = build_request(target, &request.head, &request.body).map_err(refused)?;
-    let sent = node.client.send(http).await;
+    let sent = match request.repeatable {
+        true => node.client.send(http).await,
+        false => node.client.send_once(http).await,
+    };
     let mut response = sent.map_err(|error| CallError::of_client(&error, false))?;
     let headers = answer_headers(&response, target);
     sink.head(u16::from(response.status()), headers)
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -81,11 +81,27 @@
     /// `UnexpectedEof` for a cut body, `InvalidData` for a bad chunk and `TimedOut` when a piece is late.
     ///
     /// A pooled connection may close just as a request is written to it, so only requests that may run twice use one:
-    /// those whose method is idempotent and whose body can be written again. They are repeated once on a fresh
-    /// connection when the pooled one ends before the first byte of an answer.
+    /// those whose method is safe. They are repeated once on a fresh connection when the pooled one ends before the
+    /// first byte of an answer. `PUT` and `DELETE` are not among them: with a condition they are not idempotent, and
+    /// a repeated conditional deletion whose first attempt took effect was reported as not applied.
     pub async fn send(&self, request: Request) -> Result<Response, ClientError> {
-        let mut prepared = Prepared::new(request, &self.limits).await?;
-        if let Some((connection, request)) = self.pooled(&prepared) {
+        let prepared = Prepared::new(request, &self.limits).await?;
+        let pooled = self.pooled(&prepared);
+        self.send_prepared(prepared, pooled).await
+    }
+
+    /// Sends a request that must not run twice whatever its method: always on a fresh connection, never repeated.
+    pub async fn send_once(&self, request: Request) -> Result<Response, ClientError> {
+        let prepared = Prepared::new(request, &self.limits).await?;
+        self.send_prepared(prepared, None).await
+    }
+
+    async fn send_prepared(
+        &self,
+        mut prepared: Prepared,
+        pooled: Option<(ClientConnection, Request)>,
+    ) -> Result<Response, ClientError> {
+        if let Some((connection, request)) = pooled {
             match self.exchange(connection, request, &prepared.address).await {
                 Err(error) if error.is_repeatable() => prepared.written |= error.written,
                 result => return result.map_err(|error| prepared.error(error)),
@@ -159,16 +175,9 @@
     }
 
     fn repeatable_request(&self) -> Option<Request> {
-        let idempotent = [
-            Method::Get,
-            Method::Head,
-            Method::Options,
-            Method::Trace,
-            Method::Put,
-            Method::Delete,
-        ];
+        let safe = [Method::Get, Method::Head, Method::Options, Method::Trace];
         match &self.body {
-            RequestBody::Whole(body) if idempotent.contains(&self.head.method()) => {
+            RequestBody::Whole(body) if safe.contains(&self.head.method()) => {
                 Some(self.with_body(body.clone().into()))
             }
             _ => None,
