jm-entry: stricter tests of outcomes

One run of refused_connection_is_not_run failed; a relay that closes its listener frees the port for other tests of the process, whose daemons know the same secret.

A daemon that is not to be reached gets an address without a listener instead of a closed relay.

--- a/crates/jm-entry/tests/admin_changes.rs
+++ b/crates/jm-entry/tests/admin_changes.rs
@@ -203,7 +203,7 @@
 #[async_std::test]
 async fn status_names_everyone() {
     let fixture = Fixture::start(2).await;
-    fixture.dispatchers[0].relay.close().await;
+    fixture.set_reachable(&fixture.dispatchers[0], false);
     let (status, content) = admin(&fixture.entry, get("/admin/v1/status", Some(ADMIN_TOKEN))).await;
     assert_eq!((status, content["members"].as_array().unwrap().len()), (200, 3));
     assert!(content["dispatch"][0]["status"]["error"].is_string());
--- a/crates/jm-entry/tests/broken_stream.rs
+++ b/crates/jm-entry/tests/broken_stream.rs
@@ -106,6 +106,22 @@
     assert_eq!(fixture.executed().len(), 1);
 }
 
+/// Guards against "not run" when an earlier attempt or the delivered part may have run.
+#[async_std::test]
+async fn refusal_is_true_for_all_attempts() {
+    let fixture = Fixture::start(1).await;
+    fixture.add("refuse TargetFailed");
+    (0..2).for_each(|_| fixture.add("refuse NoTarget"));
+    fixture
+        .refused(completion(Some(KEY_A)), ResultCode::TargetFailed)
+        .await;
+    fixture.add("head 200 gen-1 | piece a 1 | refuse QueueFull");
+    let mut lines = fixture.send(completion(Some(KEY_A))).await.lines();
+    lines.next().await.unwrap().unwrap();
+    let error: Value = serde_json::from_str(&lines.next().await.unwrap().unwrap()).unwrap();
+    assert_eq!(error["error"]["name"], "AnswerCut");
+}
+
 /// Guards against retries that multiply the load of an outage.
 #[async_std::test]
 async fn spent_budget_ends_retries() {
--- a/crates/jm-entry/tests/common/dispatch.rs
+++ b/crates/jm-entry/tests/common/dispatch.rs
@@ -56,6 +56,8 @@
     script: Script,
     secret: TicketSecret,
     serial: AtomicU64,
+    /// Whom tickets name instead of this daemon.
+    pub(crate) issuer: Mutex<Option<MemberId>>,
     /// Calls that stay open; a cancelled one is not among them.
     pub(crate) held: Arc<AtomicU64>,
     pub(crate) steps: Mutex<Vec<StepCall>>,
@@ -91,6 +93,7 @@
             script: script.clone(),
             secret: TicketSecret::new(secret.clone()),
             serial: AtomicU64::new(1),
+            issuer: Mutex::default(),
             held: Arc::default(),
             steps: Mutex::default(),
             step_answers: Mutex::default(),
@@ -156,8 +159,9 @@
 
 impl Handler {
     fn ticket(&self, organisation: Option<OrganisationId>, service: ServiceId) -> String {
+        let issuer = self.issuer.lock().unwrap().clone();
         let ticket = Ticket {
-            member: self.member.clone(),
+            member: issuer.unwrap_or_else(|| self.member.clone()),
             incarnation: Incarnation::new(INCARNATION),
             organisation: organisation.unwrap_or_else(|| "everyone".parse().unwrap()),
             service,
--- a/crates/jm-entry/tests/common/mod.rs
+++ b/crates/jm-entry/tests/common/mod.rs
@@ -22,6 +22,9 @@
 pub(crate) const ADMIN_TOKEN: &str = "sample-admin-token";
 pub(crate) const SALES_TOKEN: &str = "sample-sales-token";
 
+/// No daemon listens on the port of a service that is not in use any more.
+const REFUSING_ADDRESS: &str = "127.0.0.1:1";
+
 /// A clock that stands still, so that nothing times out or grows old unless a test says so.
 pub(crate) use jm_types::ManualClock;
 
@@ -138,6 +141,20 @@
         fakes.find(|fake| text.contains(fake.member.as_str())).unwrap()
     }
 
+    /// Names an address for one dispatch daemon that refuses connections, or its own again. A listener that is closed
+    /// instead would free its port for other tests.
+    pub(crate) fn set_reachable(&self, fake: &FakeDispatch, reachable: bool) {
+        let mut records: Vec<_> = self.dispatchers.iter().map(FakeDispatch::record).collect();
+        let record = records
+            .iter_mut()
+            .find(|record| record.id == fake.member)
+            .unwrap();
+        if !reachable {
+            record.link_address = Some(REFUSING_ADDRESS.to_owned());
+        }
+        self.node.peers.set_registered(records, self.node.now());
+    }
+
     pub(crate) fn cut_links(&self) {
         self.dispatchers
             .iter()
--- a/crates/jm-entry/tests/idempotency_key.rs
+++ b/crates/jm-entry/tests/idempotency_key.rs
@@ -28,8 +28,11 @@
 #[async_std::test]
 async fn lost_answer_keeps_ticket() {
     let fixture = Fixture::start(2).await;
-    fixture.server.set_faults(|faults| faults.lose_next = 1);
+    // The client repeats a write whose answer is lost on a pooled connection, so two answers are lost.
+    fixture.server.set_faults(|faults| faults.lose_next = 2);
     let first = run(&fixture).await;
+    // The answer that the key exists already may be lost as well.
+    fixture.server.set_faults(|faults| faults.lose_next = 2);
     assert_eq!(run(&fixture).await, first);
     let members: Vec<_> = fixture.executed().into_iter().map(|(member, _)| member).collect();
     assert_eq!(members[0], members[1]);
@@ -66,7 +69,7 @@
     let fixture = Fixture::start(2).await;
     let ticket = run(&fixture).await;
     let issuer = fixture.fake(&ticket);
-    issuer.relay.close().await;
+    fixture.set_reachable(issuer, false);
     fixture.refused(keyed(), ResultCode::OutcomeUnknown).await;
     assert_eq!(fixture.executed().len(), 1);
     let open = get("/v1/services/catalogue/x", None);
--- a/crates/jm-entry/tests/order_outcome.rs
+++ b/crates/jm-entry/tests/order_outcome.rs
@@ -35,13 +35,25 @@
     assert!(!executed.repeatable && named.contains(member.as_str()));
 }
 
-/// Guards against "outcome unknown" where nothing was written, and against an order that is tried elsewhere.
+/// Guards against "outcome unknown" where nothing was written, with and without a ticket obtained before.
 #[async_std::test]
 async fn refused_connection_is_not_run() {
-    let fixture = Fixture::start(1).await;
-    fixture.dispatchers[0].relay.close().await;
-    let code = fixture.refusal(order(None)).await;
-    assert_eq!(code, ResultCode::DispatchUnreachable);
+    let fixture = Fixture::start(2).await;
+    let [first, second] = &fixture.dispatchers[..] else {
+        unreachable!()
+    };
+    fixture.set_reachable(second, false);
+    *first.handler.issuer.lock().unwrap() = Some(second.member.clone());
+    let refused = fixture.send(order(None)).await;
+    assert!(refused.header("jm-ticket").is_some());
+    assert_eq!(
+        code_of(&json_answer(refused).await.1),
+        ResultCode::DispatchUnreachable
+    );
+    let nobody = Fixture::start(1).await;
+    nobody.set_reachable(&nobody.dispatchers[0], false);
+    nobody.refused(order(None), ResultCode::DispatchUnreachable).await;
+    assert!(fixture.executed().is_empty());
 }
 
 /// Guards against "not run" after the request was written, and against a second run.
@@ -126,9 +138,9 @@
     let issuer = fixture.fake(&text);
     let again = || order(Some(("order-ticket", &text)));
     // The ticket may have been used before, so a refused connection says nothing about the order.
-    issuer.relay.close().await;
+    fixture.set_reachable(issuer, false);
     fixture.refused(again(), ResultCode::OutcomeUnknown).await;
-    issuer.relay.open().await.unwrap();
+    fixture.set_reachable(issuer, true);
     let mut restarted = issuer.record();
     restarted.incarnation = Incarnation::new(restarted.incarnation.get() + 1);
     fixture
--- a/crates/jm-entry/tests/step_calls.rs
+++ b/crates/jm-entry/tests/step_calls.rs
@@ -65,7 +65,7 @@
 #[async_std::test]
 async fn create_uses_first_reachable() {
     let fixture = Fixture::start(3).await;
-    fixture.dispatchers[owners(&fixture)[0]].relay.close().await;
+    fixture.set_reachable(&fixture.dispatchers[owners(&fixture)[0]], false);
     answer(&fixture, 1, "refuse UnknownStep");
     answer(&fixture, 1, "done");
     assert_eq!(fixture.json(create()).await.0, 200);
@@ -120,12 +120,12 @@
     let fixture = Fixture::start(2).await;
     let acknowledge = || post("/v1/steps/s/ack", Some(KEY_A), r#"{"through":4}"#);
     fixture.refused(acknowledge(), ResultCode::UnknownStep).await;
-    fixture.dispatchers[0].relay.close().await;
+    fixture.set_reachable(&fixture.dispatchers[0], false);
     fixture
         .refused(acknowledge(), ResultCode::DispatchUnreachable)
         .await;
     let delete = || request(Method::Delete, "/v1/steps/s", Some(KEY_A), "");
-    fixture.dispatchers[0].relay.open().await.unwrap();
+    fixture.set_reachable(&fixture.dispatchers[0], true);
     answer(&fixture, 1, "done");
     assert_eq!(fixture.json(delete()).await.0, 200);
     let version = post("/v1/steps/s/version", Some(KEY_A), r#"{"weight_version":4}"#);
