jm-bench: capacity of sockets, store calls and memory

Cause: docs/CAPACITY.md needs slopes measured by named commands.

Change: jm-bench-capacity runs agents on loopback, counts store calls of leases and watches, and measures resident memory of tickets, queued requests and detectors; each prints a fitted line with its measured range.

Ruled out: measuring detectors after the other kinds, because freed memory is used again and the figures came out near zero.

--- a/crates/jm-bench/src/bin/jm-bench-capacity.rs
+++ b/crates/jm-bench/src/bin/jm-bench-capacity.rs
@@ -1,7 +1,9 @@
 //! Prints what each daemon has to carry, for `docs/CAPACITY.md`.
 
+use std::error::Error;
+
 use bpaf::Bpaf;
-use jm_bench::capacity::members;
+use jm_bench::capacity::{members, memory, objects, sockets};
 
 /// Measures capacity.
 #[derive(Debug, Clone, Bpaf)]
@@ -26,17 +28,38 @@
     /// Regions that lose each other.
     #[bpaf(command)]
     Regions,
+    /// Agents on loopback sockets.
+    #[bpaf(command)]
+    Sockets {
+        /// Seconds of real time for each size.
+        #[bpaf(argument("SECONDS"), fallback(10))]
+        seconds: u64,
+    },
+    /// Calls of the object API.
+    #[bpaf(command)]
+    Store {
+        /// Seconds of real time for each number of watchers.
+        #[bpaf(argument("SECONDS"), fallback(10))]
+        seconds: u64,
+    },
+    /// Memory for one entry of each kind.
+    #[bpaf(command)]
+    Memory,
 }
 
 /// Seed of all random numbers.
 const SEED: u64 = 1;
 
-fn main() {
+fn main() -> Result<(), Box<dyn Error>> {
     match command().run() {
         Command::Members { seconds } => members::print_cost(seconds, SEED),
         Command::Detection => members::print_detection(SEED),
         Command::Spread => members::print_spread(SEED),
         Command::Churn => members::print_churn(SEED),
         Command::Regions => members::print_regions(SEED),
+        Command::Sockets { seconds } => sockets::print_sockets(seconds)?,
+        Command::Store { seconds } => objects::print_store(seconds)?,
+        Command::Memory => memory::print_memory()?,
     }
+    Ok(())
 }
--- a/crates/jm-bench/src/capacity/mod.rs
+++ b/crates/jm-bench/src/capacity/mod.rs
@@ -3,3 +3,6 @@
 pub mod fit;
 pub mod fleet;
 pub mod members;
+pub mod memory;
+pub mod objects;
+pub mod sockets;
