--- a/crates/jm-bench/src/bin/jm-bench-capacity.rs
+++ b/crates/jm-bench/src/bin/jm-bench-capacity.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 
 use bpaf::Bpaf;
-use jm_bench::capacity::{members, memory, objects, sockets};
+use jm_bench::capacity::{members, memory, objects, sockets, storms};
 
 /// Measures capacity.
 #[derive(Debug, Clone, Bpaf)]
@@ -28,6 +28,12 @@
     /// Regions that lose each other.
     #[bpaf(command)]
     Regions,
+    /// Traffic with load summaries.
+    #[bpaf(command)]
+    Summaries,
+    /// All daemons of a region that restart at once.
+    #[bpaf(command)]
+    Restart,
     /// Agents on loopback sockets.
     #[bpaf(command)]
     Sockets {
@@ -57,6 +63,8 @@
         Command::Spread => members::print_spread(SEED),
         Command::Churn => members::print_churn(SEED),
         Command::Regions => members::print_regions(SEED),
+        Command::Summaries => storms::print_summaries(SEED),
+        Command::Restart => storms::print_restart(SEED),
         Command::Sockets { seconds } => sockets::print_sockets(seconds)?,
         Command::Store { seconds } => objects::print_store(seconds)?,
         Command::Memory => memory::print_memory()?,
--- a/crates/jm-bench/src/capacity/mod.rs
+++ b/crates/jm-bench/src/capacity/mod.rs
@@ -6,3 +6,4 @@
 pub mod memory;
 pub mod objects;
 pub mod sockets;
+pub mod storms;
--- a/crates/jm-member/src/lib.rs
+++ b/crates/jm-member/src/lib.rs
@@ -23,7 +23,7 @@
 pub use agent::{AgentError, MemberAgent, Traffic};
 pub use datagram::{Body, Datagram, DatagramError, MAX_DATAGRAM_BYTES, Update, open_datagram, seal_datagram};
 pub use detector::{Action, Detector};
-pub use evidence::{Evidence, MemberRow, ZoneRow};
+pub use evidence::{Evidence, MemberRow, ZoneApplied, ZoneContact, ZoneRow};
 pub use freshness::{FRESHNESS_BOUND, Freshness};
 pub use in_force::InForce;
 pub use options::DetectorOptions;
