jm-member: load summaries in pings only

Change: only pings carry summaries. jm-bench-capacity measures them at rates that this can carry, and detection for one fleet size.

Ruled out: longer probe intervals, which slow the spread of evidence.

--- a/crates/jm-bench/src/bin/jm-bench-capacity.rs
+++ b/crates/jm-bench/src/bin/jm-bench-capacity.rs
@@ -18,7 +18,11 @@
     },
     /// Detection time and false alarms.
     #[bpaf(command)]
-    Detection,
+    Detection {
+        /// Only the fleet of this size.
+        #[bpaf(argument("DAEMONS"), optional)]
+        daemons: Option<usize>,
+    },
     /// Spread of configuration revisions.
     #[bpaf(command)]
     Spread,
@@ -59,7 +63,7 @@
 fn main() -> Result<(), Box<dyn Error>> {
     match command().run() {
         Command::Members { seconds } => members::print_cost(seconds, SEED),
-        Command::Detection => members::print_detection(SEED),
+        Command::Detection { daemons } => members::print_detection(SEED, daemons),
         Command::Spread => members::print_spread(SEED),
         Command::Churn => members::print_churn(SEED),
         Command::Regions => members::print_regions(SEED),
--- a/crates/jm-member/src/detector/mod.rs
+++ b/crates/jm-member/src/detector/mod.rs
@@ -382,6 +382,9 @@
             datagram
                 .updates
                 .extend(self.updates.take(self.options.update_bytes, resends));
+        }
+        // One of three datagrams carries summaries: in all of them they would exceed the bound on control traffic.
+        if matches!(datagram.body, Body::Ping(_)) {
             datagram.summaries = self.summaries.take(self.options.summary_bytes, resends);
         }
         let datagram = Box::new(datagram);
--- a/crates/jm-member/src/options.rs
+++ b/crates/jm-member/src/options.rs
@@ -24,7 +24,7 @@
     pub resend_factor: u32,
     /// Bytes of membership changes in one datagram.
     pub update_bytes: usize,
-    /// Bytes of load summaries in one datagram.
+    /// Bytes of load summaries in one ping.
     pub summary_bytes: usize,
     /// Age after which a load summary is forgotten.
     pub summary_keep_ms: DurationMs,
