jm-control: started daemon over HTTP, less work for zones at rest

Cause: the duties were tested step by step only, and the holder of a zone's weights copied all targets in each round and asked each engine for its load every 2 s.

Change: the list of engines is made again only when configuration or ordered targets change, orders are considered only after news, and load answers are read every 10 s, because answers to orders name the version too. A failed round is tried again after 1 s. Loss of a lease is logged where its work ends, also when the term lapsed. The first choice of a dispatch daemon no longer copies the targets of the configuration.

--- a/crates/jm-control/src/daemon.rs
+++ b/crates/jm-control/src/daemon.rs
@@ -28,6 +28,9 @@
 /// Interval at which leases are taken or renewed; several fit into the term.
 const LEASE_INTERVAL_MS: DurationMs = DurationMs::new(2_000);
 
+/// Pause after a round that failed.
+const RETRY_MS: DurationMs = DurationMs::new(1_000);
+
 /// Reads the time that hosts share, which usage windows are counted by.
 pub type WallClock = Arc<dyn Fn() -> WallTime + Send + Sync>;
 
@@ -215,22 +218,23 @@
     async fn carry_out(self: Arc<Self>, duty: ControlDuty) {
         self.keep_leases_of(duty).await;
         loop {
-            self.round(duty).await;
-            task::sleep(duty.interval_ms().as_std()).await;
+            let pause_ms = match self.round(duty).await {
+                RoundResult::Done => duty.interval_ms(),
+                RoundResult::Failed => duty.interval_ms().min(RETRY_MS),
+            };
+            task::sleep(pause_ms.as_std()).await;
         }
     }
 
-    async fn round(&self, duty: ControlDuty) {
+    async fn round(&self, duty: ControlDuty) -> RoundResult {
+        let context = &self.context;
         match duty {
-            ControlDuty::Usage => {
-                report(LogEvent::WindowDelayed, self.usage.round(&self.context).await);
-            }
-            ControlDuty::Targets => {
-                report(LogEvent::OrderFailed, self.targets.round(&self.context).await);
-            }
-            ControlDuty::Weights => self.weight_rounds().await,
-            ControlDuty::Members => {
-                report(LogEvent::UpkeepFailed, self.members.round(&self.context).await);
+            ControlDuty::Usage => log_failure(LogEvent::WindowDelayed, self.usage.round(context).await),
+            ControlDuty::Targets => log_failure(LogEvent::OrderFailed, self.targets.round(context).await),
+            ControlDuty::Members => log_failure(LogEvent::UpkeepFailed, self.members.round(context).await),
+            ControlDuty::Weights => {
+                self.weight_rounds().await;
+                RoundResult::Done
             }
         }
     }
@@ -242,18 +246,26 @@
                 zone: zone.clone(),
                 ..self.context.clone()
             };
-            async move { report(LogEvent::OrderFailed, slot.round(&context).await) }
+            async move { log_failure(LogEvent::OrderFailed, slot.round(&context).await) }
         });
         join_all(rounds).await;
     }
 }
 
-fn report(event: LogEvent, result: Result<(), DutyError>) {
+/// How a round ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum RoundResult {
+    Done,
+    Failed,
+}
+
+fn log_failure(event: LogEvent, result: Result<(), DutyError>) -> RoundResult {
     match result {
-        Ok(()) => {}
+        Ok(()) => return RoundResult::Done,
         Err(error @ DutyError::LeaseLapsed) => LogEvent::LeaseLost.write(error),
         Err(error) => event.write(error),
     }
+    RoundResult::Failed
 }
 
 fn system_wall_time() -> WallTime {
--- a/crates/jm-control/src/duty.rs
+++ b/crates/jm-control/src/duty.rs
@@ -5,7 +5,7 @@
 use async_std::sync::Mutex;
 use async_trait::async_trait;
 use jm_node::Node;
-use jm_types::{FencingNumber, ZoneId};
+use jm_types::{FencingNumber, LogEvent, ZoneId};
 
 use crate::{daemon::ControlOptions, error::DutyError, guarded::Term, lease::DutyLease};
 
@@ -51,7 +51,9 @@
     pub(crate) async fn round(&self, context: &DutyContext) -> Result<(), DutyError> {
         let mut held = self.held.lock().await;
         let Some(term) = self.lease.term() else {
-            *held = None;
+            if held.take().is_some() {
+                LogEvent::LeaseLost.write(self.lease.name());
+            }
             return Ok(());
         };
         let fencing = term.guard.fencing();
--- a/crates/jm-control/src/lease.rs
+++ b/crates/jm-control/src/lease.rs
@@ -97,15 +97,9 @@
     fn set_held(&self, guard: Option<LeaseGuard>) {
         let fencing = guard.as_ref().map(LeaseGuard::fencing);
         let before = std::mem::replace(&mut *self.held(), guard);
-        let name = &self.name;
-        match (before.map(|before| before.fencing()), fencing) {
-            (before, Some(fencing)) if before != Some(fencing) => {
-                LogEvent::LeaseAcquired.write(format_args!("{name} with fencing number {fencing}"));
-            }
-            (Some(before), None) => {
-                LogEvent::LeaseLost.write(format_args!("{name} with fencing number {before}"));
-            }
-            _ => {}
+        let before = before.map(|before| before.fencing());
+        if let Some(fencing) = fencing.filter(|_| before != fencing) {
+            LogEvent::LeaseAcquired.write(format_args!("{} with fencing number {fencing}", self.name));
         }
     }
 }
--- a/crates/jm-control/src/weights/mod.rs
+++ b/crates/jm-control/src/weights/mod.rs
@@ -5,15 +5,16 @@
 
 mod engine;
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use async_std::task;
 use async_trait::async_trait;
 use futures::{FutureExt, StreamExt, future::BoxFuture, select, stream::FuturesUnordered};
 use indexmap::{IndexMap, IndexSet};
 use jm_config::{ActiveConfig, Target, TargetState};
+use jm_node::OrderedTargets;
 use jm_plan::{Rollout, RolloutEngine, RolloutOptions, SwapResult, WeightOrder};
-use jm_types::{DurationMs, LogEvent, ModelId, TargetId, Timestamp, WeightVersion, ZoneId};
+use jm_types::{DurationMs, LogEvent, ModelId, Revision, TargetId, Timestamp, WeightVersion, ZoneId};
 
 use crate::{
     duty::{DutyContext, DutyWork},
@@ -25,8 +26,9 @@
 /// Interval at which the weight store is asked for new versions.
 const VERSIONS_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
 
-/// Interval between two load answers of one engine.
-const LOAD_INTERVAL_MS: DurationMs = DurationMs::new(2_000);
+/// Interval between two load answers of one engine. The answers to orders name the version as well; load answers only
+/// show engines that lost theirs, and a zone has about 1,100 engines at the target size.
+const LOAD_INTERVAL_MS: DurationMs = DurationMs::new(10_000);
 
 /// Age of the state that a load answer may show. Answers that were asked for sooner after a swap are not believed when
 /// they differ from it.
@@ -49,6 +51,12 @@
     next_load: Timestamp,
 }
 
+/// What the list of engines is made from.
+struct EngineSource {
+    revision: Revision,
+    ordered: Arc<OrderedTargets>,
+}
+
 /// The roll-out of one model.
 struct ModelRollout {
     version: WeightVersion,
@@ -73,7 +81,11 @@
 /// What the holder knows of the engines of its zone.
 pub(crate) struct WeightsWork {
     zone: ZoneId,
+    /// What the engines were taken from.
+    source: Option<EngineSource>,
     engines: IndexMap<TargetId, Engine>,
+    /// Whether anything changed since orders were last considered.
+    has_news: bool,
     rollouts: IndexMap<ModelId, ModelRollout>,
     next_versions: Timestamp,
     open: FuturesUnordered<BoxFuture<'static, Answer>>,
@@ -84,7 +96,9 @@
     async fn begin(context: &DutyContext, _term: &Term) -> Result<Self, DutyError> {
         Ok(Self {
             zone: context.zone.clone(),
+            source: None,
             engines: IndexMap::new(),
+            has_news: true,
             rollouts: IndexMap::new(),
             next_versions: context.node.now(),
             open: FuturesUnordered::new(),
@@ -107,8 +121,15 @@
     /// Takes the engines of the zone from the configuration and the ordered targets.
     fn refresh_engines(&mut self, context: &DutyContext) {
         let config = context.node.config.active();
+        let ordered = context.node.ordered.current();
+        let is_current = |source: &EngineSource| {
+            source.revision == config.revision() && Arc::ptr_eq(&source.ordered, &ordered)
+        };
+        if self.source.as_ref().is_some_and(is_current) {
+            return;
+        }
         let mut known = std::mem::take(&mut self.engines);
-        for target in context.node.targets() {
+        for target in ordered.merge(&config) {
             if target.zone != self.zone || target.state == TargetState::Leaving {
                 continue;
             }
@@ -131,6 +152,11 @@
         }
         let models: IndexSet<ModelId> = self.models();
         self.rollouts.retain(|model, _| models.contains(model));
+        self.has_news = true;
+        self.source = Some(EngineSource {
+            revision: config.revision(),
+            ordered,
+        });
     }
 
     fn models(&self) -> IndexSet<ModelId> {
@@ -184,6 +210,7 @@
                     is_logged: false,
                 };
                 self.rollouts.insert(model, rollout);
+                self.has_news = true;
             }
         }
         Ok(())
@@ -218,11 +245,14 @@
         {
             return;
         }
-        engine.version = load.version_of(&engine.model);
+        let version = load.version_of(&engine.model);
+        self.has_news |= version != engine.version;
+        engine.version = version;
     }
 
     fn take_swap(&mut self, context: &DutyContext, order: &WeightOrder, model: &ModelId, swap: Swap) {
         let now = context.node.now();
+        self.has_news = true;
         if let (Swap::Applied(version), Some(engine)) = (&swap, self.engines.get_mut(&order.target)) {
             engine.version = *version;
             engine.swapped = Some(now);
@@ -248,6 +278,10 @@
 
     fn give_orders(&mut self, context: &DutyContext, term: &Term) {
         let now = context.node.now();
+        if !self.has_orders(term, now) {
+            return;
+        }
+        self.has_news = false;
         let config = context.node.config.active();
         for model in self.models() {
             let engines = self.orderable(&model, term, now);
@@ -264,6 +298,16 @@
         }
     }
 
+    /// Whether orders may be due. Most of the time all engines have their versions, and nothing has to be compared.
+    fn has_orders(&self, term: &Term, now: Timestamp) -> bool {
+        let is_open = |known: &ModelRollout| {
+            let status = known.rollout.status(now);
+            status.done < status.engines
+        };
+        let is_waiting = now < term.guard.orders_allowed_at().after(VERSIONS_INTERVAL_MS);
+        self.has_news || is_waiting || self.rollouts.values().any(is_open)
+    }
+
     /// Engines that may be ordered now. One that ignores fencing numbers has to wait until no order of an earlier
     /// holder can take effect any more.
     fn orderable(&self, model: &ModelId, term: &Term, now: Timestamp) -> Vec<RolloutEngine> {
--- /dev/null
+++ b/crates/jm-control/tests/started_daemon.rs
@@ -0,0 +1,135 @@
+//! Guards against duties that work step by step and not in a running daemon: over HTTP, with lost answers and an outage
+//! of the platform.
+
+mod common;
+
+use std::sync::Arc;
+
+use async_std::{net::TcpListener, task};
+use common::{Wall, new_node, platform_of, reported_requests, store_config, store_part, wait_until};
+use futures::FutureExt;
+use jm_control::Control;
+use jm_http::Limits;
+use jm_link::{FleetSecret, LinkOptions, LinkPool, LinkServer, PeerReply, PeerRequest, ReplyStream};
+use jm_node::{ConfigKeeper, Node};
+use jm_platform::{HttpPlatform, MemoryPlatform, SpareTarget, TargetKind, TargetOrders};
+use jm_standins::{PlatformOptions, PlatformServer};
+use jm_types::{DurationMs, Incarnation, Revision, SystemClock};
+use jm_usage::{GRACE_MS, WINDOW_MS, WindowId};
+
+const CONFIG: &str = "\
+[zone riga-a]
+region = baltic-north
+[service order-desk]
+kind = plain
+access = keyed
+timeout = 10s
+[capacity order-desk]
+service = order-desk
+regular_min = 2
+regular_max = 3
+cheap_min = 0
+cheap_max = 0
+";
+
+const WINDOW: u64 = 1_000;
+const REQUESTS: u64 = 5;
+
+async fn fill(platform: &MemoryPlatform) {
+    store_config(platform, CONFIG).await;
+    for number in 0..4 {
+        platform.add_spare(SpareTarget {
+            id: format!("desk-{number}").parse().unwrap(),
+            zone: "riga-a".parse().unwrap(),
+            kind: TargetKind::Regular,
+            address: format!("10.0.0.{number}:8000").parse().unwrap(),
+        });
+    }
+    store_part(platform, WINDOW, 1, REQUESTS).await;
+}
+
+async fn new_daemon(server: &PlatformServer) -> (Arc<Node>, Arc<Control>) {
+    let platform = Arc::new(HttpPlatform::new(server.address(), Limits::default()));
+    let node = new_node("control-a", platform_of(&platform), Arc::new(SystemClock));
+    task::spawn(ConfigKeeper::follow(Arc::clone(&node)));
+    let wall = Wall::default();
+    wall.set((WINDOW + 1) * WINDOW_MS.get() + GRACE_MS.get());
+    let control = Control::new(Arc::clone(&node), wall.options());
+    (node, control)
+}
+
+/// Guards against figures or targets that differ after lost answers and an outage.
+#[async_std::test]
+async fn lost_answers_and_outage() {
+    let server = PlatformServer::start(PlatformOptions::default()).await.unwrap();
+    let platform = server.platform().clone();
+    fill(&platform).await;
+    server.set_faults(|faults| {
+        faults.lose_every = 3;
+        faults.down = true;
+    });
+    let (_, control) = new_daemon(&server).await;
+    control.start();
+    wait_until("calls are refused", || server.total_calls() > 5).await;
+    server.set_faults(|faults| faults.down = false);
+    wait_until("the window is reported and the targets are ordered", || {
+        let ordered = task::block_on(platform.targets()).unwrap();
+        platform.reports().len() == 1 && ordered.len() == 2
+    })
+    .await;
+    let (window, body) = platform.reports().remove(0);
+    assert_eq!(window, WindowId::new(WINDOW).to_string());
+    assert_eq!(reported_requests(&body), REQUESTS);
+}
+
+async fn next(replies: &mut ReplyStream) -> Option<PeerReply> {
+    let limit = DurationMs::new(10_000);
+    replies.next_within(limit).await.unwrap()
+}
+
+/// Guards against a control daemon that other daemons cannot exchange revisions or changes with.
+#[async_std::test]
+async fn answers_calls() {
+    let server = PlatformServer::start(PlatformOptions::default()).await.unwrap();
+    fill(server.platform()).await;
+    let (node, control) = new_daemon(&server).await;
+    wait_until("the configuration is read", || node.config.is_loaded()).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let (secret, options) = (FleetSecret::new("secret"), LinkOptions::default());
+    let link = LinkServer::new(secret, options, control.link_handler());
+    let never = futures::future::pending::<()>().shared();
+    task::spawn(Arc::new(link).serve(listener, never));
+    let pool = LinkPool::new(FleetSecret::new("secret"), LinkOptions::default());
+
+    let hello = PeerRequest::Hello {
+        member: "entry-a".parse().unwrap(),
+        incarnation: Incarnation::new(1),
+        revision: Revision::new(0),
+    };
+    let mut replies = pool.call(&address, hello).await.unwrap();
+    let revision = Revision::new(1);
+    assert_eq!(next(&mut replies).await, Some(PeerReply::Accepted { revision }));
+    assert!(matches!(next(&mut replies).await, Some(PeerReply::Message(_))));
+
+    let after = Revision::new(0);
+    let mut replies = pool
+        .call(&address, PeerRequest::ReadConfig { after })
+        .await
+        .unwrap();
+    assert!(matches!(next(&mut replies).await, Some(PeerReply::Message(_))));
+    assert_eq!(next(&mut replies).await, None);
+
+    let mut replies = pool.call(&address, PeerRequest::Status).await.unwrap();
+    assert!(matches!(next(&mut replies).await, Some(PeerReply::Message(_))));
+
+    let ticket = PeerRequest::IssueTicket {
+        organisation: None,
+        service: "order-desk".parse().unwrap(),
+    };
+    let mut replies = pool.call(&address, ticket).await.unwrap();
+    assert!(matches!(
+        next(&mut replies).await,
+        Some(PeerReply::Refused { .. })
+    ));
+}
--- a/crates/jm-node/src/ordered.rs
+++ b/crates/jm-node/src/ordered.rs
@@ -92,6 +92,12 @@
             .collect()
     }
 
+    /// Ids and zones of the ordered targets of a service.
+    pub(crate) fn targets_of(&self, service: &ServiceId) -> impl Iterator<Item = (&TargetId, &ZoneId)> {
+        let groups = self.groups.iter().filter(move |group| group.service == *service);
+        groups.flat_map(|group| group.targets.iter().map(|entry| (&entry.id, &group.zone)))
+    }
+
     fn with_host_state(&self, target: Target) -> Target {
         let state = match self.leaving_hosts.contains(&target.address.ip()) {
             true => TargetState::Leaving,
--- a/crates/jm-node/src/router.rs
+++ b/crates/jm-node/src/router.rs
@@ -162,10 +162,14 @@
     /// Before summaries have arrived, any owner of a target of the service will do.
     fn owner_of_some_target(&self, service: &ServiceId, avoid: &[MemberId]) -> Option<MemberId> {
         let members = self.peers.dispatchers(self.now());
-        let targets = self.targets();
-        let mut targets = targets.iter().filter(|target| target.service == *service);
-        targets.find_map(|target| {
-            owner_of(&target.id, &target.zone, &members).filter(|owner| !avoid.contains(owner))
+        let config = self.config.active();
+        let ordered = self.ordered.current();
+        let configured = config
+            .targets_of(service)
+            .map(|target| (&target.id, &target.zone));
+        let mut targets = configured.chain(ordered.targets_of(service));
+        targets.find_map(|(target, zone)| {
+            owner_of(target, zone, &members).filter(|owner| !avoid.contains(owner))
         })
     }
 
