Link: a call reported as not written is never written

Cause: the reading task of a connection marks it as closed and ends its calls, but messages that are already in the outbox stay readable for the writing task. When a peer froze, calls queued behind a full socket ended as "not written", which entry daemons turn into "not run", and were written when the peer went on.

Change: each queued request has one atomic state. The writer claims it before the first byte, the caller claims it when it reports the call as not written or drops it; whoever comes second gives way.

Ruled out: draining the outbox on close. A message can be taken out between the check and the drain, so the same race remains.

--- a/crates/jm-link/src/connection.rs
+++ b/crates/jm-link/src/connection.rs
@@ -4,7 +4,7 @@
     collections::HashMap,
     sync::{
         Arc, Mutex, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -90,10 +90,42 @@
     End,
 }
 
+/// Decides once between writing a request and giving it up. A call that is reported as not written must never be written
+/// afterwards, and messages stay in the outbox of a connection that another task has closed.
+#[derive(Debug, Default)]
+struct WriteState(AtomicU8);
+
+impl WriteState {
+    const QUEUED: u8 = 0;
+    const WRITTEN: u8 = 1;
+    const GIVEN_UP: u8 = 2;
+
+    /// Claims the request for writing; false when its caller has given it up.
+    fn begin_write(&self) -> bool {
+        self.decide(Self::WRITTEN) == Self::WRITTEN
+    }
+
+    /// Gives the request up unless any byte of it may be written; true when it was too late.
+    fn is_written_or_give_up(&self) -> bool {
+        self.decide(Self::GIVEN_UP) == Self::WRITTEN
+    }
+
+    fn decide(&self, wanted: u8) -> u8 {
+        let changed = self
+            .0
+            .compare_exchange(Self::QUEUED, wanted, Ordering::SeqCst, Ordering::SeqCst);
+        match changed {
+            Ok(_) => wanted,
+            Err(decided) => decided,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Outgoing {
     envelope: Envelope,
-    written: Option<Arc<AtomicBool>>,
+    /// Absent for messages that nobody reports about.
+    state: Option<Arc<WriteState>>,
 }
 
 type Calls = Arc<Mutex<HashMap<u64, Sender<CallEvent>>>>;
@@ -155,7 +187,7 @@
     pub(crate) fn call(self: &Arc<Self>, request: PeerRequest) -> ReplyStream {
         let call = self.next_call.fetch_add(1, Ordering::Relaxed);
         let (sender, events) = unbounded();
-        let written = Arc::new(AtomicBool::new(false));
+        let state = Arc::new(WriteState::default());
         lock(&self.calls).insert(call, sender);
         let envelope = Envelope {
             call,
@@ -163,7 +195,7 @@
         };
         let outgoing = Outgoing {
             envelope,
-            written: Some(Arc::clone(&written)),
+            state: Some(Arc::clone(&state)),
         };
         if self.is_closed() || self.outbox.try_send(outgoing).is_err() {
             lock(&self.calls).remove(&call);
@@ -172,7 +204,7 @@
             connection: Arc::clone(self),
             call,
             events,
-            written,
+            state,
             consumed_bytes: 0,
             ended: false,
         }
@@ -183,7 +215,7 @@
         // A closed outbox means that the connection is gone; the call's stream reports that.
         let _ = self.outbox.try_send(Outgoing {
             envelope,
-            written: None,
+            state: None,
         });
     }
 }
@@ -198,7 +230,7 @@
     connection: Arc<Connection>,
     call: u64,
     events: Receiver<CallEvent>,
-    written: Arc<AtomicBool>,
+    state: Arc<WriteState>,
     consumed_bytes: u64,
     ended: bool,
 }
@@ -223,7 +255,7 @@
                 let address = self.connection.address.clone();
                 ClosedSnafu {
                     address,
-                    written: self.written.load(Ordering::SeqCst),
+                    written: self.state.is_written_or_give_up(),
                 }
                 .fail()
             }
@@ -255,7 +287,7 @@
 impl Drop for ReplyStream {
     fn drop(&mut self) {
         let open = lock(&self.connection.calls).remove(&self.call).is_some();
-        if open && !self.ended {
+        if open && !self.ended && self.state.is_written_or_give_up() {
             self.connection.post(self.call, Kind::Cancel);
         }
     }
@@ -376,8 +408,8 @@
 }
 
 async fn send_marked(sink: &mut SplitSink<Socket, Message>, message: Outgoing) -> io::Result<()> {
-    if let Some(written) = &message.written {
-        written.store(true, Ordering::SeqCst);
+    if message.state.is_some_and(|state| !state.begin_write()) {
+        return Ok(());
     }
     sink.send(Message::binary(message.envelope.encode()))
         .await
