Node: no majority and no missing issuer before the members are known

Cause 1: before the first list of registered daemons, and until the next list after others have registered, a daemon knew only itself and was its own majority. A change was answered as in force while both other daemons of three were frozen, and such a daemon counted as fresh without the store. Change: without a list there is no majority, and a change counts as in force only by a list that was requested after the change was stored. This costs one list call a change.

Cause 2: a peer that answered with a newer revision counted as a proof that the own, older configuration was current, until its changes were read. Change: only answers with a revision that is not newer than the own one count.

Cause 3: an entry daemon that had not yet listed the issuer of a ticket answered "the daemon that issued the ticket is gone", outcome unknown, to an order that the issuer could run or replay. Change: the entry daemon waits for the next regular list, 1.5 s at most, before it says so.

Ruled out for cause 3: a store call per order, because calls must not grow with the requests; forwarding to another daemon, because only the issuer may run it.

Cause 2 was found by reading; no test brings about its window of a few milliseconds.

--- a/crates/jm-entry/src/orders.rs
+++ b/crates/jm-entry/src/orders.rs
@@ -130,7 +130,7 @@
 }
 
 async fn send(execution: &mut Execution, ticket: &OrderTicket) -> Result<Answer, Refusal> {
-    let member = issuer(&execution.entry, &ticket.signed)?;
+    let member = issuer(&execution.entry, &ticket.signed).await?;
     execution.request.ticket = Some(ticket.signed.to_string());
     let attempt = match execution.start_at(&member).await {
         Ok(call) => execution.first_part(call).await,
@@ -147,9 +147,13 @@
 }
 
 /// The dispatch daemon that issued the ticket. When its run has ended, nobody knows the outcome.
-fn issuer(entry: &Entry, signed: &SignedTicket) -> Result<MemberId, Refusal> {
+async fn issuer(entry: &Entry, signed: &SignedTicket) -> Result<MemberId, Refusal> {
     let node = &entry.node;
     let ticket = signed.verify(&node.tickets)?;
+    // The issuer may have registered after this daemon last read the list.
+    if node.peers.get(&ticket.member, node.now()).is_none() {
+        node.wait_for_registrations().await;
+    }
     let peer = node.peers.get(&ticket.member, node.now());
     // A registration that is older than the ticket is about to be replaced; the daemon itself checks its run.
     let is_there = peer.is_some_and(|peer| peer.record.incarnation <= ticket.incarnation);
--- a/crates/jm-node/src/node.rs
+++ b/crates/jm-node/src/node.rs
@@ -8,7 +8,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use jm_config::{Role, Settings};
 use jm_http::Client;
 use jm_link::{FleetSecret, LinkOptions, LinkPool};
@@ -21,6 +21,12 @@
 /// Interval at which the registered daemons are listed.
 const REGISTRATION_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
 
+/// Longest wait for the next list: the interval and the time of a call.
+const REGISTRATION_WAIT_MS: DurationMs = DurationMs::new(1_500);
+
+/// Interval at which a waiting request looks for the next list.
+const REGISTRATION_POLL_MS: DurationMs = DurationMs::new(20);
+
 /// Prefix of the registrations in the store.
 const MEMBER_PREFIX: &str = "member/";
 
@@ -121,8 +127,10 @@
     /// Whether the configuration in force is known to be current; see section 4.2 of `docs/design.md`.
     pub fn is_fresh(&self) -> bool {
         let now = self.now();
+        let revision = self.config.revision();
         self.config.is_loaded()
-            && (self.config.store_answered_within(FRESHNESS_MS, now) || self.peers.majority_answers(now))
+            && (self.config.store_answered_within(FRESHNESS_MS, now)
+                || self.peers.majority_answers(revision, now))
     }
 
     /// Registers this daemon, and keeps the list of registered daemons current until the process ends.
@@ -147,7 +155,8 @@
         written.is_ok()
     }
 
-    async fn read_registrations(&self) {
+    pub(crate) async fn read_registrations(&self) {
+        let requested = self.now();
         let Ok(listing) = self.platform.objects.list(MEMBER_PREFIX).await else {
             return;
         };
@@ -155,7 +164,21 @@
             .objects
             .iter()
             .filter_map(|object| codec::decode(&object.object.value).ok());
-        self.peers.set_registered(records.collect(), self.now());
+        self.peers
+            .set_registered(records.collect(), requested, self.now());
+    }
+
+    /// Waits until the registered daemons are known as of now, so that a daemon that has just started is found. Waits for
+    /// the regular list instead of asking the store, whose calls must not grow with the requests.
+    pub async fn wait_for_registrations(&self) {
+        let since = self.now();
+        let listed = async {
+            while !self.peers.listed_since(since) {
+                task::sleep(REGISTRATION_POLL_MS.as_std()).await;
+            }
+        };
+        // Without the store the known daemons have to do.
+        let _ = timeout(REGISTRATION_WAIT_MS.as_std(), listed).await;
     }
 
     /// Tells the other daemons that this one is about to stop.
--- a/crates/jm-node/src/peers.rs
+++ b/crates/jm-node/src/peers.rs
@@ -68,6 +68,8 @@
 pub struct Peers {
     own: MemberId,
     entries: Mutex<IndexMap<MemberId, Entry>>,
+    /// When the newest list of the registered daemons was requested; none before the first list.
+    listed: Mutex<Option<Timestamp>>,
 }
 
 impl Peers {
@@ -84,6 +86,7 @@
         Self {
             own: id.clone(),
             entries: Mutex::new(IndexMap::from([(id, entry)])),
+            listed: Mutex::default(),
         }
     }
 
@@ -109,14 +112,27 @@
         own.record.clone()
     }
 
-    /// Sets the registered daemons as the store lists them. The own daemon stays known whatever the list says.
-    pub fn set_registered(&self, records: Vec<MemberRecord>, now: Timestamp) {
+    /// Sets the registered daemons as the store lists them in the answer to a request of the time `requested`. The own
+    /// daemon stays known whatever the list says.
+    pub fn set_registered(&self, records: Vec<MemberRecord>, requested: Timestamp, now: Timestamp) {
         let mut entries = self.lock();
         let own = self.own.clone();
         entries.retain(|id, _| *id == own || records.iter().any(|record| record.id == *id));
         for record in records.into_iter().filter(|record| record.id != own) {
             update(&mut entries, record, now);
         }
+        drop(entries);
+        let mut listed = self.listed();
+        *listed = listed.max(Some(requested));
+    }
+
+    fn listed(&self) -> MutexGuard<'_, Option<Timestamp>> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the registered daemons are known as of a time at or after `at`.
+    pub fn listed_since(&self, at: Timestamp) -> bool {
+        self.listed().is_some_and(|requested| requested >= at)
     }
 
     /// Records that a daemon answered a question which was asked at `asked`. Only this proves freshness: a message
@@ -190,12 +206,12 @@
             .collect()
     }
 
-    /// Whether a majority of the registered daemons, the own one included, answered within the freshness time.
-    pub fn majority_answers(&self, now: Timestamp) -> bool {
+    /// Whether a majority of the registered daemons, the own one included, answered within the freshness time and had
+    /// nothing newer than `revision` in force. A daemon that is ahead proves that the own configuration is not current.
+    pub fn majority_answers(&self, revision: Revision, now: Timestamp) -> bool {
         self.is_majority(|entry| {
-            entry
-                .confirmed
-                .is_some_and(|asked| now.since(asked) <= FRESHNESS_MS)
+            let is_recent = |asked| now.since(asked) <= FRESHNESS_MS;
+            entry.confirmed.is_some_and(is_recent) && entry.revision <= revision
         })
     }
 
@@ -205,6 +221,10 @@
     }
 
     fn is_majority(&self, holds: impl Fn(&Entry) -> bool) -> bool {
+        // Before the first list only the own daemon is known, and it is no majority of daemons that it has not heard of.
+        if self.listed().is_none() {
+            return false;
+        }
         let entries = self.lock();
         let count = entries
             .values()
--- a/crates/jm-node/src/propose.rs
+++ b/crates/jm-node/src/propose.rs
@@ -3,7 +3,7 @@
 use async_std::{future::timeout, task};
 use jm_config::{Change, ChangeAccepted, ChangeRefused};
 use jm_platform::{Condition, ObjectError};
-use jm_types::{DurationMs, ResultCode, Revision};
+use jm_types::{DurationMs, ResultCode, Revision, Timestamp};
 use snafu::Snafu;
 
 use crate::{Node, change_key, codec};
@@ -75,7 +75,8 @@
     /// Accepts a change and waits until a majority has it in force.
     pub async fn propose(&self, change: &Proposal) -> Result<ChangeAccepted, ProposeError> {
         let revision = self.store_change(change).await?;
-        let in_force = timeout(IN_FORCE_MS.as_std(), self.wait_in_force(revision))
+        let stored_at = self.now();
+        let in_force = timeout(IN_FORCE_MS.as_std(), self.wait_in_force(revision, stored_at))
             .await
             .is_ok();
         Ok(ChangeAccepted { revision, in_force })
@@ -169,7 +170,13 @@
         self.peers.set_own_revision(self.config.revision());
     }
 
-    async fn wait_in_force(&self, revision: Revision) {
+    /// Waits until a majority has the revision. The majority is that of the daemons registered at `stored_at` or later:
+    /// with an older list, daemons that registered since would not count.
+    async fn wait_in_force(&self, revision: Revision, stored_at: Timestamp) {
+        while !self.peers.listed_since(stored_at) {
+            self.read_registrations().await;
+            task::sleep(IN_FORCE_POLL_MS.as_std()).await;
+        }
         while !(self.config.revision() >= revision && self.peers.majority_has(revision)) {
             task::sleep(IN_FORCE_POLL_MS.as_std()).await;
         }
