Dispatch: judge the key after the wait in the queue, and only while fresh

Cause: the key of a request was compared with the configuration in force before the request was queued, whether or not that configuration was known to be current. Orders in the socket of a dispatch daemon that was frozen over a withdrawal ran when it went on: their runs do not depend on the caller, and a frozen entry daemon cancels nothing.

Change: the check follows the wait for a target and requires freshness. The refusal NotFresh sends an entry daemon to another dispatch daemon. After an attempt that may have run, a refusal is "outcome unknown" instead of "not run".

Ruled out: a second check in the entry daemon. The HTTP server hands a request over only when its body is whole, and no test could tell it from this one.

Test: frozen_holder, with the store down and the other daemons frozen.

--- a/crates/jm-dispatch/src/call.rs
+++ b/crates/jm-dispatch/src/call.rs
@@ -6,7 +6,7 @@
 use jm_config::{Service, ServiceKind, Target};
 use jm_link::{ExecuteRequest, TrafficClass};
 use jm_route::{Class, Outcome, QueuedRequest, stable_hash};
-use jm_types::{DurationMs, LogEvent, ResultCode, TargetId, TokenCount};
+use jm_types::{DurationMs, Execution, LogEvent, ResultCode, TargetId, TokenCount};
 use jm_usage::UsageCounts;
 
 use crate::{
@@ -39,6 +39,18 @@
     prompt: Option<Prompt>,
     generated: u64,
     avoid: Vec<TargetId>,
+    /// Whether an earlier attempt wrote to a target.
+    may_have_run: bool,
+}
+
+impl Job<'_> {
+    /// A refusal before an attempt, with a code that is true for the earlier attempts too.
+    fn refusal(&self, failure: Failure) -> Failure {
+        if self.may_have_run && failure.code.execution() == Execution::NotRun {
+            return Failure::new(ResultCode::OutcomeUnknown, failure.message);
+        }
+        failure
+    }
 }
 
 impl Dispatch {
@@ -56,7 +68,6 @@
             )
         };
         let service = config.service(&request.service).ok_or_else(unknown)?;
-        self.check_key(request)?;
         let prompt = match service.kind {
             ServiceKind::Engine => Some(Prompt::read(&request.body)?),
             ServiceKind::Plain => None,
@@ -71,6 +82,7 @@
             prompt,
             generated: 0,
             avoid,
+            may_have_run: false,
         };
         // A request that still waits in the queue is refused there as not run; only running ones reach this limit.
         let deadline = request.deadline_ms.saturating_add(QUEUE_ANSWER_MS).as_std();
@@ -83,9 +95,14 @@
         }
     }
 
-    /// Refuses a request whose key was withdrawn while the request was on its way.
+    /// Refuses a request whose key was withdrawn while the request was on its way, and one whose key cannot be judged:
+    /// the request may have waited here while this process was frozen or cut off.
     fn check_key(&self, request: &ExecuteRequest) -> Result<(), Failure> {
         let Some(key) = &request.key else { return Ok(()) };
+        if !self.node.is_fresh() {
+            let message = "the dispatch daemon cannot tell whether the key is still valid";
+            return Err(Failure::new(ResultCode::NotFresh, message));
+        }
         let config = self.node.config.active();
         let known = config.document().keys.get(key);
         if known.is_some_and(|known| Some(&known.organisation) == request.organisation.as_ref()) {
@@ -99,7 +116,11 @@
 
     async fn run_job(&self, mut job: Job<'_>, sink: &dyn AnswerSink) -> Result<(), Failure> {
         for attempt in 1.. {
-            let turn = self.queue.wait_turn(self.queued(&job)).await?;
+            let turn = self.queue.wait_turn(self.queued(&job)).await;
+            let turn = turn.map_err(|failure| job.refusal(failure))?;
+            // After the wait, so that nothing but the write to the target follows.
+            self.check_key(job.request)
+                .map_err(|failure| job.refusal(failure))?;
             let Some(target) = self.targets.get(&turn.target) else {
                 job.avoid.push(turn.target.clone());
                 continue;
@@ -112,8 +133,9 @@
             let again =
                 attempt < MAX_ATTEMPTS && (!error.written || repeatable) && self.node.router.may_retry();
             if !again {
-                return Err(error.failure);
+                return Err(job.refusal(error.failure));
             }
+            job.may_have_run |= error.written;
             LogEvent::RequestRetried.write(format_args!(
                 "request {} failed on target {}: {}",
                 job.request.request, target.id, error.failure
--- a/crates/jm-entry/src/call.rs
+++ b/crates/jm-entry/src/call.rs
@@ -45,6 +45,7 @@
             Self::Refused(refusal) => matches!(
                 refusal.code,
                 ResultCode::NoTarget
+                    | ResultCode::NotFresh
                     | ResultCode::Stopping
                     | ResultCode::DispatchUnreachable
                     | ResultCode::OutcomeUnknown
@@ -60,7 +61,10 @@
         match self {
             Self::Link { .. } => true,
             Self::Refused(refusal) => {
-                matches!(refusal.code, ResultCode::NoTarget | ResultCode::Stopping)
+                matches!(
+                    refusal.code,
+                    ResultCode::NoTarget | ResultCode::NotFresh | ResultCode::Stopping
+                )
             }
             Self::Late | Self::Cut(_) => false,
         }
