Orders: the refusal without the store does not invite a second order

Cause: an order with an idempotency key that is repeated while the store is down was refused as not run with the advice to use a ticket. When the first request had run and its answer was lost, a caller that followed the advice placed the order twice.

The code stays: this request was not run.

Ruled out: answering "outcome unknown". It would forbid the safe repetition of every order that is sent for the first time during an outage.

Test: order_store::store_down.

--- a/crates/jm-entry/src/order_store.rs
+++ b/crates/jm-entry/src/order_store.rs
@@ -55,7 +55,8 @@
     let message = match code {
         ResultCode::RequestMismatch => "the idempotency key was used before with another request",
         ResultCode::StoreUnavailable => {
-            "the object API does not answer; send the order with a ticket of /v1/tickets, which does without it"
+            "the object API does not answer; this request was not run, but an earlier request with the same key may \
+             have been: repeat the order with its key later, and use a ticket of /v1/tickets only for a new order"
         }
         _ => "the stored ticket of the idempotency key cannot be read",
     };
