--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -10,9 +10,7 @@
 };
 
 use async_std::task;
-use jacinthmoor::demo::{
-    ADMIN_TOKEN, DocumentParts, HostPorts, SAMPLE_MODEL, document, free_ports, settings_text,
-};
+use jacinthmoor::demo::{ADMIN_TOKEN, DocumentParts, HostPorts, SAMPLE_MODEL, document, settings_text};
 use jm_http::{Client, Limits, Method, Request, Response, Url, read_whole};
 use jm_standins::{
     Engine, EngineOptions, PlainService, PlatformOptions, PlatformServer, ServiceOptions, StepRequest,
@@ -20,6 +18,8 @@
 };
 use jm_types::{ByteSize, ModelId, WeightVersion};
 
+use crate::ports::host_ports;
+
 pub(crate) const CLERK_KEY: &str = "test-clerk-key-000001";
 pub(crate) const TRAINER_KEY: &str = "test-trainer-key-000001";
 pub(crate) const ENGINE_SEED: u64 = 11;
@@ -110,6 +110,13 @@
     pub(crate) fn restart(&mut self) {
         self.start();
     }
+
+    /// Replaces an address in the settings that the next run reads, so that a link leads through a relay.
+    pub(crate) fn replace_address(&self, from: SocketAddr, to: SocketAddr) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings can be read");
+        let text = text.replace(&from.to_string(), &to.to_string());
+        std::fs::write(&self.settings, text).expect("settings are written");
+    }
 }
 
 impl Drop for Fleet {
@@ -125,7 +132,7 @@
 impl Fleet {
     /// Starts stand-ins and daemons, and applies a document that names them.
     pub(crate) async fn start(hosts: usize, engines: usize, desks: usize) -> Self {
-        let mut fleet = Self::start_empty(hosts, engines, desks).await;
+        let fleet = Self::start_empty(hosts, engines, desks).await;
         fleet.wait_ready().await;
         fleet.post_document().await;
         fleet.wait_served().await;
@@ -140,7 +147,7 @@
         let platform = PlatformServer::start(PlatformOptions::default())
             .await
             .expect("the platform starts");
-        let ports = free_ports(hosts).expect("ports are free");
+        let ports = host_ports(hosts);
         let mut daemons = Vec::new();
         for (index, ports) in ports.into_iter().enumerate() {
             let settings = folder.join(format!("host-{index}.ini"));
