--- a/crates/jm-node/src/node.rs
+++ b/crates/jm-node/src/node.rs
@@ -8,7 +8,7 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use jm_config::{Role, Settings};
 use jm_http::Client;
 use jm_link::{FleetSecret, LinkOptions, LinkPool};
@@ -23,6 +23,12 @@
 /// Interval at which the registered daemons are listed.
 const REGISTRATION_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
 
+/// Longest wait for the next list: the interval and the time of a call.
+const REGISTRATION_WAIT_MS: DurationMs = DurationMs::new(1_500);
+
+/// Interval at which a waiting request looks for the next list.
+const REGISTRATION_POLL_MS: DurationMs = DurationMs::new(20);
+
 /// Prefix of the registrations in the store.
 pub const MEMBER_PREFIX: &str = "member/";
 
@@ -126,8 +132,10 @@
     /// Whether the configuration in force is known to be current; see section 4.2 of `docs/design.md`.
     pub fn is_fresh(&self) -> bool {
         let now = self.now();
+        let revision = self.config.revision();
         self.config.is_loaded()
-            && (self.config.store_answered_within(FRESHNESS_MS, now) || self.peers.majority_answers(now))
+            && (self.config.store_answered_within(FRESHNESS_MS, now)
+                || self.peers.majority_answers(revision, now))
     }
 
     /// Registers this daemon, and keeps the list of registered daemons current until the process ends.
@@ -155,7 +163,8 @@
         written.is_ok()
     }
 
-    async fn read_registrations(&self) -> OwnRegistration {
+    pub(crate) async fn read_registrations(&self) -> OwnRegistration {
+        let requested = self.now();
         let Ok(listing) = self.platform.objects.list(MEMBER_PREFIX).await else {
             return OwnRegistration::Unknown;
         };
@@ -165,13 +174,26 @@
             .filter_map(|object| codec::decode(&object.object.value).ok());
         let records: Vec<MemberRecord> = records.collect();
         let is_listed = records.iter().any(|record| record.id == *self.peers.own_id());
-        self.peers.set_registered(records, self.now());
+        self.peers.set_registered(records, requested, self.now());
         match is_listed {
             true => OwnRegistration::Listed,
             false => OwnRegistration::Missing,
         }
     }
 
+    /// Waits until the registered daemons are known as of now, so that a daemon that has just started is found. Waits for
+    /// the regular list instead of asking the store, whose calls must not grow with the requests.
+    pub async fn wait_for_registrations(&self) {
+        let since = self.now();
+        let listed = async {
+            while !self.peers.listed_since(since) {
+                task::sleep(REGISTRATION_POLL_MS.as_std()).await;
+            }
+        };
+        // Without the store the known daemons have to do.
+        let _ = timeout(REGISTRATION_WAIT_MS.as_std(), listed).await;
+    }
+
     /// Tells the other daemons that this one is about to stop.
     pub async fn announce_leaving(&self) {
         let record = self.peers.set_leaving();
@@ -191,7 +213,7 @@
 
 /// What a listing of the registrations says of the own one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum OwnRegistration {
+pub(crate) enum OwnRegistration {
     Listed,
     Missing,
     Unknown,
--- a/crates/jm-node/src/peers.rs
+++ b/crates/jm-node/src/peers.rs
@@ -1,9 +1,6 @@
 //! The other daemons: who is registered, who answers, and whether a majority has confirmed a revision.
 
-use std::sync::{
-    Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, Ordering},
-};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use indexmap::IndexMap;
 use jm_config::Role;
@@ -71,8 +68,8 @@
 pub struct Peers {
     own: MemberId,
     entries: Mutex<IndexMap<MemberId, Entry>>,
-    /// Whether the registered daemons are known. Before, the own daemon would be a majority of itself.
-    listed: AtomicBool,
+    /// When the newest list of the registered daemons was requested; none before the first list.
+    listed: Mutex<Option<Timestamp>>,
 }
 
 impl Peers {
@@ -89,7 +86,7 @@
         Self {
             own: id.clone(),
             entries: Mutex::new(IndexMap::from([(id, entry)])),
-            listed: AtomicBool::new(false),
+            listed: Mutex::default(),
         }
     }
 
@@ -115,15 +112,27 @@
         own.record.clone()
     }
 
-    /// Sets the registered daemons as the store lists them. The own daemon stays known whatever the list says.
-    pub fn set_registered(&self, records: Vec<MemberRecord>, now: Timestamp) {
+    /// Sets the registered daemons as the store lists them in the answer to a request of the time `requested`. The own
+    /// daemon stays known whatever the list says.
+    pub fn set_registered(&self, records: Vec<MemberRecord>, requested: Timestamp, now: Timestamp) {
         let mut entries = self.lock();
         let own = self.own.clone();
         entries.retain(|id, _| *id == own || records.iter().any(|record| record.id == *id));
         for record in records.into_iter().filter(|record| record.id != own) {
             update(&mut entries, record, now);
         }
-        self.listed.store(true, Ordering::SeqCst);
+        drop(entries);
+        let mut listed = self.listed();
+        *listed = listed.max(Some(requested));
+    }
+
+    fn listed(&self) -> MutexGuard<'_, Option<Timestamp>> {
+        self.listed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the registered daemons are known as of a time at or after `at`.
+    pub fn listed_since(&self, at: Timestamp) -> bool {
+        self.listed().is_some_and(|requested| requested >= at)
     }
 
     /// Records that a daemon answered a question which was asked at `asked`. Only this proves freshness: a message
@@ -197,12 +206,12 @@
             .collect()
     }
 
-    /// Whether a majority of the registered daemons, the own one included, answered within the freshness time.
-    pub fn majority_answers(&self, now: Timestamp) -> bool {
+    /// Whether a majority of the registered daemons, the own one included, answered within the freshness time and had
+    /// nothing newer than `revision` in force. A daemon that is ahead proves that the own configuration is not current.
+    pub fn majority_answers(&self, revision: Revision, now: Timestamp) -> bool {
         self.is_majority(|entry| {
-            entry
-                .confirmed
-                .is_some_and(|asked| now.since(asked) <= FRESHNESS_MS)
+            let is_recent = |asked| now.since(asked) <= FRESHNESS_MS;
+            entry.confirmed.is_some_and(is_recent) && entry.revision <= revision
         })
     }
 
@@ -212,12 +221,16 @@
     }
 
     fn is_majority(&self, holds: impl Fn(&Entry) -> bool) -> bool {
+        // Before the first list only the own daemon is known, and it is no majority of daemons that it has not heard of.
+        if self.listed().is_none() {
+            return false;
+        }
         let entries = self.lock();
         let count = entries
             .values()
             .filter(|entry| entry.record.id == self.own || holds(entry))
             .count();
-        self.listed.load(Ordering::SeqCst) && count * 2 > entries.len()
+        count * 2 > entries.len()
     }
 }
 
