Steps and planned stops survive failures of separate processes

Tests under tests/fleet bring the faults about: owner, copy holder and both killed, owner frozen past failure detection, reader that moves between entry hosts, engines that crash, stall, answer twice or report no, old or changing versions, a version named mid-step, the store down, and a rolling restart under live streams, orders and a step.

Causes found and changes: - A copy holder that has not noticed the death of the owner answered UnknownStep, and the entry daemon passed it on as 404, so that the trainer created the step again. A copy holder now answers the new code StepMoving (6005), and the entry daemon looks for the owner for 8 s before it answers that a step is unknown. A creation waits too unless every daemon knows nothing of the step. Silence no longer counts as acceptance of a read, because the owner sends the head at once. - A daemon that restarted within the detection time counted as the live owner, so its copy holder never took over. An owner now yields only to a history that includes its own term, or to the larger of two diverged terms. The copy holder is kept while the view is not fresh. - A read carries the trainer's weight version and names it before delivery. - A draft was always sent to the least loaded dispatch daemon, also when all engines of that one were too old. A draft now asks the next daemon after NoTarget. - A daemon that stopped, and one that gave targets back, dropped them before others knew the new owner: orders of the rolling restart were refused with NoTarget.

Engines record the version of each token sent, which samples are compared with.

Ruled out: that the trainer itself skipped the copy holder; it asks every address in turn.

--- a/crates/jm-dispatch/src/daemon.rs
+++ b/crates/jm-dispatch/src/daemon.rs
@@ -81,8 +81,12 @@
         Arc::new(DispatchHandler::new(Arc::clone(self)))
     }
 
-    /// What other daemons are told of the owned targets.
+    /// What other daemons are told of the owned targets: nothing once a daemon that is about to stop has handed them
+    /// over, so that it gets no new requests.
     pub fn owned_load(&self) -> OwnedLoad {
+        if self.node.stop.is_leaving() && self.targets.is_handed_over(self.node.now()) {
+            return OwnedLoad::default();
+        }
         OwnedLoad {
             summaries: self.queue.scheduler().summary(),
             versions: self.targets.version_capacity(targets::default_window(&self.node)),
--- a/crates/jm-dispatch/src/handler.rs
+++ b/crates/jm-dispatch/src/handler.rs
@@ -94,7 +94,8 @@
             member: self.dispatch.node.peers.own_id().to_string(),
             targets: targets.collect(),
             services: scheduler.summary(),
-            steps: self.dispatch.steps.owned().len(),
+            steps: self.dispatch.steps.running(),
+            step_copies: self.dispatch.steps.copies().len(),
         };
         serde_json::to_vec(&status).expect("the status has only text and numbers")
     }
@@ -106,6 +107,7 @@
     targets: Vec<TargetLine>,
     services: Vec<jm_route::ServiceSummary>,
     steps: usize,
+    step_copies: usize,
 }
 
 #[derive(Serialize)]
--- a/crates/jm-dispatch/src/step/copies.rs
+++ b/crates/jm-dispatch/src/step/copies.rs
@@ -7,7 +7,7 @@
 use jm_link::{PeerReply, PeerRequest};
 use jm_node::{decode, encode};
 use jm_step::{CopyMessage, CopyReceipt};
-use jm_types::{DurationMs, LogEvent, MemberId, ResultCode};
+use jm_types::{DurationMs, Incarnation, LogEvent, MemberId, ResultCode};
 use serde::{Deserialize, Serialize};
 
 use super::owner::OwnedStep;
@@ -20,6 +20,8 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) struct OwnerMessage {
     pub(crate) owner: MemberId,
+    /// The owner's run, because a restarted daemon has lost its steps.
+    pub(crate) incarnation: Incarnation,
     pub(crate) message: CopyMessage,
 }
 
@@ -56,8 +58,12 @@
     }
     let other_zone = others.iter().find(|peer| peer.record.zone != own.zone);
     let next = other_zone.or(others.first()).map(|peer| peer.record.id.clone());
-    // A daemon that is cut off sees no other one either; only a fresh view tells that there is none.
-    if next.is_none() && !step.assembly().status().degraded && node.is_fresh() {
+    // A daemon that is cut off, or was frozen, sees no other one either; only a fresh view tells that there is none. Until
+    // then the holder stays: it may have taken over, and it is the one that says so.
+    if next.is_none() && !node.is_fresh() {
+        return holder.clone();
+    }
+    if next.is_none() && !step.assembly().status().degraded {
         LogEvent::BindingDegraded.write(format_args!(
             "step {}: no other dispatch daemon is live",
             step.key.step
@@ -78,10 +84,16 @@
     message: CopyMessage,
 ) {
     let owner = dispatch.node.peers.own_id().clone();
+    let incarnation = dispatch.node.incarnation;
     let request = PeerRequest::HoldBinding {
         organisation: step.key.organisation.clone(),
         step: step.key.step.clone(),
-        message: encode(&OwnerMessage { owner, message }).into(),
+        message: encode(&OwnerMessage {
+            owner,
+            incarnation,
+            message,
+        })
+        .into(),
     };
     let Ok(mut replies) = dispatch.node.call_member(holder, request).await else {
         return;
--- a/crates/jm-dispatch/src/step/drafts.rs
+++ b/crates/jm-dispatch/src/step/drafts.rs
@@ -5,7 +5,7 @@
 use jm_link::{ExecuteRequest, PeerReply, PeerRequest, ReplyStream, RequestHead, TrafficClass};
 use jm_route::Class;
 use jm_step::{Draft, Segment, StepSpec};
-use jm_types::{AttemptId, DurationMs, LogEvent, TargetId, TokenCount, WeightVersion};
+use jm_types::{AttemptId, DurationMs, LogEvent, MemberId, ResultCode, TargetId, TokenCount, WeightVersion};
 use serde::Deserialize;
 
 use super::owner::OwnedStep;
@@ -86,10 +86,11 @@
         let assembly = step.assembly();
         build_request(dispatch, step, assembly.spec(), draft)
     };
-    let mut replies = send(dispatch, request).await?;
+    let (mut replies, first) = send(dispatch, request).await?;
     let mut received = Received::default();
+    let mut reply = first;
     loop {
-        match replies.next().await.map_err(|error| error.to_string())? {
+        match reply {
             Some(PeerReply::Head { headers, .. }) => {
                 let target = headers.into_iter().find(|line| line.name == "jm-target");
                 received.target = target.and_then(|line| line.value.parse().ok());
@@ -102,6 +103,7 @@
             Some(_) => return Err("the dispatch daemon sent an unexpected reply".to_owned()),
             None => return Err("the answer ended without its last reply".to_owned()),
         }
+        reply = replies.next().await.map_err(|error| error.to_string())?;
     }
 }
 
@@ -130,16 +132,31 @@
     Ok(())
 }
 
-async fn send(dispatch: &SharedDispatch, request: ExecuteRequest) -> Result<ReplyStream, String> {
+/// Sends a draft to one dispatch daemon after another until one has a target for it, and gives the first reply. A daemon
+/// whose engines are all too old refuses at once, so that its short queue would draw every further draft.
+async fn send(
+    dispatch: &SharedDispatch,
+    request: ExecuteRequest,
+) -> Result<(ReplyStream, Option<PeerReply>), String> {
     let prompt = Prompt::read(&request.body).map_err(|failure| failure.to_string())?;
     let prefix = prefix_hashes(prompt.prompt.as_bytes()).last().copied();
     let node = &dispatch.node;
-    let member = node.choose_dispatcher(&request.service, Class::Training, prefix, &[]);
-    let member = member.ok_or_else(|| format!("no live target serves {}", request.service))?;
-    let called = node
-        .call_member(&member, PeerRequest::Execute(Box::new(request)))
-        .await;
-    called.map_err(|error| error.to_string())
+    let mut avoid: Vec<MemberId> = Vec::new();
+    loop {
+        let member = node.choose_dispatcher(&request.service, Class::Training, prefix, &avoid);
+        let member = member.ok_or_else(|| format!("no live target serves {}", request.service))?;
+        let called = node
+            .call_member(&member, PeerRequest::Execute(Box::new(request.clone())))
+            .await;
+        let mut replies = called.map_err(|error| error.to_string())?;
+        match replies.next().await.map_err(|error| error.to_string())? {
+            Some(PeerReply::Refused {
+                code: ResultCode::NoTarget,
+                ..
+            }) => avoid.push(member),
+            first => return Ok((replies, first)),
+        }
+    }
 }
 
 fn build_request(
--- a/crates/jm-dispatch/src/step/registry.rs
+++ b/crates/jm-dispatch/src/step/registry.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use jm_step::StepCopy;
-use jm_types::{DurationMs, MemberId, OrganisationId, StepId, Timestamp};
+use jm_types::{DurationMs, Incarnation, MemberId, OrganisationId, StepId, Timestamp};
 
 use super::owner::OwnedStep;
 
@@ -22,6 +22,7 @@
 pub(crate) struct HeldCopy {
     pub(crate) copy: StepCopy,
     pub(crate) owner: MemberId,
+    pub(crate) incarnation: Incarnation,
     pub(crate) touched: Timestamp,
 }
 
@@ -45,6 +46,15 @@
         self.owned().get(key).cloned()
     }
 
+    /// Number of steps that this daemon owns and whose trainer does not hold every sample yet.
+    pub(crate) fn running(&self) -> usize {
+        let owned = self.owned();
+        let running = owned
+            .values()
+            .filter(|step| !step.is_ended() && !step.assembly().is_complete());
+        running.count()
+    }
+
     /// Forgets steps and copies that nobody has asked for in a long time.
     pub(crate) fn expire(&self, now: Timestamp) {
         self.owned()
--- a/crates/jm-dispatch/src/step/serve.rs
+++ b/crates/jm-dispatch/src/step/serve.rs
@@ -6,8 +6,8 @@
 use futures::{FutureExt, select};
 use jm_link::{HeaderLine, PeerReply, ReplySender, StepOperation};
 use jm_node::{decode, encode};
-use jm_step::{Sample, StepAssembly, StepCopy, StepOptions, StepSpec, Term};
-use jm_types::{DurationMs, LogEvent, MemberId, ResultCode, Sequence, Timestamp};
+use jm_step::{CopyBody, CopyMessage, Sample, StepAssembly, StepCopy, StepOptions, StepSpec, Term};
+use jm_types::{DurationMs, LogEvent, ResultCode, Sequence, WeightVersion};
 
 use super::{
     copies::OwnerMessage,
@@ -36,7 +36,13 @@
     step.touch(dispatch.node.now());
     match operation {
         StepOperation::Create { .. } => send(replies, accepted(dispatch)).await,
-        StepOperation::Read { after, term } => read(dispatch, &step, after, term, replies).await,
+        StepOperation::Read { after, term, version } => {
+            check_term(&step, term)?;
+            if let Some(version) = version {
+                name_version(dispatch, &step, version, after);
+            }
+            read(dispatch, &step, after, replies).await
+        }
         StepOperation::Acknowledge { through } => {
             let effects = step.assembly().acknowledge(through);
             let effects = effects.map_err(|error| Failure::new(error.code(), error.to_string()))?;
@@ -45,9 +51,7 @@
             send(replies, accepted(dispatch)).await
         }
         StepOperation::NameVersion { version, received } => {
-            let effects = step.assembly().named_version(version, received);
-            step.carry_out(dispatch, effects);
-            step.changed();
+            name_version(dispatch, &step, version, received);
             send(replies, accepted(dispatch)).await
         }
         StepOperation::Delete => {
@@ -58,6 +62,17 @@
     }
 }
 
+fn name_version(
+    dispatch: &SharedDispatch,
+    step: &Arc<OwnedStep>,
+    version: WeightVersion,
+    received: Sequence,
+) {
+    let effects = step.assembly().named_version(version, received);
+    step.carry_out(dispatch, effects);
+    step.changed();
+}
+
 fn accepted(dispatch: &SharedDispatch) -> PeerReply {
     PeerReply::Accepted {
         revision: dispatch.node.config.revision(),
@@ -106,6 +121,7 @@
 
 fn start(dispatch: &SharedDispatch, key: StepKey, assembly: StepAssembly) -> Arc<OwnedStep> {
     let step = OwnedStep::new(key.clone(), assembly, dispatch.node.now());
+    dispatch.steps.copies().swap_remove(&key);
     dispatch.steps.owned().insert(key, Arc::clone(&step));
     task::spawn(Arc::clone(&step).run(Arc::clone(dispatch)));
     step
@@ -113,56 +129,57 @@
 
 /// The step if this daemon owns it, or takes it over when its owner is no longer live.
 fn find(dispatch: &SharedDispatch, key: &StepKey) -> Result<Arc<OwnedStep>, Failure> {
-    let unknown = || {
-        Failure::new(
-            ResultCode::UnknownStep,
-            format!("step {} is not known here", key.step),
-        )
-    };
-    if dispatch.node.stop.is_leaving() && has_copy_holder(dispatch, key) {
-        return Err(unknown());
-    }
     if let Some(step) = dispatch.steps.get(key).filter(|step| !step.is_ended()) {
-        return Ok(step);
+        return match dispatch.node.stop.is_leaving() && has_copy_holder(&step) {
+            true => Err(moving(key, "its owner is about to stop")),
+            false => Ok(step),
+        };
     }
-    let now = dispatch.node.now();
-    let copy = {
-        let mut copies = dispatch.steps.copies();
-        let held = copies.get(key).ok_or_else(unknown)?;
-        let owner_lives = dispatch
-            .node
-            .peers
-            .get(&held.owner, now)
-            .is_some_and(|peer| peer.live && !peer.record.leaving);
-        if owner_lives || !held.copy.is_complete() {
-            return Err(unknown());
-        }
-        copies.swap_remove(key).ok_or_else(unknown)?.copy
-    };
-    let assembly = StepAssembly::restore(copy, options(dispatch)).map_err(|_| unknown())?;
+    let copy = take_copy(dispatch, key)?;
+    let assembly = StepAssembly::restore(copy, options(dispatch)).map_err(|_| unknown(key))?;
     LogEvent::StepTakenOver.write(format_args!("step {}: its owner is no longer live", key.step));
     Ok(start(dispatch, key.clone(), assembly))
 }
 
+/// Removes the copy of a step for a takeover. While its owner may still be live, the caller is asked to come back: to
+/// say that the step is unknown would make the trainer create it again.
+fn take_copy(dispatch: &SharedDispatch, key: &StepKey) -> Result<StepCopy, Failure> {
+    let mut copies = dispatch.steps.copies();
+    let held = copies.get(key).ok_or_else(|| unknown(key))?;
+    let owner = dispatch.node.peers.get(&held.owner, dispatch.node.now());
+    let same_run = owner.filter(|peer| peer.live && peer.record.incarnation == held.incarnation);
+    match same_run {
+        Some(peer) if !peer.record.leaving => return Err(moving(key, "its owner counts as live")),
+        Some(_) if !held.copy.is_complete() => return Err(moving(key, "its copy is not complete yet")),
+        None if !held.copy.is_complete() => return Err(unknown(key)),
+        _ => {}
+    }
+    let held = copies.swap_remove(key).ok_or_else(|| unknown(key))?;
+    Ok(held.copy)
+}
+
+fn unknown(key: &StepKey) -> Failure {
+    let message = format!("step {} is not known here", key.step);
+    Failure::new(ResultCode::UnknownStep, message)
+}
+
+fn moving(key: &StepKey, reason: &str) -> Failure {
+    let message = format!("step {} is between two owners: {reason}", key.step);
+    Failure::new(ResultCode::StepMoving, message)
+}
+
 /// Whether another daemon can go on with an owned step.
-fn has_copy_holder(dispatch: &SharedDispatch, key: &StepKey) -> bool {
-    let step = dispatch.steps.get(key);
-    step.is_none_or(|step| {
-        step.copy_holder
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .is_some()
-    })
+fn has_copy_holder(step: &OwnedStep) -> bool {
+    let holder = step.copy_holder.lock().unwrap_or_else(PoisonError::into_inner);
+    holder.is_some()
 }
 
 async fn read(
     dispatch: &SharedDispatch,
     step: &Arc<OwnedStep>,
     mut after: Sequence,
-    term: Option<String>,
     replies: &ReplySender,
 ) -> Result<(), Failure> {
-    check_term(step, term)?;
     let changed = step.subscribe();
     let term = step.assembly().term().to_string();
     let header = HeaderLine {
@@ -241,37 +258,67 @@
 
 /// Stores a copy message of a step's owner.
 pub(crate) fn hold_copy(dispatch: &SharedDispatch, key: StepKey, message: &[u8]) -> PeerReply {
-    let Ok(OwnerMessage { owner, message }) = decode::<OwnerMessage>(message) else {
+    let Ok(OwnerMessage {
+        owner,
+        incarnation,
+        message,
+    }) = decode::<OwnerMessage>(message)
+    else {
         return PeerReply::refused(ResultCode::MalformedRequest, "cannot decode the copy message");
     };
-    // A daemon that took the step over refuses its former owner, which then gives the step up.
-    if dispatch
-        .steps
-        .get(&key)
-        .is_some_and(|step| !step.is_ended() && step.assembly().term() >= message.term)
-    {
-        return PeerReply::refused(
-            ResultCode::StepConflict,
-            "the step was taken over by its copy holder",
-        );
+    let own = dispatch.steps.get(&key).filter(|step| !step.is_ended());
+    if let Some(Err(refusal)) = own.map(|own| give_way(&own, &message)) {
+        return refusal;
     }
     let now = dispatch.node.now();
     let mut copies = dispatch.steps.copies();
-    let held = copies.entry(key).or_insert_with(|| new_copy(&owner, now));
+    let held = copies.entry(key).or_insert_with(|| HeldCopy {
+        copy: StepCopy::default(),
+        owner: owner.clone(),
+        incarnation,
+        touched: now,
+    });
     held.touched = now;
     match held.copy.accept(&message) {
         Ok(receipt) => {
             held.owner = owner;
+            held.incarnation = incarnation;
             PeerReply::Message(encode(&receipt).into())
         }
         Err(error) => PeerReply::refused(ResultCode::StepConflict, error.to_string()),
     }
 }
 
-fn new_copy(owner: &MemberId, now: Timestamp) -> HeldCopy {
-    HeldCopy {
-        copy: StepCopy::default(),
-        owner: owner.clone(),
-        touched: now,
+/// Decides between two owners of one step, after a takeover from a daemon that was frozen or cut off.
+///
+/// The one whose history includes the other's present term goes on. When neither does, the larger term goes on, which
+/// both sides decide alike; a trainer that read from the other one is refused by its term. Only the first message of a
+/// term tells the history, so others wait for it.
+fn give_way(own: &OwnedStep, message: &CopyMessage) -> Result<(), PeerReply> {
+    let (term, is_ancestor) = {
+        let assembly = own.assembly();
+        (assembly.term(), assembly.descends_from(message.term))
+    };
+    let CopyBody::Begin(snapshot) = &message.body else {
+        return match is_ancestor {
+            true => Err(taken_over()),
+            false => Err(PeerReply::refused(
+                ResultCode::StepMoving,
+                "the term's first message is missing",
+            )),
+        };
+    };
+    if is_ancestor || (!snapshot.lineage.contains(&term) && message.term < term) {
+        return Err(taken_over());
     }
+    LogEvent::StepTakenOver.write(format_args!("step {}: another owner goes on", own.key.step));
+    own.end();
+    Ok(())
+}
+
+fn taken_over() -> PeerReply {
+    PeerReply::refused(
+        ResultCode::StepConflict,
+        "the step was taken over by its copy holder",
+    )
 }
--- a/crates/jm-dispatch/src/targets.rs
+++ b/crates/jm-dispatch/src/targets.rs
@@ -11,7 +11,7 @@
 use jm_http::{Method, Request, Url, read_whole};
 use jm_node::{Node, VersionCapacity};
 use jm_route::{LoadReport, TargetKind, TargetSpec, WindowBounds, owner_of};
-use jm_types::{ByteSize, DurationMs, TargetId, TokenCount, WeightVersion};
+use jm_types::{ByteSize, DurationMs, TargetId, Timestamp, TokenCount, WeightVersion};
 use serde::Deserialize;
 
 use crate::queue::Queue;
@@ -19,6 +19,10 @@
 /// Interval at which ownership is decided again, besides each configuration change.
 const REFRESH_INTERVAL_MS: DurationMs = DurationMs::new(500);
 
+/// Time for which a daemon still serves a target after ownership moved away. The other daemons need it to learn of the
+/// new owner, and the new owner to look at its targets; two windows overlap meanwhile.
+const HANDOVER_MS: DurationMs = DurationMs::new(1_500);
+
 /// Interval between two load reports of an engine.
 const LOAD_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
 
@@ -50,6 +54,8 @@
 struct Owned {
     target: Target,
     version: Option<WeightVersion>,
+    /// When ownership moved away.
+    lost: Option<Timestamp>,
 }
 
 #[derive(Deserialize)]
@@ -120,12 +126,12 @@
         let config = node.config.active();
         let members = node.peers.dispatchers(node.now());
         let own = node.peers.own_id();
-        let is_own = |target: &&Target| owner_of(&target.id, &target.zone, &members).as_ref() == Some(own);
+        let is_own = |target: &Target| owner_of(&target.id, &target.zone, &members).as_ref() == Some(own);
         let targets: Vec<Target> = config
             .document()
             .targets
             .values()
-            .filter(is_own)
+            .filter(|target| is_own(target) || self.is_kept(node, &target.id))
             .cloned()
             .collect();
         let default_window = default_window(node);
@@ -133,7 +139,7 @@
             .iter()
             .filter_map(|target| spec(&config, target, default_window))
             .collect();
-        self.replace(targets);
+        self.replace(targets, is_own, node.now());
         let shares = config.document().sharings.values();
         let shares: Vec<_> = shares
             .map(|sharing| (sharing.organisation.clone(), sharing.weight))
@@ -145,12 +151,38 @@
         queue.pump();
     }
 
-    fn replace(&self, targets: Vec<Target>) {
+    /// Whether a target that moved to another owner is still served here. A daemon that is about to stop serves its
+    /// targets to the end, so that no request that reached it is refused.
+    fn is_kept(&self, node: &Node, id: &TargetId) -> bool {
+        let owned = self.owned();
+        let Some(target) = owned.get(id) else { return false };
+        let in_handover = |lost: Timestamp| node.now().since(lost) < HANDOVER_MS;
+        node.stop.is_leaving() || target.lost.is_none_or(in_handover)
+    }
+
+    /// Whether every target moved away long enough ago for the other daemons to use the new owners.
+    pub(crate) fn is_handed_over(&self, now: Timestamp) -> bool {
+        let owned = self.owned();
+        let mut lost = owned.values().map(|target| target.lost);
+        lost.all(|lost| lost.is_some_and(|lost| now.since(lost) >= HANDOVER_MS))
+    }
+
+    fn replace(&self, targets: Vec<Target>, is_own: impl Fn(&Target) -> bool, now: Timestamp) {
         let mut owned = self.owned();
         let before = std::mem::take(&mut *owned);
         for target in targets {
-            let version = before.get(&target.id).and_then(|owned| owned.version);
-            owned.insert(target.id.clone(), Owned { target, version });
+            let known = before.get(&target.id);
+            let version = known.and_then(|known| known.version);
+            let lost = match is_own(&target) {
+                true => None,
+                false => known.and_then(|known| known.lost).or(Some(now)),
+            };
+            let kept = Owned {
+                target,
+                version,
+                lost,
+            };
+            owned.insert(kept.target.id.clone(), kept);
         }
     }
 
--- a/crates/jm-entry/src/steps.rs
+++ b/crates/jm-entry/src/steps.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use async_std::future::timeout;
+use async_std::task;
 use futures::future::join_all;
 use jm_config::ServiceKind;
 use jm_http::{BodySender, Method, Request, Response, StatusCode};
 use jm_link::{PeerReply, PeerRequest, ReplyStream, StepOperation};
-use jm_types::{DurationMs, MemberId, ResultCode, Sequence, ServiceId, StepId, WeightVersion};
+use jm_types::{DurationMs, MemberId, ResultCode, Sequence, ServiceId, StepId, Timestamp, WeightVersion};
 use serde::Deserialize;
 use serde_json::json;
 
@@ -23,7 +23,14 @@
     services::set_headers,
 };
 
-/// Time within which a dispatch daemon answers whether it holds a step.
+/// Time for which the owner of a step is looked for. It covers failure detection, which takes 4 s, one registration
+/// interval after a restart, and a probe that a frozen daemon does not answer.
+const SEARCH_LIMIT_MS: DurationMs = DurationMs::new(8_000);
+
+/// Pause before all candidates are asked again.
+const SEARCH_INTERVAL_MS: DurationMs = DurationMs::new(200);
+
+/// Time within which a dispatch daemon answers whether it holds a step, and begins to answer a read.
 const PROBE_TIMEOUT_MS: DurationMs = DurationMs::new(2_000);
 
 /// Time within which a dispatch daemon carries out an operation; it may copy state to another daemon first.
@@ -135,14 +142,19 @@
     let malformed = |message: &str| Refusal::new(ResultCode::MalformedRequest, message);
     let mut after = Sequence::default();
     let mut term = None;
+    let mut version = None;
     for (name, value) in request.url().query_pairs() {
         match &*name {
             "after" => after = value.parse().map_err(|_| malformed("after must be a number"))?,
             "term" => term = Some(value.into_owned()),
-            _ => return Err(malformed("the query may have after and term")),
+            "version" => {
+                let parsed = value.parse().map_err(|_| malformed("version must be a number"))?;
+                version = Some(parsed);
+            }
+            _ => return Err(malformed("the query may have after, term and version")),
         }
     }
-    Ok(StepOperation::Read { after, term })
+    Ok(StepOperation::Read { after, term, version })
 }
 
 impl StepCall {
@@ -172,8 +184,34 @@
         self.confirmation(held)
     }
 
+    /// The daemon that holds the step, or the one that is to create it.
     async fn find_or_choose(&self) -> Result<MemberId, Refusal> {
-        let candidates = self.candidates()?;
+        let deadline = self.search_deadline();
+        loop {
+            let candidates = self.candidates()?;
+            let answers = self.probe(&candidates).await;
+            let first = |wanted: fn(&Result<Held, Failure>) -> bool| {
+                let mut pairs = candidates.iter().zip(&answers);
+                pairs
+                    .find(|(_, answer)| wanted(answer))
+                    .map(|(member, _)| member.clone())
+            };
+            if let Some(holder) = first(is_held) {
+                return Ok(holder);
+            }
+            // A daemon that does not answer, or that holds a copy, may go on with the step.
+            let settled = answers.iter().all(is_unknown_answer);
+            if settled || self.entry.node.now() >= deadline {
+                let message = "no dispatch daemon answers";
+                let unreachable = || Refusal::new(ResultCode::DispatchUnreachable, message);
+                return first(is_without_step).ok_or_else(unreachable);
+            }
+            task::sleep(SEARCH_INTERVAL_MS.as_std()).await;
+        }
+    }
+
+    /// Asks all candidates at the same time whether they hold the step.
+    async fn probe(&self, candidates: &[MemberId]) -> Vec<Result<Held, Failure>> {
         // Acknowledging nothing changes nothing, and only the holder of the step accepts it.
         let probe = StepOperation::Acknowledge {
             through: Sequence::default(),
@@ -181,17 +219,11 @@
         let probes = candidates
             .iter()
             .map(|member| self.call(member, probe.clone(), PROBE_TIMEOUT_MS));
-        let answers = join_all(probes).await;
-        let find = |wanted: fn(&Result<Held, Failure>) -> bool| {
-            let mut pairs = candidates.iter().zip(&answers);
-            pairs
-                .find(|(_, answer)| wanted(answer))
-                .map(|(member, _)| member.clone())
-        };
-        let unreachable = || Refusal::new(ResultCode::DispatchUnreachable, "no dispatch daemon answers");
-        find(is_held)
-            .or_else(|| find(|answer| matches!(answer, Err(failure) if is_unknown(failure))))
-            .ok_or_else(unreachable)
+        join_all(probes).await
+    }
+
+    fn search_deadline(&self) -> Timestamp {
+        self.entry.node.now().after(SEARCH_LIMIT_MS)
     }
 
     fn candidates(&self) -> Result<Vec<MemberId>, Refusal> {
@@ -228,26 +260,36 @@
         self.confirmation(held)
     }
 
-    /// Asks the candidates in their order until one holds the step.
+    /// Asks for the step until a daemon holds it. Only after the search limit is the step unknown, because a dead owner
+    /// is not noticed at once and its copy holder takes over only then.
     async fn first_holder(&self, operation: StepOperation) -> Result<Held, Refusal> {
+        let deadline = self.search_deadline();
+        loop {
+            let outcome = match self.ask_candidates(&operation).await? {
+                Ok(held) => return Ok(held),
+                Err(outcome) => outcome,
+            };
+            if self.entry.node.now() >= deadline {
+                return Err(outcome);
+            }
+            task::sleep(SEARCH_INTERVAL_MS.as_std()).await;
+        }
+    }
+
+    /// Asks the candidates in their order. The outer error is final; the inner one says that no daemon holds the step
+    /// now.
+    async fn ask_candidates(&self, operation: &StepOperation) -> Result<Result<Held, Refusal>, Refusal> {
         let mut outcome = Refusal::new(ResultCode::UnknownStep, "the step does not exist");
         for member in self.candidates()? {
-            match self.ask(&member, operation.clone()).await {
-                Ok(held) => return Ok(held),
-                Err(failure) if is_unknown(&failure) => {}
+            match self.call(&member, operation.clone(), PROBE_TIMEOUT_MS).await {
+                Ok(held) => return Ok(Ok(held)),
+                Err(failure) if is_without(&failure) => {}
                 Err(Failure::Refused(refusal)) => return Err(refusal),
                 // The step may be there, so the trainer must not take it for lost.
                 Err(failure) => outcome = failure.into_refusal(),
             }
         }
-        Err(outcome)
-    }
-
-    async fn ask(&self, member: &MemberId, operation: StepOperation) -> Result<Held, Failure> {
-        match operation {
-            StepOperation::Read { .. } => self.begin_read(member, operation).await,
-            _ => self.call(member, operation, OPERATION_TIMEOUT_MS).await,
-        }
+        Ok(Err(outcome))
     }
 
     fn confirmation(&self, held: Held) -> Result<Response, Refusal> {
@@ -279,16 +321,6 @@
         Ok(response)
     }
 
-    /// A daemon without the step says so at once. One that holds it may have no sample for minutes, so silence counts
-    /// as acceptance.
-    async fn begin_read(&self, member: &MemberId, operation: StepOperation) -> Result<Held, Failure> {
-        let mut replies = self.send(member, operation).await?;
-        match timeout(PROBE_TIMEOUT_MS.as_std(), replies.next()).await {
-            Ok(first) => held(first?, replies),
-            Err(_) => Ok(Held { first: None, replies }),
-        }
-    }
-
     async fn write_samples(self, first: Option<PeerReply>, replies: ReplyStream, sender: BodySender) {
         match self.cuttable(relay_samples(first, replies, &sender)).await {
             Ok(true) => {
@@ -351,8 +383,21 @@
     }
 }
 
-fn is_unknown(failure: &Failure) -> bool {
-    matches!(failure, Failure::Refused(refusal) if refusal.code == ResultCode::UnknownStep)
+/// Whether a daemon answered that it knows nothing of the step.
+fn is_unknown_answer(answer: &Result<Held, Failure>) -> bool {
+    matches!(answer, Err(Failure::Refused(refusal)) if refusal.code == ResultCode::UnknownStep)
+}
+
+fn is_without_step(answer: &Result<Held, Failure>) -> bool {
+    matches!(answer, Err(failure) if is_without(failure))
+}
+
+/// Whether a daemon answered that it does not own the step now.
+fn is_without(failure: &Failure) -> bool {
+    let Failure::Refused(refusal) = failure else {
+        return false;
+    };
+    matches!(refusal.code, ResultCode::UnknownStep | ResultCode::StepMoving)
 }
 
 fn whole_lines(mut lines: Vec<u8>) -> Vec<u8> {
--- a/crates/jm-link/src/message.rs
+++ b/crates/jm-link/src/message.rs
@@ -82,6 +82,9 @@
         after: Sequence,
         /// The term of the last reply that the trainer took.
         term: Option<String>,
+        /// The trainer's weight version; one that is newer than the named one is named by the read.
+        #[serde(default)]
+        version: Option<WeightVersion>,
     },
     /// Names a newer weight version, from which staleness is counted from now on.
     NameVersion {
--- a/crates/jm-standins/src/engine/generate.rs
+++ b/crates/jm-standins/src/engine/generate.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    EngineFault, EngineState, RunningStream, cache,
+    EngineFault, EngineState, RunningStream, SentToken, cache,
     pace::Pace,
     token::{self, prompt_tokens},
 };
@@ -158,7 +158,7 @@
                 Next::Continue => {}
                 next => return next,
             }
-            let piece = self.piece(token::token(key, index));
+            let piece = self.piece(token::token(key, index), index);
             if self.send_line(sender, &piece).await.is_err() {
                 return Next::Gone;
             }
@@ -233,7 +233,7 @@
         }
     }
 
-    fn piece(&mut self, token: String) -> Piece {
+    fn piece(&mut self, token: String, index: u64) -> Piece {
         let mut inner = self.state.inner();
         inner.counts.tokens += 1;
         let loaded = inner.models.get(&self.request.model).copied();
@@ -243,6 +243,8 @@
             Some(EngineFault::WrongVersion { version }) => Some(version),
             _ => loaded,
         };
+        let sent = SentToken { index, version };
+        self.state.inner().keep_sent(&self.request.request, sent);
         if let Some(version) = version {
             self.count_segment(version);
         }
--- a/crates/jm-standins/src/engine/mod.rs
+++ b/crates/jm-standins/src/engine/mod.rs
@@ -41,6 +41,9 @@
 /// Requests whose KV cache can be exported.
 const KEPT_KV_REQUESTS: usize = 256;
 
+/// Requests whose sent tokens are kept.
+const KEPT_SENT_REQUESTS: usize = 4_096;
+
 /// How an engine is started.
 #[derive(Debug, Clone)]
 pub struct EngineOptions {
@@ -155,6 +158,15 @@
     pub tokens: u64,
 }
 
+/// One token as an engine sent it, for comparison with the versions that samples name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SentToken {
+    /// Position in the whole answer, tokens that the caller already held included.
+    pub index: u64,
+    /// The version that the line carried.
+    pub version: Option<WeightVersion>,
+}
+
 /// A running engine. Dropping it closes all connections.
 pub struct Engine {
     front: Front,
@@ -185,6 +197,7 @@
     newest_fencing: FencingNumber,
     orders: Vec<ReceivedOrder>,
     counts: EngineCounts,
+    sent: IndexMap<String, Vec<SentToken>>,
 }
 
 struct RunningStream {
@@ -265,6 +278,11 @@
         self.state.inner().models.insert(model, version);
     }
 
+    /// The tokens sent for each of the last requests, by request id.
+    pub fn sent_tokens(&self) -> IndexMap<String, Vec<SentToken>> {
+        self.state.inner().sent.clone()
+    }
+
     /// Number of streams that are running now.
     pub fn running(&self) -> usize {
         self.state.inner().running.len()
@@ -286,6 +304,21 @@
     }
 }
 
+impl EngineInner {
+    /// Keeps a sent token and forgets the oldest requests.
+    fn keep_sent(&mut self, request: &str, token: SentToken) {
+        match self.sent.get_mut(request) {
+            Some(tokens) => tokens.push(token),
+            None => {
+                self.sent.insert(request.to_owned(), vec![token]);
+            }
+        }
+        if self.sent.len() > KEPT_SENT_REQUESTS {
+            self.sent.shift_remove_index(0);
+        }
+    }
+}
+
 impl EngineState {
     fn new(options: EngineOptions, relay: RelayControl) -> Self {
         let inner = EngineInner {
@@ -302,6 +335,7 @@
             newest_fencing: FencingNumber::default(),
             orders: Vec::new(),
             counts: EngineCounts::default(),
+            sent: IndexMap::new(),
         };
         Self {
             seed: options.seed,
--- a/crates/jm-types/src/code.rs
+++ b/crates/jm-types/src/code.rs
@@ -182,6 +182,8 @@
     BadAcknowledgement = 6003, 409, NotRun;
     /// The step cannot meet its staleness bound.
     StalenessExceeded = 6004, 409, NotRun;
+    /// The step is between two owners.
+    StepMoving = 6005, 503, NotRun;
     /// An error inside the system.
     Internal = 9001, 500, Unknown;
 }
--- a/src/daemon/process.rs
+++ b/src/daemon/process.rs
@@ -18,8 +18,9 @@
 
 use super::error::{ListenSnafu, MissingRoleSnafu, MissingSectionSnafu, PlatformAddressSnafu, StartError};
 
-/// Time in which the other daemons learn that this one is leaving, besides the time that callers keep addresses.
-const LEAVE_NOTICE_MS: DurationMs = DurationMs::new(2_000);
+/// Time in which the other daemons learn that this one is leaving and take its targets over, besides the time that
+/// callers keep addresses: the handover of 1.5 s, and one exchange of load reports before and after it.
+const LEAVE_NOTICE_MS: DurationMs = DurationMs::new(3_000);
 
 /// Interval at which the start looks whether the process is ready.
 const READY_POLL_MS: DurationMs = DurationMs::new(20);
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -4,6 +4,10 @@
     fmt::Write,
     io,
     net::{SocketAddr, TcpListener, UdpSocket},
+    sync::{
+        OnceLock,
+        atomic::{AtomicU16, Ordering},
+    },
 };
 
 use jm_config::KeySecret;
@@ -39,33 +43,48 @@
     pub member: u16,
 }
 
-/// Ports that are free now for a number of hosts.
+/// Lowest port that is given to hosts. All of them are below the range from which systems choose ports of outgoing
+/// connections, so that a port stays free until its daemon binds it.
+const FIRST_PORT: u16 = 10_000;
+
+/// Number of ports from [`FIRST_PORT`] on.
+const PORT_COUNT: u16 = 20_000;
+
+/// Ports that are free now for a number of hosts. One process never gets a port twice until all were given.
 ///
 /// # Errors
 ///
 /// Fails when the system has no free port.
 pub fn free_ports(hosts: usize) -> io::Result<Vec<HostPorts>> {
-    // All sockets stay bound until every port is chosen, so that no port is chosen twice.
-    let mut held = Vec::new();
-    let mut ports = Vec::new();
-    for _ in 0..hosts {
-        let mut next = || -> io::Result<u16> {
-            let listener = TcpListener::bind("127.0.0.1:0")?;
-            let port = listener.local_addr()?.port();
-            held.push(listener);
-            Ok(port)
-        };
-        ports.push(HostPorts {
-            entry: next()?,
-            entry_admin: next()?,
-            dispatch: next()?,
-            dispatch_admin: next()?,
-            control: next()?,
-            control_admin: next()?,
-            member: UdpSocket::bind("127.0.0.1:0")?.local_addr()?.port(),
-        });
+    (0..hosts)
+        .map(|_| {
+            Ok(HostPorts {
+                entry: free_port()?,
+                entry_admin: free_port()?,
+                dispatch: free_port()?,
+                dispatch_admin: free_port()?,
+                control: free_port()?,
+                control_admin: free_port()?,
+                member: free_port()?,
+            })
+        })
+        .collect()
+}
+
+/// A port that is free for TCP and UDP. Processes start at different places, so that they seldom try the same port.
+fn free_port() -> io::Result<u16> {
+    static NEXT: OnceLock<AtomicU16> = OnceLock::new();
+    let next = NEXT.get_or_init(|| AtomicU16::new(rand::random_range(0..PORT_COUNT)));
+    let mut failure = io::Error::from(io::ErrorKind::AddrInUse);
+    for _ in 0..PORT_COUNT {
+        let port = FIRST_PORT + next.fetch_add(1, Ordering::Relaxed) % PORT_COUNT;
+        let bound = TcpListener::bind(("127.0.0.1", port)).and_then(|_| UdpSocket::bind(("127.0.0.1", port)));
+        match bound {
+            Ok(_) => return Ok(port),
+            Err(error) => failure = error,
+        }
     }
-    Ok(ports)
+    Err(failure)
 }
 
 /// Settings of the process of one host with all roles. `platform` is the address of the platform.
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,4 +1,12 @@
 //! Fleets of daemons in separate processes.
 
+mod engine_fault;
+mod frozen_owner;
 mod harness;
 mod main_path;
+mod named_version;
+mod owner_loss;
+mod reader_moves;
+mod rolling_restart;
+mod step_outage;
+mod step_run;
