--- a/crates/jm-control/tests/absent_members.rs
+++ b/crates/jm-control/tests/absent_members.rs
@@ -45,7 +45,7 @@
     daemon
         .node
         .peers
-        .set_registered(records.to_vec(), daemon.node.now());
+        .set_registered(records.to_vec(), daemon.node.now(), daemon.node.now());
     for minute in 0..=11 {
         let alive = &records[0].id;
         daemon
--- a/crates/jm-control/tests/weight_orders.rs
+++ b/crates/jm-control/tests/weight_orders.rs
@@ -174,7 +174,10 @@
     other.id = "control-b".parse().unwrap();
     other.zone = "riga-b".parse().unwrap();
     other.incarnation = Incarnation::new(1);
-    daemon.node.peers.set_registered(vec![other], daemon.node.now());
+    daemon
+        .node
+        .peers
+        .set_registered(vec![other], daemon.node.now(), daemon.node.now());
     daemon.control.run_once(ControlDuty::Weights).await;
     assert_eq!(daemon.control.held_leases(), ["weights-riga-a"]);
     // The other daemon no longer answers, so its zone is taken as well.
--- a/crates/jm-node/tests/racing_changes.rs
+++ b/crates/jm-node/tests/racing_changes.rs
@@ -42,7 +42,7 @@
         let clock = Arc::new(ManualClock::new(Timestamp::new(1_000_000)));
         let nodes = ["one", "two"].map(|id| node(id, &server, &clock));
         for node in &nodes {
-            node.peers.set_registered(Vec::new(), node.now());
+            node.peers.set_registered(Vec::new(), node.now(), node.now());
         }
         Self { server, clock, nodes }
     }
--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -234,6 +234,19 @@
             let url = format!("http://127.0.0.1:{}/readyz", daemon.ports.entry_admin);
             wait_for("readiness", || status_is(&url, 200)).await;
         }
+        for index in 0..self.daemons.len() {
+            wait_for("the other daemons", || self.knows_all(index)).await;
+        }
+    }
+
+    /// Whether a daemon sees all daemons of the fleet live.
+    async fn knows_all(&self, index: usize) -> bool {
+        let Some(status) = self.status(index).await else {
+            return false;
+        };
+        let members = status["members"].as_array();
+        let live = members.map(|all| all.iter().filter(|member| member["live"] == true).count());
+        live == Some(self.daemons.len())
     }
 
     /// Waits until every daemon can reach a dispatch daemon for each service.
@@ -299,7 +312,11 @@
 
     /// A trainer that reads from every daemon in turn.
     pub(crate) fn trainer(&self) -> Trainer {
-        Trainer::new(TrainerOptions {
+        Trainer::new(self.trainer_options())
+    }
+
+    pub(crate) fn trainer_options(&self) -> TrainerOptions {
+        TrainerOptions {
             addresses: self
                 .daemons
                 .iter()
@@ -309,7 +326,7 @@
             engine_seed: Some(ENGINE_SEED),
             most_failures: 400,
             ..TrainerOptions::default()
-        })
+        }
     }
 
     pub(crate) fn caller_url(&self, daemon: usize, path: &str) -> String {
