--- a/crates/jm-entry/tests/common/dispatch.rs
+++ b/crates/jm-entry/tests/common/dispatch.rs
@@ -128,7 +128,7 @@
 pub(crate) fn register(node: &Node, fakes: &[FakeDispatch]) {
     let now = node.now();
     node.peers
-        .set_registered(fakes.iter().map(FakeDispatch::record).collect(), now);
+        .set_registered(fakes.iter().map(FakeDispatch::record).collect(), now, now);
     for fake in fakes {
         let services = ["gen", "desk", "hasty", "catalogue"];
         let owned = OwnedLoad {
--- a/crates/jm-entry/tests/common/mod.rs
+++ b/crates/jm-entry/tests/common/mod.rs
@@ -75,7 +75,7 @@
         clock: Arc::clone(clock) as _,
         stop,
     });
-    node.peers.set_registered(Vec::new(), node.now());
+    node.peers.set_registered(Vec::new(), node.now(), node.now());
     task::spawn(ConfigKeeper::follow(Arc::clone(&node)));
     until(|| node.is_fresh()).await;
     (node, trigger)
@@ -152,7 +152,9 @@
         if !reachable {
             record.link_address = Some(REFUSING_ADDRESS.to_owned());
         }
-        self.node.peers.set_registered(records, self.node.now());
+        self.node
+            .peers
+            .set_registered(records, self.node.now(), self.node.now());
     }
 
     pub(crate) fn cut_links(&self) {
--- a/crates/jm-entry/tests/order_outcome.rs
+++ b/crates/jm-entry/tests/order_outcome.rs
@@ -146,9 +146,12 @@
     fixture
         .node
         .peers
-        .set_registered(vec![restarted], fixture.node.now());
+        .set_registered(vec![restarted], fixture.node.now(), fixture.node.now());
     fixture.refused(again(), ResultCode::OutcomeUnknown).await;
-    fixture.node.peers.set_registered(Vec::new(), fixture.node.now());
+    fixture
+        .node
+        .peers
+        .set_registered(Vec::new(), fixture.node.now(), fixture.node.now());
     fixture.refused(again(), ResultCode::OutcomeUnknown).await;
     assert!(fixture.executed().is_empty());
 }
--- a/crates/jm-entry/tests/step_calls.rs
+++ b/crates/jm-entry/tests/step_calls.rs
@@ -106,8 +106,8 @@
     let (organisation, step, operation) = holder.handler.steps.lock().unwrap().remove(0);
     assert_eq!((organisation.as_str(), step.as_str()), ("org-b", "s"));
     let term = Some("1-9".to_owned());
-    let after = Sequence::new(2);
-    assert_eq!(operation, StepOperation::Read { after, term });
+    let (after, version) = (Sequence::new(2), None);
+    assert_eq!(operation, StepOperation::Read { after, term, version });
     answer(&fixture, 0, "chunk {\"sequence\":1} | hold");
     let read = fixture.send(get("/v1/steps/s/samples", Some(KEY_A))).await;
     fixture.cut_links();
