Tests follow the changed signature of set_registered

Cause: the list of registered daemons now carries the time at which it was requested. Change: tests pass it. Result: the workspace builds with its tests and lints clean.

--- a/crates/jm-entry/tests/address_list.rs
+++ b/crates/jm-entry/tests/address_list.rs
@@ -47,7 +47,7 @@
             ..record("dispatch", "zone-a", false)
         },
     ];
-    node.peers.set_registered(records, node.now());
+    node.peers.set_registered(records, node.now(), node.now());
     let all = addresses(&fixture).await;
     assert_eq!(all, serde_json::json!(["127.0.0.1:7000", "near:1", "far:1"]));
     fixture.clock.advance(DurationMs::new(5_000));
--- a/crates/jm-entry/tests/admin_changes.rs
+++ b/crates/jm-entry/tests/admin_changes.rs
@@ -149,9 +149,15 @@
     fixture.set_down(false);
     until(|| fixture.node.is_fresh()).await;
     // The other daemons are replaced by ones that have no revision in force.
-    fixture.node.peers.set_registered(Vec::new(), fixture.node.now());
+    fixture
+        .node
+        .peers
+        .set_registered(Vec::new(), fixture.node.now(), fixture.node.now());
     let records = fixture.dispatchers.iter().map(|fake| fake.record()).collect();
-    fixture.node.peers.set_registered(records, fixture.node.now());
+    fixture
+        .node
+        .peers
+        .set_registered(records, fixture.node.now(), fixture.node.now());
     let (status, content) = admin(&fixture.entry, proposal(&add, ADMIN_TOKEN)).await;
     assert_eq!(
         (status, &content["in_force"], &content["revision"]),
