jm-control: state what the lease check of a report leaves open

Cause: the reason why a second report is harmless was spread over two modules.

Change: a doc comment at the reports lists what remains and why equal figures make it harmless.

Conclusion: no change of behaviour.

--- a/crates/jm-control/src/usage.rs
+++ b/crates/jm-control/src/usage.rs
@@ -165,6 +165,11 @@
     }
 
     /// Reports every sealed window and stores how far the acknowledgements go.
+    ///
+    /// The intake does not check fencing numbers. What [`Term::run`] leaves open (a freeze within one poll, a report of
+    /// which a part was written, bytes in a socket buffer) lets the intake receive a report after another daemon has
+    /// reported the same window. Both reports are the bytes of one object that is created once and never replaced, and
+    /// the intake takes an equal report for a repetition, so the second one changes nothing.
     async fn report_all(&mut self, context: &DutyContext, term: &Term) -> Result<(), DutyError> {
         while let Some(stored) = self.unreported.first() {
             let window = stored.window.window;
