Fleet tests: leaving target, usage after a kill, unconfirmed copies

- leaving_target: the state `leaving` comes into force under live load and a step; after a marker request no further request reaches the engine, and what ran there is finished.
- usage_kill: one daemon is killed at a seeded random point; the parts in the store never exceed what the engines generated, and contain everything that was flushed before the kill or served after it.
Before the kill they are equal to what the engines generated.
- owner_loss::copy_not_confirmed: the owner dies while its copy holder is frozen.

The callers of the rolling restart move to their own module. The engine stand-in lists the requests it admitted.

--- a/crates/jm-standins/src/engine/generate.rs
+++ b/crates/jm-standins/src/engine/generate.rs
@@ -119,6 +119,7 @@
         };
         inner.running.insert(stream, running);
         inner.counts.started += 1;
+        inner.admitted.push(request.request.clone());
         inner.note_load();
         Some(Self {
             state: Arc::clone(state),
--- a/crates/jm-standins/src/engine/mod.rs
+++ b/crates/jm-standins/src/engine/mod.rs
@@ -198,6 +198,7 @@
     orders: Vec<ReceivedOrder>,
     counts: EngineCounts,
     sent: IndexMap<String, Vec<SentToken>>,
+    admitted: Vec<String>,
 }
 
 struct RunningStream {
@@ -278,6 +279,11 @@
         self.state.inner().models.insert(model, version);
     }
 
+    /// Ids of all admitted requests in the order of their arrival.
+    pub fn admitted(&self) -> Vec<String> {
+        self.state.inner().admitted.clone()
+    }
+
     /// The tokens sent for each of the last requests, by request id.
     pub fn sent_tokens(&self) -> IndexMap<String, Vec<SentToken>> {
         self.state.inner().sent.clone()
@@ -336,6 +342,7 @@
             orders: Vec::new(),
             counts: EngineCounts::default(),
             sent: IndexMap::new(),
+            admitted: Vec::new(),
         };
         Self {
             seed: options.seed,
--- a/tests/fleet/main.rs
+++ b/tests/fleet/main.rs
@@ -1,8 +1,10 @@
 //! Fleets of daemons in separate processes.
 
+mod callers;
 mod engine_fault;
 mod frozen_owner;
 mod harness;
+mod leaving_target;
 mod main_path;
 mod named_version;
 mod owner_loss;
@@ -10,3 +12,4 @@
 mod rolling_restart;
 mod step_outage;
 mod step_run;
+mod usage_kill;
--- a/tests/fleet/owner_loss.rs
+++ b/tests/fleet/owner_loss.rs
@@ -73,3 +73,22 @@
     let result = run.finish(&fleet).await;
     assert_eq!(result.recreations, 0);
 }
+
+/// Guards against samples that are handed out before the copy holder has them: when the owner dies, the new owner would
+/// draft their slots a second time.
+///
+/// The name of the step makes the first host neither its owner nor its copy holder, so that the trainer, which reads
+/// there, goes on while the copy holder is frozen.
+#[async_std::test]
+async fn copy_not_confirmed() {
+    let mut fleet = Fleet::start(3, 3, 0).await;
+    let run = fleet.start_step("unconfirmed-0").await;
+    let (owner, holder) = fleet.step_places().await;
+    assert!(owner != 0 && holder != 0, "the step is at {owner} and {holder}");
+    fleet.daemons[holder].signal("STOP");
+    fleet.wait_drafts(16).await;
+    fleet.daemons[owner].kill();
+    fleet.daemons[holder].signal("CONT");
+    fleet.set_rate(FULL_RATE);
+    run.finish(&fleet).await;
+}
--- a/tests/fleet/rolling_restart.rs
+++ b/tests/fleet/rolling_restart.rs
@@ -1,162 +1,28 @@
 //! Planned stops of every daemon in turn, under load.
 
-use std::{
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
-    time::{Duration, Instant},
-};
-
-use async_std::task::{self, JoinHandle};
-use jm_http::Method;
-use serde::Deserialize;
+use std::sync::Arc;
 
 use crate::{
-    harness::{Answer, CLERK_KEY, Fleet, call, step, wait_for},
+    callers::{LIVE_RATE, Report, start_callers},
+    harness::{Fleet, step},
     step_run::StepRun,
 };
 
-/// Tokens of a live answer; at [`LIVE_RATE`] it takes longer than a daemon takes to close its listener.
-const LIVE_TOKENS: u64 = 150;
-
-/// Tokens a second of each engine, so that streams are open whenever a stop begins.
-const LIVE_RATE: f64 = 500.0;
-
-/// Calls of each caller at the least before the next daemon is stopped.
-const CALLS_BETWEEN_STOPS: u64 = 3;
-
-/// A caller that asks which address to use, keeps the answer for `keep_s` and takes its addresses in turn.
-struct Caller {
-    known: Vec<String>,
-    until: Instant,
-    turn: usize,
-}
-
-#[derive(Deserialize)]
-struct Addresses {
-    addresses: Vec<String>,
-    keep_s: u64,
-}
-
-/// What the callers report.
-#[derive(Default)]
-struct Report {
-    whole: AtomicU64,
-    failures: Mutex<Vec<String>>,
-    done: AtomicBool,
-}
-
-impl Caller {
-    fn new(address: String) -> Self {
-        Self {
-            known: vec![address],
-            until: Instant::now(),
-            turn: 0,
-        }
-    }
+const CALLERS: usize = 6;
 
-    /// The next address. Addresses whose time is over are only used to ask for new ones.
-    async fn address(&mut self) -> Result<String, String> {
-        if Instant::now() >= self.until {
-            self.refresh().await?;
-        }
-        self.turn += 1;
-        Ok(self.known[self.turn % self.known.len()].clone())
-    }
-
-    async fn refresh(&mut self) -> Result<(), String> {
-        let asked = Instant::now();
-        for address in self.known.clone() {
-            let url = format!("http://{address}/v1/addresses");
-            let Some(answer) = call(Method::Get, &url, None, &[], b"").await else {
-                continue;
-            };
-            let Ok(answer) = serde_json::from_str::<Addresses>(answer.text()) else {
-                continue;
-            };
-            if !answer.addresses.is_empty() {
-                self.known = answer.addresses;
-                self.until = asked + Duration::from_secs(answer.keep_s);
-                return Ok(());
-            }
-        }
-        Err(format!("none of {:?} names addresses", self.known))
-    }
-
-    async fn complete(&mut self) -> Result<(), String> {
-        let address = self.address().await?;
-        let body = format!(r#"{{"service":"drafts","prompt":"a rack","max_tokens":{LIVE_TOKENS}}}"#);
-        let url = format!("http://{address}/v1/completions");
-        let answer = call(Method::Post, &url, Some(CLERK_KEY), &[], body.as_bytes()).await;
-        let answer = whole(answer, &address)?;
-        match answer.text().lines().count() as u64 {
-            lines if lines == LIVE_TOKENS + 1 => Ok(()),
-            lines => Err(format!("{lines} lines from {address}: {answer:?}")),
-        }
-    }
-
-    async fn order(&mut self, id: &str) -> Result<(), String> {
-        let address = self.address().await?;
-        let url = format!("http://{address}/v1/services/order-desk/orders");
-        let body = format!(r#"{{"request_id":"{id}"}}"#);
-        let answer = call(Method::Post, &url, Some(CLERK_KEY), &[], body.as_bytes()).await;
-        let answer = whole(answer, &address)?;
-        answer
-            .ticket
-            .map(drop)
-            .ok_or_else(|| "the order's answer has no ticket".to_owned())
-    }
-}
-
-fn whole(answer: Option<Answer>, address: &str) -> Result<Answer, String> {
-    match answer {
-        Some(answer) if answer.status == 200 && answer.body.is_ok() => Ok(answer),
-        other => Err(format!("at {address}: {other:?}")),
-    }
-}
-
-/// Calls until the report is done; odd callers place orders.
-fn start_caller(number: usize, address: String, report: &Arc<Report>) -> JoinHandle<u64> {
-    let report = Arc::clone(report);
-    let mut caller = Caller::new(address);
-    task::spawn(async move {
-        let mut orders = 0;
-        while !report.done.load(Ordering::SeqCst) {
-            let result = if number % 2 == 1 {
-                orders += 1;
-                caller.order(&format!("order-{number}-{orders}")).await
-            } else {
-                caller.complete().await
-            };
-            match result {
-                Ok(()) => drop(report.whole.fetch_add(1, Ordering::SeqCst)),
-                Err(failure) => report.failures.lock().expect("no caller panicked").push(failure),
-            }
-            task::sleep(Duration::from_millis(10)).await;
-        }
-        orders
-    })
-}
+/// Whole answers before the next daemon is stopped, so that every caller has been served by the fleet as it is.
+const CALLS_BETWEEN_STOPS: u64 = 18;
 
 /// Guards against a planned stop that cuts a stream, loses an order or a step, or does not end by itself.
 #[async_std::test]
 async fn every_daemon_in_turn() {
-    const CALLERS: usize = 6;
     let mut fleet = Fleet::start(3, 3, 2).await;
     fleet.set_rate(LIVE_RATE);
     let report = Arc::new(Report::default());
-    let addresses = fleet.entry_addresses();
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|number| start_caller(number, addresses[number % 3].clone(), &report))
-        .collect();
+    let callers = start_callers(&fleet, CALLERS, &report);
     let run = StepRun::start(fleet.trainer(), step("rolling", 256, 16));
     for index in 0..3 {
-        let goal = report.whole.load(Ordering::SeqCst) + CALLS_BETWEEN_STOPS * CALLERS as u64;
-        wait_for("whole answers", || async {
-            report.whole.load(Ordering::SeqCst) >= goal
-        })
-        .await;
+        report.wait_whole(CALLS_BETWEEN_STOPS).await;
         // The end of the process with another status than 0 fails the test here.
         fleet.daemons[index].stop().await;
         fleet.daemons[index].restart();
@@ -165,15 +31,7 @@
     }
     let result = run.finish(&fleet).await;
     assert_eq!(result.recreations, 0);
-    report.done.store(true, Ordering::SeqCst);
-    let mut orders = Vec::new();
-    for caller in callers {
-        orders.push(caller.await);
-    }
-    assert_eq!(
-        *report.failures.lock().expect("no caller panicked"),
-        Vec::<String>::new()
-    );
+    let orders = report.finish(callers).await;
     for (caller, count) in orders.into_iter().enumerate() {
         for order in 1..=count {
             assert_eq!(fleet.executions(&format!("order-{caller}-{order}")), 1);
