--- a/tests/fleet/callers.rs
+++ b/tests/fleet/callers.rs
@@ -80,7 +80,9 @@
 
     async fn complete(&mut self) -> Result<(), String> {
         let address = self.address().await?;
-        let body = format!(r#"{{"service":"drafts","prompt":"a rack","max_tokens":{LIVE_TOKENS}}}"#);
+        // Each prompt is another one, because equal ones go to the engine that has them in its cache.
+        let turn = self.turn;
+        let body = format!(r#"{{"service":"drafts","prompt":"rack {turn}","max_tokens":{LIVE_TOKENS}}}"#);
         let url = format!("http://{address}/v1/completions");
         let answer = call(Method::Post, &url, Some(CLERK_KEY), &[], body.as_bytes()).await;
         let answer = whole(answer, &address)?;
--- a/tests/fleet/leaving_target.rs
+++ b/tests/fleet/leaving_target.rs
@@ -39,9 +39,11 @@
         .await;
     }
     report.wait_whole(SETTLING_CALLS).await;
+    run.finish(&fleet).await;
     mark(&fleet).await;
+    let after = StepRun::start(fleet.trainer(), step("left", 256, 16));
     report.wait_whole(WATCHED_CALLS).await;
-    run.finish(&fleet).await;
+    after.finish(&fleet).await;
     report.finish(callers).await;
     let admitted = fleet.engines[0].admitted();
     let marker = admitted
