jm-step: the choice between two owners is a decision of its own

The rule by which an owner refuses or accepts copies of another owner was written in jm-dispatch, where frozen_owner did not depend on it. It is now StepAssembly::judge, with a test file for the cases that depend on timing in the fleet: a former owner, a successor, two diverged terms in either order of the owner numbers, and a message that comes before the first of its term.

--- a/crates/jm-dispatch/src/step/serve.rs
+++ b/crates/jm-dispatch/src/step/serve.rs
@@ -6,7 +6,7 @@
 use futures::{FutureExt, select};
 use jm_link::{HeaderLine, PeerReply, ReplySender, StepOperation};
 use jm_node::{decode, encode};
-use jm_step::{CopyBody, CopyMessage, Sample, StepAssembly, StepCopy, StepOptions, StepSpec, Term};
+use jm_step::{Claim, CopyMessage, Sample, StepAssembly, StepCopy, StepOptions, StepSpec, Term};
 use jm_types::{DurationMs, LogEvent, ResultCode, Sequence, WeightVersion};
 
 use super::{
@@ -289,31 +289,21 @@
     }
 }
 
-/// Decides between two owners of one step, after a takeover from a daemon that was frozen or cut off.
-///
-/// The one whose history includes the other's present term goes on. When neither does, the larger term goes on, which
-/// both sides decide alike; a trainer that read from the other one is refused by its term. Only the first message of a
-/// term tells the history, so others wait for it.
+/// Decides between this owner of a step and the sender of a copy message.
 fn give_way(own: &OwnedStep, message: &CopyMessage) -> Result<(), PeerReply> {
-    let (term, is_ancestor) = {
-        let assembly = own.assembly();
-        (assembly.term(), assembly.descends_from(message.term))
-    };
-    let CopyBody::Begin(snapshot) = &message.body else {
-        return match is_ancestor {
-            true => Err(taken_over()),
-            false => Err(PeerReply::refused(
-                ResultCode::StepMoving,
-                "the term's first message is missing",
-            )),
-        };
-    };
-    if is_ancestor || (!snapshot.lineage.contains(&term) && message.term < term) {
-        return Err(taken_over());
+    let claim = own.assembly().judge(message);
+    match claim {
+        Claim::Refuse => Err(taken_over()),
+        Claim::Wait => Err(PeerReply::refused(
+            ResultCode::StepMoving,
+            "the term's first message is missing",
+        )),
+        Claim::GiveWay => {
+            LogEvent::StepTakenOver.write(format_args!("step {}: another owner goes on", own.key.step));
+            own.end();
+            Ok(())
+        }
     }
-    LogEvent::StepTakenOver.write(format_args!("step {}: another owner goes on", own.key.step));
-    own.end();
-    Ok(())
 }
 
 fn taken_over() -> PeerReply {
--- a/crates/jm-step/src/copying.rs
+++ b/crates/jm-step/src/copying.rs
@@ -14,7 +14,34 @@
     pub(crate) acknowledged: Sequence,
 }
 
+/// What an owner does when another daemon sends it copies of the same step, after a takeover from a daemon that
+/// was frozen or cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Claim {
+    /// The sender is a former owner and has to end.
+    Refuse,
+    /// The message does not tell the history of its term; the first message of the term will.
+    Wait,
+    /// The sender goes on, and this owner ends.
+    GiveWay,
+}
+
 impl StepAssembly {
+    /// Judges a message of another daemon that takes itself for the owner. The one whose history includes the
+    /// other's present term goes on. When neither does, the larger term goes on, which both sides decide alike; a
+    /// trainer that read from the other one is refused by its term.
+    pub fn judge(&self, message: &CopyMessage) -> Claim {
+        if self.descends_from(message.term) {
+            return Claim::Refuse;
+        }
+        match &message.body {
+            CopyBody::Begin(snapshot) if snapshot.lineage.contains(&self.term()) => Claim::GiveWay,
+            CopyBody::Begin(_) if message.term > self.term() => Claim::GiveWay,
+            CopyBody::Begin(_) => Claim::Refuse,
+            _ => Claim::Wait,
+        }
+    }
+
     /// Records a confirmation of the copy holder. One of an earlier term is ignored.
     pub fn copied(&mut self, receipt: CopyReceipt) {
         if receipt.term != self.term() {
--- a/crates/jm-step/src/lib.rs
+++ b/crates/jm-step/src/lib.rs
@@ -40,6 +40,7 @@
 
 pub use assembly::{AcknowledgeError, StepAssembly};
 pub use copy::{IncompleteCopy, OldTerm, StepCopy};
+pub use copying::Claim;
 pub use message::{
     BoundSlot, CopyBody, CopyMessage, CopyPart, CopyReceipt, Draft, Effects, FreeCapacity, Naming, Sample,
     Segment, Snapshot, StepEvent, Unusable,
--- /dev/null
+++ b/crates/jm-step/tests/two_owners.rs
@@ -0,0 +1,80 @@
+//! Two daemons that both own a step, after a takeover from one that was frozen or cut off.
+
+use jm_step::{Claim, CopyMessage, StepAssembly, StepCopy, StepOptions, StepSpec};
+use jm_types::{Sequence, TokenCount, WeightVersion};
+
+fn options(owner: u64) -> StepOptions {
+    StepOptions {
+        owner,
+        ..StepOptions::default()
+    }
+}
+
+/// An owner and the daemon that took over from its copy.
+fn owners(former: u64, next: u64) -> (StepAssembly, StepAssembly) {
+    let spec = StepSpec {
+        step: "step".parse().unwrap(),
+        service: "racks".parse().unwrap(),
+        weight_version: WeightVersion::new(1),
+        staleness_bound: 1,
+        group_size: 1,
+        samples: 1,
+        prompts: vec!["p".to_owned()],
+        max_tokens: TokenCount::new(1),
+        held: Vec::new(),
+    };
+    let mut owner = StepAssembly::new(spec, options(former)).unwrap();
+    let mut copy = StepCopy::default();
+    for message in owner.pending_copies() {
+        let receipt = copy.accept(&message).unwrap();
+        owner.copied(receipt);
+    }
+    let next = StepAssembly::restore(copy, options(next)).unwrap();
+    (owner, next)
+}
+
+/// The first message of an owner's present term.
+fn begin(owner: &StepAssembly) -> CopyMessage {
+    owner.pending_copies().remove(0)
+}
+
+/// Guards against a former owner that makes the new one a mere copy holder again.
+#[test]
+fn former_owner_refused() {
+    let (mut former, next) = owners(1, 2);
+    let named = former.named_version(WeightVersion::new(2), Sequence::new(0));
+    assert_eq!(next.judge(&named.copy[0]), Claim::Refuse);
+}
+
+/// Guards against a former owner that goes on although the new one has reached it.
+#[test]
+fn successor_accepted() {
+    let (former, next) = owners(1, 2);
+    assert_eq!(former.judge(&begin(&next)), Claim::GiveWay);
+}
+
+/// Guards against two owners that accept, or refuse, one another. The former owner began a term of its own after it
+/// resumed, so that both have the same number; the larger owner number decides.
+#[test]
+fn one_of_two_goes_on() {
+    for (former, next) in [(1, 2), (2, 1)] {
+        let (mut resumed, taken_over) = owners(former, next);
+        resumed.copy_holder_changed();
+        let of_resumed = taken_over.judge(&begin(&resumed));
+        let of_taken_over = resumed.judge(&begin(&taken_over));
+        let expected = match former > next {
+            true => (Claim::GiveWay, Claim::Refuse),
+            false => (Claim::Refuse, Claim::GiveWay),
+        };
+        assert_eq!((of_resumed, of_taken_over), expected);
+    }
+}
+
+/// Guards against an owner that ends on a message which does not tell the history of its term.
+#[test]
+fn later_message_waits() {
+    let (mut resumed, taken_over) = owners(2, 1);
+    resumed.copy_holder_changed();
+    let named = resumed.named_version(WeightVersion::new(2), Sequence::new(0));
+    assert_eq!(taken_over.judge(&named.copy[0]), Claim::Wait);
+}
