--- a/tests/fleet/cut_off_daemon.rs
+++ b/tests/fleet/cut_off_daemon.rs
@@ -33,6 +33,20 @@
     catalogue
 }
 
+/// Restarts a daemon with a relay between it and the store.
+pub(crate) async fn store_relay(fleet: &mut Fleet, daemon: usize) -> Relay {
+    let relay = Relay::start(loopback(0), fleet.platform.address(), 0)
+        .await
+        .expect("the relay starts");
+    let (from, to) = (fleet.platform.address(), relay.address());
+    fleet.daemons[daemon].kill();
+    fleet.daemons[daemon].replace_address(from, to);
+    fleet.daemons[daemon].restart();
+    fleet.wait_ready().await;
+    fleet.wait_served().await;
+    relay
+}
+
 async fn reads_catalogue(fleet: &Fleet, daemon: usize) -> bool {
     let url = fleet.caller_url(daemon, "/v1/services/catalogue/");
     let answer = call(Method::Get, &url, None, &[], b"").await;
@@ -108,15 +122,7 @@
 #[async_std::test]
 async fn store_link_held() {
     let mut fleet = Fleet::start(3, 1, 1).await;
-    let relay = Relay::start(loopback(0), fleet.platform.address(), 0)
-        .await
-        .expect("the relay starts");
-    let (from, to) = (fleet.platform.address(), relay.address());
-    fleet.daemons[2].kill();
-    fleet.daemons[2].replace_address(from, to);
-    fleet.daemons[2].restart();
-    fleet.wait_ready().await;
-    fleet.wait_served().await;
+    let relay = store_relay(&mut fleet, 2).await;
     fleet.wait_members().await;
     relay.set_flow(Direction::ToCaller, Flow::Hold);
     fleet.set_section(0, "withdraw", "key clerk", None).await;
--- a/tests/fleet/desk_faults.rs
+++ b/tests/fleet/desk_faults.rs
@@ -1,11 +1,12 @@
 //! Orders at desks that crash, are late or answer with a wrong length, and from callers that disconnect.
 
 use async_std::{io::WriteExt, net::TcpStream};
+use jm_http::Method;
 use jm_standins::ServiceFault;
 use jm_types::DurationMs;
 
 use crate::{
-    harness::{CLERK_KEY, Fleet, loopback, wait_for},
+    harness::{CLERK_KEY, Fleet, call, loopback, wait_for},
     lost_dispatch::{Ledger, order_at},
     operator::Said,
 };
@@ -35,14 +36,30 @@
     ("long", ServiceFault::LongAnswer { surplus_bytes: 40 }),
 ];
 
+/// Requests a daemon; a tenth of them may be repeated.
+const BUDGET_REQUESTS: usize = 60;
+
+/// Fills the retry budgets with requests that succeed. Without a budget no order would be repeated, whatever the rules
+/// about its repetition.
+async fn fill_retry_budgets(fleet: &Fleet) {
+    for daemon in 0..3 {
+        let url = fleet.caller_url(daemon, "/v1/services/order-desk/orders");
+        for _ in 0..BUDGET_REQUESTS {
+            call(Method::Get, &url, Some(CLERK_KEY), &[], b"").await;
+        }
+    }
+}
+
 /// Each fault meets an order with a ticket, one with a key and one without a name. What is repeated afterwards at all
 /// daemons, the unnamed order by the ticket in its answer, must give the recorded outcome instead of a second run.
 #[async_std::test]
 async fn answers_stay_true() {
-    let fleet = Fleet::start(3, 0, 2).await;
+    // Each dispatch daemon owns two desks, so that it could send an order to a second one.
+    let fleet = Fleet::start(3, 0, 6).await;
     fleet.set_value(0, "service order-desk", "timeout", "2s").await;
     fleet.wait_revision_everywhere().await;
     let mut ledger = Ledger::default();
+    fill_retry_budgets(&fleet).await;
     for (name, fault) in FAULTS {
         for desk in &fleet.desks {
             desk.set_fault(Some(fault));
--- a/tests/fleet/lost_dispatch.rs
+++ b/tests/fleet/lost_dispatch.rs
@@ -54,6 +54,12 @@
     join_all(daemons.iter().map(|daemon| fleet.order(*daemon, id, headers))).await
 }
 
+/// The number of a ticket, which is its sixth field.
+fn serial_of(ticket: &str) -> u64 {
+    let serial = ticket.split('/').nth(5).expect("a serial number");
+    serial.parse().expect("a number")
+}
+
 fn others(daemon: usize) -> Vec<usize> {
     (0..3).filter(|other| *other != daemon).collect()
 }
@@ -83,9 +89,19 @@
     fleet.daemons[holder].kill();
     let repeated = order_at(&fleet, &entries, "order-1", &headers).await;
     ledger.add("order-1", repeated);
+    for desk in &fleet.desks {
+        desk.set_work(DurationMs::new(0));
+    }
     fleet.daemons[holder].restart();
     fleet.wait_ready().await;
-    fleet.wait_served().await;
+    fleet.wait_settled().await;
+    // The new run numbers its tickets from the start, so that it has an unused one with the same number.
+    while fleet.executions("order-1") == 1 {
+        let other = fleet.ticket(holder).await;
+        if issuer_of(&other) == holder && serial_of(&other) >= serial_of(&ticket) {
+            break;
+        }
+    }
     let repeated = order_at(&fleet, &[0, 1, 2], "order-1", &headers).await;
     for answer in repeated.iter().flatten() {
         assert_eq!(answer.said(), Said::Unknown, "{answer:?}");
--- a/tests/fleet/mixed_answers.rs
+++ b/tests/fleet/mixed_answers.rs
@@ -12,6 +12,7 @@
 
 const ROUNDS: usize = 4;
 const CALLS: usize = 36;
+const BUDGET_ROUNDS: usize = 8;
 const RESTART_PAUSE: Duration = Duration::from_millis(300);
 
 const FAULTS: [EngineFault; 9] = [
@@ -96,6 +97,10 @@
     let fleet = Fleet::start(3, 4, 0).await;
     fleet.set_value(0, "service drafts", "timeout", "3s").await;
     fleet.wait_revision_everywhere().await;
+    // Requests that succeed fill the retry budgets, without which no stream would be resumed.
+    for number in 0..BUDGET_ROUNDS {
+        round(&fleet, ROUNDS + 1 + number).await;
+    }
     let mut whole = 0;
     for number in 0..ROUNDS {
         for (index, engine) in fleet.engines.iter().enumerate() {
--- a/tests/fleet/racing_operators.rs
+++ b/tests/fleet/racing_operators.rs
@@ -9,9 +9,10 @@
 use async_std::task;
 use futures::future::{join, join_all};
 use jm_config::ConfigView;
+use jm_http::Method;
 
 use crate::{
-    harness::{Answer, Fleet, wait_for},
+    harness::{Answer, Fleet, call, wait_for},
     operator::Said,
 };
 
@@ -54,6 +55,8 @@
         match answer {
             Some(answer) if is_accepted(&answer) => return true,
             Some(answer) if answer.said() == Said::NotRun && answer.status == 409 => return false,
+            // Only answers of the store get lost here, so that no change is known to be not stored.
+            Some(answer) if answer.said() == Said::NotRun => panic!("{id} counts as not stored: {answer:?}"),
             _ => task::sleep(WATCH_PAUSE * 10).await,
         }
     }
@@ -176,7 +179,16 @@
         assert_eq!(entries_of(&fleet, daemon, "accepted").await, 1);
     }
     fleet.daemons[1].stop().await;
+    fleet.platform.set_faults(|faults| faults.down = true);
     fleet.daemons[1].restart();
+    let health = format!("http://127.0.0.1:{}/healthz", fleet.daemons[1].ports.entry_admin);
+    wait_for("the new run", || async {
+        call(Method::Get, &health, None, &[], b"").await.is_some()
+    })
+    .await;
+    // A run that has not read the log has nothing to show, rather than an empty document.
+    assert!(fleet.view(1).await.is_none());
+    fleet.platform.set_faults(|faults| faults.down = false);
     let shown = first_view(&fleet, 1).await;
     assert!(shown.revision > before.revision, "{:?}", shown.revision);
 }
--- a/tests/fleet/withdrawn_key.rs
+++ b/tests/fleet/withdrawn_key.rs
@@ -6,9 +6,11 @@
 use async_std::{io::ReadExt, io::WriteExt, net::TcpStream, task};
 use futures::future::{join, join_all};
 use jm_http::Method;
+use jm_standins::{Direction, Flow, Relay};
 use jm_types::Rate;
 
 use crate::{
+    cut_off_daemon::store_relay,
     harness::{Answer, CLERK_KEY, Fleet, TRAINER_KEY, call, loopback, wait_for},
     operator::{Said, issuer_of},
 };
@@ -158,21 +160,23 @@
 async fn frozen_over_withdrawal() {
     let fleet = Fleet::start(3, 3, 3).await;
     fleet.wait_members().await;
-    freeze_over_withdrawal(&fleet, &[]).await;
+    freeze_over_withdrawal(&fleet, None).await;
 }
 
-/// The same while the store is down and the other daemons are frozen in their turn: nobody tells the daemon of the
-/// withdrawal, and it owns a target of each service itself.
+/// The same while its link to the store is held and the other daemons are frozen in their turn: nobody tells the daemon
+/// of the withdrawal, not even an answer in its sockets, and it owns a target of each service itself.
 #[async_std::test]
 async fn frozen_then_alone() {
-    let fleet = Fleet::start(3, 3, 3).await;
+    let mut fleet = Fleet::start(3, 3, 3).await;
+    let relay = store_relay(&mut fleet, 2).await;
     fleet.wait_members().await;
-    freeze_over_withdrawal(&fleet, &[0, 1]).await;
+    freeze_over_withdrawal(&fleet, Some(&relay)).await;
 }
 
 /// Freezes daemon 2 over the withdrawal. Requests that wait in its sockets, and some whose body arrives during the freeze,
-/// must not run when it goes on. The daemons `alone_from` are frozen when it does.
-async fn freeze_over_withdrawal(fleet: &Fleet, alone_from: &[usize]) {
+/// must not run when it goes on. With `alone`, the relay to its store, it finds
+/// neither the store nor the others when it goes on.
+async fn freeze_over_withdrawal(fleet: &Fleet, alone: Option<&Relay>) {
     let mut half = Vec::new();
     for _ in 0..8 {
         half.push(half_order(fleet, 2).await);
@@ -185,6 +189,9 @@
             .is_some_and(|answer| answer.status == 200)
     );
     fleet.daemons[2].signal("STOP");
+    if let Some(relay) = alone {
+        relay.set_flow(Direction::ToCaller, Flow::Hold);
+    }
     for connection in &mut half {
         connection
             .write_all(b":\"half-one\"}")
@@ -200,12 +207,10 @@
     let withdraw = async {
         fleet.set_section(0, "withdraw", CLERK_SECTION, None).await;
         task::sleep(FREEZE).await;
-        fleet
-            .platform
-            .set_faults(|faults| faults.down = !alone_from.is_empty());
-        alone_from
-            .iter()
-            .for_each(|other| fleet.daemons[*other].signal("STOP"));
+        if alone.is_some() {
+            fleet.daemons[0].signal("STOP");
+            fleet.daemons[1].signal("STOP");
+        }
         fleet.daemons[2].signal("CONT");
     };
     let ((orders, streams), ()) = join(waiting, withdraw).await;
@@ -218,10 +223,11 @@
         let status = String::from_utf8_lossy(&answer[..read]).into_owned();
         assert!(!status.starts_with("HTTP/1.1 200"), "{status}");
     }
-    alone_from
-        .iter()
-        .for_each(|other| fleet.daemons[*other].signal("CONT"));
-    fleet.platform.set_faults(|faults| faults.down = false);
+    if let Some(relay) = alone {
+        relay.set_flow(Direction::ToCaller, Flow::Open);
+        fleet.daemons[0].signal("CONT");
+        fleet.daemons[1].signal("CONT");
+    }
     wait_refused_everywhere(fleet).await;
     for id in ids.iter().map(String::as_str).chain(["half-one"]) {
         assert_eq!(fleet.executions(id), 0, "{id}");
@@ -244,7 +250,8 @@
 /// too, so that nobody cancels them. Nobody tells the dispatch daemon of the withdrawal when it goes on.
 #[async_std::test]
 async fn frozen_holder() {
-    let fleet = Fleet::start(3, 0, 3).await;
+    let mut fleet = Fleet::start(3, 0, 3).await;
+    let relay = store_relay(&mut fleet, 2).await;
     fleet.wait_settled().await;
     let tickets = tickets_of(&fleet, 2, 6).await;
     let ids: Vec<String> = (0..tickets.len()).map(|index| format!("held-{index}")).collect();
@@ -253,7 +260,7 @@
         let fleet = &fleet;
         async move { fleet.order(0, id, &[("order-ticket", ticket)]).await }
     }));
-    let (orders, ()) = join(orders, withdraw_while_frozen(&fleet)).await;
+    let (orders, ()) = join(orders, withdraw_while_frozen(&fleet, &relay)).await;
     for answer in orders.into_iter().flatten() {
         assert_ne!(answer.said(), Said::Ran, "{answer:?}");
     }
@@ -269,7 +276,8 @@
     }
 }
 
-async fn withdraw_while_frozen(fleet: &Fleet) {
+async fn withdraw_while_frozen(fleet: &Fleet, relay: &Relay) {
+    relay.set_flow(Direction::ToCaller, Flow::Hold);
     task::sleep(WRITE_TIME).await;
     fleet.daemons[0].signal("STOP");
     let view = fleet.view(1).await.expect("a document");
@@ -279,7 +287,6 @@
         answer.as_ref().is_some_and(|answer| answer.status == 202),
         "{answer:?}"
     );
-    fleet.platform.set_faults(|faults| faults.down = true);
     fleet.daemons[1].signal("STOP");
     fleet.daemons[2].signal("CONT");
     for _ in 0..ALONE_ROUNDS {
@@ -289,5 +296,5 @@
     }
     fleet.daemons[0].signal("CONT");
     fleet.daemons[1].signal("CONT");
-    fleet.platform.set_faults(|faults| faults.down = false);
+    relay.set_flow(Direction::ToCaller, Flow::Open);
 }
