Capacity of the daemons as they run today; quieter log in outages; one buffered read

Cause: the capacity page measured modules and said that the daemons were not built. The control daemon wrote one warning for each duty and second while the platform was down. Four readers held the same ten lines. A failed round is logged when it differs from the one before, and E3003 tells the recovery. poll_read_buffered serves the four readers.

--- a/crates/jm-bench/src/bin/jm-bench-capacity.rs
+++ b/crates/jm-bench/src/bin/jm-bench-capacity.rs
@@ -3,7 +3,7 @@
 use std::error::Error;
 
 use bpaf::Bpaf;
-use jm_bench::capacity::{members, memory, objects, sockets, storms};
+use jm_bench::capacity::{daemons, members, memory, objects, sockets, storms};
 
 /// Measures capacity.
 #[derive(Debug, Clone, Bpaf)]
@@ -52,6 +52,13 @@
         #[bpaf(argument("SECONDS"), fallback(10))]
         seconds: u64,
     },
+    /// Quiet daemon processes with every role.
+    #[bpaf(command)]
+    Daemons {
+        /// Seconds of real time for each size.
+        #[bpaf(argument("SECONDS"), fallback(10))]
+        seconds: u64,
+    },
     /// Memory for one entry of each kind.
     #[bpaf(command)]
     Memory,
@@ -71,6 +78,7 @@
         Command::Restart => storms::print_restart(SEED),
         Command::Sockets { seconds } => sockets::print_sockets(seconds)?,
         Command::Store { seconds } => objects::print_store(seconds)?,
+        Command::Daemons { seconds } => daemons::print_daemons(seconds)?,
         Command::Memory => memory::print_memory()?,
     }
     Ok(())
--- a/crates/jm-control/src/daemon.rs
+++ b/crates/jm-control/src/daemon.rs
@@ -15,8 +15,7 @@
 use jm_usage::WallTime;
 
 use crate::{
-    duty::{DutyContext, DutySlot},
-    error::DutyError,
+    duty::{DutyContext, DutySlot, RoundResult},
     handler::ControlHandler,
     lease::DutyLease,
     members::MembersWork,
@@ -229,9 +228,9 @@
     async fn round(&self, duty: ControlDuty) -> RoundResult {
         let context = &self.context;
         match duty {
-            ControlDuty::Usage => log_failure(LogEvent::WindowDelayed, self.usage.round(context).await),
-            ControlDuty::Targets => log_failure(LogEvent::OrderFailed, self.targets.round(context).await),
-            ControlDuty::Members => log_failure(LogEvent::UpkeepFailed, self.members.round(context).await),
+            ControlDuty::Usage => self.usage.logged_round(context, LogEvent::WindowDelayed).await,
+            ControlDuty::Targets => self.targets.logged_round(context, LogEvent::OrderFailed).await,
+            ControlDuty::Members => self.members.logged_round(context, LogEvent::UpkeepFailed).await,
             ControlDuty::Weights => {
                 self.weight_rounds().await;
                 RoundResult::Done
@@ -246,28 +245,12 @@
                 zone: zone.clone(),
                 ..self.context.clone()
             };
-            async move { log_failure(LogEvent::OrderFailed, slot.round(&context).await) }
+            async move { slot.logged_round(&context, LogEvent::OrderFailed).await }
         });
         join_all(rounds).await;
     }
 }
 
-/// How a round ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum RoundResult {
-    Done,
-    Failed,
-}
-
-fn log_failure(event: LogEvent, result: Result<(), DutyError>) -> RoundResult {
-    match result {
-        Ok(()) => return RoundResult::Done,
-        Err(error @ DutyError::LeaseLapsed) => LogEvent::LeaseLost.write(error),
-        Err(error) => event.write(error),
-    }
-    RoundResult::Failed
-}
-
 fn system_wall_time() -> WallTime {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     WallTime::new(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
--- a/crates/jm-control/src/duty.rs
+++ b/crates/jm-control/src/duty.rs
@@ -28,6 +28,13 @@
     async fn round(&mut self, context: &DutyContext, term: &Term) -> Result<(), DutyError>;
 }
 
+/// How a round ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RoundResult {
+    Done,
+    Failed,
+}
+
 struct Held<W> {
     fencing: FencingNumber,
     work: W,
@@ -37,6 +44,7 @@
 pub(crate) struct DutySlot<W> {
     pub(crate) lease: DutyLease,
     held: Mutex<Option<Held<W>>>,
+    last_failure: Mutex<Option<String>>,
 }
 
 impl<W: DutyWork> DutySlot<W> {
@@ -44,7 +52,31 @@
         Self {
             lease: DutyLease::new(lease.to_owned(), Arc::clone(node)),
             held: Mutex::new(None),
+            last_failure: Mutex::new(None),
+        }
+    }
+
+    /// Carries out one round and logs its failure, unless the round before failed in the same way: an outage of the
+    /// platform would otherwise write one line for each duty and second.
+    pub(crate) async fn logged_round(&self, context: &DutyContext, event: LogEvent) -> RoundResult {
+        let result = self.round(context).await;
+        let mut last_failure = self.last_failure.lock().await;
+        let Err(error) = result else {
+            if last_failure.take().is_some() {
+                LogEvent::DutyRecovered.write(self.lease.name());
+            }
+            return RoundResult::Done;
+        };
+        let failure = error.to_string();
+        if last_failure.as_ref() != Some(&failure) {
+            let event = match error {
+                DutyError::LeaseLapsed => LogEvent::LeaseLost,
+                _ => event,
+            };
+            event.write(format_args!("{}: {failure}", self.lease.name()));
+            *last_failure = Some(failure);
         }
+        RoundResult::Failed
     }
 
     /// Carries out one round when the lease is held.
--- a/crates/jm-entry/src/driven_body.rs
+++ b/crates/jm-entry/src/driven_body.rs
@@ -4,11 +4,11 @@
     io,
     pin::Pin,
     sync::{Mutex, PoisonError},
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
 };
 
 use futures::{AsyncBufRead, AsyncRead, FutureExt, future::BoxFuture};
-use jm_http::{Body, BodySender, channel_body};
+use jm_http::{Body, BodySender, channel_body, poll_read_buffered};
 
 /// A body that `write` produces. The writer is a part of the body instead of a task of its own: when the caller
 /// disconnects, the server drops the body, which drops the writer and cancels its calls to other daemons.
@@ -54,15 +54,7 @@
 }
 
 impl AsyncRead for DrivenReader {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let available = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let amount = available.len().min(buffer.len());
-        buffer[..amount].copy_from_slice(&available[..amount]);
-        self.consume(amount);
-        Poll::Ready(Ok(amount))
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        poll_read_buffered(self, cx, buffer)
     }
 }
--- a/crates/jm-http/src/answer_body.rs
+++ b/crates/jm-http/src/answer_body.rs
@@ -13,6 +13,7 @@
 use http_types::Body;
 
 use crate::{
+    buffered::poll_read_buffered,
     framing::{BodyDecoder, BodyStep, Framing},
     pool::{ClientConnection, Pool},
 };
@@ -153,15 +154,7 @@
 }
 
 impl AsyncRead for AnswerReader {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let available = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let amount = available.len().min(buffer.len());
-        buffer[..amount].copy_from_slice(&available[..amount]);
-        self.consume(amount);
-        Poll::Ready(Ok(amount))
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        poll_read_buffered(self, cx, buffer)
     }
 }
--- a/crates/jm-http/src/body.rs
+++ b/crates/jm-http/src/body.rs
@@ -10,6 +10,8 @@
 use futures::{AsyncBufRead, AsyncRead, Stream};
 use http_types::Body;
 
+use crate::buffered::poll_read_buffered;
+
 /// Pieces that may wait for a slow reader before the writer has to wait as well.
 const QUEUED_PIECES: usize = 16;
 
@@ -89,15 +91,7 @@
 }
 
 impl AsyncRead for PieceReader {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let available = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let amount = available.len().min(buffer.len());
-        buffer[..amount].copy_from_slice(&available[..amount]);
-        self.consume(amount);
-        Poll::Ready(Ok(amount))
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        poll_read_buffered(self, cx, buffer)
     }
 }
--- a/crates/jm-http/src/guard.rs
+++ b/crates/jm-http/src/guard.rs
@@ -9,6 +9,8 @@
 use futures::{AsyncBufRead, AsyncRead};
 use http_types::{Body, Headers, headers::HeaderName};
 
+use crate::buffered::poll_read_buffered;
+
 /// Headers that this crate or the encoder of `async-h1` sets itself. A copied value could contradict the body.
 pub(crate) const FRAMING_HEADERS: [&str; 4] =
     ["connection", "content-length", "keep-alive", "transfer-encoding"];
@@ -60,16 +62,8 @@
 }
 
 impl AsyncRead for ExactReader {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buffer: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let available = ready!(self.as_mut().poll_fill_buf(cx))?;
-        let amount = available.len().min(buffer.len());
-        buffer[..amount].copy_from_slice(&available[..amount]);
-        self.consume(amount);
-        Poll::Ready(Ok(amount))
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        poll_read_buffered(self, cx, buffer)
     }
 }
 
--- a/crates/jm-http/src/lib.rs
+++ b/crates/jm-http/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod answer_body;
 mod body;
+mod buffered;
 mod chunk;
 mod client;
 mod connection;
@@ -25,6 +26,7 @@
 
 pub use answer::error_response;
 pub use body::{BodySender, channel_body};
+pub use buffered::poll_read_buffered;
 pub use client::{Client, ClientError};
 pub use http_types::{Body, Method, Request, Response, StatusCode, Url, headers};
 pub use limits::Limits;
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -67,6 +67,8 @@
     LeaseAcquired = 3001, Info;
     /// A lease was lost or lapsed.
     LeaseLost = 3002, Warn;
+    /// A leased duty works again after failed rounds.
+    DutyRecovered = 3003, Info;
     /// A member is suspected to have failed.
     MemberSuspected = 3101, Info;
     /// A member has failed.
