--- a/crates/jm-entry/src/entry.rs
+++ b/crates/jm-entry/src/entry.rs
@@ -1,13 +1,10 @@
 //! State of the entry daemon.
 
-use std::sync::{
-    Arc, Mutex, Weak,
-    atomic::{AtomicUsize, Ordering},
-};
+use std::sync::{Arc, Mutex, Weak};
 
 use async_std::{channel::Receiver, future::timeout, task};
 use jm_http::Handler;
-use jm_node::Node;
+use jm_node::{Node, OpenCount, OpenRequest};
 use jm_types::DurationMs;
 use jm_usage::{BurnMeter, BurnMeterOptions};
 use prometheus::IntGauge;
@@ -41,12 +38,7 @@
     pub(crate) streams: Arc<OpenStreams>,
     pub(crate) burn: Mutex<BurnMeter>,
     pub(crate) options: EntryOptions,
-    open: Arc<AtomicUsize>,
-}
-
-/// Counts one request as open until it is dropped.
-pub(crate) struct OpenRequest {
-    open: Arc<AtomicUsize>,
+    open: OpenCount,
 }
 
 /// Counts one stream as open until it is dropped.
@@ -61,12 +53,6 @@
     }
 }
 
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.open.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 impl Entry {
     /// Starts to watch over the keys of open streams, until the value is dropped.
     pub fn new(node: Arc<Node>, options: EntryOptions) -> Arc<Self> {
@@ -76,7 +62,7 @@
             streams: Arc::default(),
             burn: Mutex::new(BurnMeter::new(BurnMeterOptions::default())),
             options,
-            open: Arc::default(),
+            open: OpenCount::default(),
         });
         task::spawn(check_streams(Arc::downgrade(&entry), changes));
         entry
@@ -94,7 +80,7 @@
 
     /// Requests of callers whose answers are not written yet. A planned stop waits until there are none.
     pub fn open_requests(&self) -> usize {
-        self.open.load(Ordering::SeqCst)
+        self.open.get()
     }
 
     /// Counts a request as open whose answer is streamed.
@@ -108,10 +94,7 @@
     }
 
     pub(crate) fn open_request(&self) -> OpenRequest {
-        self.open.fetch_add(1, Ordering::SeqCst);
-        OpenRequest {
-            open: Arc::clone(&self.open),
-        }
+        self.open.enter()
     }
 }
 
--- a/crates/jm-lease/tests/model/mod.rs
+++ b/crates/jm-lease/tests/model/mod.rs
@@ -205,7 +205,7 @@
     }
 
     async fn delete(&self, _: &str, _: Condition) -> Result<(), ObjectError> {
-        unimplemented!("keepers never delete the lease object")
+        unreachable!("keepers never delete the lease object")
     }
 
     async fn list(&self, _: &str) -> Result<Listing, ReadError> {
@@ -219,7 +219,7 @@
     }
 
     async fn watch(&self, _: &str, _: Version, _: DurationMs) -> Result<Changes, WatchError> {
-        unimplemented!("keepers do not watch")
+        unreachable!("keepers do not watch")
     }
 }
 
