--- a/tests/fleet/harness.rs
+++ b/tests/fleet/harness.rs
@@ -279,6 +279,14 @@
         call(Method::Get, &url, Some(CLERK_KEY), &[], b"").await
     }
 
+    /// The report on service-level burn of one daemon.
+    pub(crate) async fn burn_report(&self, daemon: usize) -> Answer {
+        let port = self.daemons[daemon].ports.entry_admin;
+        let url = format!("http://127.0.0.1:{port}/admin/v1/report/burn");
+        let answer = call(Method::Get, &url, Some(ADMIN_TOKEN), &[], b"").await;
+        answer.expect("an answer")
+    }
+
     /// A ticket for the order desk.
     pub(crate) async fn ticket(&self, daemon: usize) -> String {
         let url = self.caller_url(daemon, "/v1/tickets");
--- a/tests/fleet/main_path.rs
+++ b/tests/fleet/main_path.rs
@@ -27,4 +27,9 @@
         .expect("the step ends");
     assert_eq!(result.samples.len(), 64);
     assert!(result.violations.is_empty(), "{:?}", result.violations);
+    let burn = fleet.burn_report(0).await;
+    assert_eq!(burn.status, 200, "{burn:?}");
+    let report: serde_json::Value = serde_json::from_str(burn.text()).expect("JSON");
+    let rows = report["rows"].as_array().expect("rows");
+    assert!(rows.iter().any(|row| row["service"] == "drafts"), "{report}");
 }
