Sharing rules hold per service, and max_queued takes effect

Cause: found by reading. The dispatch daemon gave the scheduler one share per organisation taken from all services, so the last [sharing] section of an organisation decided in every service, and max_queued was read and never used: a fixed bound of 256 applied. Change: SharingRule carries service, organisation, share and bound; Shares looks both up by position; an organisation without a rule keeps the general share and bound. Ruled out: a scheduler for each service, because one daemon's turn between services and its target windows are one decision. Before: a share of 100 in another service would have applied here, and a fourth request under max_queued = 3 was accepted. After: both tests pass; they cannot be built against the old interface. Tests of jm-route and jm-dispatch pass. Not measured again: the cost per decision with rules; a lookup in a hash map was added to start, progress and finish.

--- a/crates/jm-dispatch/src/targets.rs
+++ b/crates/jm-dispatch/src/targets.rs
@@ -7,10 +7,10 @@
 
 use async_std::{future::timeout, task};
 use futures::{FutureExt, future::join_all, select};
-use jm_config::{ActiveConfig, ServiceKind, Target, TargetState};
+use jm_config::{ActiveConfig, ServiceKind, Sharing, Target, TargetState};
 use jm_http::{Method, Request, Url, read_whole};
 use jm_node::{Node, VersionCapacity};
-use jm_route::{LoadReport, TargetKind, TargetSpec, WindowBounds, owner_of};
+use jm_route::{LoadReport, SharingRule, TargetKind, TargetSpec, WindowBounds, owner_of};
 use jm_types::{ByteSize, DurationMs, TargetId, Timestamp, TokenCount, WeightVersion};
 use serde::Deserialize;
 
@@ -135,13 +135,10 @@
             .filter_map(|target| spec(&config, target, default_window))
             .collect();
         self.replace(targets, is_own, node.now());
-        let shares = config.document().sharings.values();
-        let shares: Vec<_> = shares
-            .map(|sharing| (sharing.organisation.clone(), sharing.weight))
-            .collect();
+        let rules: Vec<SharingRule> = config.document().sharings.values().map(sharing_rule).collect();
         let mut scheduler = queue.scheduler();
         scheduler.set_targets(specs, node.now());
-        scheduler.set_shares(shares);
+        scheduler.set_sharing(rules, node.now());
         drop(scheduler);
         queue.pump();
     }
@@ -239,6 +236,15 @@
     timeout(LOAD_TIMEOUT_MS.as_std(), exchange).await.ok()?
 }
 
+fn sharing_rule(sharing: &Sharing) -> SharingRule {
+    SharingRule {
+        service: sharing.service.clone(),
+        organisation: sharing.organisation.clone(),
+        share: sharing.weight,
+        queue_limit: usize::try_from(sharing.max_queued).unwrap_or(usize::MAX),
+    }
+}
+
 /// The window of an engine without a bound of its own.
 pub(crate) fn default_window(node: &Node) -> TokenCount {
     node.settings
--- a/crates/jm-route/src/lib.rs
+++ b/crates/jm-route/src/lib.rs
@@ -19,6 +19,7 @@
 mod retry;
 mod scheduler;
 mod service;
+mod shares;
 mod summary;
 mod target;
 
@@ -31,5 +32,6 @@
 pub use request::{Assignment, Class, Expired, Outcome, QueuedRequest, Refusal};
 pub use retry::{Backoff, RetryBudget};
 pub use scheduler::Scheduler;
+pub use shares::SharingRule;
 pub use summary::ServiceSummary;
 pub use target::{Health, LoadReport, TargetKind, TargetSpec, TargetStatus, WindowBounds};
--- a/crates/jm-route/src/scheduler.rs
+++ b/crates/jm-route/src/scheduler.rs
@@ -7,16 +7,14 @@
 
 use crate::{
     Assignment, CacheEvent, Class, Expired, LoadReport, Outcome, QueuedRequest, Refusal, SchedulerOptions,
-    ServiceSummary, TargetKind, TargetSpec, TargetStatus,
+    ServiceSummary, SharingRule, TargetKind, TargetSpec, TargetStatus,
     flight::{Flight, Stage, Tracked},
     health,
     placement::Placement,
     service::Service,
+    shares::Shares,
 };
 
-/// Share of an organisation that the configuration does not name.
-const DEFAULT_SHARE: Share = Share::new(1.0);
-
 /// Owns the queues and in-flight windows of the targets of one dispatch daemon. Requests wait here, in front of
 /// the targets, because engines admit whatever arrives and know no priority.
 ///
@@ -27,7 +25,7 @@
 pub struct Scheduler {
     pub(crate) options: SchedulerOptions,
     pub(crate) services: IndexMap<ServiceId, Service>,
-    organisations: IndexMap<OrganisationId, Share>,
+    shares: Shares,
     targets: HashMap<TargetId, (usize, usize)>,
     pub(crate) requests: HashMap<RequestId, Tracked>,
     deadlines: BTreeSet<(Timestamp, RequestId)>,
@@ -72,13 +70,17 @@
         }
     }
 
-    /// Sets the organisations' shares. An organisation that is not named has share 1.
+    /// Sets the organisations' shares for every service without a rule. An organisation that is not named has share 1.
     pub fn set_shares(&mut self, shares: impl IntoIterator<Item = (OrganisationId, Share)>) {
-        self.organisations
-            .values_mut()
-            .for_each(|share| *share = DEFAULT_SHARE);
-        for (organisation, share) in shares {
-            self.organisations.insert(organisation, share);
+        self.shares.set_general(shares);
+    }
+
+    /// Replaces the rules that operators set for organisations in single services.
+    pub fn set_sharing(&mut self, rules: impl IntoIterator<Item = SharingRule>, now: Timestamp) {
+        self.shares.clear_rules();
+        for rule in rules {
+            let service = self.service_index(&rule.service, now);
+            self.shares.set_rule(service, &rule);
         }
     }
 
@@ -95,7 +97,7 @@
     pub fn submit(&mut self, request: QueuedRequest, now: Timestamp) -> Result<(), Refusal> {
         self.now = now;
         let service = self.admissible(&request, now)?;
-        let organisation = self.organisation_index(&request.organisation);
+        let organisation = self.shares.index(&request.organisation);
         self.check_queue(service, organisation, &request)?;
         let queue = self.services[service].queue_mut(request.class);
         let tokens = queue.estimate(
@@ -152,13 +154,6 @@
         Ok(index)
     }
 
-    fn organisation_index(&mut self, id: &OrganisationId) -> usize {
-        match self.organisations.get_index_of(id) {
-            Some(index) => index,
-            None => self.organisations.insert_full(id.clone(), DEFAULT_SHARE).0,
-        }
-    }
-
     fn check_queue(
         &self,
         service: usize,
@@ -168,7 +163,8 @@
         let queue = self.services[service].queue(request.class);
         let own = queue.len_of(organisation);
         let all = queue.len();
-        let own_limit = self.options.organisation_queue_limit;
+        let default_limit = self.options.organisation_queue_limit;
+        let own_limit = self.shares.queue_limit(service, organisation, default_limit);
         let all_limit = self.options.service_queue_limit;
         let equal_part = all_limit / (queue.active_flows() + 1);
         if own < own_limit && (all < all_limit || own < equal_part) {
@@ -228,7 +224,7 @@
             .get_mut(&id)
             .expect("a request in a queue is tracked");
         let service = &mut self.services[tracked.service];
-        let share = self.organisations[tracked.organisation].get();
+        let share = self.shares.share(tracked.service, tracked.organisation);
         let tokens = service.estimate(tracked);
         if let Stage::Waiting(sequence) = tracked.stage {
             let queue = service.queue_mut(tracked.request.class);
@@ -284,7 +280,7 @@
         service.record_served(tokens.get());
         let used = tracked.used_tokens(flight.generated);
         if used > flight.charged {
-            let share = self.organisations[tracked.organisation].get();
+            let share = self.shares.share(tracked.service, tracked.organisation);
             let excess = (used - flight.charged) as i64;
             service
                 .queue_mut(tracked.request.class)
@@ -333,7 +329,7 @@
         queue.charge(
             tracked.organisation,
             correction,
-            self.organisations[tracked.organisation].get(),
+            self.shares.share(tracked.service, tracked.organisation),
         );
         let target = &mut service.targets[flight.slot];
         target.stop(flight.cost);
