--- /dev/null
+++ b/crates/jm-batch/src/engine_load.rs
@@ -0,0 +1,172 @@
+//! Which engine gets the next item.
+//!
+//! Load pattern: a step brings more items than the engines have slots, all at once; some engines are several times
+//! slower than others, some are loading weights, and some have stopped. Work goes to the engine that would finish it
+//! first, and never beyond its slots, so that the order of the items is decided here and not in the engines' queues.
+
+use indexmap::IndexMap;
+use jm_forward::{RunKey, Target};
+use jm_types::{DurationMs, ModelId, Timestamp, WeightVersion};
+
+/// Settings of the choice of engines.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadOptions {
+    /// Pause between events that is assumed of an engine that was not seen yet.
+    pub initial_gap_ms: u64,
+    /// How long an engine that rejected an item is left alone.
+    pub avoid_rejecting_ms: DurationMs,
+    /// How long an engine that broke a run is left alone.
+    pub avoid_failed_ms: DurationMs,
+}
+
+impl Default for LoadOptions {
+    fn default() -> Self {
+        Self {
+            initial_gap_ms: 45,
+            avoid_rejecting_ms: DurationMs::new(100),
+            avoid_failed_ms: DurationMs::new(1_500),
+        }
+    }
+}
+
+/// Weight of the newest pause in the running pause between events.
+const GAP_GAIN: f64 = 0.1;
+
+#[derive(Debug, Clone)]
+struct EngineLoad {
+    running: usize,
+    gap_ms: f64,
+    avoid_until: Timestamp,
+    /// Weights that its answers named; newer than what the platform lists.
+    versions: IndexMap<ModelId, WeightVersion>,
+}
+
+/// What this host has seen of engines.
+#[derive(Debug, Default)]
+pub struct EngineLoads {
+    options: LoadOptions,
+    loads: IndexMap<RunKey, EngineLoad>,
+}
+
+/// What an item needs of an engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Need<'a> {
+    pub(crate) model: Option<&'a ModelId>,
+    pub(crate) min_version: WeightVersion,
+    /// Part of the slots that this host may use.
+    pub(crate) share: f64,
+}
+
+impl EngineLoads {
+    /// Nothing seen yet.
+    pub fn new(options: LoadOptions) -> Self {
+        Self {
+            options,
+            loads: IndexMap::new(),
+        }
+    }
+
+    /// The engine that would finish an item first, among those with a free slot and weights that are new enough.
+    pub(crate) fn pick<'a>(
+        &self,
+        targets: impl Iterator<Item = &'a Target>,
+        need: Need<'_>,
+        now: Timestamp,
+    ) -> Option<&'a Target> {
+        let able = targets.filter(|target| self.can_take(target, need, now));
+        able.min_by(|a, b| self.cost(a).total_cmp(&self.cost(b)))
+    }
+
+    fn can_take(&self, target: &Target, need: Need<'_>, now: Timestamp) -> bool {
+        let load = self.loads.get(&target.run);
+        let running = load.map_or(0, |load| load.running);
+        let window = (target.slots as f64 * need.share).ceil().max(1.0) as usize;
+        let is_avoided = load.is_some_and(|load| now < load.avoid_until);
+        running < window && !is_avoided && self.has_weights(target, need)
+    }
+
+    fn has_weights(&self, target: &Target, need: Need<'_>) -> bool {
+        let Some(model) = need.model else { return true };
+        match self.version(target, model) {
+            Some(version) => version >= need.min_version,
+            // An engine that lists no model says nothing; its answer names the weights.
+            None => target.models.is_empty(),
+        }
+    }
+
+    /// The newest weights of a model that are known to be on an engine.
+    pub fn version(&self, target: &Target, model: &ModelId) -> Option<WeightVersion> {
+        let listed = target.models.get(model).copied();
+        let seen = self
+            .loads
+            .get(&target.run)
+            .and_then(|load| load.versions.get(model).copied());
+        listed.max(seen)
+    }
+
+    fn cost(&self, target: &Target) -> f64 {
+        let initial_ms = self.options.initial_gap_ms as f64;
+        let (running, gap_ms) = match self.loads.get(&target.run) {
+            Some(load) => (load.running, load.gap_ms),
+            None => (0, initial_ms),
+        };
+        let filled = running as f64 / target.slots.max(1) as f64;
+        gap_ms * (1.0 + filled)
+    }
+
+    /// Items of this host that run on an engine.
+    pub fn running(&self, run: &RunKey) -> usize {
+        self.loads.get(run).map_or(0, |load| load.running)
+    }
+
+    /// A run starts.
+    pub(crate) fn began(&mut self, run: &RunKey) {
+        self.load(run).running += 1;
+    }
+
+    /// A run ended, however.
+    pub(crate) fn ended(&mut self, run: &RunKey) {
+        let load = self.load(run);
+        load.running = load.running.saturating_sub(1);
+    }
+
+    /// An event came `gap` after the one before it.
+    pub(crate) fn progressed(&mut self, run: &RunKey, gap: DurationMs) {
+        let load = self.load(run);
+        load.gap_ms += GAP_GAIN * (gap.get() as f64 - load.gap_ms);
+    }
+
+    /// An answer named the engine's weights.
+    pub(crate) fn saw_version(&mut self, run: &RunKey, model: &ModelId, version: WeightVersion) {
+        self.load(run).versions.insert(model.clone(), version);
+    }
+
+    /// The engine rejected an item.
+    pub(crate) fn rejected(&mut self, run: &RunKey, now: Timestamp) {
+        let until = now.after(self.options.avoid_rejecting_ms);
+        let load = self.load(run);
+        load.avoid_until = load.avoid_until.max(until);
+    }
+
+    /// A run broke or stood still.
+    pub(crate) fn failed(&mut self, run: &RunKey, now: Timestamp) {
+        let until = now.after(self.options.avoid_failed_ms);
+        let load = self.load(run);
+        load.avoid_until = load.avoid_until.max(until);
+    }
+
+    /// Forgets engines that are no longer listed and run nothing.
+    pub(crate) fn retain(&mut self, is_listed: impl Fn(&RunKey) -> bool) {
+        self.loads.retain(|run, load| load.running > 0 || is_listed(run));
+    }
+
+    fn load(&mut self, run: &RunKey) -> &mut EngineLoad {
+        let gap_ms = self.options.initial_gap_ms as f64;
+        self.loads.entry(run.clone()).or_insert_with(|| EngineLoad {
+            running: 0,
+            gap_ms,
+            avoid_until: Timestamp::new(0),
+            versions: IndexMap::new(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/jm-batch/src/events.rs
@@ -0,0 +1,50 @@
+//! What the log and the metrics are told about batches.
+
+use jm_forward::RunKey;
+use jm_types::{BatchId, DurationMs, MemberId};
+
+use crate::GenerationEnd;
+
+/// A run that ended without the whole text.
+#[derive(Debug)]
+pub struct RunEnd<'a> {
+    /// The batch.
+    pub batch: &'a BatchId,
+    /// The item.
+    pub item: &'a str,
+    /// Where it ran.
+    pub target: &'a RunKey,
+    /// How it ended.
+    pub end: &'a GenerationEnd,
+    /// How long it ran.
+    pub took: DurationMs,
+    /// Events that its item has so far.
+    pub events: u64,
+}
+
+/// Told about every decision that touches a batch.
+pub trait BatchEvents: Send + Sync {
+    /// A batch is in the store and this host runs it.
+    fn accepted(&self, batch: &BatchId, items: usize);
+
+    /// This host runs a batch that another run of a host began.
+    fn taken_over(&self, batch: &BatchId, from: &MemberId, listed: usize);
+
+    /// Another host runs the batch now.
+    fn given_up(&self, batch: &BatchId, to: &MemberId);
+
+    /// All results are listed.
+    fn finished(&self, batch: &BatchId, took: DurationMs);
+
+    /// The submitter ended the batch.
+    fn ended(&self, batch: &BatchId, listed: usize);
+
+    /// A run ended without the whole text.
+    fn run_failed(&self, end: &RunEnd<'_>);
+
+    /// An item was given up.
+    fn expired(&self, batch: &BatchId, item: &str, reason: &str);
+
+    /// The store did not take or give an object; it is tried again.
+    fn store_failed(&self, batch: &BatchId, action: &str, reason: &str);
+}
--- /dev/null
+++ b/crates/jm-batch/src/lib.rs
@@ -0,0 +1,31 @@
+//! Batches: many generation requests that are submitted at once, kept in the store, and run later.
+//!
+//! A batch is in the store before it is acknowledged, and a result is in the store before it is listed, so that any
+//! host can go on after any failure. `docs/platform.md` describes the objects and who writes them.
+
+#![deny(missing_docs, unsafe_code)]
+
+mod engine_load;
+mod events;
+mod generator;
+mod owned;
+mod ownership;
+mod plan;
+mod result;
+mod runner;
+mod service;
+mod spec;
+mod state;
+mod store;
+
+pub use engine_load::{EngineLoads, LoadOptions};
+pub use events::{BatchEvents, RunEnd};
+pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
+pub use ownership::{BatchMembers, Takeover, takeover};
+pub use plan::{BatchPlan, ItemState, PlanOptions};
+pub use result::{BatchResult, ResultPage, ResultPiece, ResultState};
+pub use runner::{BatchWorld, RunnerOptions};
+pub use service::{BatchPeers, BatchService, BatchServiceOptions, BatchServiceParts, ReadError, SubmitError};
+pub use spec::{BatchItem, BatchSpec, SpecError};
+pub use state::{BatchPhase, BatchState};
+pub use store::{BATCH_STATE_PREFIX, BatchStore, StoreError};
--- /dev/null
+++ b/crates/jm-batch/src/owned.rs
@@ -0,0 +1,280 @@
+//! One batch that this host runs: its plan, the texts so far, its runs and its results.
+
+use std::{collections::HashSet, ops::ControlFlow, sync::Arc};
+
+use async_std::channel::{Receiver, Sender, bounded};
+use futures::future::AbortHandle;
+use indexmap::IndexMap;
+use jm_forward::RunKey;
+use jm_types::{DurationMs, Timestamp, WeightVersion};
+
+use crate::{BatchPlan, BatchResult, BatchSpec, GenerationEvent, ItemState, PlanOptions, ResultState};
+
+/// The text of an item so far.
+#[derive(Debug, Clone, Default)]
+struct ItemText {
+    text: String,
+    last_event: Option<u64>,
+    versions: Vec<WeightVersion>,
+}
+
+/// A run of an item.
+pub(crate) struct Run {
+    pub(crate) serial: u64,
+    pub(crate) target: RunKey,
+    pub(crate) begun: Timestamp,
+    pub(crate) last_progress: Timestamp,
+    /// Events that this run brought.
+    pub(crate) events: u64,
+    version: Option<WeightVersion>,
+    abort: AbortHandle,
+}
+
+/// What the sink of a run has to do after an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// A part of the text arrived this long after the one before it.
+    Event { gap: DurationMs, is_first: bool },
+    /// The run's weights are known.
+    Version(WeightVersion),
+    /// The run is of no use.
+    Useless,
+}
+
+impl Progress {
+    pub(crate) fn flow(self) -> ControlFlow<()> {
+        match self {
+            Self::Useless => ControlFlow::Break(()),
+            _ => ControlFlow::Continue(()),
+        }
+    }
+}
+
+/// One batch that this host runs.
+pub(crate) struct OwnedBatch {
+    pub(crate) spec: Arc<BatchSpec>,
+    pub(crate) plan: BatchPlan,
+    pub(crate) adopted_at: Timestamp,
+    texts: Vec<ItemText>,
+    pub(crate) runs: IndexMap<usize, Run>,
+    /// Results that are in the store.
+    pub(crate) listed: Vec<BatchResult>,
+    /// Results that are not in the store yet.
+    pub(crate) unlisted: Vec<BatchResult>,
+    pub(crate) is_writing: bool,
+    pub(crate) is_ended: bool,
+    waiters: Vec<Sender<()>>,
+}
+
+impl OwnedBatch {
+    pub(crate) fn new(
+        spec: Arc<BatchSpec>,
+        listed: Vec<BatchResult>,
+        options: PlanOptions,
+        now: Timestamp,
+    ) -> Self {
+        let mut plan = BatchPlan::new(&spec, options);
+        let done: HashSet<&str> = listed.iter().map(|result| result.item.as_str()).collect();
+        for (index, item) in spec.items.iter().enumerate() {
+            if done.contains(item.id.as_str()) {
+                plan.done(index);
+            }
+        }
+        Self {
+            texts: vec![ItemText::default(); spec.items.len()],
+            plan,
+            adopted_at: now,
+            spec,
+            runs: IndexMap::new(),
+            listed,
+            unlisted: Vec::new(),
+            is_writing: false,
+            is_ended: false,
+            waiters: Vec::new(),
+        }
+    }
+
+    pub(crate) fn is_finished(&self) -> bool {
+        self.listed.len() >= self.spec.items.len()
+    }
+
+    /// Number of the event after which a new run of an item continues.
+    pub(crate) fn resume_after(&self, index: usize) -> Option<u64> {
+        self.texts[index].last_event
+    }
+
+    pub(crate) fn start(
+        &mut self,
+        index: usize,
+        serial: u64,
+        target: RunKey,
+        now: Timestamp,
+        abort: AbortHandle,
+    ) {
+        self.plan.started(index);
+        let run = Run {
+            serial,
+            target,
+            begun: now,
+            last_progress: now,
+            events: 0,
+            version: None,
+            abort,
+        };
+        self.runs.insert(index, run);
+    }
+
+    /// Takes an event of a run. Events of a run that was replaced are of no use.
+    pub(crate) fn on_event(
+        &mut self,
+        index: usize,
+        serial: u64,
+        event: GenerationEvent,
+        now: Timestamp,
+    ) -> Progress {
+        let Some(run) = self.runs.get_mut(&index).filter(|run| run.serial == serial) else {
+            return Progress::Useless;
+        };
+        match event {
+            GenerationEvent::Version(version) => self.on_version(index, version),
+            GenerationEvent::Data { index: event, data } => {
+                let gap = now.since(run.last_progress);
+                let is_first = run.events == 0;
+                run.last_progress = now;
+                run.events += 1;
+                let version = run.version;
+                if self.texts[index].append(event, &data, version) {
+                    Progress::Event { gap, is_first }
+                } else {
+                    Progress::Useless
+                }
+            }
+        }
+    }
+
+    fn on_version(&mut self, index: usize, version: WeightVersion) -> Progress {
+        let text = &mut self.texts[index];
+        if version < self.spec.min_version {
+            return Progress::Useless;
+        }
+        let is_mixed = text.versions.iter().any(|earlier| *earlier != version);
+        if self.spec.is_single_version && is_mixed {
+            // The text has to start again under one version.
+            *text = ItemText::default();
+            return Progress::Useless;
+        }
+        if let Some(run) = self.runs.get_mut(&index) {
+            run.version = Some(version);
+        }
+        Progress::Version(version)
+    }
+
+    /// Ends a run; none when it was replaced or ended before.
+    pub(crate) fn finish_run(&mut self, index: usize, serial: u64) -> Option<Run> {
+        let is_current = self.runs.get(&index).is_some_and(|run| run.serial == serial);
+        if is_current {
+            self.runs.swap_remove(&index)
+        } else {
+            None
+        }
+    }
+
+    /// Stops the run of an item, so that it can start elsewhere.
+    pub(crate) fn stop_run(&mut self, index: usize, now: Timestamp) -> Option<Run> {
+        let run = self.runs.swap_remove(&index)?;
+        run.abort.abort();
+        self.plan.again(index, now);
+        Some(run)
+    }
+
+    /// Stops all runs for good.
+    pub(crate) fn stop_all(&mut self) -> Vec<Run> {
+        let runs: Vec<Run> = std::mem::take(&mut self.runs).into_values().collect();
+        for run in &runs {
+            run.abort.abort();
+        }
+        runs
+    }
+
+    /// The text of an item is whole.
+    pub(crate) fn complete(&mut self, index: usize) {
+        let text = std::mem::take(&mut self.texts[index]);
+        self.plan.done(index);
+        self.unlisted.push(BatchResult {
+            item: self.spec.items[index].id.clone(),
+            state: ResultState::Completed,
+            text: text.text,
+            versions: text.versions,
+        });
+    }
+
+    /// An item is given up.
+    pub(crate) fn expire(&mut self, index: usize) {
+        if self.plan.state(index) == ItemState::Done {
+            return;
+        }
+        self.plan.done(index);
+        self.texts[index] = ItemText::default();
+        self.unlisted
+            .push(BatchResult::expired(&self.spec.items[index].id));
+    }
+
+    /// Events that an item has so far.
+    pub(crate) fn events(&self, index: usize) -> u64 {
+        self.texts[index].last_event.unwrap_or(0)
+    }
+
+    /// Takes results that are in the store. What this host has for the same items is dropped; returns the runs that
+    /// were stopped for that.
+    pub(crate) fn take_listed(&mut self, results: Vec<BatchResult>) -> Vec<Run> {
+        let done: HashSet<&str> = results.iter().map(|result| result.item.as_str()).collect();
+        self.unlisted
+            .retain(|result| !done.contains(result.item.as_str()));
+        let mut stopped = Vec::new();
+        for (index, item) in self.spec.items.iter().enumerate() {
+            if !done.contains(item.id.as_str()) {
+                continue;
+            }
+            self.plan.done(index);
+            if let Some(run) = self.runs.swap_remove(&index) {
+                run.abort.abort();
+                stopped.push(run);
+            }
+        }
+        self.listed.extend(results);
+        stopped
+    }
+
+    /// A receiver that hears of the next change of the results.
+    pub(crate) fn wait(&mut self) -> Receiver<()> {
+        let (sender, receiver) = bounded(1);
+        self.waiters.push(sender);
+        receiver
+    }
+
+    /// Wakes those who wait for results.
+    pub(crate) fn notify(&mut self) {
+        for waiter in self.waiters.drain(..) {
+            // A reader that has gone away needs no message.
+            let _ = waiter.try_send(());
+        }
+    }
+}
+
+impl ItemText {
+    /// Appends the data of an event; false when an event is missing before it.
+    fn append(&mut self, event: u64, data: &str, version: Option<WeightVersion>) -> bool {
+        if self.last_event.is_some_and(|last| event != last + 1) {
+            return false;
+        }
+        if self.last_event.is_some() {
+            self.text.push('\n');
+        }
+        self.text.push_str(data);
+        self.last_event = Some(event);
+        if let Some(version) = version.filter(|version| !self.versions.contains(version)) {
+            self.versions.push(version);
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/jm-batch/src/plan.rs
@@ -0,0 +1,129 @@
+//! In which order the items of a batch run.
+//!
+//! Load pattern: more items than slots, and a few texts many times longer than the rest. The batch ends with its
+//! longest text, so the texts that are expected to be long start first.
+
+use std::cmp::Reverse;
+
+use jm_types::{DurationMs, Timestamp};
+
+use crate::BatchSpec;
+
+/// Settings of a plan.
+#[derive(Debug, Clone, Copy)]
+pub struct PlanOptions {
+    /// Wait before an item that an engine failed runs again.
+    pub failed_pause_ms: DurationMs,
+    /// Failed runs after which an item is given up, as a factor on the attempts of its route. Engines that fail a part
+    /// of their requests would otherwise lose items that another engine can do.
+    pub failure_factor: usize,
+}
+
+impl Default for PlanOptions {
+    fn default() -> Self {
+        Self {
+            failed_pause_ms: DurationMs::new(50),
+            failure_factor: 2,
+        }
+    }
+}
+
+/// What an item does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ItemState {
+    /// It waits for an engine.
+    Waiting {
+        /// It does not start before.
+        not_before: Timestamp,
+    },
+    /// It runs on an engine.
+    Running,
+    /// It has its result.
+    Done,
+}
+
+/// The items of one batch.
+#[derive(Debug)]
+pub struct BatchPlan {
+    options: PlanOptions,
+    max_failures: usize,
+    states: Vec<ItemState>,
+    failures: Vec<usize>,
+    /// Indexes of the items, the first to start first.
+    order: Vec<usize>,
+    waiting: usize,
+}
+
+impl BatchPlan {
+    /// All items wait.
+    pub fn new(spec: &BatchSpec, options: PlanOptions) -> Self {
+        let mut order: Vec<usize> = (0..spec.items.len()).collect();
+        order.sort_by_key(|index| {
+            Reverse(
+                spec.items[*index]
+                    .expected_tokens
+                    .unwrap_or(spec.items[*index].tokens),
+            )
+        });
+        let not_before = Timestamp::new(0);
+        Self {
+            max_failures: spec.max_attempts.max(1) * options.failure_factor.max(1),
+            options,
+            states: vec![ItemState::Waiting { not_before }; spec.items.len()],
+            failures: vec![0; spec.items.len()],
+            order,
+            waiting: spec.items.len(),
+        }
+    }
+
+    /// Items that may start now, the first to start first.
+    pub fn ready(&self, now: Timestamp) -> impl Iterator<Item = usize> {
+        self.order
+            .iter()
+            .copied()
+            .filter(move |index| match self.states[*index] {
+                ItemState::Waiting { not_before } => not_before <= now,
+                _ => false,
+            })
+    }
+
+    /// What an item does.
+    pub fn state(&self, index: usize) -> ItemState {
+        self.states[index]
+    }
+
+    /// Items that wait for an engine.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// An item starts to run.
+    pub fn started(&mut self, index: usize) {
+        self.set(index, ItemState::Running);
+    }
+
+    /// An item has its result.
+    pub fn done(&mut self, index: usize) {
+        self.set(index, ItemState::Done);
+    }
+
+    /// An item has to run again, without a fault of its own.
+    pub fn again(&mut self, index: usize, now: Timestamp) {
+        self.set(index, ItemState::Waiting { not_before: now });
+    }
+
+    /// An engine failed an item; returns whether it is to be given up.
+    pub fn failed(&mut self, index: usize, now: Timestamp) -> bool {
+        self.failures[index] += 1;
+        let not_before = now.after(self.options.failed_pause_ms);
+        self.set(index, ItemState::Waiting { not_before });
+        self.failures[index] >= self.max_failures
+    }
+
+    fn set(&mut self, index: usize, state: ItemState) {
+        let is_waiting = |state: ItemState| matches!(state, ItemState::Waiting { .. });
+        self.waiting -= usize::from(is_waiting(self.states[index]));
+        self.waiting += usize::from(is_waiting(state));
+        self.states[index] = state;
+    }
+}
--- /dev/null
+++ b/crates/jm-batch/src/store.rs
@@ -0,0 +1,267 @@
+//! The objects of a batch: its specification, its state, and its results in pieces.
+//!
+//! A piece is created under the position of its first result. Two owners can therefore not list different results at
+//! one position: the second create fails, and its writer reads what stands there.
+
+use std::sync::Arc;
+
+use jm_platform::{Condition, ObjectError, ObjectStore, Version};
+use jm_types::BatchId;
+use serde::{Serialize, de::DeserializeOwned};
+use snafu::Snafu;
+
+use crate::{BatchResult, BatchSpec, BatchState, ResultPiece};
+
+/// Prefix of the keys of batch states.
+pub const BATCH_STATE_PREFIX: &str = "batch-state/";
+
+/// Largest part of a specification in one object; leaves room for what the store's encoding adds.
+const PART_BYTES: usize = 700_000;
+
+/// Why an object could not be written or read.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum StoreError {
+    /// Nothing was changed.
+    #[snafu(display("the store is not available: {reason}"))]
+    Unavailable {
+        /// The cause.
+        reason: String,
+    },
+    /// Whether the change was made is not known.
+    #[snafu(display("the store's answer was lost: {reason}"))]
+    Unknown {
+        /// The cause.
+        reason: String,
+    },
+    /// An object cannot be read.
+    #[snafu(display("the object {key} cannot be read: {reason}"))]
+    Corrupt {
+        /// Its key.
+        key: String,
+        /// The cause.
+        reason: String,
+    },
+}
+
+impl StoreError {
+    fn unavailable(reason: impl ToString) -> Self {
+        Self::Unavailable {
+            reason: reason.to_string(),
+        }
+    }
+}
+
+/// How a conditional change ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum Changed {
+    /// It was made.
+    Made(Version),
+    /// The object was not as expected.
+    Conflict,
+}
+
+/// First object of a specification; the rest stands in further parts.
+#[derive(Debug, serde::Serialize, serde::Deserialize)]
+struct SpecHead {
+    parts: usize,
+    text: String,
+}
+
+/// Reads and writes the objects of batches.
+#[derive(Clone)]
+pub struct BatchStore {
+    objects: Arc<dyn ObjectStore>,
+}
+
+impl BatchStore {
+    /// Keeps batches in `objects`.
+    pub fn new(objects: Arc<dyn ObjectStore>) -> Self {
+        Self { objects }
+    }
+
+    /// Creates the specification unless it exists. Parts go first, so that a head always finds its parts.
+    pub(crate) async fn create_spec(&self, spec: &BatchSpec) -> Result<Changed, StoreError> {
+        let text = encode(spec);
+        let pieces = split(&text, PART_BYTES);
+        for (index, piece) in pieces.iter().enumerate().skip(1) {
+            let key = part_key(&spec.id, index);
+            self.create(&key, piece.as_bytes().to_vec()).await?;
+        }
+        let head = SpecHead {
+            parts: pieces.len(),
+            text: pieces[0].to_owned(),
+        };
+        self.create(&spec_key(&spec.id), encode(&head).into_bytes()).await
+    }
+
+    /// Reads a specification; none when it does not exist.
+    pub(crate) async fn load_spec(&self, batch: &BatchId) -> Result<Option<BatchSpec>, StoreError> {
+        let key = spec_key(batch);
+        let Some((head, _)) = self.read::<SpecHead>(&key).await? else {
+            return Ok(None);
+        };
+        let mut text = head.text;
+        for index in 1..head.parts {
+            let part = self.part(&part_key(batch, index)).await?;
+            text.push_str(&part);
+        }
+        decode(&key, text.as_bytes()).map(Some)
+    }
+
+    async fn part(&self, key: &str) -> Result<String, StoreError> {
+        let object = self.objects.get(key).await.map_err(StoreError::unavailable)?;
+        let bytes = object.ok_or_else(|| corrupt(key, "it does not exist"))?.value;
+        String::from_utf8(bytes).map_err(|error| corrupt(key, error))
+    }
+
+    /// Creates the state unless it exists.
+    pub(crate) async fn create_state(&self, state: &BatchState) -> Result<Changed, StoreError> {
+        self.create(&state_key(&state.batch), encode(state).into_bytes())
+            .await
+    }
+
+    /// Replaces the state if it still has `version`.
+    pub(crate) async fn update_state(
+        &self,
+        state: &BatchState,
+        version: Version,
+    ) -> Result<Changed, StoreError> {
+        let key = state_key(&state.batch);
+        let value = encode(state).into_bytes();
+        let result = self.objects.put(&key, value, Condition::Version(version)).await;
+        changed(result)
+    }
+
+    /// Reads a state; none when it does not exist.
+    pub(crate) async fn load_state(
+        &self,
+        batch: &BatchId,
+    ) -> Result<Option<(BatchState, Version)>, StoreError> {
+        self.read(&state_key(batch)).await
+    }
+
+    /// Creates a piece of results unless one stands at its position.
+    pub(crate) async fn create_piece(
+        &self,
+        batch: &BatchId,
+        piece: &ResultPiece,
+    ) -> Result<Changed, StoreError> {
+        self.create(&piece_key(batch, piece.first), encode(piece).into_bytes())
+            .await
+    }
+
+    /// Reads the piece at a position; none when nothing stands there.
+    pub(crate) async fn load_piece(
+        &self,
+        batch: &BatchId,
+        first: usize,
+    ) -> Result<Option<ResultPiece>, StoreError> {
+        let piece = self.read(&piece_key(batch, first)).await?;
+        Ok(piece.map(|(piece, _)| piece))
+    }
+
+    /// Reads the pieces that follow `listed` and appends their results.
+    pub(crate) async fn load_results(
+        &self,
+        batch: &BatchId,
+        listed: &mut Vec<BatchResult>,
+    ) -> Result<(), StoreError> {
+        while let Some(piece) = self.load_piece(batch, listed.len()).await? {
+            if piece.results.is_empty() {
+                return Err(corrupt(&piece_key(batch, piece.first), "it is empty"));
+            }
+            listed.extend(piece.results);
+        }
+        Ok(())
+    }
+
+    /// Removes everything of a batch that nobody can ask for any more.
+    pub(crate) async fn remove(&self, batch: &BatchId) -> Result<(), StoreError> {
+        let mut first = 0;
+        while let Some(piece) = self.load_piece(batch, first).await? {
+            self.delete(&piece_key(batch, first)).await?;
+            first += piece.results.len().max(1);
+        }
+        if let Some((head, _)) = self.read::<SpecHead>(&spec_key(batch)).await? {
+            for index in 1..head.parts {
+                self.delete(&part_key(batch, index)).await?;
+            }
+            self.delete(&spec_key(batch)).await?;
+        }
+        self.delete(&state_key(batch)).await
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), StoreError> {
+        let result = self.objects.delete(key, Condition::Any).await;
+        result.map_err(StoreError::unavailable)
+    }
+
+    async fn create(&self, key: &str, value: Vec<u8>) -> Result<Changed, StoreError> {
+        changed(self.objects.put(key, value, Condition::Absent).await)
+    }
+
+    async fn read<T: DeserializeOwned>(&self, key: &str) -> Result<Option<(T, Version)>, StoreError> {
+        let object = self.objects.get(key).await.map_err(StoreError::unavailable)?;
+        let Some(object) = object else {
+            return Ok(None);
+        };
+        let value = decode(key, &object.value)?;
+        Ok(Some((value, object.version)))
+    }
+}
+
+fn changed(result: Result<Version, ObjectError>) -> Result<Changed, StoreError> {
+    match result {
+        Ok(version) => Ok(Changed::Made(version)),
+        Err(ObjectError::Conflict { .. }) => Ok(Changed::Conflict),
+        Err(error) if error.may_be_applied() => Err(StoreError::Unknown {
+            reason: error.to_string(),
+        }),
+        Err(error) => Err(StoreError::unavailable(error)),
+    }
+}
+
+fn corrupt(key: &str, reason: impl ToString) -> StoreError {
+    StoreError::Corrupt {
+        key: key.to_owned(),
+        reason: reason.to_string(),
+    }
+}
+
+pub(crate) fn encode(value: &impl Serialize) -> String {
+    serde_json::to_string(value).expect("batch objects have only text keys")
+}
+
+pub(crate) fn decode<T: DeserializeOwned>(key: &str, bytes: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(bytes).map_err(|error| corrupt(key, error))
+}
+
+/// Splits a text into pieces of at most `limit_bytes` at character boundaries; at least one piece.
+fn split(text: &str, limit_bytes: usize) -> Vec<&str> {
+    let mut pieces = Vec::new();
+    let mut rest = text;
+    while rest.len() > limit_bytes {
+        let end = rest.floor_char_boundary(limit_bytes);
+        let (piece, tail) = rest.split_at(end);
+        pieces.push(piece);
+        rest = tail;
+    }
+    pieces.push(rest);
+    pieces
+}
+
+fn spec_key(batch: &BatchId) -> String {
+    format!("batch/{batch}")
+}
+
+fn part_key(batch: &BatchId, index: usize) -> String {
+    format!("batch-part/{batch}.{index}")
+}
+
+fn state_key(batch: &BatchId) -> String {
+    format!("{BATCH_STATE_PREFIX}{batch}")
+}
+
+fn piece_key(batch: &BatchId, first: usize) -> String {
+    format!("batch-result/{batch}.{first:06}")
+}
--- /dev/null
+++ b/crates/jm-forward/src/forwarder.rs
@@ -0,0 +1,328 @@
+//! Carries out the decisions for one request after another.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_std::task;
+use futures::{
+    FutureExt, StreamExt,
+    future::{BoxFuture, Either, select},
+    stream::FuturesUnordered,
+};
+use jm_route::RetryBudget;
+use jm_types::{Clock, DurationMs, OrganisationId, ResultCode, Timestamp, ZoneId};
+
+use crate::{
+    Access, AccessRefusal, AttemptOptions, AttemptOutcome, Attempts, AttemptsOptions, CallerRequest, Catalog,
+    ChoiceOptions, ForwardAnswer, ForwardRefusal, Forwarded, NextStep, Route, RouteKind, RoutingTable,
+    RunKey, Target, TargetClient, TargetLoads,
+    attempt::{full, refusal},
+};
+
+/// Settings of a forwarder.
+#[derive(Debug, Clone)]
+pub struct ForwarderOptions {
+    /// Availability zone of this host.
+    pub zone: ZoneId,
+    /// Settings of the choice of targets.
+    pub choice: ChoiceOptions,
+    /// Settings of attempts.
+    pub attempts: AttemptsOptions,
+}
+
+/// Second attempts beside slow ones, per thousand requests.
+const HEDGES_PER_THOUSAND: u64 = 300;
+/// Second attempts that may be made at once after a quiet time.
+const HEDGE_RESERVE: u64 = 30;
+
+/// Told about what happens to requests, for logs, metrics and usage.
+pub trait ForwardObserver: Send + Sync {
+    /// A target began to run a request of an organisation.
+    fn began(&self, organisation: Option<&OrganisationId>);
+
+    /// An attempt ended without an answer.
+    fn attempt_failed(
+        &self,
+        request: &CallerRequest,
+        target: &Target,
+        outcome: &AttemptOutcome,
+        took: DurationMs,
+    );
+
+    /// A second attempt starts beside a slow one.
+    fn hedged(&self, request: &CallerRequest, slow: &RunKey, waited: DurationMs);
+}
+
+/// Forwards requests to targets.
+pub struct Forwarder {
+    options: ForwarderOptions,
+    clock: Arc<dyn Clock>,
+    client: Arc<dyn TargetClient>,
+    observer: Arc<dyn ForwardObserver>,
+    loads: Mutex<TargetLoads>,
+    hedges: Mutex<RetryBudget>,
+}
+
+/// An attempt that ended.
+struct Ended {
+    target: Target,
+    outcome: AttemptOutcome,
+    begun: Timestamp,
+}
+
+impl Forwarder {
+    /// A forwarder that sends through `client`.
+    pub fn new(
+        options: ForwarderOptions,
+        clock: Arc<dyn Clock>,
+        client: Arc<dyn TargetClient>,
+        observer: Arc<dyn ForwardObserver>,
+    ) -> Self {
+        let loads = Mutex::new(TargetLoads::new(options.choice));
+        Self {
+            options,
+            clock,
+            client,
+            observer,
+            loads,
+            hedges: Mutex::new(RetryBudget::new(HEDGES_PER_THOUSAND, HEDGE_RESERVE)),
+        }
+    }
+
+    /// Finds the route of a request and checks its key.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request without a route or with a wrong key; it has not run.
+    pub fn admit<'a>(
+        &self,
+        request: &CallerRequest,
+        table: &'a RoutingTable,
+    ) -> Result<(&'a Route, Access), ForwardRefusal> {
+        let path = request.target.path();
+        let Some(route) = table.route(&request.host, path) else {
+            let message = format!("no route for host {:?} and path {path:?}", request.host);
+            return Err(refusal(ResultCode::UnknownEndpoint, message));
+        };
+        match table.access(route, request.key.as_deref()) {
+            Ok(access) => Ok((route, access)),
+            Err(reason) => Err(access_refusal(reason)),
+        }
+    }
+
+    /// Sends an admitted request to targets until one answers.
+    pub async fn forward(
+        &self,
+        request: &CallerRequest,
+        route: &Route,
+        access: &Access,
+        catalog: &Catalog,
+    ) -> Forwarded {
+        let patience_ms = request
+            .patience_ms
+            .unwrap_or(route.timeout_ms)
+            .min(route.timeout_ms);
+        let deadline = self.clock.now().after(patience_ms);
+        lock(&self.hedges).deposit();
+        let mut forwarding = Forwarding {
+            forwarder: self,
+            request,
+            route,
+            access,
+            catalog,
+            attempts: Attempts::new(route, deadline, self.options.attempts),
+            deadline,
+            tried: Vec::new(),
+            open: FuturesUnordered::new(),
+            open_runs: Vec::new(),
+        };
+        let left = deadline.since(self.clock.now()).as_std();
+        let result = async_std::future::timeout(left, forwarding.run()).await;
+        let result = result.unwrap_or_else(|_| Err(forwarding.attempts.timed_out()));
+        forwarding.release_open();
+        result
+    }
+}
+
+/// One request on its way.
+struct Forwarding<'a> {
+    forwarder: &'a Forwarder,
+    request: &'a CallerRequest,
+    route: &'a Route,
+    access: &'a Access,
+    catalog: &'a Catalog,
+    attempts: Attempts,
+    deadline: Timestamp,
+    tried: Vec<RunKey>,
+    open: FuturesUnordered<BoxFuture<'a, Ended>>,
+    open_runs: Vec<(RunKey, Timestamp)>,
+}
+
+impl<'a> Forwarding<'a> {
+    async fn run(&mut self) -> Forwarded {
+        self.start()?;
+        loop {
+            let Some(ended) = self.next_ended().await else {
+                continue;
+            };
+            self.open_runs.retain(|(run, _)| *run != ended.target.run);
+            match ended.outcome {
+                AttemptOutcome::Answered(answer) => {
+                    self.loads().answered(&ended.target.run, self.since(ended.begun));
+                    self.forwarder.observer.began(self.access.organisation());
+                    let attempts = self.tried.len();
+                    return Ok(ForwardAnswer { answer, attempts });
+                }
+                outcome => self.failed(ended.target, outcome, ended.begun).await?,
+            }
+        }
+    }
+
+    /// Waits for an attempt to end; starts a second one beside a slow one when its time has come.
+    async fn next_ended(&mut self) -> Option<Ended> {
+        let Some(begun) = self.open_runs.last().map(|(_, begun)| *begun) else {
+            return self.open.next().await;
+        };
+        let Some(hedge_at) = self.attempts.hedge_at(begun) else {
+            return self.open.next().await;
+        };
+        let wait = hedge_at.since(self.forwarder.clock.now()).as_std();
+        let ended = match select(self.open.next(), task::sleep(wait).boxed()).await {
+            Either::Left((ended, _)) => ended,
+            Either::Right(_) => {
+                self.hedge(begun).await;
+                None
+            }
+        };
+        ended
+    }
+
+    async fn hedge(&mut self, begun: Timestamp) {
+        let is_allowed = lock(&self.forwarder.hedges).withdraw();
+        let slow = self.open_runs.last().map(|(run, _)| run.clone());
+        if is_allowed && self.start().is_ok() {
+            if let Some(slow) = slow {
+                self.forwarder
+                    .observer
+                    .hedged(self.request, &slow, self.since(begun));
+            }
+            return;
+        }
+        // No second attempt is possible; wait as long again before the next look.
+        task::sleep(self.since(begun).as_std()).await;
+    }
+
+    /// Starts an attempt at the best target that was not tried.
+    fn start(&mut self) -> Result<(), ForwardRefusal> {
+        let forwarder = self.forwarder;
+        let Some(service) = self.route.service_for(&self.request.id) else {
+            return Err(full(format!("route {} has no service", self.route.name)));
+        };
+        let now = forwarder.clock.now();
+        let serving = self.catalog.serving(service);
+        let chosen = self
+            .loads()
+            .choose(serving, &self.tried, &forwarder.options.zone, now);
+        let Some(target) = chosen.cloned() else {
+            return Err(full(format!("no target of service {service} takes the request")));
+        };
+        self.tried.push(target.run.clone());
+        self.open_runs.push((target.run.clone(), now));
+        self.attempts.started();
+        let options = AttemptOptions {
+            time_left_ms: self.deadline.since(now),
+            organisation: self.access.organisation().cloned(),
+            may_repeat: self.attempts.may_repeat(),
+            streams: matches!(self.route.kind, RouteKind::Streaming { .. }),
+        };
+        let request = self.request;
+        self.open.push(
+            async move {
+                let outcome = forwarder.client.send(&target, request, &options).await;
+                let begun = now;
+                Ended {
+                    target,
+                    outcome,
+                    begun,
+                }
+            }
+            .boxed(),
+        );
+        Ok(())
+    }
+
+    async fn failed(
+        &mut self,
+        target: Target,
+        outcome: AttemptOutcome,
+        begun: Timestamp,
+    ) -> Result<(), ForwardRefusal> {
+        let now = self.forwarder.clock.now();
+        match &outcome {
+            AttemptOutcome::NotRun { .. } => self.loads().rejected(&target.run, now),
+            _ => self.loads().failed(&target.run, now),
+        }
+        let took = self.since(begun);
+        self.forwarder
+            .observer
+            .attempt_failed(self.request, &target, &outcome, took);
+        if matches!(outcome, AttemptOutcome::Lost { .. }) && self.attempts.runs() == 1 {
+            self.forwarder.observer.began(self.access.organisation());
+        }
+        match self.attempts.after_failure(&outcome, now, self.open_runs.len()) {
+            NextStep::Wait => Ok(()),
+            NextStep::Refuse(refusal) => Err(refusal),
+            NextStep::Retry { after_ms } => {
+                if after_ms.get() > 0 {
+                    task::sleep(after_ms.as_std()).await;
+                }
+                self.start_again()
+            }
+        }
+    }
+
+    /// Like [`Self::start`], but a target that rejected the request may be asked again when all were.
+    fn start_again(&mut self) -> Result<(), ForwardRefusal> {
+        if self.start().is_ok() {
+            return Ok(());
+        }
+        self.tried.clear();
+        self.start()
+    }
+
+    /// Counts attempts that are dropped as ended.
+    fn release_open(&mut self) {
+        let now = self.forwarder.clock.now();
+        for (run, begun) in std::mem::take(&mut self.open_runs) {
+            lock(&self.forwarder.loads).overtaken(&run, now.since(begun));
+        }
+    }
+
+    fn since(&self, begun: Timestamp) -> DurationMs {
+        self.forwarder.clock.now().since(begun)
+    }
+
+    fn loads(&self) -> MutexGuard<'a, TargetLoads> {
+        lock(&self.forwarder.loads)
+    }
+}
+
+impl Drop for Forwarding<'_> {
+    /// The caller may go away at any moment; its attempts no longer load their targets.
+    fn drop(&mut self) {
+        self.release_open();
+    }
+}
+
+fn access_refusal(reason: AccessRefusal) -> ForwardRefusal {
+    match reason {
+        AccessRefusal::MissingKey => refusal(ResultCode::MissingKey, "the request has no key".to_owned()),
+        AccessRefusal::UnknownKey => {
+            refusal(ResultCode::UnknownKey, "no organisation has this key".to_owned())
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // Counters stay usable after a panic elsewhere.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/jm-host/src/duty/mod.rs
@@ -0,0 +1,178 @@
+//! Duties that one host carries out for all: weights, usage, and upkeep. Its lease is one object in the store.
+//!
+//! One lease stands for all duties because they cost little and a lease costs store calls. `docs/platform.md` weighs
+//! the alternatives.
+
+mod upkeep;
+mod usage;
+mod weights;
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_std::task;
+use jm_batch::BatchMembers;
+use jm_lease::{Acquisition, Duty, LeaseError, LeaseGuard, LeaseKeeper, LeaseOptions, LeaseRecord};
+use jm_platform::ObjectStore;
+use jm_route::owner_by_key;
+use jm_types::{Clock, DurationMs, LogEvent, MemberId};
+
+pub(crate) use upkeep::Upkeep;
+pub use usage::{UsageBook, UsageCounter};
+pub(crate) use usage::{UsageDuty, push_usage};
+pub(crate) use weights::WeightDuty;
+
+use crate::membership::Membership;
+
+/// Time between two looks of the holder, or of a host that may become the holder.
+const CANDIDATE_INTERVAL_MS: DurationMs = DurationMs::new(900);
+/// Time between two looks of the other hosts, which only want to know the holder.
+const OBSERVER_INTERVAL_MS: DurationMs = DurationMs::new(2_500);
+/// Hosts that try to get the lease.
+const CANDIDATES: usize = 2;
+/// Part of the term that the holder does not use.
+const LEASE_MARGIN_MS: DurationMs = DurationMs::new(500);
+/// Longest time for which a call of a duty can take effect after it was written.
+const LONGEST_CALL_MS: DurationMs = DurationMs::new(1_500);
+
+/// The lease as this host knows it.
+#[derive(Default)]
+pub(crate) struct LeaseView {
+    state: Mutex<(Option<LeaseGuard>, Option<MemberId>)>,
+}
+
+impl LeaseView {
+    /// The guard while this host holds the lease and may act.
+    pub(crate) fn guard(&self, clock: &dyn Clock) -> Option<LeaseGuard> {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let guard = state.0.clone()?;
+        let now = clock.now();
+        (guard.valid(now) && now >= guard.orders_allowed_at()).then_some(guard)
+    }
+
+    /// The holder as last seen.
+    pub(crate) fn holder(&self) -> Option<MemberId> {
+        self.state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .1
+            .clone()
+    }
+
+    fn set(&self, guard: Option<LeaseGuard>, holder: Option<MemberId>) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let held = state.0.as_ref().map(LeaseGuard::fencing);
+        let holds = guard.as_ref().map(LeaseGuard::fencing);
+        if held != holds {
+            match holds {
+                Some(fencing) => LogEvent::LeaseAcquired.write_fields(
+                    "this host carries out the shared duties",
+                    &[("fencing", &fencing.get())],
+                ),
+                None => {
+                    LogEvent::LeaseLost.write_fields("this host no longer carries out the shared duties", &[])
+                }
+            }
+        }
+        if state.1 != holder
+            && let Some(holder) = &holder
+        {
+            LogEvent::MemberAlive.write_fields(
+                "the lease of the shared duties has a holder",
+                &[("holder", &holder.as_str())],
+            );
+        }
+        *state = (guard, holder);
+    }
+}
+
+/// Gets and renews the lease.
+pub(crate) struct LeaseLoop {
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) view: Arc<LeaseView>,
+    pub(crate) lease_ms: DurationMs,
+}
+
+impl LeaseLoop {
+    /// Runs until the host leaves, then releases the lease.
+    pub(crate) async fn run(&self) {
+        let mut options = LeaseOptions::new(
+            Duty::Fleet,
+            self.membership.own().clone(),
+            self.membership.incarnation(),
+        );
+        options.term_ms = self
+            .lease_ms
+            .saturating_add(LEASE_MARGIN_MS)
+            .saturating_add(LEASE_MARGIN_MS);
+        options.margin_ms = LEASE_MARGIN_MS;
+        options.longest_order_ms = LONGEST_CALL_MS;
+        let mut keeper = match LeaseKeeper::new(options) {
+            Ok(keeper) => keeper,
+            Err(error) => {
+                LogEvent::DaemonFailed.write(format_args!("the lease cannot be kept: {error}"));
+                return;
+            }
+        };
+        while !self.membership.is_leaving() {
+            let interval = self.look(&mut keeper).await;
+            task::sleep(interval.as_std()).await;
+        }
+        match keeper.release(&*self.store, &*self.clock).await {
+            Ok(()) | Err(LeaseError::NotHeld) => {}
+            Err(error) => LogEvent::LeaseLost.write(format_args!("the lease was not released: {error}")),
+        }
+        self.view.set(None, self.view.holder());
+    }
+
+    async fn look(&self, keeper: &mut LeaseKeeper) -> DurationMs {
+        let holds = keeper.guard().is_some();
+        if !holds && !self.is_candidate() {
+            self.observe().await;
+            return OBSERVER_INTERVAL_MS;
+        }
+        match keeper.acquire(&*self.store, &*self.clock).await {
+            Ok(Acquisition::Held(guard)) => self.view.set(Some(guard), Some(self.membership.own().clone())),
+            Ok(Acquisition::Observing { holder, .. }) => self.view.set(None, holder),
+            Err(error) => {
+                LogEvent::StoreUnavailable.write(format_args!("the lease cannot be renewed: {error}"));
+                self.view.set(keeper.guard().cloned(), self.view.holder());
+            }
+        }
+        CANDIDATE_INTERVAL_MS
+    }
+
+    async fn observe(&self) {
+        match self.store.get(&Duty::Fleet.key()).await {
+            Ok(Some(object)) => match serde_json::from_slice::<LeaseRecord>(&object.value) {
+                Ok(record) => self.view.set(None, Some(record.holder)),
+                Err(error) => {
+                    LogEvent::ConfigUnreadable.write(format_args!("the lease cannot be read: {error}"))
+                }
+            },
+            Ok(None) => {}
+            Err(error) => LogEvent::StoreUnavailable.write(format_args!("the lease cannot be read: {error}")),
+        }
+    }
+
+    /// Whether this host is among the first for the lease. Others look less often.
+    fn is_candidate(&self) -> bool {
+        let mut live: Vec<MemberId> = self
+            .membership
+            .live()
+            .into_iter()
+            .map(|(member, _)| member)
+            .collect();
+        for _ in 0..CANDIDATES {
+            let Some(first) = owner_by_key(&Duty::Fleet.key(), &live).cloned() else {
+                return false;
+            };
+            if first == *self.membership.own() {
+                return true;
+            }
+            live.retain(|member| *member != first);
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/jm-host/src/duty/usage.rs
@@ -0,0 +1,239 @@
+//! Usage windows: counted on every host, collected and sealed by the holder of the lease, reported once.
+//!
+//! A window is created in the store before it is reported, so that every holder reports the same figures for it.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use async_std::task;
+use indexmap::IndexMap;
+use jm_lease::LeaseGuard;
+use jm_platform::{Condition, ObjectError, ObjectStore};
+use jm_types::{Clock, DurationMs, Incarnation, LogEvent, MemberId, OrganisationId, WallClock};
+use jm_usage::WindowId;
+
+use super::LeaseView;
+use crate::{
+    membership::Membership,
+    peer::{PeerClient, PeerRequest, UsageCounts},
+    platform::DutyCalls,
+};
+
+/// Windows that a host goes on telling the holder, which may be a new one.
+const KEPT_WINDOWS: usize = 5;
+/// Time between two messages to the holder.
+const PUSH_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
+/// Time after the end of a window in which counts still arrive.
+const COLLECT_MS: DurationMs = DurationMs::new(3_500);
+/// Time after the end of a window for which a report is tried.
+const REPORT_LIMIT_MS: DurationMs = DurationMs::new(30_000);
+/// Time between two looks for windows that are due.
+const REPORT_INTERVAL_MS: DurationMs = DurationMs::new(500);
+
+/// Counts the requests that this host began.
+pub struct UsageCounter {
+    wall: Arc<dyn WallClock>,
+    window_ms: u64,
+    counts: Mutex<UsageCounts>,
+}
+
+impl UsageCounter {
+    /// Nothing counted yet.
+    pub fn new(wall: Arc<dyn WallClock>, window_ms: DurationMs) -> Self {
+        Self {
+            wall,
+            window_ms: window_ms.get().max(1),
+            counts: Mutex::default(),
+        }
+    }
+
+    /// A target began to run a request of an organisation.
+    pub fn count(&self, organisation: &OrganisationId) {
+        let window = self.current();
+        let mut counts = self.lock();
+        let counts = counts.windows.entry(window).or_default();
+        *counts.entry(organisation.clone()).or_default() += 1;
+    }
+
+    /// The window of this moment.
+    pub(crate) fn current(&self) -> WindowId {
+        WindowId::new(self.wall.unix_ms() / self.window_ms)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, UsageCounts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The counts of the last windows.
+    pub(crate) fn recent(&self) -> UsageCounts {
+        let oldest = self.current().get().saturating_sub(KEPT_WINDOWS as u64);
+        let mut counts = self.lock();
+        counts.windows.retain(|window, _| window.get() >= oldest);
+        counts.clone()
+    }
+}
+
+/// What all hosts counted, as the holder of the lease collects it.
+#[derive(Default)]
+pub struct UsageBook {
+    /// By run of a host; a newer message of a run replaces its earlier one.
+    counts: Mutex<IndexMap<(MemberId, Incarnation), UsageCounts>>,
+}
+
+impl UsageBook {
+    /// Takes the counts of one run of a host. Windows that the host no longer sends stay as they were.
+    pub fn take(&self, host: MemberId, incarnation: Incarnation, counts: UsageCounts) {
+        let mut book = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = book.entry((host, incarnation)).or_default();
+        known.windows.extend(counts.windows);
+        while known.windows.len() > 4 * KEPT_WINDOWS {
+            known.windows.shift_remove_index(0);
+        }
+    }
+
+    /// The sum over all hosts for one window.
+    pub fn total(&self, window: WindowId) -> IndexMap<OrganisationId, u64> {
+        let book = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut total = IndexMap::new();
+        for counts in book.values().filter_map(|counts| counts.windows.get(&window)) {
+            for (organisation, count) in counts {
+                *total.entry(organisation.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+}
+
+/// Tells the holder of the lease what this host counted, until the future is dropped.
+pub(crate) async fn push_usage(
+    counter: Arc<UsageCounter>,
+    book: Arc<UsageBook>,
+    membership: Arc<Membership>,
+    peers: Arc<PeerClient>,
+    lease: Arc<LeaseView>,
+) {
+    let mut sent = UsageCounts::default();
+    let mut sent_to = None;
+    loop {
+        task::sleep(PUSH_INTERVAL_MS.as_std()).await;
+        let counts = counter.recent();
+        let Some(holder) = lease.holder() else { continue };
+        if counts.windows.is_empty() || (sent == counts && sent_to.as_ref() == Some(&holder)) {
+            continue;
+        }
+        if holder == *membership.own() {
+            book.take(holder, membership.incarnation(), counts);
+            continue;
+        }
+        let request = PeerRequest::Usage {
+            host: membership.own().clone(),
+            incarnation: membership.incarnation(),
+            counts: counts.clone(),
+        };
+        if peers
+            .call_member(&holder, &request, DurationMs::new(0))
+            .await
+            .is_some()
+        {
+            sent = counts;
+            sent_to = Some(holder);
+        }
+    }
+}
+
+/// Seals and reports windows while this host holds the lease.
+pub(crate) struct UsageDuty {
+    pub(crate) counter: Arc<UsageCounter>,
+    pub(crate) book: Arc<UsageBook>,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) duties: Arc<dyn DutyCalls>,
+    pub(crate) lease: Arc<LeaseView>,
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) wall: Arc<dyn WallClock>,
+    pub(crate) window_ms: DurationMs,
+}
+
+impl UsageDuty {
+    /// Runs until the future is dropped.
+    pub(crate) async fn run(&self) {
+        let mut next = self.first_window();
+        loop {
+            task::sleep(REPORT_INTERVAL_MS.as_std()).await;
+            let Some(guard) = self.lease.guard(&*self.clock) else {
+                next = next.max(self.first_window());
+                continue;
+            };
+            while self.is_due(next) {
+                if self.is_too_late(next) || self.settle(next, &guard).await {
+                    next = next.next();
+                } else {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// The oldest window that a holder before this one may have left unreported.
+    fn first_window(&self) -> WindowId {
+        WindowId::new(self.counter.current().get().saturating_sub(2))
+    }
+
+    fn end_unix_ms(&self, window: WindowId) -> u64 {
+        window.next().get().saturating_mul(self.window_ms.get())
+    }
+
+    fn is_due(&self, window: WindowId) -> bool {
+        self.wall.unix_ms() >= self.end_unix_ms(window).saturating_add(COLLECT_MS.get())
+    }
+
+    fn is_too_late(&self, window: WindowId) -> bool {
+        self.wall.unix_ms() >= self.end_unix_ms(window).saturating_add(REPORT_LIMIT_MS.get())
+    }
+
+    /// Seals and reports one window; returns whether that is done.
+    async fn settle(&self, window: WindowId, guard: &LeaseGuard) -> bool {
+        let Some(sealed) = self.seal(window).await else {
+            return false;
+        };
+        match self.duties.report_usage(window, &sealed, guard).await {
+            Ok(()) => {
+                LogEvent::WindowReported
+                    .write_fields("a usage window was reported", &[("window", &window.get())]);
+                true
+            }
+            Err(error) => {
+                LogEvent::WindowDelayed
+                    .write(format_args!("window {} was not reported: {error}", window.get()));
+                false
+            }
+        }
+    }
+
+    /// The figures of a window as they stand in the store for good.
+    async fn seal(&self, window: WindowId) -> Option<Vec<u8>> {
+        let key = window.sealed_key();
+        let total = self.book.total(window);
+        let sealed = self.duties.usage_report(window, &total);
+        let reason = match self.store.put(&key, sealed.clone(), Condition::Absent).await {
+            Ok(_) => {
+                let requests: u64 = total.values().sum();
+                LogEvent::WindowSealed.write_fields(
+                    "a usage window was sealed",
+                    &[
+                        ("window", &window.get()),
+                        ("requests", &requests),
+                        ("organisations", &total.len()),
+                    ],
+                );
+                return Some(sealed);
+            }
+            Err(ObjectError::Conflict { .. }) => match self.store.get(&key).await {
+                Ok(Some(object)) => return Some(object.value),
+                Ok(None) => "it is gone".to_owned(),
+                Err(error) => error.to_string(),
+            },
+            Err(error) => error.to_string(),
+        };
+        LogEvent::WindowDelayed.write(format_args!("window {} was not sealed: {reason}", window.get()));
+        None
+    }
+}
--- /dev/null
+++ b/crates/jm-host/src/duty/weights.rs
@@ -0,0 +1,217 @@
+//! Brings the versions that trainers name to all engines, a few at a time.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use async_std::task;
+use indexmap::IndexMap;
+use jm_batch::BatchWorld;
+use jm_forward::{RunKey, Target};
+use jm_lease::LeaseGuard;
+use jm_plan::{Load, LoadEngine, LoadPlan, LoadsOptions};
+use jm_types::{Clock, DurationMs, LogEvent, ModelId, WeightVersion};
+
+use super::LeaseView;
+use crate::{
+    platform::{DutyCalls, LoadOrder, LoadOutcome},
+    world::World,
+};
+
+/// Time between two looks while this host holds the lease.
+const LOOK_INTERVAL_MS: DurationMs = DurationMs::new(150);
+/// Time between two questions whether a load is done.
+const DONE_INTERVAL_MS: DurationMs = DurationMs::new(200);
+/// Least time of a load. Reports lag, so one that is asked for earlier may show the time before the order.
+const LEAST_LOAD_MS: DurationMs = DurationMs::new(700);
+/// Time after which an order without an effect is given up.
+const LOAD_LIMIT_MS: DurationMs = DurationMs::new(4_000);
+
+/// Orders engines to load weights while this host holds the lease.
+pub(crate) struct WeightDuty {
+    pub(crate) world: Arc<World>,
+    pub(crate) duties: Arc<dyn DutyCalls>,
+    pub(crate) lease: Arc<LeaseView>,
+    pub(crate) clock: Arc<dyn Clock>,
+    state: Mutex<WeightState>,
+}
+
+struct WeightState {
+    plan: LoadPlan<RunKey>,
+    /// Weights that engines reported to this host; newer than what the list shows.
+    reported: IndexMap<RunKey, IndexMap<ModelId, WeightVersion>>,
+}
+
+impl WeightDuty {
+    pub(crate) fn new(
+        world: Arc<World>,
+        duties: Arc<dyn DutyCalls>,
+        lease: Arc<LeaseView>,
+        clock: Arc<dyn Clock>,
+    ) -> Arc<Self> {
+        let state = WeightState {
+            plan: LoadPlan::new(LoadsOptions::default()),
+            reported: IndexMap::new(),
+        };
+        Arc::new(Self {
+            world,
+            duties,
+            lease,
+            clock,
+            state: Mutex::new(state),
+        })
+    }
+
+    /// Runs until the future is dropped.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            task::sleep(LOOK_INTERVAL_MS.as_std()).await;
+            let Some(guard) = self.lease.guard(&*self.clock) else {
+                task::sleep(LOOK_INTERVAL_MS.as_std()).await;
+                continue;
+            };
+            for load in self.next_loads() {
+                let catalog = self.world.catalog();
+                let Some(target) = catalog.get(&load.run.id).filter(|target| target.run == load.run) else {
+                    continue;
+                };
+                let duty = Arc::clone(&self);
+                let (target, guard) = (target.clone(), guard.clone());
+                task::spawn(async move { duty.load(target, load, guard).await });
+            }
+        }
+    }
+
+    fn next_loads(&self) -> Vec<Load<RunKey>> {
+        let newest = self.world.versions();
+        if newest.is_empty() {
+            return Vec::new();
+        }
+        let catalog = self.world.catalog();
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let WeightState { plan, reported } = &mut *state;
+        reported.retain(|run, _| catalog.get(&run.id).is_some_and(|target| target.run == *run));
+        let engines: Vec<LoadEngine<RunKey>> = catalog
+            .iter()
+            .filter(|target| target.is_serving() && !target.models.is_empty())
+            .map(|target| LoadEngine {
+                run: target.run.clone(),
+                versions: known_versions(target, reported.get(&target.run)),
+            })
+            .collect();
+        plan.next(&engines, &newest, now)
+    }
+
+    async fn load(&self, target: Target, load: Load<RunKey>, guard: LeaseGuard) {
+        match self.order(&target, &load, &guard).await {
+            Ok(took) => {
+                LogEvent::WeightsLoaded.write_fields(
+                    "an engine has new weights",
+                    &[
+                        ("target", &load.run.id.as_str()),
+                        ("model", &load.model.as_str()),
+                        ("version", &load.version.get()),
+                        ("took_ms", &took.get()),
+                    ],
+                );
+                self.lock().plan.loaded(&load.run);
+            }
+            Err(reason) => {
+                LogEvent::OrderFailed.write_fields(
+                    &reason,
+                    &[
+                        ("target", &load.run.id.as_str()),
+                        ("model", &load.model.as_str()),
+                        ("version", &load.version.get()),
+                    ],
+                );
+                let now = self.clock.now();
+                self.lock().plan.failed(&load.run, now);
+            }
+        }
+    }
+
+    /// Gives one order and waits until the engine reports its effect.
+    async fn order(
+        &self,
+        target: &Target,
+        load: &Load<RunKey>,
+        guard: &LeaseGuard,
+    ) -> Result<DurationMs, String> {
+        let begun = self.clock.now();
+        let report = self
+            .duties
+            .engine_report(target)
+            .await
+            .ok_or("the engine does not report")?;
+        self.note(&load.run, &report.models);
+        if report
+            .models
+            .get(&load.model)
+            .is_some_and(|version| *version >= load.version)
+        {
+            return Ok(DurationMs::new(0));
+        }
+        if report.is_busy {
+            return Err("the engine carries out another order".to_owned());
+        }
+        let order = LoadOrder {
+            model: load.model.clone(),
+            version: load.version,
+            accepted_orders: report.accepted_orders,
+        };
+        match self.duties.load_weights(target, &order, guard).await {
+            LoadOutcome::Accepted | LoadOutcome::Unknown { .. } => {}
+            LoadOutcome::AlreadyLoaded => {
+                self.note_one(&load.run, &load.model, load.version);
+                return Ok(DurationMs::new(0));
+            }
+            LoadOutcome::Refused { reason } | LoadOutcome::NotSent { reason } => return Err(reason),
+        }
+        task::sleep(LEAST_LOAD_MS.as_std()).await;
+        while self.clock.now().since(begun) < LOAD_LIMIT_MS {
+            if let Some(report) = self.duties.engine_report(target).await {
+                self.note(&load.run, &report.models);
+                if report
+                    .models
+                    .get(&load.model)
+                    .is_some_and(|version| *version >= load.version)
+                {
+                    return Ok(self.clock.now().since(begun));
+                }
+            }
+            task::sleep(DONE_INTERVAL_MS.as_std()).await;
+        }
+        Err("the engine did not load the weights in time".to_owned())
+    }
+
+    fn note(&self, run: &RunKey, models: &IndexMap<ModelId, WeightVersion>) {
+        for (model, version) in models {
+            self.note_one(run, model, *version);
+        }
+    }
+
+    fn note_one(&self, run: &RunKey, model: &ModelId, version: WeightVersion) {
+        let mut state = self.lock();
+        let known = state.reported.entry(run.clone()).or_default();
+        let known = known.entry(model.clone()).or_insert(version);
+        *known = version.max(*known);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, WeightState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn known_versions(
+    target: &Target,
+    reported: Option<&IndexMap<ModelId, WeightVersion>>,
+) -> IndexMap<ModelId, WeightVersion> {
+    let listed = target.models.iter();
+    let newer = |model: &ModelId, version: WeightVersion| {
+        let reported = reported.and_then(|reported| reported.get(model).copied());
+        reported.map_or(version, |reported| reported.max(version))
+    };
+    listed
+        .map(|(model, version)| (model.clone(), newer(model, *version)))
+        .collect()
+}
--- /dev/null
+++ b/crates/jm-host/src/host.rs
@@ -0,0 +1,667 @@
+//! One host: its state, its tasks, its listeners and its planned stop.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_std::{
+    channel::{Receiver, Sender, bounded},
+    task::{self, JoinHandle},
+};
+use async_trait::async_trait;
+use indexmap::IndexMap;
+use jm_batch::{
+    BATCH_STATE_PREFIX, BatchMembers, BatchService, BatchServiceOptions, BatchServiceParts, BatchState,
+    BatchStore, BatchWorld, RunnerOptions,
+};
+use jm_forward::{
+    Access, AttemptsOptions, CallerLimits, CallerRequest, ChoiceOptions, ForwardRefusal, Forwarded,
+    Forwarder, ForwarderOptions, Route, RoutingTable,
+};
+use jm_http::{Connection, Handler, Limits, Request, Response, Server, SharedLimits, listen};
+use jm_member::AgentError;
+use jm_node::{Stop, StopTrigger};
+use jm_platform::{Change, KeyedObject, ObjectStore};
+use jm_types::{
+    BatchId, ByteSize, Clock, DurationMs, Incarnation, LogEvent, ResultCode, SystemClock, WallClock, ZoneId,
+};
+use snafu::{ResultExt, Snafu};
+
+use crate::{
+    FollowOptions, Follower, HostObserver, HostSettings, Membership, PlatformParts, RelayedStore,
+    StoreContact,
+    duty::{LeaseLoop, LeaseView, Upkeep, UsageBook, UsageCounter, UsageDuty, WeightDuty, push_usage},
+    follow::follow,
+    membership::MEMBER_PREFIX,
+    peer::{ObjectSpace, PeerClient, PeerHandler, PeerReply, PeerRequest, Relay, SEED_RETRY, ask_seeds},
+    world::{RoutingFollower, TargetsFollower, VersionsFollower, World},
+};
+
+/// Why a host did not start.
+#[derive(Debug, Snafu)]
+pub enum HostError {
+    /// An address cannot be bound.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The failure detector cannot start.
+    #[snafu(display("the failure detector cannot start: {source}"))]
+    Members {
+        /// The cause.
+        source: AgentError,
+    },
+}
+
+/// Time between two looks at ownership, missing targets and stale configuration.
+const REVIEW_INTERVAL_MS: DurationMs = DurationMs::new(400);
+/// Reviews between two rounds of tidying up.
+const REVIEWS_PER_TIDY: u64 = 4;
+/// Time between two questions to engines whose weights are too old for a batch.
+const VERSION_POLL_MS: DurationMs = DurationMs::new(250);
+/// How long callers may keep an address list.
+const ADDRESS_TTL_MS: DurationMs = DurationMs::new(2_000);
+/// Time for which a leaving host goes on serving callers that still have its address.
+const LINGER_MS: DurationMs = DurationMs::new(4_500);
+/// Part of the grace time that is left unused.
+const GRACE_MARGIN_MS: DurationMs = DurationMs::new(700);
+/// Time after which a batch's objects can go, beyond the time for which it can be read.
+const BATCH_KEEP_MARGIN_MS: DurationMs = DurationMs::new(60_000);
+/// Most callers connected at once.
+const CALLER_CONNECTIONS: usize = 2_000;
+
+/// What a host is started with.
+pub struct HostParts {
+    /// Checked settings.
+    pub settings: HostSettings,
+    /// The platform.
+    pub platform: PlatformParts,
+}
+
+/// One host, running.
+pub struct Host {
+    settings: HostSettings,
+    clock: Arc<dyn Clock>,
+    wall: Arc<dyn WallClock>,
+    world: Arc<World>,
+    membership: Arc<Membership>,
+    batches: Arc<BatchService>,
+    forwarder: Forwarder,
+    observer: Arc<HostObserver>,
+    lease: Arc<LeaseView>,
+    peers: Arc<PeerClient>,
+    caller_limits: SharedLimits,
+    changes: (Sender<()>, Receiver<()>),
+    stop: Stop,
+}
+
+/// The parts of a host that its tasks need and its callers do not.
+struct Wiring {
+    product_store: Arc<dyn ObjectStore>,
+    platform_store: Arc<dyn ObjectStore>,
+    usage: Arc<UsageCounter>,
+    book: Arc<UsageBook>,
+    platform: PlatformParts,
+}
+
+/// Limits of callers' connections.
+pub fn connection_limits(limits: &CallerLimits) -> Limits {
+    Limits {
+        head_bytes: limits.head_bytes,
+        body_bytes: limits.body_bytes,
+        head_timeout_ms: limits.head_timeout_ms,
+        idle_timeout_ms: limits.idle_timeout_ms,
+        connections: CALLER_CONNECTIONS,
+        ..Limits::default()
+    }
+}
+
+/// Limits before the first configuration is known.
+fn first_limits() -> Limits {
+    Limits {
+        head_bytes: ByteSize::new(16_384),
+        body_bytes: ByteSize::new(4_000_000),
+        connections: CALLER_CONNECTIONS,
+        ..Limits::default()
+    }
+}
+
+impl Host {
+    /// Starts the host's tasks and the listeners for metrics and other hosts. Callers are served once
+    /// [`Self::serve_callers`] and [`Self::serve`] are called.
+    ///
+    /// # Errors
+    ///
+    /// Fails when an address cannot be bound.
+    pub async fn start(parts: HostParts) -> Result<(Arc<Self>, StopTrigger), HostError> {
+        let HostParts { settings, platform } = parts;
+        let clock: Arc<dyn Clock> = Arc::new(SystemClock);
+        let wall: Arc<dyn WallClock> = Arc::new(SystemClock);
+        let changes = bounded(1);
+        let on_change = |sender: &Sender<()>| {
+            let sender = sender.clone();
+            // A full channel means that a look is due anyway.
+            Box::new(move || {
+                let _ = sender.try_send(());
+            })
+        };
+        let incarnation = Incarnation::new(wall.unix_ms());
+        let membership =
+            Membership::start(&settings, incarnation, Arc::clone(&clock), on_change(&changes.0)).await;
+        let membership = membership.context(MembersSnafu)?;
+        let objects = Arc::clone(&platform.objects);
+        let world = Arc::new(World::new(objects, Arc::clone(&clock), on_change(&changes.0)));
+        let peers = Arc::new(PeerClient::new(Arc::clone(&membership)));
+        let relayed = |direct: &Arc<dyn ObjectStore>, space| -> Arc<dyn ObjectStore> {
+            let client = Arc::clone(&peers);
+            let relay = Arc::new(Relay { client, space });
+            Arc::new(RelayedStore::new(Arc::clone(direct), relay, Arc::clone(&clock)))
+        };
+        let usage = Arc::new(UsageCounter::new(
+            Arc::clone(&wall),
+            settings.bounds.usage_window_ms,
+        ));
+        let observer = Arc::new(HostObserver::new(Arc::clone(&usage)));
+        let wiring = Wiring {
+            product_store: relayed(&platform.store, ObjectSpace::Product),
+            platform_store: relayed(&platform.platform_store, ObjectSpace::Platform),
+            usage,
+            book: Arc::default(),
+            platform,
+        };
+        let batches = BatchService::new(
+            BatchServiceOptions {
+                own: settings.id.clone(),
+                incarnation,
+                runner: RunnerOptions::default(),
+                keep_ms: settings.bounds.batch_keep_ms.saturating_add(BATCH_KEEP_MARGIN_MS),
+            },
+            BatchServiceParts {
+                clock: Arc::clone(&clock),
+                wall: Arc::clone(&wall),
+                store: BatchStore::new(Arc::clone(&wiring.product_store)),
+                generator: Arc::clone(&wiring.platform.generator),
+                world: Arc::clone(&world) as _,
+                members: Arc::clone(&membership) as _,
+                peers: Arc::clone(&peers) as _,
+                events: Arc::clone(&observer) as _,
+            },
+        );
+        let forwarder = Forwarder::new(
+            ForwarderOptions {
+                zone: settings.zone.clone(),
+                choice: ChoiceOptions::default(),
+                attempts: AttemptsOptions::default(),
+            },
+            Arc::clone(&clock),
+            Arc::clone(&wiring.platform.targets),
+            Arc::clone(&observer) as _,
+        );
+        let (trigger, stop) = Stop::new();
+        let host = Arc::new(Self {
+            settings,
+            clock,
+            wall,
+            world,
+            membership,
+            batches,
+            forwarder,
+            observer,
+            lease: Arc::default(),
+            peers,
+            caller_limits: first_limits().into(),
+            changes,
+            stop,
+        });
+        host.serve_hosts(&wiring)?;
+        host.start_tasks(wiring);
+        LogEvent::DaemonStarting.write_fields(
+            "the host starts",
+            &[
+                ("member", &host.settings.id.as_str()),
+                ("zone", &host.settings.zone.as_str()),
+                ("incarnation", &incarnation.get()),
+            ],
+        );
+        Ok((host, trigger))
+    }
+
+    /// The settings.
+    pub fn settings(&self) -> &HostSettings {
+        &self.settings
+    }
+
+    /// Whether callers are welcome: a configuration is known and the host is not about to stop.
+    pub fn is_ready(&self) -> bool {
+        !self.membership.is_leaving() && self.world.routing().is_some()
+    }
+
+    /// Addresses of hosts for a caller in a zone, and how long the caller may keep them.
+    pub fn addresses(&self, zone: Option<&ZoneId>, limit: usize) -> (Vec<SocketAddr>, DurationMs) {
+        (self.membership.caller_addresses(zone, limit), ADDRESS_TTL_MS)
+    }
+
+    /// The configuration in force.
+    pub fn routing(&self) -> Option<Arc<RoutingTable>> {
+        self.world.routing()
+    }
+
+    /// The batches.
+    pub fn batches(&self) -> &Arc<BatchService> {
+        &self.batches
+    }
+
+    /// Log lines and metrics.
+    pub fn observer(&self) -> &HostObserver {
+        &self.observer
+    }
+
+    /// The time of day in milliseconds since the Unix epoch.
+    pub fn unix_ms(&self) -> u64 {
+        self.wall.unix_ms()
+    }
+
+    /// Finds the route of a request and checks its key.
+    ///
+    /// # Errors
+    ///
+    /// Refuses a request without a route or with a wrong key, and every request while no configuration is known.
+    pub fn admit(
+        &self,
+        request: &CallerRequest,
+    ) -> Result<(Route, Access, Arc<RoutingTable>), ForwardRefusal> {
+        let table = self.world.routing().ok_or_else(no_configuration)?;
+        let (route, access) = self.forwarder.admit(request, &table)?;
+        Ok((route.clone(), access, table))
+    }
+
+    /// Sends an admitted request to targets until one answers.
+    pub async fn forward(&self, request: &CallerRequest, route: &Route, access: &Access) -> Forwarded {
+        let catalog = self.world.catalog();
+        self.forwarder.forward(request, route, access, &catalog).await
+    }
+
+    /// The boot clock.
+    pub fn clock(&self) -> &dyn Clock {
+        &*self.clock
+    }
+
+    /// Serves callers on their address, within the limits of the configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn serve_callers(&self, handler: Arc<dyn Handler>) -> Result<JoinHandle<()>, HostError> {
+        self.serve_within(self.settings.listen.callers, self.caller_limits.clone(), handler)
+    }
+
+    /// Serves an address until the host stops.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address cannot be bound.
+    pub fn serve(&self, address: SocketAddr, handler: Arc<dyn Handler>) -> Result<JoinHandle<()>, HostError> {
+        self.serve_within(address, first_limits().into(), handler)
+    }
+
+    fn serve_within(
+        &self,
+        address: SocketAddr,
+        limits: SharedLimits,
+        handler: Arc<dyn Handler>,
+    ) -> Result<JoinHandle<()>, HostError> {
+        let listener = listen(address).context(ListenSnafu { address })?;
+        let server = Server::new(limits, handler);
+        let stopped = self.stop.stopped();
+        Ok(task::spawn(async move {
+            if let Err(error) = server.serve(listener, stopped).await {
+                LogEvent::ConnectionFailed.write(format_args!("listener {address}: {error}"));
+            }
+        }))
+    }
+
+    fn serve_hosts(&self, wiring: &Wiring) -> Result<(), HostError> {
+        let handler = PeerHandler {
+            membership: Arc::clone(&self.membership),
+            world: Arc::clone(&self.world),
+            batches: Arc::clone(&self.batches),
+            usage: Arc::clone(&wiring.book),
+            product_store: Arc::clone(&wiring.platform.store),
+            platform_store: Arc::clone(&wiring.platform.platform_store),
+        };
+        let limits = Limits {
+            body_bytes: ByteSize::new(8_000_000),
+            ..first_limits()
+        };
+        self.serve_within(self.settings.listen.peers, limits.into(), Arc::new(handler))?;
+        let metrics = MetricsHandler(Arc::clone(&self.observer));
+        self.serve(self.settings.listen.metrics, Arc::new(metrics))?;
+        Ok(())
+    }
+
+    fn start_tasks(self: &Arc<Self>, wiring: Wiring) {
+        let membership = Arc::clone(&self.membership);
+        task::spawn(async move { membership.run().await });
+        let (membership, store) = (Arc::clone(&self.membership), Arc::clone(&wiring.product_store));
+        task::spawn(async move { membership.register(&*store).await });
+        self.start_followers(&wiring);
+        self.start_duties(&wiring);
+        let batches = Arc::clone(&self.batches);
+        task::spawn(async move { batches.run().await });
+        task::spawn(Arc::clone(self).review());
+        task::spawn(Arc::clone(self).react());
+        let duties = Arc::clone(&wiring.platform.duties);
+        task::spawn(Arc::clone(self).poll_versions(duties));
+        task::spawn(Arc::clone(self).find_hosts());
+    }
+
+    fn start_followers(self: &Arc<Self>, wiring: &Wiring) {
+        let objects = &wiring.platform.objects;
+        let routing_prefix = prefix_of(objects.routing_key());
+        let platform: [(&'static str, Arc<dyn Follower>); 3] = [
+            (routing_prefix, Arc::new(RoutingFollower(Arc::clone(&self.world)))),
+            (
+                objects.targets_prefix(),
+                Arc::new(TargetsFollower(Arc::clone(&self.world))),
+            ),
+            (
+                objects.versions_prefix(),
+                Arc::new(VersionsFollower(Arc::clone(&self.world))),
+            ),
+        ];
+        for (prefix, follower) in platform {
+            self.follow(&wiring.platform_store, prefix, SHORT_WATCH, follower);
+        }
+        self.follow(
+            &wiring.product_store,
+            MEMBER_PREFIX,
+            LONG_WATCH,
+            Arc::clone(&self.membership) as _,
+        );
+        let states = Arc::new(StatesFollower(Arc::clone(&self.batches)));
+        self.follow(&wiring.product_store, BATCH_STATE_PREFIX, LONG_WATCH, states);
+    }
+
+    fn follow(
+        &self,
+        store: &Arc<dyn ObjectStore>,
+        prefix: &'static str,
+        options: FollowOptions,
+        follower: Arc<dyn Follower>,
+    ) {
+        let contact = Arc::new(StoreContact::default());
+        let clock = Arc::clone(&self.clock);
+        task::spawn(follow(
+            Arc::clone(store),
+            prefix,
+            options,
+            clock,
+            contact,
+            follower,
+        ));
+    }
+
+    fn start_duties(self: &Arc<Self>, wiring: &Wiring) {
+        let lease = LeaseLoop {
+            store: Arc::clone(&wiring.product_store),
+            clock: Arc::clone(&self.clock),
+            membership: Arc::clone(&self.membership),
+            view: Arc::clone(&self.lease),
+            lease_ms: self.settings.bounds.lease_ms,
+        };
+        task::spawn(async move { lease.run().await });
+        task::spawn(push_usage(
+            Arc::clone(&wiring.usage),
+            Arc::clone(&wiring.book),
+            Arc::clone(&self.membership),
+            Arc::clone(&self.peers),
+            Arc::clone(&self.lease),
+        ));
+        let usage = UsageDuty {
+            counter: Arc::clone(&wiring.usage),
+            book: Arc::clone(&wiring.book),
+            store: Arc::clone(&wiring.product_store),
+            duties: Arc::clone(&wiring.platform.duties),
+            lease: Arc::clone(&self.lease),
+            clock: Arc::clone(&self.clock),
+            wall: Arc::clone(&self.wall),
+            window_ms: self.settings.bounds.usage_window_ms,
+        };
+        task::spawn(async move { usage.run().await });
+        let weights = WeightDuty::new(
+            Arc::clone(&self.world),
+            Arc::clone(&wiring.platform.duties),
+            Arc::clone(&self.lease),
+            Arc::clone(&self.clock),
+        );
+        task::spawn(weights.run());
+        let upkeep = Upkeep {
+            store: Arc::clone(&wiring.product_store),
+            platform_store: Arc::clone(&wiring.platform_store),
+            objects: Arc::clone(&wiring.platform.objects),
+            duties: Arc::clone(&wiring.platform.duties),
+            membership: Arc::clone(&self.membership),
+            lease: Arc::clone(&self.lease),
+            clock: Arc::clone(&self.clock),
+        };
+        task::spawn(async move { upkeep.run().await });
+    }
+
+    /// Reacts to changes of configuration, targets and hosts.
+    async fn react(self: Arc<Self>) {
+        let mut revision = self.world.revision();
+        while self.changes.1.recv().await.is_ok() {
+            if self.world.revision() > revision {
+                let was_ready = revision.get() > 0;
+                revision = self.world.revision();
+                self.membership.set_revision(revision);
+                if let Some(table) = self.world.routing() {
+                    self.caller_limits.set(connection_limits(&table.caller_limits));
+                }
+                if !was_ready {
+                    LogEvent::DaemonReady
+                        .write_fields("the host serves callers", &[("revision", &revision.get())]);
+                }
+            }
+            self.batches.world_changed();
+            self.batches.review();
+            self.set_gauges();
+        }
+    }
+
+    fn set_gauges(&self) {
+        let number = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let observer = &self.observer;
+        observer.targets.set(number(self.world.catalog().len()));
+        observer.live_hosts.set(number(self.membership.live().len()));
+        observer
+            .config_revision
+            .set(i64::try_from(self.world.revision().get()).unwrap_or(i64::MAX));
+        observer
+            .holds_lease
+            .set(i64::from(self.lease.guard(&*self.clock).is_some()));
+    }
+
+    /// Looks regularly at what no message announces.
+    async fn review(self: Arc<Self>) {
+        let mut round = 0_u64;
+        loop {
+            task::sleep(REVIEW_INTERVAL_MS.as_std()).await;
+            self.world.drop_missing();
+            self.batches.review();
+            self.fetch_newer_routing().await;
+            round += 1;
+            if round.is_multiple_of(REVIEWS_PER_TIDY) {
+                self.batches.tidy().await;
+                self.set_gauges();
+            }
+        }
+    }
+
+    /// Another host has a newer configuration: a watch that brings nothing looks like a quiet one.
+    async fn fetch_newer_routing(&self) {
+        let own = self.world.revision();
+        if self.membership.newest_revision() <= own {
+            return;
+        }
+        for (member, _) in self.membership.others() {
+            let reply = self
+                .peers
+                .call_member(&member, &PeerRequest::Configuration, DurationMs::new(0))
+                .await;
+            if let Some(PeerReply::Configuration(value)) = reply
+                && !value.is_empty()
+            {
+                self.world.apply_routing(&value);
+            }
+            if self.world.revision() >= self.membership.newest_revision() {
+                return;
+            }
+        }
+    }
+
+    /// Asks seeds for hosts while this one knows none, as when the store does not answer at its start.
+    async fn find_hosts(self: Arc<Self>) {
+        while self.membership.others().is_empty() || self.world.routing().is_none() {
+            task::sleep(SEED_RETRY).await;
+            if self.world.routing().is_none() {
+                ask_seeds(&self.peers, &self.settings.seeds, &self.membership, &self.world).await;
+            }
+            task::sleep(SEED_RETRY).await;
+        }
+    }
+
+    /// Asks engines for their weights while a batch needs newer ones than they are listed with: the list lags by
+    /// seconds, and a step is due in a few.
+    async fn poll_versions(self: Arc<Self>, duties: Arc<dyn crate::DutyCalls>) {
+        loop {
+            task::sleep(VERSION_POLL_MS.as_std()).await;
+            let needed = self.batches.needed_versions();
+            if needed.is_empty() {
+                continue;
+            }
+            let catalog = self.world.catalog();
+            let lagging = catalog.iter().filter(|target| {
+                let is_old = |(model, version): (&jm_types::ModelId, &jm_types::WeightVersion)| {
+                    needed.get(model).is_some_and(|needed| version < needed)
+                };
+                target.is_serving() && target.models.iter().any(is_old)
+            });
+            let questions = lagging.map(|target| {
+                let duties = &duties;
+                async move { (target, duties.engine_report(target).await) }
+            });
+            for (target, report) in futures::future::join_all(questions).await {
+                let models: IndexMap<_, _> = report.map(|report| report.models).unwrap_or_default();
+                for (model, version) in &models {
+                    self.batches.saw_version(&target.run, model, *version);
+                }
+            }
+        }
+    }
+
+    /// Stops without cutting off a request: callers and hosts learn that this one leaves, its batches and duties pass
+    /// to others, and open requests are finished.
+    pub async fn stop(&self, trigger: StopTrigger, callers: Vec<JoinHandle<()>>) {
+        LogEvent::DaemonStopping.write_fields(
+            "the host leaves",
+            &[("grace_ms", &self.settings.bounds.grace_ms.get())],
+        );
+        let begun = self.clock.now();
+        self.membership.leave();
+        trigger.leave();
+        let usable_ms = self.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let handover = async_std::future::timeout(LINGER_MS.as_std(), self.batches.leave()).await;
+        if handover.is_err() {
+            LogEvent::BatchStoreFailed
+                .write("batches were not handed over in time; their next owners find out");
+        }
+        let linger_ms = LINGER_MS
+            .min(usable_ms)
+            .saturating_sub(self.clock.now().since(begun));
+        task::sleep(linger_ms.as_std()).await;
+        trigger.stop();
+        let left = usable_ms.saturating_sub(self.clock.now().since(begun));
+        let all = futures::future::join_all(callers);
+        let finished = async_std::future::timeout(left.as_std(), all).await.is_ok();
+        LogEvent::DaemonStopped.write_fields(
+            "the host exits",
+            &[("finished_all_requests", &finished.to_string().as_str())],
+        );
+        // The writer of the log has its own thread and needs a moment for the last line.
+        task::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Watches of a few seconds: a connection that went silent goes unnoticed for no longer.
+const SHORT_WATCH: FollowOptions = FollowOptions {
+    watch_ms: DurationMs::new(2_500),
+    retry_ms: DurationMs::new(150),
+    max_retry_ms: DurationMs::new(600),
+};
+
+/// Watches of objects whose changes other ways bring as well.
+const LONG_WATCH: FollowOptions = FollowOptions {
+    watch_ms: DurationMs::new(5_000),
+    retry_ms: DurationMs::new(200),
+    max_retry_ms: DurationMs::new(800),
+};
+
+fn prefix_of(key: &'static str) -> &'static str {
+    key.find('/').map_or(key, |end| &key[..=end])
+}
+
+fn no_configuration() -> ForwardRefusal {
+    ForwardRefusal {
+        code: ResultCode::NotFresh,
+        message: "no configuration is known yet".to_owned(),
+        retry_after_ms: Some(DurationMs::new(300)),
+    }
+}
+
+/// Follows the states of batches.
+struct StatesFollower(Arc<BatchService>);
+
+impl StatesFollower {
+    fn apply(&self, key: &str, value: &[u8], version: jm_platform::Version) {
+        match serde_json::from_slice::<BatchState>(value) {
+            Ok(state) => self.0.apply_state(state, version),
+            Err(error) => LogEvent::ConfigUnreadable
+                .write(format_args!("the batch state {key} cannot be read: {error}")),
+        }
+    }
+}
+
+impl Follower for StatesFollower {
+    fn listed(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
+        for object in objects {
+            self.apply(&object.key, &object.object.value, object.object.version);
+        }
+    }
+
+    fn changed(&self, change: Change) {
+        match change.value {
+            Some(value) => self.apply(&change.key, &value, change.version),
+            None => {
+                let id = change.key.strip_prefix(BATCH_STATE_PREFIX).unwrap_or_default();
+                if let Ok(batch) = id.parse::<BatchId>() {
+                    self.0.forget(&batch);
+                }
+            }
+        }
+    }
+}
+
+/// Serves the metrics on every path.
+struct MetricsHandler(Arc<HostObserver>);
+
+#[async_trait]
+impl Handler for MetricsHandler {
+    async fn handle(&self, _request: Request, _connection: &Connection) -> Response {
+        let mut response = Response::new(200);
+        response.set_body(self.0.render());
+        response.insert_header("content-type", "text/plain; version=0.0.4");
+        response
+    }
+}
--- /dev/null
+++ b/crates/jm-host/src/lib.rs
@@ -0,0 +1,33 @@
+//! One host of the service. All hosts are alike: each serves callers, runs batches, and may carry out the duties that
+//! one host does for all.
+//!
+//! What a host needs of the platform stands behind [`PlatformParts`]; `docs/platform.md` describes the programs.
+
+#![deny(missing_docs, unsafe_code)]
+
+mod duty;
+mod follow;
+mod host;
+mod log_lines;
+mod membership;
+mod observer;
+mod peer;
+mod platform;
+mod relay;
+mod settings;
+mod world;
+
+pub use duty::{UsageBook, UsageCounter};
+pub use follow::{FollowOptions, Follower, StoreContact, follow};
+pub use host::{Host, HostError, HostParts, connection_limits};
+pub use log_lines::{LineBudget, set_up_log_lines};
+pub use membership::{Membership, Registration};
+pub use observer::HostObserver;
+pub use peer::{ObjectSpace, UsageCounts};
+pub use platform::{
+    CapacityOrder, DecodeError, DutyCallError, DutyCalls, EngineReport, LoadOrder, LoadOutcome,
+    PlatformObjects, PlatformParts,
+};
+pub use relay::{RelayPeer, RelayedStore};
+pub use settings::{BoundSettings, HostSettings, ListenSettings, SettingsError};
+pub use world::World;
--- /dev/null
+++ b/crates/jm-host/src/log_lines.rs
@@ -0,0 +1,224 @@
+//! The log on standard output: one JSON object a line, bounded, and written by a thread of its own.
+//!
+//! A reader that does not read, or a flood of one event, must neither stop a request nor hide other events. Lines go
+//! through a bounded queue, each event has a budget a second, and what is left out is counted in a line of its own.
+
+use std::{
+    collections::HashMap,
+    io::Write,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread,
+    time::{SystemTime, UNIX_EPOCH},
+};
+
+use jm_types::LogEvent;
+use log::{
+    LevelFilter, Log, Metadata, Record,
+    kv::{Error, Key, Value, VisitSource},
+};
+use log4rs::config::{Appender, Config, Root};
+use serde_json::{Map, json};
+use snafu::{ResultExt, Snafu};
+
+/// Lines that wait for the writer.
+const QUEUE_LINES: usize = 2_000;
+
+/// The log cannot be set up.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot set up the log: {source}"))]
+pub struct SetUpLogError {
+    source: log::SetLoggerError,
+}
+
+/// How many lines of each event are written a second.
+#[derive(Debug)]
+pub struct LineBudget {
+    lines_per_s: u64,
+    routine_lines_per_s: u64,
+    second: u64,
+    written: HashMap<String, u64>,
+    left_out: HashMap<String, u64>,
+}
+
+/// What happens to a line.
+#[derive(Debug, PartialEq, Eq)]
+pub enum LineVerdict {
+    /// It is written; before it a line for each event of which lines were left out, with their number.
+    Write {
+        /// Events with their numbers of lines.
+        left_out: Vec<(String, u64)>,
+    },
+    /// It is left out.
+    LeaveOut,
+}
+
+impl LineBudget {
+    /// `routine_lines_per_s` bounds lines about requests that went well, so that they leave room for the others.
+    pub fn new(lines_per_s: u64, routine_lines_per_s: u64) -> Self {
+        Self {
+            lines_per_s,
+            routine_lines_per_s,
+            second: 0,
+            written: HashMap::new(),
+            left_out: HashMap::new(),
+        }
+    }
+
+    /// Decides about a line of `event` in a second of time.
+    pub fn take(&mut self, event: &str, second: u64) -> LineVerdict {
+        let mut left_out = Vec::new();
+        if second != self.second {
+            self.second = second;
+            self.written.clear();
+            left_out = self.left_out.drain().collect();
+        }
+        let limit = match event == LogEvent::RequestServed.to_string() {
+            true => self.routine_lines_per_s,
+            false => self.lines_per_s,
+        };
+        let written = self.written.entry(event.to_owned()).or_default();
+        if *written >= limit {
+            *self.left_out.entry(event.to_owned()).or_default() += 1;
+            return LineVerdict::LeaveOut;
+        }
+        *written += 1;
+        LineVerdict::Write { left_out }
+    }
+}
+
+/// Sends the log to standard output. Call once in a process.
+///
+/// # Errors
+///
+/// Fails when the process has a logger already.
+pub fn set_up_log_lines(host: &str, level: LevelFilter) -> Result<(), SetUpLogError> {
+    let (sender, receiver) = sync_channel(QUEUE_LINES);
+    thread::spawn(move || write_lines(&receiver));
+    let appender = LineAppender {
+        host: host.to_owned(),
+        budget: Mutex::new(LineBudget::new(100, 25)),
+        queue: sender,
+        dropped: AtomicU64::new(0),
+    };
+    let root = Root::builder().appender("lines").build(level);
+    let config = Config::builder()
+        .appender(Appender::builder().build("lines", Box::new(appender)))
+        .build(root)
+        .expect("the root names the only appender");
+    log4rs::init_config(config).map(drop).context(SetUpLogSnafu)
+}
+
+/// A writer that blocks only blocks itself; the queue fills and lines are dropped and counted.
+fn write_lines(lines: &Receiver<String>) {
+    while let Ok(line) = lines.recv() {
+        let mut out = std::io::stdout().lock();
+        if writeln!(out, "{line}").and_then(|()| out.flush()).is_err() {
+            return;
+        }
+    }
+}
+
+#[derive(Debug)]
+struct LineAppender {
+    host: String,
+    budget: Mutex<LineBudget>,
+    queue: SyncSender<String>,
+    dropped: AtomicU64,
+}
+
+struct FieldVisitor(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for FieldVisitor {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let json = match (value.to_u64(), value.to_borrowed_str()) {
+            (Some(number), _) => json!(number),
+            (None, Some(text)) => json!(text),
+            (None, None) => json!(value.to_string()),
+        };
+        self.0.insert(key.as_str().to_owned(), json);
+        Ok(())
+    }
+}
+
+impl LineAppender {
+    fn send(&self, fields: Map<String, serde_json::Value>) {
+        let line = serde_json::Value::Object(fields).to_string();
+        if self.queue.try_send(line).is_err() {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn head(&self, unix_ms: u64, level: &str) -> Map<String, serde_json::Value> {
+        let mut fields = Map::new();
+        fields.insert("unix_ms".to_owned(), json!(unix_ms));
+        fields.insert("level".to_owned(), json!(level));
+        fields.insert("host".to_owned(), json!(self.host));
+        fields
+    }
+
+    fn report_left_out(&self, unix_ms: u64, left_out: Vec<(String, u64)>) {
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        let queue = (dropped > 0).then(|| ("queue".to_owned(), dropped));
+        for (event, lines) in left_out.into_iter().chain(queue) {
+            let mut fields = self.head(unix_ms, "WARN");
+            let number = LogEvent::LogLinesLeftOut.to_string();
+            fields.insert("event".to_owned(), json!(number));
+            fields.insert("name".to_owned(), json!(LogEvent::LogLinesLeftOut.name()));
+            fields.insert("of".to_owned(), json!(event));
+            fields.insert("lines".to_owned(), json!(lines));
+            self.send(fields);
+        }
+    }
+}
+
+impl Log for LineAppender {
+    fn enabled(&self, _metadata: &Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        let unix_ms = unix_ms();
+        let mut visitor = FieldVisitor(self.head(unix_ms, record.level().as_str()));
+        // Visiting cannot fail: the visitor takes every value.
+        let _ = record.key_values().visit(&mut visitor);
+        let mut fields = visitor.0;
+        let message = record.args().to_string();
+        let (event, message) = match fields.get("event") {
+            Some(event) => (event.as_str().unwrap_or_default().to_owned(), message),
+            None => split_event(&mut fields, message),
+        };
+        fields.insert("message".to_owned(), json!(message));
+        let verdict = {
+            let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+            budget.take(&event, unix_ms / 1_000)
+        };
+        if let LineVerdict::Write { left_out } = verdict {
+            self.report_left_out(unix_ms, left_out);
+            self.send(fields);
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// Takes number and name from the front of a message that has no fields.
+fn split_event(fields: &mut Map<String, serde_json::Value>, message: String) -> (String, String) {
+    let Some((head, rest)) = message.split_once(": ") else {
+        return (String::new(), message);
+    };
+    let Some((number, name)) = head.split_once(' ').filter(|(number, _)| number.starts_with('E')) else {
+        return (String::new(), message);
+    };
+    fields.insert("event".to_owned(), json!(number));
+    fields.insert("name".to_owned(), json!(name));
+    (number.to_owned(), rest.to_owned())
+}
+
+fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/jm-host/src/observer.rs
@@ -0,0 +1,344 @@
+//! Log lines and metrics of what happens to requests and batches.
+
+use std::sync::Arc;
+
+use jm_batch::{BatchEvents, GenerationEnd, RunEnd};
+use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, Forwarded, Route, RunKey, Target};
+use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+};
+
+use crate::duty::UsageCounter;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5];
+
+/// Observes one host. Label values are result codes and fixed words, so that the number of series stays bounded.
+pub struct HostObserver {
+    usage: Arc<UsageCounter>,
+    registry: Registry,
+    requests: IntCounterVec,
+    latency: HistogramVec,
+    attempts: IntCounterVec,
+    item_runs: IntCounterVec,
+    batches: IntCounterVec,
+    store_failures: IntCounterVec,
+    /// Revision of the configuration in force.
+    pub config_revision: IntGauge,
+    /// Targets that are listed.
+    pub targets: IntGauge,
+    /// Live hosts, this one included.
+    pub live_hosts: IntGauge,
+    /// One while this host holds the lease of the shared duties.
+    pub holds_lease: IntGauge,
+}
+
+impl HostObserver {
+    /// Metrics at zero.
+    pub fn new(usage: Arc<UsageCounter>) -> Self {
+        let registry = Registry::new();
+        Self {
+            usage,
+            requests: counter(
+                &registry,
+                "jm_requests_total",
+                "Requests by kind and outcome.",
+                &["kind", "outcome"],
+            ),
+            latency: histogram(
+                &registry,
+                "jm_request_seconds",
+                "Time to the answer by kind.",
+                &["kind"],
+            ),
+            attempts: counter(
+                &registry,
+                "jm_attempts_total",
+                "Attempts that brought no answer, by outcome.",
+                &["outcome"],
+            ),
+            item_runs: counter(
+                &registry,
+                "jm_item_runs_total",
+                "Runs of batch items that ended early, by outcome.",
+                &["outcome"],
+            ),
+            batches: counter(
+                &registry,
+                "jm_batches_total",
+                "Batches by what happened to them.",
+                &["event"],
+            ),
+            store_failures: counter(
+                &registry,
+                "jm_batch_store_failures_total",
+                "Store calls of batches that failed.",
+                &["action"],
+            ),
+            config_revision: gauge(
+                &registry,
+                "jm_config_revision",
+                "Revision of the configuration in force.",
+            ),
+            targets: gauge(&registry, "jm_targets", "Targets that are listed."),
+            live_hosts: gauge(&registry, "jm_live_hosts", "Live hosts, this one included."),
+            holds_lease: gauge(
+                &registry,
+                "jm_holds_lease",
+                "One while this host carries out the shared duties.",
+            ),
+            registry,
+        }
+    }
+
+    /// A request ended. `revision` is that of the configuration that decided about it.
+    pub fn request_ended(
+        &self,
+        request: &CallerRequest,
+        route: Option<&Route>,
+        revision: Revision,
+        result: &Forwarded,
+        took: DurationMs,
+    ) {
+        let kind = route.map_or("none", kind_name);
+        self.latency
+            .with_label_values(&[kind])
+            .observe(took.get() as f64 / 1_000.0);
+        let route_name = route.map_or("", |route| route.name.as_str());
+        match result {
+            Ok(answer) => {
+                self.requests.with_label_values(&[kind, "served"]).inc();
+                LogEvent::RequestServed.write_fields(
+                    "a target answered",
+                    &[
+                        ("request", &request.id.as_str()),
+                        ("route", &route_name),
+                        ("status", &u16::from(answer.answer.status)),
+                        ("attempts", &answer.attempts),
+                        ("took_ms", &took.get()),
+                    ],
+                );
+            }
+            Err(refusal) => {
+                let code = refusal.code.to_string();
+                self.requests.with_label_values(&[kind, &code]).inc();
+                LogEvent::RequestRefused.write_fields(
+                    &refusal.message,
+                    &[
+                        ("request", &request.id.as_str()),
+                        ("route", &route_name),
+                        ("code", &code.as_str()),
+                        ("meaning", &refusal.code.name()),
+                        ("revision", &revision.get()),
+                        ("took_ms", &took.get()),
+                    ],
+                );
+            }
+        }
+    }
+
+    /// A batch was not accepted.
+    pub fn batch_refused(&self, batch: &str, code: ResultCode, revision: Revision, reason: &str) {
+        self.batches.with_label_values(&["refused"]).inc();
+        LogEvent::BatchRefused.write_fields(
+            reason,
+            &[
+                ("batch", &batch),
+                ("code", &code.to_string().as_str()),
+                ("meaning", &code.name()),
+                ("revision", &revision.get()),
+            ],
+        );
+    }
+
+    /// A batch could not be read or ended for a caller.
+    pub fn batch_not_read(&self, batch: &str, call: &str, code: ResultCode, reason: &str) {
+        LogEvent::BatchNotRead.write_fields(
+            reason,
+            &[
+                ("batch", &batch),
+                ("call", &call),
+                ("code", &code.to_string().as_str()),
+                ("meaning", &code.name()),
+            ],
+        );
+    }
+
+    /// The text form that Prometheus reads.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let encoder = TextEncoder::new();
+        if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
+            LogEvent::DaemonFailed.write(format_args!("metrics cannot be written: {error}"));
+        }
+        text
+    }
+}
+
+fn kind_name(route: &Route) -> &'static str {
+    match route.kind {
+        jm_forward::RouteKind::Idempotent => "idempotent",
+        jm_forward::RouteKind::NonIdempotent => "non_idempotent",
+        jm_forward::RouteKind::Streaming { .. } => "streaming",
+        jm_forward::RouteKind::Batch(_) => "batch",
+    }
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("metric names are valid");
+    registry
+        .register(Box::new(counter.clone()))
+        .expect("metric names are distinct");
+    counter
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+    let histogram = HistogramVec::new(options, labels).expect("metric names are valid");
+    registry
+        .register(Box::new(histogram.clone()))
+        .expect("metric names are distinct");
+    histogram
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(name, help).expect("metric names are valid");
+    registry
+        .register(Box::new(gauge.clone()))
+        .expect("metric names are distinct");
+    gauge
+}
+
+fn outcome_name(outcome: &AttemptOutcome) -> (&'static str, &str) {
+    match outcome {
+        AttemptOutcome::Answered(_) => ("answered", ""),
+        AttemptOutcome::NotRun { reason } => ("not_run", reason),
+        AttemptOutcome::Unsent { reason } => ("unsent", reason),
+        AttemptOutcome::Lost { reason } => ("lost", reason),
+    }
+}
+
+impl ForwardObserver for HostObserver {
+    fn began(&self, organisation: Option<&OrganisationId>) {
+        if let Some(organisation) = organisation {
+            self.usage.count(organisation);
+        }
+    }
+
+    fn attempt_failed(
+        &self,
+        request: &CallerRequest,
+        target: &Target,
+        outcome: &AttemptOutcome,
+        took: DurationMs,
+    ) {
+        let (name, reason) = outcome_name(outcome);
+        self.attempts.with_label_values(&[name]).inc();
+        LogEvent::RequestRetried.write_fields(
+            reason,
+            &[
+                ("request", &request.id.as_str()),
+                ("target", &target.run.id.as_str()),
+                ("outcome", &name),
+                ("took_ms", &took.get()),
+            ],
+        );
+    }
+
+    fn hedged(&self, request: &CallerRequest, slow: &RunKey, waited: DurationMs) {
+        self.attempts.with_label_values(&["hedged"]).inc();
+        LogEvent::RequestHedged.write_fields(
+            "a second target gets the request",
+            &[
+                ("request", &request.id.as_str()),
+                ("slow_target", &slow.id.as_str()),
+                ("waited_ms", &waited.get()),
+            ],
+        );
+    }
+}
+
+fn end_name(end: &GenerationEnd) -> (&'static str, &str) {
+    match end {
+        GenerationEnd::Complete => ("complete", ""),
+        GenerationEnd::NotRun { reason } => ("not_run", reason),
+        GenerationEnd::Unsent { reason } => ("unsent", reason),
+        GenerationEnd::Failed { reason } => ("failed", reason),
+        GenerationEnd::Impossible => ("impossible", ""),
+        GenerationEnd::Lost { reason } => ("lost", reason),
+        GenerationEnd::Stopped => ("stopped", ""),
+    }
+}
+
+impl BatchEvents for HostObserver {
+    fn accepted(&self, batch: &BatchId, items: usize) {
+        self.batches.with_label_values(&["accepted"]).inc();
+        LogEvent::BatchAccepted.write_fields(
+            "the batch is stored",
+            &[("batch", &batch.as_str()), ("items", &items)],
+        );
+    }
+
+    fn taken_over(&self, batch: &BatchId, from: &MemberId, listed: usize) {
+        self.batches.with_label_values(&["taken_over"]).inc();
+        LogEvent::BatchTakenOver.write_fields(
+            "this host runs the batch now",
+            &[
+                ("batch", &batch.as_str()),
+                ("from", &from.as_str()),
+                ("listed", &listed),
+            ],
+        );
+    }
+
+    fn given_up(&self, batch: &BatchId, to: &MemberId) {
+        self.batches.with_label_values(&["given_up"]).inc();
+        LogEvent::BatchGivenUp.write_fields(
+            "another host runs the batch now",
+            &[("batch", &batch.as_str()), ("to", &to.as_str())],
+        );
+    }
+
+    fn finished(&self, batch: &BatchId, took: DurationMs) {
+        self.batches.with_label_values(&["finished"]).inc();
+        LogEvent::BatchFinished.write_fields(
+            "all results are listed",
+            &[("batch", &batch.as_str()), ("took_ms", &took.get())],
+        );
+    }
+
+    fn ended(&self, batch: &BatchId, listed: usize) {
+        self.batches.with_label_values(&["ended"]).inc();
+        LogEvent::BatchEnded.write_fields(
+            "the submitter ended the batch",
+            &[("batch", &batch.as_str()), ("listed", &listed)],
+        );
+    }
+
+    fn run_failed(&self, end: &RunEnd<'_>) {
+        let (name, reason) = end_name(end.end);
+        self.item_runs.with_label_values(&[name]).inc();
+        LogEvent::ItemRunFailed.write_fields(
+            reason,
+            &[
+                ("batch", &end.batch.as_str()),
+                ("item", &end.item),
+                ("target", &end.target.id.as_str()),
+                ("outcome", &name),
+                ("events", &end.events),
+                ("took_ms", &end.took.get()),
+            ],
+        );
+    }
+
+    fn expired(&self, batch: &BatchId, item: &str, reason: &str) {
+        self.item_runs.with_label_values(&["expired"]).inc();
+        LogEvent::ItemExpired.write_fields(reason, &[("batch", &batch.as_str()), ("item", &item)]);
+    }
+
+    fn store_failed(&self, batch: &BatchId, action: &str, reason: &str) {
+        self.store_failures.with_label_values(&[action]).inc();
+        LogEvent::BatchStoreFailed.write_fields(reason, &[("batch", &batch.as_str()), ("action", &action)]);
+    }
+}
--- /dev/null
+++ b/crates/jm-host/src/world.rs
@@ -0,0 +1,301 @@
+//! The configuration and the targets as this host knows them.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use indexmap::IndexMap;
+use jm_batch::BatchWorld;
+use jm_forward::{Catalog, RoutingTable, Target, TargetState};
+use jm_platform::{Change, KeyedObject};
+use jm_types::{Clock, DurationMs, LogEvent, ModelId, Revision, TargetId, Timestamp, WeightVersion};
+
+use crate::{follow::Follower, platform::PlatformObjects};
+
+/// Time without an answer of the store after which missing targets are not taken for gone at once.
+const OUTAGE_MS: DurationMs = DurationMs::new(1_500);
+
+/// Time in which live targets come back to the list after an outage of the store.
+const RETURN_MS: DurationMs = DurationMs::new(2_200);
+
+/// Called when configuration, targets or versions changed.
+type OnChange = Box<dyn Fn() + Send + Sync>;
+
+#[derive(Default)]
+struct WorldState {
+    routing: Option<Arc<RoutingTable>>,
+    /// The configuration as it was read, for hosts that cannot read it themselves.
+    routing_value: Vec<u8>,
+    catalog: Arc<Catalog>,
+    /// Targets that are missing from the list since an outage, with the time until which they count as there.
+    missing: IndexMap<TargetId, Timestamp>,
+    /// Until when deletions are taken for consequences of an outage.
+    settles_at: Option<Timestamp>,
+    versions: IndexMap<ModelId, WeightVersion>,
+}
+
+/// What this host knows.
+pub struct World {
+    objects: Arc<dyn PlatformObjects>,
+    clock: Arc<dyn Clock>,
+    on_change: OnChange,
+    state: Mutex<WorldState>,
+}
+
+impl World {
+    /// Nothing is known yet.
+    pub fn new(objects: Arc<dyn PlatformObjects>, clock: Arc<dyn Clock>, on_change: OnChange) -> Self {
+        Self {
+            objects,
+            clock,
+            on_change,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Puts a configuration in force unless it is older than the one in force.
+    pub fn apply_routing(&self, value: &[u8]) {
+        let table = match self.objects.routing(value) {
+            Ok(table) => table,
+            Err(error) => {
+                LogEvent::ConfigUnreadable.write(format_args!("the configuration cannot be read: {error}"));
+                return;
+            }
+        };
+        let revision = table.revision;
+        let known = self.revision();
+        if revision <= known {
+            return;
+        }
+        {
+            let mut state = self.lock();
+            state.routing = Some(Arc::new(table));
+            state.routing_value = value.to_vec();
+        }
+        LogEvent::ConfigApplied.write_fields(
+            "the configuration is in force",
+            &[("revision", &revision.get()), ("previous", &known.get())],
+        );
+        (self.on_change)();
+    }
+
+    /// Revision of the configuration in force; zero before the first one.
+    pub fn revision(&self) -> Revision {
+        self.lock()
+            .routing
+            .as_ref()
+            .map_or(Revision::new(0), |table| table.revision)
+    }
+
+    /// The configuration as it was read; empty before the first one.
+    pub fn routing_value(&self) -> Vec<u8> {
+        self.lock().routing_value.clone()
+    }
+
+    /// Newest version of each model that its trainer named.
+    pub fn versions(&self) -> IndexMap<ModelId, WeightVersion> {
+        self.lock().versions.clone()
+    }
+
+    /// Removes targets that did not come back after an outage.
+    pub fn drop_missing(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let gone: Vec<TargetId> = state
+            .missing
+            .iter()
+            .filter(|(_, until)| now >= **until)
+            .map(|(id, _)| id.clone())
+            .collect();
+        if gone.is_empty() {
+            return;
+        }
+        let mut catalog = Catalog::clone(&state.catalog);
+        for id in &gone {
+            state.missing.swap_remove(id);
+            if catalog.remove(id) {
+                LogEvent::TargetLeaving.write(format_args!(
+                    "target {id} did not come back after an outage of the store"
+                ));
+            }
+        }
+        state.catalog = Arc::new(catalog);
+        drop(state);
+        (self.on_change)();
+    }
+
+    fn lock(&self) -> MutexGuard<'_, WorldState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn decode(&self, key: &str, value: &[u8]) -> Option<Target> {
+        let decoded = self.objects.target(key, value);
+        decoded
+            .inspect_err(|error| {
+                LogEvent::ConfigUnreadable.write(format_args!("{key} describes no target: {error}"))
+            })
+            .ok()
+    }
+
+    fn log_target(before: Option<&Target>, after: &Target) {
+        let is_known = before.is_some_and(|before| before.run == after.run && before.state == after.state);
+        if is_known {
+            return;
+        }
+        let event = match after.state {
+            TargetState::Serving => LogEvent::TargetRecovered,
+            TargetState::Leaving => LogEvent::TargetLeaving,
+        };
+        event.write_fields(
+            "a target is listed",
+            &[
+                ("target", &after.run.id.as_str()),
+                ("service", &after.service.as_str()),
+                ("started_unix_ms", &after.run.started_unix_ms),
+            ],
+        );
+    }
+
+    fn set_target(&self, key: &str, value: Option<&[u8]>) {
+        let target = value.and_then(|value| self.decode(key, value));
+        let id = key.strip_prefix(self.objects.targets_prefix()).unwrap_or(key);
+        let Ok(id) = id.parse::<TargetId>() else { return };
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let mut catalog = Catalog::clone(&state.catalog);
+        match target {
+            Some(target) => {
+                Self::log_target(catalog.get(&id), &target);
+                state.missing.swap_remove(&id);
+                catalog.insert(target);
+            }
+            None => {
+                let settles_at = state.settles_at.filter(|until| now < *until && value.is_none());
+                match settles_at {
+                    Some(until) => {
+                        state.missing.insert(id, until);
+                    }
+                    None if catalog.remove(&id) => {
+                        LogEvent::TargetLeaving.write(format_args!("target {id} is gone from the list"));
+                    }
+                    None => {}
+                }
+            }
+        }
+        state.catalog = Arc::new(catalog);
+    }
+
+    fn list_targets(&self, objects: &[KeyedObject], gap: DurationMs) {
+        let now = self.clock.now();
+        let decoded = objects
+            .iter()
+            .filter_map(|object| self.decode(&object.key, &object.object.value));
+        let mut catalog: Catalog = decoded.collect();
+        let mut state = self.lock();
+        if gap >= OUTAGE_MS {
+            state.settles_at = Some(now.after(RETURN_MS));
+        }
+        for target in catalog.iter() {
+            Self::log_target(state.catalog.get(&target.run.id), target);
+            state.missing.swap_remove(&target.run.id);
+        }
+        let settles_at = state.settles_at.filter(|until| now < *until);
+        let before = Arc::clone(&state.catalog);
+        for target in before
+            .iter()
+            .filter(|target| catalog.get(&target.run.id).is_none())
+            .cloned()
+            .collect::<Vec<_>>()
+        {
+            let Some(until) = settles_at else {
+                LogEvent::TargetLeaving.write(format_args!("target {} is gone from the list", target.run.id));
+                continue;
+            };
+            state.missing.entry(target.run.id.clone()).or_insert(until);
+            catalog.insert(target);
+        }
+        state.catalog = Arc::new(catalog);
+    }
+
+    fn set_version(&self, key: &str, value: &[u8]) {
+        match self.objects.version(value) {
+            Ok((model, version)) => {
+                let mut state = self.lock();
+                let known = state
+                    .versions
+                    .entry(model.clone())
+                    .or_insert(WeightVersion::new(0));
+                if version > *known {
+                    *known = version;
+                    LogEvent::WeightsOrdered.write_fields(
+                        "a version was named",
+                        &[("model", &model.as_str()), ("version", &version.get())],
+                    );
+                }
+            }
+            Err(error) => LogEvent::ConfigUnreadable.write(format_args!("{key} names no version: {error}")),
+        }
+    }
+}
+
+impl BatchWorld for World {
+    fn routing(&self) -> Option<Arc<RoutingTable>> {
+        self.lock().routing.clone()
+    }
+
+    fn catalog(&self) -> Arc<Catalog> {
+        Arc::clone(&self.lock().catalog)
+    }
+}
+
+/// Follows the configuration.
+pub(crate) struct RoutingFollower(pub(crate) Arc<World>);
+
+impl Follower for RoutingFollower {
+    fn listed(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
+        let key = self.0.objects.routing_key();
+        for object in objects.iter().filter(|object| object.key == key) {
+            self.0.apply_routing(&object.object.value);
+        }
+    }
+
+    fn changed(&self, change: Change) {
+        if change.key == self.0.objects.routing_key()
+            && let Some(value) = change.value
+        {
+            self.0.apply_routing(&value);
+        }
+    }
+}
+
+/// Follows the targets.
+pub(crate) struct TargetsFollower(pub(crate) Arc<World>);
+
+impl Follower for TargetsFollower {
+    fn listed(&self, objects: Vec<KeyedObject>, gap: DurationMs) {
+        self.0.list_targets(&objects, gap);
+        (self.0.on_change)();
+    }
+
+    fn changed(&self, change: Change) {
+        self.0.set_target(&change.key, change.value.as_deref());
+        (self.0.on_change)();
+    }
+}
+
+/// Follows the versions that trainers name.
+pub(crate) struct VersionsFollower(pub(crate) Arc<World>);
+
+impl Follower for VersionsFollower {
+    fn listed(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
+        for object in objects {
+            self.0.set_version(&object.key, &object.object.value);
+        }
+        (self.0.on_change)();
+    }
+
+    fn changed(&self, change: Change) {
+        if let Some(value) = change.value {
+            self.0.set_version(&change.key, &value);
+        }
+        (self.0.on_change)();
+    }
+}
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -12,6 +12,7 @@
     answer_body::answer_body,
     exchange::{Cause, ExchangeError, Exchanged, exchange},
     guard::{FRAMING_HEADERS, exact_body, unsafe_header},
+    head::RequestTarget,
     pool::{ClientConnection, Pool},
     whole::read_whole,
 };
@@ -61,6 +62,16 @@
     }
 }
 
+/// Which connection a request may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reuse {
+    /// A new one, so that the request reaches the peer at most once.
+    Fresh,
+    /// An idle one if there is any. When it ends before the first byte of an answer, the request is repeated once on a
+    /// new connection, so it must be one that may run twice.
+    Pooled,
+}
+
 /// An HTTP client. Clones share their connections.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -86,7 +97,27 @@
     /// a repeated conditional deletion whose first attempt took effect was reported as not applied.
     pub async fn send(&self, request: Request) -> Result<Response, ClientError> {
         let prepared = Prepared::new(request, &self.limits).await?;
-        let pooled = self.pooled(&prepared);
+        let pooled = match prepared.is_safe() {
+            true => self.pooled(&prepared),
+            false => None,
+        };
+        self.send_prepared(prepared, pooled).await
+    }
+
+    /// Sends one request to `address` instead of the address in its URL, which only states the host and the path. A
+    /// [`RequestTarget`] among its extensions is written in place of the path of the URL.
+    pub async fn send_to(
+        &self,
+        address: impl Into<String>,
+        request: Request,
+        reuse: Reuse,
+    ) -> Result<Response, ClientError> {
+        let mut prepared = Prepared::new(request, &self.limits).await?;
+        prepared.address = address.into();
+        let pooled = match reuse {
+            Reuse::Pooled => self.pooled(&prepared),
+            Reuse::Fresh => None,
+        };
         self.send_prepared(prepared, pooled).await
     }
 
@@ -102,7 +133,7 @@
         pooled: Option<(ClientConnection, Request)>,
     ) -> Result<Response, ClientError> {
         if let Some((connection, request)) = pooled {
-            match self.exchange(connection, request, &prepared.address).await {
+            match self.exchange(connection, request, &prepared).await {
                 Err(error) if error.is_repeatable() => prepared.written |= error.written,
                 result => return result.map_err(|error| prepared.error(error)),
             }
@@ -110,7 +141,7 @@
         let opened = self.pool.open(&prepared.address).await;
         let connection = opened.map_err(|source| prepared.error(ExchangeError::unwritten(source)))?;
         let request = prepared.take_request();
-        let result = self.exchange(connection, request, &prepared.address).await;
+        let result = self.exchange(connection, request, &prepared).await;
         result.map_err(|error| prepared.error(error))
     }
 
@@ -124,10 +155,13 @@
         &self,
         mut connection: ClientConnection,
         request: Request,
-        address: &str,
+        prepared: &Prepared,
     ) -> Result<Response, ExchangeError> {
-        let Exchanged { head, reusable } = exchange(&mut connection.stream, request, &self.limits).await?;
-        let reuse_pool = reusable.then(|| (Arc::clone(&self.pool), address.to_owned()));
+        let target = prepared.target.as_ref();
+        let Exchanged { head, reusable } =
+            exchange(&mut connection.stream, request, target, &self.limits).await?;
+        connection.set_idle_timeout(head.idle_timeout);
+        let reuse_pool = reusable.then(|| (Arc::clone(&self.pool), prepared.address.clone()));
         let piece_timeout = self.limits.body_timeout_ms.as_std();
         let mut response = head.response;
         let body = answer_body(connection, head.framing, piece_timeout, reuse_pool);
@@ -139,6 +173,7 @@
 /// A request that was checked and can be written.
 struct Prepared {
     address: String,
+    target: Option<RequestTarget>,
     /// The head; its body is empty.
     head: Request,
     body: RequestBody,
@@ -158,6 +193,7 @@
         for name in FRAMING_HEADERS.into_iter().chain(["expect", "host"]) {
             request.remove_header(name);
         }
+        let target = request.ext().get::<RequestTarget>().cloned();
         let body = exact_body(request.take_body());
         let is_small = body
             .len()
@@ -168,19 +204,22 @@
         };
         Ok(Self {
             address,
+            target,
             head: request,
             body,
             written: false,
         })
     }
 
-    fn repeatable_request(&self) -> Option<Request> {
+    fn is_safe(&self) -> bool {
         let safe = [Method::Get, Method::Head, Method::Options, Method::Trace];
+        safe.contains(&self.head.method())
+    }
+
+    fn repeatable_request(&self) -> Option<Request> {
         match &self.body {
-            RequestBody::Whole(body) if safe.contains(&self.head.method()) => {
-                Some(self.with_body(body.clone().into()))
-            }
-            _ => None,
+            RequestBody::Whole(body) => Some(self.with_body(body.clone().into())),
+            RequestBody::Stream(_) => None,
         }
     }
 
--- a/crates/jm-http/src/connection.rs
+++ b/crates/jm-http/src/connection.rs
@@ -14,7 +14,7 @@
 use jm_types::{LogEvent, ResultCode};
 
 use crate::{
-    Connection, Handler, Limits,
+    Connection, Handler, Limits, SharedLimits,
     answer::{After, checked, error_response, write_answer},
     framing::{BodyDecoder, BodyError, BodyStep, Framing},
     head::{Refusal, RequestHead, parse_request},
@@ -28,7 +28,7 @@
 pub(crate) struct ServerConnection {
     stream: BufferedStream,
     connection: Connection,
-    limits: Limits,
+    limits: SharedLimits,
     handler: Arc<dyn Handler>,
     stopping: Receiver<Infallible>,
     served: u64,
@@ -38,7 +38,7 @@
     pub(crate) fn new(
         stream: BufferedStream,
         connection: Connection,
-        limits: Limits,
+        limits: SharedLimits,
         handler: Arc<dyn Handler>,
         stopping: Receiver<Infallible>,
     ) -> Self {
@@ -57,7 +57,7 @@
             let after = match self.read_request().await {
                 Ok((request, after)) => self.answer(request, after).await,
                 Err(refusal) => {
-                    let stall_timeout = self.limits.body_timeout_ms.as_std();
+                    let stall_timeout = self.limits.get().body_timeout_ms.as_std();
                     refuse(&mut self.stream, self.connection.peer, refusal, stall_timeout).await;
                     After::Close
                 }
@@ -74,21 +74,21 @@
         if !self.stream.data().is_empty() {
             return true;
         }
-        let idle = timeout(self.limits.idle_timeout_ms.as_std(), self.stream.fill()).boxed();
+        let idle = timeout(self.limits.get().idle_timeout_ms.as_std(), self.stream.fill()).boxed();
         if let Either::Left((read, _)) = select(idle, self.stopping.recv().boxed()).await {
             return matches!(read, Ok(Ok(1..)));
         }
         // A peer that has just connected has most likely written its request already; closing would leave the outcome
         // of that request open.
         let last_wait = match self.served {
-            0 => self.limits.head_timeout_ms.as_std(),
+            0 => self.limits.get().head_timeout_ms.as_std(),
             _ => Duration::ZERO,
         };
         matches!(timeout(last_wait, self.stream.fill()).await, Ok(Ok(1..)))
     }
 
     async fn read_request(&mut self) -> Result<(Request, After), Refusal> {
-        let time = self.limits.head_timeout_ms;
+        let time = self.limits.get().head_timeout_ms;
         let late = |_| {
             let message = format!("the head did not arrive within {time}");
             Refusal::new(ResultCode::RequestTimeout, message)
@@ -115,7 +115,7 @@
     }
 
     async fn read_head(&mut self) -> Result<RequestHead, Refusal> {
-        let limit_bytes = self.limits.head_bytes.get() as usize;
+        let limit_bytes = self.limits.get().head_bytes.get() as usize;
         loop {
             if let Some(head) = parse_request(self.stream.data(), limit_bytes)? {
                 return Ok(head);
@@ -134,7 +134,7 @@
     }
 
     fn check_size(&self, size_bytes: u64) -> Result<(), Refusal> {
-        let limit = self.limits.body_bytes;
+        let limit = self.limits.get().body_bytes;
         if size_bytes > limit.get() {
             let message = format!("the body exceeds {limit}");
             return Err(Refusal::new(ResultCode::BodyTooLarge, message));
@@ -143,7 +143,7 @@
     }
 
     async fn write_continue(&mut self) -> Result<(), Refusal> {
-        let stall_timeout = self.limits.body_timeout_ms.as_std();
+        let stall_timeout = self.limits.get().body_timeout_ms.as_std();
         let written = write_all(&mut self.stream.socket(), CONTINUE, stall_timeout, || {}).await;
         written.map_err(|error| Refusal::new(ResultCode::CutBody, error))
     }
@@ -166,7 +166,7 @@
     }
 
     async fn read_piece(&mut self) -> Result<(), Refusal> {
-        let time = self.limits.body_timeout_ms;
+        let time = self.limits.get().body_timeout_ms;
         match timeout(time.as_std(), self.stream.fill()).await {
             Ok(Ok(1..)) => Ok(()),
             Ok(_) => Err(body_refusal(BodyError::Cut)),
@@ -180,8 +180,9 @@
     /// Runs the handler and writes its answer, unless the peer closes first.
     async fn answer(&mut self, request: Request, after: After) -> After {
         let method = request.method();
-        let limit_bytes = self.limits.head_bytes.get() as usize;
-        let answered = handle(&*self.handler, request, &self.connection, &self.limits);
+        let limit_bytes = self.limits.get().head_bytes.get() as usize;
+        let limits = self.limits.get();
+        let answered = handle(&*self.handler, request, &self.connection, &limits);
         let Some(response) = unless_closed(answered, &mut self.stream, limit_bytes).await else {
             LogEvent::ConnectionFailed.write(format!(
                 "{:?} disconnected before its answer",
@@ -193,7 +194,7 @@
             true => After::Close,
             false => after,
         };
-        let stall_timeout = self.limits.body_timeout_ms.as_std();
+        let stall_timeout = self.limits.get().body_timeout_ms.as_std();
         let response = checked(response, method, after);
         let written = write_answer(self.stream.socket(), response, method, stall_timeout);
         match unless_closed(written, &mut self.stream, limit_bytes).await {
--- a/crates/jm-http/src/exchange.rs
+++ b/crates/jm-http/src/exchange.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     Limits,
-    head::{AnswerHead, parse_answer},
+    head::{AnswerHead, RequestTarget, parse_answer},
     stream::{BufferedStream, write_all},
 };
 
@@ -82,11 +82,12 @@
 pub(crate) async fn exchange(
     stream: &mut BufferedStream,
     request: Request,
+    target: Option<&RequestTarget>,
     limits: &Limits,
 ) -> Result<Exchanged, ExchangeError> {
     let received_before = stream.received_bytes();
     let written = AtomicBool::new(false);
-    let result = write_and_read(stream, request, limits, &written).await;
+    let result = write_and_read(stream, request, target, limits, &written).await;
     result.map_err(|cause| ExchangeError {
         written: written.load(Ordering::Relaxed),
         answered: stream.received_bytes() > received_before,
@@ -97,11 +98,13 @@
 async fn write_and_read(
     stream: &mut BufferedStream,
     request: Request,
+    target: Option<&RequestTarget>,
     limits: &Limits,
     written: &AtomicBool,
 ) -> Result<Exchanged, Cause> {
     let method = request.method();
-    let write = write_request(stream.socket(), request, limits.body_timeout_ms.as_std(), written);
+    let stall_timeout = limits.body_timeout_ms.as_std();
+    let write = write_request(stream.socket(), request, target, stall_timeout, written);
     let read = read_head(stream, limits, method);
     pin_mut!(write, read);
     match select(write, read).await {
@@ -140,22 +143,37 @@
 async fn write_request(
     mut stream: TcpStream,
     request: Request,
+    target: Option<&RequestTarget>,
     stall_timeout: Duration,
     written: &AtomicBool,
 ) -> Result<(), WriteError> {
+    let method = request.method();
     let mut encoder = async_h1::client::Encoder::new(request);
     let mut piece = vec![0; PIECE_BYTES];
+    let mut target = target;
     loop {
         let amount = encoder.read(&mut piece).await.map_err(WriteError::Body)?;
         if amount == 0 {
             return Ok(());
         }
+        let bytes = match target.take() {
+            Some(target) => &with_target(&piece[..amount], method, target),
+            None => &piece[..amount],
+        };
         let on_progress = || written.store(true, Ordering::Relaxed);
-        let written = write_all(&mut stream, &piece[..amount], stall_timeout, on_progress).await;
+        let written = write_all(&mut stream, bytes, stall_timeout, on_progress).await;
         written.map_err(WriteError::Socket)?;
     }
 }
 
+/// The head with its first line replaced: the encoder writes the path of the URL, which is normalised.
+fn with_target(head: &[u8], method: Method, target: &RequestTarget) -> Vec<u8> {
+    let line_end = head.windows(2).position(|pair| pair == b"\r\n").unwrap_or(0);
+    let mut bytes = format!("{method} {} HTTP/1.1", target.as_str()).into_bytes();
+    bytes.extend_from_slice(&head[line_end..]);
+    bytes
+}
+
 /// Reads heads until one is final.
 async fn read_head(
     stream: &mut BufferedStream,
--- a/crates/jm-http/src/head.rs
+++ b/crates/jm-http/src/head.rs
@@ -1,5 +1,7 @@
 //! Reads and checks the heads of requests and answers before anything else sees them.
 
+use std::time::Duration;
+
 use http_types::{
     Method, Request, Response, StatusCode, Url, Version,
     headers::{HeaderName, HeaderValue},
@@ -13,6 +15,28 @@
 /// Most headers in one head.
 const MAX_HEADERS: usize = 128;
 
+/// The path and query of a request as they stood in its head. [`Url`] normalises both, so a request that is passed on
+/// unchanged carries this beside its URL.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RequestTarget(String);
+
+impl RequestTarget {
+    /// Wraps a path and query that were read from a request head.
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// Path and query.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// The path without the query.
+    pub fn path(&self) -> &str {
+        self.0.split('?').next().unwrap_or_default()
+    }
+}
+
 /// Why a request is answered with an error before a handler sees it.
 #[derive(Debug)]
 pub(crate) struct Refusal {
@@ -103,6 +127,10 @@
     let url = request_url(headers, parsed.path.unwrap_or_default())?;
     let mut request = Request::new(method, url);
     request.set_version(Some(Version::Http1_1));
+    let target = parsed.path.unwrap_or_default();
+    if target.starts_with('/') {
+        request.ext_mut().insert(RequestTarget::new(target));
+    }
     for (name, value) in copied(headers).map_err(malformed)? {
         request.append_header(name, value);
     }
@@ -169,6 +197,8 @@
     pub(crate) response: Response,
     pub(crate) framing: Framing,
     pub(crate) keep_alive: bool,
+    /// How long the peer keeps the connection open without a request, when it says so.
+    pub(crate) idle_timeout: Option<Duration>,
     /// Size on the wire.
     pub(crate) size_bytes: usize,
 }
@@ -239,12 +269,23 @@
     };
     Ok(AnswerHead {
         keep_alive: is_http_1_1 && framing != Framing::ToClose && !has_token(headers, "connection", "close"),
+        idle_timeout: stated_idle_timeout(headers),
         response,
         framing,
         size_bytes,
     })
 }
 
+/// The timeout of the `keep-alive` header.
+fn stated_idle_timeout(headers: &[Header<'_>]) -> Option<Duration> {
+    let parameters = values(headers, "keep-alive").into_iter().next()?;
+    let text = std::str::from_utf8(parameters).ok()?;
+    let seconds = text
+        .split(',')
+        .find_map(|parameter| parameter.trim().strip_prefix("timeout="))?;
+    Some(Duration::from_secs(seconds.trim().parse().ok()?))
+}
+
 /// The status, or the first one of its class when `http-types` has no name for it (RFC 9110, section 15).
 fn known_status(code: u16) -> Option<StatusCode> {
     let first_of_class = code - code % 100;
--- a/crates/jm-http/src/limits.rs
+++ b/crates/jm-http/src/limits.rs
@@ -1,5 +1,7 @@
 //! Limits of one server or client.
 
+use std::sync::{Arc, Mutex, PoisonError};
+
 use jm_types::{ByteSize, DurationMs};
 
 /// Limits on what a peer may send and how long it may take. The daemons read them from their settings.
@@ -37,3 +39,27 @@
         }
     }
 }
+
+/// Limits that can be replaced while a server runs, because an operator may change them at any time. Clones share the
+/// limits; open connections take new ones into account from their next request on.
+#[derive(Debug, Clone)]
+pub struct SharedLimits(Arc<Mutex<Arc<Limits>>>);
+
+impl SharedLimits {
+    /// The limits that are in force now.
+    pub fn get(&self) -> Arc<Limits> {
+        // No code panics while it holds the lock.
+        Arc::clone(&self.0.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the limits.
+    pub fn set(&self, limits: Limits) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(limits);
+    }
+}
+
+impl From<Limits> for SharedLimits {
+    fn from(limits: Limits) -> Self {
+        Self(Arc::new(Mutex::new(Arc::new(limits))))
+    }
+}
--- a/crates/jm-http/src/pool.rs
+++ b/crates/jm-http/src/pool.rs
@@ -21,12 +21,24 @@
 /// Most idle connections to one address. More are only needed after a burst, and opening one takes a round trip.
 const IDLE_PER_ADDRESS: usize = 16;
 
+/// Time by which a connection is given up before the peer closes it, so that a request and the close do not cross.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
 /// An open connection; it counts against the limit until it is dropped.
 pub(crate) struct ClientConnection {
     pub(crate) stream: BufferedStream,
+    /// How long the peer keeps it open without a request, less a margin for the way there.
+    idle_timeout: Option<Duration>,
     _slot: Slot,
 }
 
+impl ClientConnection {
+    /// Takes note of the time that the peer stated.
+    pub(crate) fn set_idle_timeout(&mut self, stated: Option<Duration>) {
+        self.idle_timeout = stated.map(|stated| stated.saturating_sub(IDLE_MARGIN));
+    }
+}
+
 struct IdleConnection {
     connection: ClientConnection,
     since: Instant,
@@ -37,6 +49,14 @@
     taken: Receiver<()>,
 }
 
+impl IdleConnection {
+    /// Whether it can carry a request: the peer keeps it, and has neither closed it nor sent anything.
+    fn is_usable(&mut self, idle_timeout: Duration) -> bool {
+        let stated = self.connection.idle_timeout.unwrap_or(idle_timeout);
+        self.since.elapsed() < idle_timeout.min(stated) && is_open_and_silent(&mut self.connection.stream)
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         let _ = self.taken.try_recv();
@@ -78,9 +98,7 @@
         let mut idle = self.idle();
         let connections = idle.by_address.get_mut(address)?;
         while let Some(mut candidate) = connections.pop() {
-            if candidate.since.elapsed() < self.idle_timeout
-                && is_open_and_silent(&mut candidate.connection.stream)
-            {
+            if candidate.is_usable(self.idle_timeout) {
                 return Some(candidate.connection);
             }
         }
@@ -95,6 +113,7 @@
         stream.set_nodelay(true)?;
         Ok(ClientConnection {
             stream: BufferedStream::new(stream),
+            idle_timeout: None,
             _slot: slot,
         })
     }
@@ -142,10 +161,7 @@
     fn remove_expired(&self) -> bool {
         let mut idle = self.idle();
         for connections in idle.by_address.values_mut() {
-            connections.retain_mut(|candidate| {
-                candidate.since.elapsed() < self.idle_timeout
-                    && is_open_and_silent(&mut candidate.connection.stream)
-            });
+            connections.retain_mut(|candidate| candidate.is_usable(self.idle_timeout));
         }
         idle.by_address.retain(|_, connections| !connections.is_empty());
         idle.is_swept = !idle.by_address.is_empty();
--- a/crates/jm-http/src/server.rs
+++ b/crates/jm-http/src/server.rs
@@ -14,7 +14,7 @@
 use jm_types::{LogEvent, ResultCode};
 
 use crate::{
-    Limits,
+    SharedLimits,
     connection::{ServerConnection, refuse},
     head::Refusal,
     stream::BufferedStream,
@@ -42,13 +42,14 @@
 
 /// An HTTP server on one listener.
 pub struct Server {
-    limits: Limits,
+    limits: SharedLimits,
     handler: Arc<dyn Handler>,
 }
 
 impl Server {
     /// A server that answers with `handler` within `limits`.
-    pub fn new(limits: Limits, handler: Arc<dyn Handler>) -> Self {
+    pub fn new(limits: impl Into<SharedLimits>, handler: Arc<dyn Handler>) -> Self {
+        let limits = limits.into();
         Self { limits, handler }
     }
 
@@ -117,7 +118,7 @@
             return;
         }
         let stream = BufferedStream::new(stream);
-        if self.open.sender_count() > self.server.limits.connections {
+        if self.open.sender_count() > self.server.limits.get().connections {
             self.refuse(stream, peer);
             return;
         }
@@ -140,7 +141,7 @@
             return;
         }
         let refusing = self.refusing.clone();
-        let stall_timeout = self.server.limits.body_timeout_ms.as_std();
+        let stall_timeout = self.server.limits.get().body_timeout_ms.as_std();
         task::spawn(async move {
             let refusal = Refusal::new(ResultCode::TooManyConnections, "the connection limit is reached");
             refuse(&mut stream, Some(peer), refusal, stall_timeout).await;
--- a/crates/jm-lease/src/record.rs
+++ b/crates/jm-lease/src/record.rs
@@ -14,10 +14,12 @@
     Weights,
     /// Sealing and reporting usage windows.
     Usage,
+    /// All of these, in a fleet whose hosts are all alike.
+    Fleet,
 }
 
 impl Duty {
-    /// Every duty.
+    /// The duties that control daemons divide among themselves.
     pub const ALL: [Self; 3] = [Self::Targets, Self::Weights, Self::Usage];
 
     /// The name, as in the key of the lease object.
@@ -26,6 +28,7 @@
             Self::Targets => "targets",
             Self::Weights => "weights",
             Self::Usage => "usage",
+            Self::Fleet => "fleet",
         }
     }
 
--- a/crates/jm-plan/src/lib.rs
+++ b/crates/jm-plan/src/lib.rs
@@ -8,10 +8,12 @@
 mod allocate;
 mod capacity;
 mod demand;
+mod loads;
 mod offer;
 mod rollout;
 
 pub use capacity::{CapacityOrder, CapacityPlan, PlanInput, Shortfall, plan_capacity};
 pub use demand::{DemandMemory, ServiceDemand};
+pub use loads::{Load, LoadEngine, LoadPlan, LoadsOptions};
 pub use offer::{Counts, Offer, PlanMemory, PlanOptions, Tier, ZoneOffer};
 pub use rollout::{Rollout, RolloutEngine, RolloutOptions, RolloutStatus, SwapResult, WeightOrder};
--- /dev/null
+++ b/crates/jm-plan/src/loads.rs
@@ -0,0 +1,146 @@
+//! Which engines load which weights next.
+//!
+//! Load pattern: a trainer names a version every few seconds, faster than all engines can load it a few at a time, and
+//! its next step accepts the version before as well. Engines that lag most load first and go straight to the newest
+//! version, so that each of them is useful for as long as possible.
+
+use indexmap::IndexMap;
+use jm_types::{DurationMs, ModelId, Timestamp, WeightVersion};
+
+/// Settings of the loads.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadsOptions {
+    /// Engines for one that may load at the same time; loads slow one another down beyond that.
+    pub engines_per_load: usize,
+    /// A load without a result after this time no longer counts.
+    pub load_timeout_ms: DurationMs,
+    /// Wait before an engine that refused an order gets another one.
+    pub retry_ms: DurationMs,
+}
+
+impl Default for LoadsOptions {
+    fn default() -> Self {
+        Self {
+            engines_per_load: 5,
+            load_timeout_ms: DurationMs::new(6_000),
+            retry_ms: DurationMs::new(300),
+        }
+    }
+}
+
+/// An engine and the weights that it is known to have.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadEngine<K> {
+    /// One run of an engine.
+    pub run: K,
+    /// Its weights by model.
+    pub versions: IndexMap<ModelId, WeightVersion>,
+}
+
+/// An engine that is to load weights.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Load<K> {
+    /// The engine.
+    pub run: K,
+    /// The model.
+    pub model: ModelId,
+    /// The version.
+    pub version: WeightVersion,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum LoadState {
+    Loading {
+        since: Timestamp,
+    },
+    /// An order failed; the engine is left alone until then.
+    Resting {
+        until: Timestamp,
+    },
+}
+
+/// Loads that run and engines that rest.
+#[derive(Debug)]
+pub struct LoadPlan<K> {
+    options: LoadsOptions,
+    states: IndexMap<K, LoadState>,
+}
+
+impl<K: Clone + Eq + std::hash::Hash> LoadPlan<K> {
+    /// No load runs.
+    pub fn new(options: LoadsOptions) -> Self {
+        Self {
+            options,
+            states: IndexMap::new(),
+        }
+    }
+
+    /// The loads to start now, given the newest version of each model. They count as running.
+    pub fn next(
+        &mut self,
+        engines: &[LoadEngine<K>],
+        newest: &IndexMap<ModelId, WeightVersion>,
+        now: Timestamp,
+    ) -> Vec<Load<K>> {
+        self.expire(now);
+        let limit = (engines.len() + self.options.engines_per_load / 2) / self.options.engines_per_load;
+        let loading = self.loading();
+        let room = limit.max(1).saturating_sub(loading);
+        let mut behind: Vec<(u64, Load<K>)> = engines
+            .iter()
+            .filter(|engine| !self.states.contains_key(&engine.run))
+            .filter_map(|engine| most_behind(engine, newest))
+            .collect();
+        behind.sort_by_key(|(lag, _)| std::cmp::Reverse(*lag));
+        let loads: Vec<Load<K>> = behind.into_iter().take(room).map(|(_, load)| load).collect();
+        for load in &loads {
+            self.states
+                .insert(load.run.clone(), LoadState::Loading { since: now });
+        }
+        loads
+    }
+
+    /// A load ended well.
+    pub fn loaded(&mut self, run: &K) {
+        self.states.swap_remove(run);
+    }
+
+    /// A load failed or its outcome is not known.
+    pub fn failed(&mut self, run: &K, now: Timestamp) {
+        let until = now.after(self.options.retry_ms);
+        self.states.insert(run.clone(), LoadState::Resting { until });
+    }
+
+    /// Loads that run.
+    pub fn loading(&self) -> usize {
+        let is_loading = |state: &&LoadState| matches!(state, LoadState::Loading { .. });
+        self.states.values().filter(is_loading).count()
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        let timeout_ms = self.options.load_timeout_ms;
+        self.states.retain(|_, state| match state {
+            LoadState::Loading { since } => now.since(*since) < timeout_ms,
+            LoadState::Resting { until } => now < *until,
+        });
+    }
+}
+
+/// The model for which an engine lags most, with the number of versions.
+fn most_behind<K: Clone>(
+    engine: &LoadEngine<K>,
+    newest: &IndexMap<ModelId, WeightVersion>,
+) -> Option<(u64, Load<K>)> {
+    let lags = engine.versions.iter().filter_map(|(model, version)| {
+        let newest = *newest.get(model)?;
+        let lag = newest.saturating_sub(*version).get();
+        (lag > 0).then_some((lag, model, newest))
+    });
+    let (lag, model, version) = lags.max_by_key(|(lag, ..)| *lag)?;
+    let load = Load {
+        run: engine.run.clone(),
+        model: model.clone(),
+        version,
+    };
+    Some((lag, load))
+}
--- a/crates/jm-route/src/owner.rs
+++ b/crates/jm-route/src/owner.rs
@@ -30,3 +30,12 @@
         })
         .map(|member| member.id.clone())
 }
+
+/// The member that owns `key`, by rendezvous hash; `None` when there is no member.
+pub fn owner_by_key<'a>(key: &str, members: &'a [MemberId]) -> Option<&'a MemberId> {
+    let key = stable_hash(key.as_bytes());
+    members.iter().max_by_key(|member| {
+        let weight = rendezvous_weight(stable_hash(member.as_str().as_bytes()), key);
+        (weight, *member)
+    })
+}
--- a/crates/jm-types/src/clock.rs
+++ b/crates/jm-types/src/clock.rs
@@ -1,6 +1,9 @@
 //! Clocks. Decisions take readings as arguments; only daemons hold a clock.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    time::{SystemTime, UNIX_EPOCH},
+};
 
 use crate::{DurationMs, Timestamp};
 
@@ -10,6 +13,19 @@
     fn now(&self) -> Timestamp;
 }
 
+/// Source of the time of day. Hosts differ by a little, so it only serves for times that hosts have to share.
+pub trait WallClock: Send + Sync {
+    /// Milliseconds since the Unix epoch.
+    fn unix_ms(&self) -> u64;
+}
+
+impl WallClock for SystemClock {
+    fn unix_ms(&self) -> u64 {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
 /// The boot clock of the host. It goes on while the process is stopped and while the host is suspended, so that a
 /// lease cannot outlive its term through a freeze.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use log::kv::{ToValue, Value};
+
 macro_rules! log_events {
     ($($(#[$doc:meta])+ $name:ident = $number:literal, $level:ident;)+) => {
         /// A numbered log event. Write one with [`LogEvent::write`].
@@ -47,6 +49,14 @@
     RequestFailed = 1103, Warn;
     /// A request is tried again on another target or dispatch daemon.
     RequestRetried = 1104, Info;
+    /// A request was answered by a target.
+    RequestServed = 1105, Info;
+    /// A request runs on a second target because the first one is slow.
+    RequestHedged = 1106, Info;
+    /// Lines were left out of the log because there were too many of one event.
+    LogLinesLeftOut = 1201, Warn;
+    /// The settings file was read again.
+    SettingsReloaded = 1202, Info;
     /// A configuration revision came into force on this daemon.
     ConfigApplied = 2001, Info;
     /// A stored configuration change cannot be read; the daemon keeps the revision that it has.
@@ -103,6 +113,26 @@
     StepTakenOver = 5005, Warn;
     /// A binding has no second copy.
     BindingDegraded = 5006, Warn;
+    /// A batch was stored and accepted.
+    BatchAccepted = 5101, Info;
+    /// A batch was not accepted.
+    BatchRefused = 5102, Info;
+    /// This host runs a batch that another run of a host began.
+    BatchTakenOver = 5103, Info;
+    /// Another host runs a batch that this one ran.
+    BatchGivenUp = 5104, Info;
+    /// All results of a batch are listed.
+    BatchFinished = 5105, Info;
+    /// The submitter ended a batch.
+    BatchEnded = 5106, Info;
+    /// A run of an item ended without its whole text.
+    ItemRunFailed = 5107, Info;
+    /// An item was given up.
+    ItemExpired = 5108, Warn;
+    /// The store did not take or give an object of a batch.
+    BatchStoreFailed = 5109, Warn;
+    /// A batch could not be read or ended for a caller.
+    BatchNotRead = 5110, Info;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
@@ -123,6 +153,28 @@
     pub fn write(self, message: impl fmt::Display) {
         log::log!(target: "jacinthmoor", self.level(), "{self} {}: {message}", self.name());
     }
+
+    /// Writes the event with fields of its own beside the message, for logs that are searched by field.
+    pub fn write_fields(self, message: impl fmt::Display, fields: &[(&str, &dyn ToValue)]) {
+        if self.level() > log::max_level() {
+            return;
+        }
+        let number = self.to_string();
+        let mut all: Vec<(&str, Value<'_>)> = vec![
+            ("event", Value::from(number.as_str())),
+            ("name", Value::from(self.name())),
+        ];
+        all.extend(fields.iter().map(|(key, value)| (*key, value.to_value())));
+        let fields: &[(&str, Value<'_>)] = &all;
+        log::logger().log(
+            &log::Record::builder()
+                .target("jacinthmoor")
+                .level(self.level())
+                .key_values(&fields)
+                .args(format_args!("{message}"))
+                .build(),
+        );
+    }
 }
 
 impl fmt::Display for LogEvent {
--- a/crates/jm-types/src/id.rs
+++ b/crates/jm-types/src/id.rs
@@ -101,6 +101,8 @@
     MemberId,
     /// A training step, named by its trainer.
     StepId,
+    /// A batch of requests that were submitted together, named by its submitter.
+    BatchId,
     /// A model that engines can load.
     ModelId,
 }
--- a/crates/jm-types/src/lib.rs
+++ b/crates/jm-types/src/lib.rs
@@ -10,12 +10,12 @@
 mod id;
 mod number;
 
-pub use clock::{Clock, ManualClock, SystemClock};
+pub use clock::{Clock, ManualClock, SystemClock, WallClock};
 pub use code::{Execution, ParseCodeError, ResultCode};
 pub use event::LogEvent;
 pub use id::{
-    KeyId, MAX_ID_BYTES, MemberId, ModelId, OrganisationId, ParseIdError, RegionId, ServiceId, StepId,
-    TargetId, ZoneId,
+    BatchId, KeyId, MAX_ID_BYTES, MemberId, ModelId, OrganisationId, ParseIdError, RegionId, ServiceId,
+    StepId, TargetId, ZoneId,
 };
 pub use number::{
     AttemptId, ByteSize, DurationMs, FencingNumber, Incarnation, ParseNumberError, Rate, RequestId, Revision,
