--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -32,9 +32,14 @@
 /// Weight of the newest pause in the running pause between events.
 const GAP_GAIN: f64 = 0.1;
 
+/// Factor on an engine's memory: runs hold their full size only at their ends, and they end at different times.
+const MEMORY_OVERCOMMIT: f64 = 1.3;
+
 #[derive(Debug, Clone)]
 struct EngineLoad {
     running: usize,
+    /// Tokens that its runs are expected to hold at their ends.
+    tokens: u64,
     gap_ms: f64,
     avoid_until: Timestamp,
     /// Weights that its answers named; newer than what the platform lists.
@@ -48,13 +53,27 @@
     loads: IndexMap<RunKey, EngineLoad>,
 }
 
+/// Batches that another host runs for one model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ForeignWork {
+    pub(crate) model: Option<ModelId>,
+    pub(crate) min_version: WeightVersion,
+    pub(crate) tokens: u64,
+}
+
 /// What an item needs of an engine.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Need<'a> {
     pub(crate) model: Option<&'a ModelId>,
     pub(crate) min_version: WeightVersion,
-    /// Part of the slots that this host may use.
-    pub(crate) share: f64,
+    /// Work of this host, in tokens.
+    pub(crate) own_work: u64,
+    /// Work of other hosts.
+    pub(crate) foreign: &'a [ForeignWork],
+    /// Tokens that the item is expected to hold at its end.
+    pub(crate) tokens: u64,
+    /// Tokens that an engine's memory holds.
+    pub(crate) memory_tokens: Option<u64>,
 }
 
 impl EngineLoads {
@@ -77,18 +96,59 @@
         able.min_by(|a, b| self.cost(a).total_cmp(&self.cost(b)))
     }
 
+    /// How many of the targets have weights that are new enough, and how many of these would take the item now.
+    pub(crate) fn count<'a>(
+        &self,
+        targets: impl Iterator<Item = &'a Target>,
+        need: Need<'_>,
+        now: Timestamp,
+    ) -> (usize, usize, usize) {
+        targets.fold((0, 0, 0), |(all, with_weights, with_room), target| {
+            let has_weights = usize::from(self.has_weights(target, need));
+            let has_room = usize::from(self.can_take(target, need, now));
+            (all + 1, with_weights + has_weights, with_room + has_room)
+        })
+    }
+
     fn can_take(&self, target: &Target, need: Need<'_>, now: Timestamp) -> bool {
         let load = self.loads.get(&target.run);
         let running = load.map_or(0, |load| load.running);
-        let window = (target.slots as f64 * need.share).ceil().max(1.0) as usize;
+        let window = (target.slots as f64 * self.share(target, need)).ceil().max(1.0) as usize;
         let is_avoided = load.is_some_and(|load| now < load.avoid_until);
-        running < window && !is_avoided && self.has_weights(target, need)
+        running < window && !is_avoided && self.has_memory(target, need) && self.has_weights(target, need)
+    }
+
+    /// Whether the engine would hold the item without preempting another. An engine that runs nothing takes any item.
+    fn has_memory(&self, target: &Target, need: Need<'_>) -> bool {
+        let Some(memory) = need.memory_tokens else {
+            return true;
+        };
+        let Some(load) = self.loads.get(&target.run).filter(|load| load.running > 0) else {
+            return true;
+        };
+        let usable = memory as f64 * self.share(target, need) * MEMORY_OVERCOMMIT;
+        (load.tokens + need.tokens) as f64 <= usable
+    }
+
+    /// Part of an engine's slots and memory for this host. Work of other hosts only counts where the engine has the
+    /// weights for it.
+    fn share(&self, target: &Target, need: Need<'_>) -> f64 {
+        let competing = need
+            .foreign
+            .iter()
+            .filter(|work| self.has_version(target, work.model.as_ref(), work.min_version));
+        let foreign: u64 = competing.map(|work| work.tokens).sum();
+        need.own_work.max(1) as f64 / (need.own_work.max(1) + foreign) as f64
     }
 
     fn has_weights(&self, target: &Target, need: Need<'_>) -> bool {
-        let Some(model) = need.model else { return true };
+        self.has_version(target, need.model, need.min_version)
+    }
+
+    fn has_version(&self, target: &Target, model: Option<&ModelId>, min_version: WeightVersion) -> bool {
+        let Some(model) = model else { return true };
         match self.version(target, model) {
-            Some(version) => version >= need.min_version,
+            Some(version) => version >= min_version,
             // An engine that lists no model says nothing; its answer names the weights.
             None => target.models.is_empty(),
         }
@@ -120,14 +180,17 @@
     }
 
     /// A run starts.
-    pub(crate) fn began(&mut self, run: &RunKey) {
-        self.load(run).running += 1;
+    pub(crate) fn began(&mut self, run: &RunKey, tokens: u64) {
+        let load = self.load(run);
+        load.running += 1;
+        load.tokens += tokens;
     }
 
     /// A run ended, however.
-    pub(crate) fn ended(&mut self, run: &RunKey) {
+    pub(crate) fn ended(&mut self, run: &RunKey, tokens: u64) {
         let load = self.load(run);
         load.running = load.running.saturating_sub(1);
+        load.tokens = load.tokens.saturating_sub(tokens);
     }
 
     /// An event came `gap` after the one before it.
@@ -164,6 +227,7 @@
         let gap_ms = self.options.initial_gap_ms as f64;
         self.loads.entry(run.clone()).or_insert_with(|| EngineLoad {
             running: 0,
+            tokens: 0,
             gap_ms,
             avoid_until: Timestamp::new(0),
             versions: IndexMap::new(),
--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -22,6 +22,23 @@
     pub events: u64,
 }
 
+/// How far a batch is, and what its waiting items find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BatchProgress {
+    /// Items that wait for an engine.
+    pub waiting: usize,
+    /// Items that run.
+    pub running: usize,
+    /// Results that are listed.
+    pub listed: usize,
+    /// Serving engines of the service.
+    pub engines: usize,
+    /// Those whose weights are new enough.
+    pub with_weights: usize,
+    /// Those that would take an item now.
+    pub with_room: usize,
+}
+
 /// Told about every decision that touches a batch.
 pub trait BatchEvents: Send + Sync {
     /// A batch is in the store and this host runs it.
@@ -33,6 +50,9 @@
     /// Another host runs the batch now.
     fn given_up(&self, batch: &BatchId, to: &MemberId);
 
+    /// Regularly, while items of a batch wait.
+    fn progress(&self, batch: &BatchId, progress: &BatchProgress);
+
     /// All results are listed.
     fn finished(&self, batch: &BatchId, took: DurationMs);
 
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -19,7 +19,7 @@
 mod store;
 
 pub use engine_load::{EngineLoads, LoadOptions};
-pub use events::{BatchEvents, RunEnd};
+pub use events::{BatchEvents, BatchProgress, RunEnd};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
 pub use ownership::{BatchMembers, Takeover, takeover};
 pub use plan::{BatchPlan, ItemState, PlanOptions};
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Run {
     pub(crate) serial: u64,
     pub(crate) target: RunKey,
+    /// Tokens that it is expected to hold at its end.
+    pub(crate) tokens: u64,
     pub(crate) begun: Timestamp,
     pub(crate) last_progress: Timestamp,
     /// Events that this run brought.
@@ -115,6 +117,7 @@
         let run = Run {
             serial,
             target,
+            tokens: self.spec.items[index].work_tokens(),
             begun: now,
             last_progress: now,
             events: 0,
--- a/crates/jm-batch/src/ownership.rs
+++ b/crates/jm-batch/src/ownership.rs
@@ -47,7 +47,7 @@
         return Takeover::None;
     }
     let live: Vec<MemberId> = members.live().into_iter().map(|(member, _)| member).collect();
-    match owner_by_key(state.batch.as_str(), &live) {
+    match owner_by_key(state.owner_key(), &live) {
         Some(next) if next == own => Takeover::Claim,
         _ => Takeover::None,
     }
--- a/crates/jm-batch/src/runner.rs
+++ b/crates/jm-batch/src/runner.rs
@@ -1,10 +1,7 @@
 //! Runs the batches that this host owns.
 
 use std::{
-    sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -19,9 +16,9 @@
 use jm_types::{BatchId, Clock, DurationMs, ModelId, Timestamp, WallClock, WeightVersion};
 
 use crate::{
-    BatchEvents, BatchResult, BatchSpec, BatchStore, EngineLoads, GenerationEnd, GenerationEvent,
-    GenerationRequest, Generator, LoadOptions, PlanOptions, ResultPage, ResultPiece, RunEnd,
-    engine_load::Need,
+    BatchEvents, BatchProgress, BatchResult, BatchSpec, BatchStore, EngineLoads, GenerationEnd,
+    GenerationEvent, GenerationRequest, Generator, LoadOptions, PlanOptions, ResultPage, ResultPiece, RunEnd,
+    engine_load::{ForeignWork, Need},
     owned::{OwnedBatch, Progress, Run},
     result::fitting,
     store::Changed,
@@ -55,6 +52,8 @@
     pub write_interval_ms: DurationMs,
     /// Wait before a write that the store did not take is repeated.
     pub write_retry_ms: DurationMs,
+    /// Time between two reports on items that wait.
+    pub report_ms: DurationMs,
     /// How long a batch whose route is gone from the configuration waits before it is given up.
     pub route_gone_ms: DurationMs,
 }
@@ -70,6 +69,7 @@
             patience_factor: 4,
             write_interval_ms: DurationMs::new(80),
             write_retry_ms: DurationMs::new(150),
+            report_ms: DurationMs::new(1_000),
             route_gone_ms: DurationMs::new(5_000),
         }
     }
@@ -93,6 +93,7 @@
     owned: IndexMap<BatchId, OwnedBatch>,
     loads: EngineLoads,
     next_serial: u64,
+    reported_at: Timestamp,
 }
 
 /// Runs the batches that this host owns.
@@ -101,8 +102,8 @@
     parts: RunnerParts,
     state: Mutex<RunnerState>,
     wake: (Sender<()>, Receiver<()>),
-    /// Items of batches that other hosts run; they share the engines.
-    foreign_items: AtomicUsize,
+    /// Batches that other hosts run; they share the engines.
+    foreign: Mutex<Arc<Vec<ForeignWork>>>,
 }
 
 /// A run that is about to start.
@@ -126,7 +127,7 @@
             parts,
             state: Mutex::new(state),
             wake: bounded(1),
-            foreign_items: AtomicUsize::new(0),
+            foreign: Mutex::default(),
         })
     }
 
@@ -142,6 +143,47 @@
             self.stop_stalled();
             self.give_up_late();
             self.start_ready();
+            self.report_progress();
+        }
+    }
+
+    /// Says regularly what waiting items find, so that a late step can be explained afterwards.
+    fn report_progress(&self) {
+        let now = self.now();
+        let Some(routing) = self.parts.world.routing() else {
+            return;
+        };
+        let catalog = self.parts.world.catalog();
+        let mut guard = self.state();
+        if now.since(guard.reported_at) < self.options.report_ms {
+            return;
+        }
+        guard.reported_at = now;
+        let shares = Shares::new(&guard.owned, self.foreign());
+        let waiting = guard
+            .owned
+            .values()
+            .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0);
+        let reports: Vec<(BatchId, BatchProgress)> = waiting
+            .filter_map(|owned| {
+                let item = owned.plan.ready(now).next()?;
+                let targets = service_targets(owned, item, &routing, &catalog)?;
+                let need = need(&owned.spec, item, &routing, &shares);
+                let (engines, with_weights, with_room) = guard.loads.count(targets, need, now);
+                let progress = BatchProgress {
+                    waiting: owned.plan.waiting(),
+                    running: owned.runs.len(),
+                    listed: owned.listed.len(),
+                    engines,
+                    with_weights,
+                    with_room,
+                };
+                Some((owned.spec.id.clone(), progress))
+            })
+            .collect();
+        drop(guard);
+        for (batch, progress) in reports {
+            self.parts.events.progress(&batch, &progress);
         }
     }
 
@@ -156,8 +198,12 @@
         self.wake();
     }
 
-    pub(crate) fn set_foreign_items(&self, items: usize) {
-        self.foreign_items.store(items, Ordering::Relaxed);
+    pub(crate) fn set_foreign(&self, work: Vec<ForeignWork>) {
+        *self.foreign.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(work);
+    }
+
+    fn foreign(&self) -> Arc<Vec<ForeignWork>> {
+        Arc::clone(&self.foreign.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
     /// Begins to run a batch; `listed` are its results so far.
@@ -301,9 +347,10 @@
             owned,
             loads,
             next_serial,
+            ..
         } = &mut *guard;
         loads.retain(|run| catalog.get(&run.id).is_some_and(|target| target.run == *run));
-        let share = self.share(owned);
+        let shares = Shares::new(owned, self.foreign());
         let mut batches: Vec<&mut OwnedBatch> = owned
             .values_mut()
             .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0)
@@ -319,28 +366,17 @@
         for owned in batches {
             let ready: Vec<usize> = owned.plan.ready(now).collect();
             for item in ready {
-                let Some(target) = choose_target(owned, item, routing, catalog, loads, share, now) else {
+                let Some(target) = choose_target(owned, item, routing, catalog, loads, &shares, now) else {
                     break;
                 };
                 *next_serial += 1;
                 starts.push(start(owned, item, *next_serial, target, now, unix_ms));
-                loads.began(&target.run);
+                loads.began(&target.run, owned.spec.items[item].work_tokens());
             }
         }
         starts
     }
 
-    /// Part of the engines' slots for this host: its part of the items of all running batches.
-    fn share(&self, owned: &IndexMap<BatchId, OwnedBatch>) -> f64 {
-        let own: usize = owned
-            .values()
-            .filter(|owned| !owned.is_ended && !owned.is_finished())
-            .map(|owned| owned.spec.items.len())
-            .sum();
-        let foreign = self.foreign_items.load(Ordering::Relaxed);
-        own as f64 / (own + foreign).max(1) as f64
-    }
-
     async fn run_item(self: Arc<Self>, start: Start) {
         let Start {
             batch,
@@ -404,7 +440,7 @@
         let Some(run) = owned.finish_run(item, serial) else {
             return;
         };
-        loads.ended(&run.target);
+        loads.ended(&run.target, run.tokens);
         let expired = match &end {
             GenerationEnd::Complete => {
                 owned.complete(item);
@@ -482,7 +518,7 @@
                 let Some(run) = owned.stop_run(item, now) else {
                     continue;
                 };
-                loads.ended(&run.target);
+                loads.ended(&run.target, run.tokens);
                 loads.failed(&run.target, now);
                 stopped.push((
                     owned.spec.id.clone(),
@@ -517,9 +553,10 @@
             .runs
             .iter()
             .filter(|(_, run)| now.since(run.last_progress) >= limit(run));
+        let alone = Shares::alone();
         let is_stalled = |(item, run): &(&usize, &Run)| {
             let others = |target: &&Target| target.run != run.target;
-            let need = need(&owned.spec, 1.0);
+            let need = need(&owned.spec, **item, routing, &alone);
             let room = service_targets(owned, **item, routing, catalog)
                 .is_some_and(|targets| loads.pick(targets.filter(others), need, now).is_some());
             let patience = DurationMs::new(limit(run).get() * options.patience_factor);
@@ -656,7 +693,7 @@
 
 fn end_runs(loads: &mut EngineLoads, runs: &[Run]) {
     for run in runs {
-        loads.ended(&run.target);
+        loads.ended(&run.target, run.tokens);
     }
 }
 
@@ -667,11 +704,49 @@
     must_start
 }
 
-fn need(spec: &BatchSpec, share: f64) -> Need<'_> {
+/// Work of this host and of the others, by which they share engines.
+struct Shares {
+    own: IndexMap<Option<ModelId>, u64>,
+    foreign: Arc<Vec<ForeignWork>>,
+}
+
+impl Shares {
+    fn new(owned: &IndexMap<BatchId, OwnedBatch>, foreign: Arc<Vec<ForeignWork>>) -> Self {
+        let mut own: IndexMap<Option<ModelId>, u64> = IndexMap::new();
+        for owned in owned
+            .values()
+            .filter(|owned| !owned.is_ended && !owned.is_finished())
+        {
+            *own.entry(owned.spec.model.clone()).or_default() += owned.spec.work_tokens();
+        }
+        Self { own, foreign }
+    }
+
+    /// As if no other host had work.
+    fn alone() -> Self {
+        Self {
+            own: IndexMap::new(),
+            foreign: Arc::default(),
+        }
+    }
+
+    fn own_work(&self) -> u64 {
+        self.own.values().sum()
+    }
+}
+
+fn need<'a>(spec: &'a BatchSpec, item: usize, routing: &RoutingTable, shares: &'a Shares) -> Need<'a> {
+    let item = &spec.items[item];
+    let route = routing.route(&spec.host, &item.path);
+    let service = route.and_then(|route| routing.service(route.service_for(&item.id)?));
+    let engine = service.and_then(|service| service.engine.as_ref());
     Need {
         model: spec.model.as_ref(),
         min_version: spec.min_version,
-        share,
+        own_work: shares.own_work(),
+        foreign: &shares.foreign,
+        tokens: item.work_tokens(),
+        memory_tokens: engine.and_then(|engine| engine.memory_tokens),
     }
 }
 
@@ -693,11 +768,11 @@
     routing: &'a RoutingTable,
     catalog: &'a Catalog,
     loads: &EngineLoads,
-    share: f64,
+    shares: &Shares,
     now: Timestamp,
 ) -> Option<&'a Target> {
     let targets = service_targets(owned, item, routing, catalog)?;
-    loads.pick(targets, need(&owned.spec, share), now)
+    loads.pick(targets, need(&owned.spec, item, routing, shares), now)
 }
 
 fn start(
--- a/crates/jm-batch/src/service.rs
+++ b/crates/jm-batch/src/service.rs
@@ -20,7 +20,9 @@
 use crate::{
     BatchEvents, BatchMembers, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, BatchWorld,
     Generator, ResultPage, RunnerOptions, StoreError, Takeover,
+    engine_load::ForeignWork,
     runner::{Runner, RunnerParts},
+    state::owner_key,
     store::Changed,
     takeover,
 };
@@ -36,6 +38,9 @@
         after: usize,
         wait: DurationMs,
     ) -> Option<ResultPage>;
+
+    /// Tells a host that it owns a batch now; it also hears of it from the store.
+    async fn announce(&self, owner: &MemberId, state: &BatchState, version: Version);
 }
 
 /// Settings of the service.
@@ -186,6 +191,22 @@
         self.runner.needed_versions()
     }
 
+    /// Work of the newest batch of each model, whatever became of it: the next one will be about as large.
+    pub fn demand(&self) -> IndexMap<ModelId, u64> {
+        let state = self.state();
+        let mut newest: IndexMap<ModelId, (u64, u64)> = IndexMap::new();
+        for known in state.known.values() {
+            let Some(model) = &known.state.model else { continue };
+            let batch = (known.state.submitted_unix_ms, known.state.work_tokens);
+            let entry = newest.entry(model.clone()).or_insert(batch);
+            *entry = batch.max(*entry);
+        }
+        newest
+            .into_iter()
+            .map(|(model, (_, work))| (model, work))
+            .collect()
+    }
+
     /// An engine's weights became known by other means than its answers.
     pub fn saw_version(&self, run: &RunKey, model: &ModelId, version: WeightVersion) {
         self.runner.saw_version(run, model, version);
@@ -201,22 +222,31 @@
             return same_organisation(&known.state, &spec);
         }
         let spec = self.store_spec(spec).await?;
+        let (owner, owner_incarnation) = self.first_owner(&spec);
         let state = BatchState {
             batch: spec.id.clone(),
             organisation: spec.organisation.clone(),
-            owner: self.options.own.clone(),
-            owner_incarnation: self.options.incarnation,
+            owner,
+            owner_incarnation,
             phase: BatchPhase::Running,
             items: spec.items.len(),
+            model: spec.model.clone(),
+            min_version: spec.min_version,
+            work_tokens: spec.work_tokens(),
             submitted_unix_ms: spec.submitted_unix_ms,
         };
         let store = &self.parts.store;
         match self.create(|| store.create_state(&state).boxed()).await? {
             Changed::Made(version) => {
-                self.remember(state, version);
                 self.parts.events.accepted(&spec.id, spec.items.len());
-                if !self.runner.owns(&spec.id) {
+                self.remember(state.clone(), version);
+                if state.is_owned_by(&self.options.own, self.options.incarnation) {
                     self.runner.adopt(spec, Vec::new());
+                } else {
+                    let service = Arc::clone(self);
+                    task::spawn(async move {
+                        service.parts.peers.announce(&state.owner, &state, version).await;
+                    });
                 }
                 Ok(())
             }
@@ -224,6 +254,17 @@
         }
     }
 
+    /// The host that runs a new batch.
+    fn first_owner(&self, spec: &BatchSpec) -> (MemberId, Incarnation) {
+        let live = self.parts.members.live();
+        let members: Vec<MemberId> = live.iter().map(|(member, _)| member.clone()).collect();
+        let first = owner_by_key(owner_key(spec.model.as_ref(), &spec.id), &members);
+        let first = first.and_then(|first| live.iter().find(|(member, _)| member == first));
+        first
+            .cloned()
+            .unwrap_or_else(|| (self.options.own.clone(), self.options.incarnation))
+    }
+
     async fn store_spec(&self, spec: BatchSpec) -> Result<Arc<BatchSpec>, SubmitError> {
         let store = &self.parts.store;
         match self.create(|| store.create_spec(&spec).boxed()).await? {
@@ -295,12 +336,11 @@
         if let Some(page) = self.runner.read(batch, after, wait).await {
             return Ok(page);
         }
-        let owner_runs = state.phase == BatchPhase::Running
-            && self
-                .parts
-                .members
-                .is_running(&state.owner, state.owner_incarnation);
-        if owner_runs && let Some(page) = self.parts.peers.read(&state.owner, batch, after, wait).await {
+        // The owner keeps its batches in memory after their end as well, which saves a call for each piece.
+        let members = &self.parts.members;
+        if members.is_running(&state.owner, state.owner_incarnation)
+            && let Some(page) = self.parts.peers.read(&state.owner, batch, after, wait).await
+        {
             return Ok(page);
         }
         self.read_stored(&state, after, wait).await
@@ -454,7 +494,7 @@
     /// Looks at every batch: whether this host has to run it, or to stop running it.
     pub fn review(self: &Arc<Self>) {
         let known: Vec<Known> = self.state().known.values().cloned().collect();
-        let mut foreign_items = 0;
+        let mut foreign = Vec::new();
         for Known { state, version } in known {
             let owns = self.runner.owns(&state.batch);
             match takeover(
@@ -467,7 +507,11 @@
                 Takeover::Claim => self.begin(state, Some(version)),
                 Takeover::Own => {}
                 Takeover::None if state.phase == BatchPhase::Running => {
-                    foreign_items += state.items;
+                    foreign.push(ForeignWork {
+                        model: state.model.clone(),
+                        min_version: state.min_version,
+                        tokens: state.work_tokens,
+                    });
                     if owns {
                         self.stop(&state);
                     }
@@ -479,7 +523,7 @@
                 }
             }
         }
-        self.runner.set_foreign_items(foreign_items);
+        self.runner.set_foreign(foreign);
     }
 
     fn stop(&self, state: &BatchState) {
@@ -631,7 +675,8 @@
             match self.parts.store.update_state(&handed, known.version).await {
                 Ok(Changed::Made(version)) => {
                     self.stop(&handed);
-                    self.remember(handed, version);
+                    self.remember(handed.clone(), version);
+                    self.parts.peers.announce(&handed.owner, &handed, version).await;
                 }
                 Ok(Changed::Conflict) => {}
                 Err(error) => {
@@ -649,7 +694,8 @@
             .map(|(member, _)| member.clone())
             .filter(|member| *member != self.options.own)
             .collect();
-        let next = owner_by_key(batch.as_str(), &others)?;
+        let key = self.known(batch)?.state;
+        let next = owner_by_key(key.owner_key(), &others)?;
         live.iter().find(|(member, _)| member == next).cloned()
     }
 
--- a/crates/jm-batch/src/spec.rs
+++ b/crates/jm-batch/src/spec.rs
@@ -21,6 +21,8 @@
     pub body: Vec<u8>,
     /// Prompt tokens and most generated tokens.
     pub tokens: u64,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
     /// The submitter's estimate of the generated tokens.
     pub expected_tokens: Option<u64>,
     /// Items of one group share their prompt and are only useful together.
@@ -72,7 +74,21 @@
     NoItems,
 }
 
+impl BatchItem {
+    /// Tokens that a run is expected to hold at its end: the prompt, and the estimate of the generated ones.
+    pub fn work_tokens(&self) -> u64 {
+        let most_generated = self.tokens.saturating_sub(self.prompt_tokens);
+        let generated = self.expected_tokens.unwrap_or(most_generated).min(most_generated);
+        self.prompt_tokens + generated
+    }
+}
+
 impl BatchSpec {
+    /// Tokens that all items are expected to take.
+    pub fn work_tokens(&self) -> u64 {
+        self.items.iter().map(BatchItem::work_tokens).sum()
+    }
+
     /// Checks what the types do not.
     ///
     /// # Errors
--- a/crates/jm-batch/src/state.rs
+++ b/crates/jm-batch/src/state.rs
@@ -1,6 +1,6 @@
 //! The small object beside each batch that every host watches.
 
-use jm_types::{BatchId, Incarnation, MemberId, OrganisationId};
+use jm_types::{BatchId, Incarnation, MemberId, ModelId, OrganisationId, WeightVersion};
 use serde::{Deserialize, Serialize};
 
 /// How far a batch is.
@@ -30,13 +30,30 @@
     pub phase: BatchPhase,
     /// Number of items.
     pub items: usize,
+    /// The model that generates the results.
+    pub model: Option<ModelId>,
+    /// Oldest weights that may generate the results.
+    pub min_version: WeightVersion,
+    /// Tokens that the items are expected to take, prompts included.
+    pub work_tokens: u64,
     /// When it was submitted, in milliseconds since the Unix epoch.
     pub submitted_unix_ms: u64,
 }
 
 impl BatchState {
+    /// What decides which host runs the batch. One host runs all batches of a model, so that it alone decides about the
+    /// engines that serve the model.
+    pub fn owner_key(&self) -> &str {
+        owner_key(self.model.as_ref(), &self.batch)
+    }
+
     /// Whether this run of this host owns the batch.
     pub fn is_owned_by(&self, member: &MemberId, incarnation: Incarnation) -> bool {
         self.owner == *member && self.owner_incarnation == incarnation
     }
 }
+
+/// See [`BatchState::owner_key`].
+pub(crate) fn owner_key<'a>(model: Option<&'a ModelId>, batch: &'a BatchId) -> &'a str {
+    model.map_or(batch.as_str(), ModelId::as_str)
+}
--- a/crates/jm-forward/src/routing.rs
+++ b/crates/jm-forward/src/routing.rs
@@ -88,6 +88,8 @@
 pub struct EngineTerms {
     /// Requests that one engine processes at the same time.
     pub slots: usize,
+    /// Tokens that the memory of one engine holds.
+    pub memory_tokens: Option<u64>,
     /// Models that the engines can load.
     pub models: Vec<ModelId>,
 }
--- a/crates/jm-host/src/duty/mod.rs
+++ b/crates/jm-host/src/duty/mod.rs
@@ -26,7 +26,11 @@
 /// Time between two looks of the holder, or of a host that may become the holder.
 const CANDIDATE_INTERVAL_MS: DurationMs = DurationMs::new(900);
 /// Time between two looks of the other hosts, which only want to know the holder.
-const OBSERVER_INTERVAL_MS: DurationMs = DurationMs::new(2_500);
+const OBSERVER_INTERVAL_MS: DurationMs = DurationMs::new(6_000);
+/// Time after which another host looks again when the holder is not known or not alive.
+const SEARCH_INTERVAL_MS: DurationMs = DurationMs::new(1_500);
+/// Interval at which a resting host looks at what it knows.
+const REST_STEP_MS: DurationMs = DurationMs::new(300);
 /// Hosts that try to get the lease.
 const CANDIDATES: usize = 2;
 /// Part of the term that the holder does not use.
@@ -117,7 +121,7 @@
         };
         while !self.membership.is_leaving() {
             let interval = self.look(&mut keeper).await;
-            task::sleep(interval.as_std()).await;
+            self.rest(interval, keeper.guard().is_some()).await;
         }
         match keeper.release(&*self.store, &*self.clock).await {
             Ok(()) | Err(LeaseError::NotHeld) => {}
@@ -126,11 +130,28 @@
         self.view.set(None, self.view.holder());
     }
 
+    /// Waits; ends early when the host leaves, or when the holder that was seen is no longer alive.
+    async fn rest(&self, interval: DurationMs, holds: bool) {
+        let until = self.clock.now().after(interval);
+        let holder = self.view.holder();
+        let was_live = holder.as_ref().is_some_and(|holder| self.is_live(holder));
+        while self.clock.now() < until && !self.membership.is_leaving() {
+            task::sleep(REST_STEP_MS.min(until.since(self.clock.now())).as_std()).await;
+            let is_live = holder.as_ref().is_some_and(|holder| self.is_live(holder));
+            if !holds && was_live && !is_live {
+                return;
+            }
+        }
+    }
+
     async fn look(&self, keeper: &mut LeaseKeeper) -> DurationMs {
         let holds = keeper.guard().is_some();
         if !holds && !self.is_candidate() {
             self.observe().await;
-            return OBSERVER_INTERVAL_MS;
+            return match self.view.holder().is_some_and(|holder| self.is_live(&holder)) {
+                true => OBSERVER_INTERVAL_MS,
+                false => SEARCH_INTERVAL_MS,
+            };
         }
         match keeper.acquire(&*self.store, &*self.clock).await {
             Ok(Acquisition::Held(guard)) => self.view.set(Some(guard), Some(self.membership.own().clone())),
@@ -156,6 +177,10 @@
         }
     }
 
+    fn is_live(&self, member: &MemberId) -> bool {
+        self.membership.live().iter().any(|(live, _)| live == member)
+    }
+
     /// Whether this host is among the first for the lease. Others look less often.
     fn is_candidate(&self) -> bool {
         let mut live: Vec<MemberId> = self
--- a/crates/jm-host/src/duty/weights.rs
+++ b/crates/jm-host/src/duty/weights.rs
@@ -4,10 +4,10 @@
 
 use async_std::task;
 use indexmap::IndexMap;
-use jm_batch::BatchWorld;
+use jm_batch::{BatchService, BatchWorld};
 use jm_forward::{RunKey, Target};
 use jm_lease::LeaseGuard;
-use jm_plan::{Load, LoadEngine, LoadPlan, LoadsOptions};
+use jm_plan::{Assignment, Load, LoadEngine, LoadPlan, LoadsOptions};
 use jm_types::{Clock, DurationMs, LogEvent, ModelId, WeightVersion};
 
 use super::LeaseView;
@@ -17,17 +17,18 @@
 };
 
 /// Time between two looks while this host holds the lease.
-const LOOK_INTERVAL_MS: DurationMs = DurationMs::new(150);
+const LOOK_INTERVAL_MS: DurationMs = DurationMs::new(80);
 /// Time between two questions whether a load is done.
-const DONE_INTERVAL_MS: DurationMs = DurationMs::new(200);
+const DONE_INTERVAL_MS: DurationMs = DurationMs::new(80);
 /// Least time of a load. Reports lag, so one that is asked for earlier may show the time before the order.
-const LEAST_LOAD_MS: DurationMs = DurationMs::new(700);
+const LEAST_LOAD_MS: DurationMs = DurationMs::new(800);
 /// Time after which an order without an effect is given up.
 const LOAD_LIMIT_MS: DurationMs = DurationMs::new(4_000);
 
 /// Orders engines to load weights while this host holds the lease.
 pub(crate) struct WeightDuty {
     pub(crate) world: Arc<World>,
+    pub(crate) batches: Arc<BatchService>,
     pub(crate) duties: Arc<dyn DutyCalls>,
     pub(crate) lease: Arc<LeaseView>,
     pub(crate) clock: Arc<dyn Clock>,
@@ -36,6 +37,8 @@
 
 struct WeightState {
     plan: LoadPlan<RunKey>,
+    /// By the models that engines can serve.
+    assignments: IndexMap<Vec<ModelId>, Assignment<RunKey>>,
     /// Weights that engines reported to this host; newer than what the list shows.
     reported: IndexMap<RunKey, IndexMap<ModelId, WeightVersion>>,
 }
@@ -43,16 +46,19 @@
 impl WeightDuty {
     pub(crate) fn new(
         world: Arc<World>,
+        batches: Arc<BatchService>,
         duties: Arc<dyn DutyCalls>,
         lease: Arc<LeaseView>,
         clock: Arc<dyn Clock>,
     ) -> Arc<Self> {
         let state = WeightState {
             plan: LoadPlan::new(LoadsOptions::default()),
+            assignments: IndexMap::new(),
             reported: IndexMap::new(),
         };
         Arc::new(Self {
             world,
+            batches,
             duties,
             lease,
             clock,
@@ -86,16 +92,26 @@
             return Vec::new();
         }
         let catalog = self.world.catalog();
+        let demand = self.batches.demand();
         let now = self.clock.now();
         let mut state = self.lock();
-        let WeightState { plan, reported } = &mut *state;
+        let WeightState {
+            plan,
+            assignments,
+            reported,
+        } = &mut *state;
         reported.retain(|run, _| catalog.get(&run.id).is_some_and(|target| target.run == *run));
-        let engines: Vec<LoadEngine<RunKey>> = catalog
+        let serving: Vec<&Target> = catalog
             .iter()
             .filter(|target| target.is_serving() && !target.models.is_empty())
+            .collect();
+        assign(assignments, &serving, &demand);
+        let engines: Vec<LoadEngine<RunKey>> = serving
+            .iter()
             .map(|target| LoadEngine {
                 run: target.run.clone(),
                 versions: known_versions(target, reported.get(&target.run)),
+                model: assigned_model(assignments, target),
             })
             .collect();
         plan.next(&engines, &newest, now)
@@ -202,6 +218,39 @@
     }
 }
 
+/// Divides the engines among the models that are in demand, separately for engines that serve different models.
+fn assign(
+    assignments: &mut IndexMap<Vec<ModelId>, Assignment<RunKey>>,
+    serving: &[&Target],
+    demand: &IndexMap<ModelId, u64>,
+) {
+    let mut groups: IndexMap<Vec<ModelId>, Vec<RunKey>> = IndexMap::new();
+    for target in serving {
+        let runs = groups.entry(model_set(target)).or_default();
+        runs.push(target.run.clone());
+    }
+    assignments.retain(|models, _| groups.contains_key(models));
+    for (models, runs) in groups {
+        let wanted = demand.iter().filter(|(model, _)| models.contains(model));
+        let wanted = wanted.map(|(model, work)| (model.clone(), *work)).collect();
+        assignments.entry(models).or_default().update(&runs, &wanted);
+    }
+}
+
+/// The model that an engine keeps up with; none while no model is in demand, so that it keeps up with all.
+fn assigned_model(
+    assignments: &IndexMap<Vec<ModelId>, Assignment<RunKey>>,
+    target: &Target,
+) -> Option<ModelId> {
+    assignments.get(&model_set(target))?.model(&target.run).cloned()
+}
+
+fn model_set(target: &Target) -> Vec<ModelId> {
+    let mut models: Vec<ModelId> = target.models.keys().cloned().collect();
+    models.sort();
+    models
+}
+
 fn known_versions(
     target: &Target,
     reported: Option<&IndexMap<ModelId, WeightVersion>>,
--- a/crates/jm-host/src/follow.rs
+++ b/crates/jm-host/src/follow.rs
@@ -1,19 +1,24 @@
-//! Keeps up with all objects below a prefix: a listing, then watches, and a new listing whenever there may be a gap.
+//! Keeps up with all objects below a prefix, through another host's copy or in the store itself.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
-};
+use std::sync::Arc;
 
 use async_std::task;
-use jm_platform::{Change, KeyedObject, ObjectStore, Version, WatchError};
+use async_trait::async_trait;
+use jm_platform::{Change, Changes, KeyedObject, Listing, ObjectStore, Version, WatchError};
 use jm_types::{Clock, DurationMs, LogEvent, Timestamp};
 
+use crate::{Mirror, MirrorChanges, ObjectSpace};
+
 /// Settings of a follower.
 #[derive(Debug, Clone, Copy)]
 pub struct FollowOptions {
-    /// Longest wait of one watch. It also bounds how long a connection that went silent goes unnoticed.
+    /// Longest wait of one watch. It also bounds how long a connection that went silent goes unnoticed. Zero polls
+    /// with listings alone, which no lost watch event can mislead.
     pub watch_ms: DurationMs,
+    /// Time after which the prefix is listed again although watches go on.
+    pub relist_ms: DurationMs,
+    /// Age up to which another host's copy is good enough.
+    pub max_age_ms: DurationMs,
     /// First wait after a call failed; doubles up to the largest one.
     pub retry_ms: DurationMs,
     /// Largest wait after a call failed.
@@ -22,104 +27,181 @@
 
 /// Receives what is followed.
 pub trait Follower: Send + Sync {
-    /// All objects, as of one version of the store. `gap` tells how long the store did not answer before.
+    /// All objects, as of one version of the store. `gap` tells how long the store had not confirmed any before.
     fn listed(&self, objects: Vec<KeyedObject>, gap: DurationMs);
 
     /// One change after the listing.
     fn changed(&self, change: Change);
 }
 
-/// When the store last answered this host.
-#[derive(Debug, Default)]
-pub struct StoreContact {
-    answered_at_ms: AtomicU64,
+/// Another host's copy of the store.
+#[async_trait]
+pub trait CopySource: Send + Sync {
+    /// A listing with its age; none when this host is to read the store itself, or the copy is too old.
+    async fn list(
+        &self,
+        space: ObjectSpace,
+        prefix: &str,
+        max_age: DurationMs,
+    ) -> Option<(Listing, DurationMs)>;
+
+    /// Changes after a version.
+    async fn watch(
+        &self,
+        space: ObjectSpace,
+        prefix: &str,
+        after: Version,
+        wait: DurationMs,
+        max_age: DurationMs,
+    ) -> MirrorChanges;
 }
 
-impl StoreContact {
-    /// The store answered.
-    pub fn answered(&self, now: Timestamp) {
-        self.answered_at_ms.fetch_max(now.get(), Ordering::Relaxed);
-    }
+/// What one follower works with.
+pub struct FollowTask {
+    /// The store.
+    pub store: Arc<dyn ObjectStore>,
+    /// Which objects the store holds.
+    pub space: ObjectSpace,
+    /// The prefix.
+    pub prefix: &'static str,
+    /// Settings.
+    pub options: FollowOptions,
+    /// The boot clock.
+    pub clock: Arc<dyn Clock>,
+    /// Where this host keeps its own copy.
+    pub mirror: Arc<Mirror>,
+    /// The copy of another host.
+    pub source: Arc<dyn CopySource>,
+    /// Receives the objects.
+    pub follower: Arc<dyn Follower>,
+}
 
-    /// When it last did.
-    pub fn answered_at(&self) -> Timestamp {
-        Timestamp::new(self.answered_at_ms.load(Ordering::Relaxed))
-    }
+/// Longest wait for changes in another host's copy. Shorter than most waits on the store, because a host that stopped
+/// must be noticed within it.
+const COPY_WAIT_MS: DurationMs = DurationMs::new(800);
+
+/// What was reached, and when the store confirmed it.
+struct Position {
+    version: Version,
+    listed_at: Timestamp,
+    confirmed_at: Timestamp,
 }
 
-/// Follows a prefix until the future is dropped.
-pub async fn follow(
-    store: Arc<dyn ObjectStore>,
-    prefix: &'static str,
-    options: FollowOptions,
-    clock: Arc<dyn Clock>,
-    contact: Arc<StoreContact>,
-    follower: Arc<dyn Follower>,
-) {
-    let mut last_answer = clock.now();
-    let mut retry = options.retry_ms;
-    loop {
-        match store.list(prefix).await {
-            Ok(listing) => {
-                let now = clock.now();
-                let gap = now.since(last_answer);
-                if retry > options.retry_ms {
-                    LogEvent::StoreAvailable.write(format_args!("{prefix} listed again after {gap}"));
+impl FollowTask {
+    /// Follows until the future is dropped.
+    pub async fn run(self) {
+        let mut confirmed_at = self.clock.now();
+        let mut retry = self.options.retry_ms;
+        loop {
+            match self.list(confirmed_at).await {
+                Ok(position) => {
+                    if retry > self.options.retry_ms {
+                        LogEvent::StoreAvailable
+                            .write_fields("a prefix is listed again", &[("prefix", &self.prefix)]);
+                    }
+                    retry = self.options.retry_ms;
+                    confirmed_at = self.watch(position).await;
                 }
-                last_answer = now;
-                contact.answered(now);
-                retry = options.retry_ms;
-                follower.listed(listing.objects, gap);
-                last_answer = watch(
-                    &*store,
-                    prefix,
-                    listing.version,
-                    options,
-                    &*clock,
-                    &contact,
-                    &*follower,
-                )
-                .await
-                .max(last_answer);
-            }
-            Err(error) => {
-                if retry == options.retry_ms {
-                    LogEvent::StoreUnavailable.write(format_args!("{prefix} cannot be listed: {error}"));
+                Err(reason) => {
+                    if retry == self.options.retry_ms {
+                        LogEvent::StoreUnavailable
+                            .write_fields(&reason, &[("prefix", &self.prefix), ("call", &"list")]);
+                    }
+                    task::sleep(retry.as_std()).await;
+                    retry = DurationMs::new(retry.get() * 2).min(self.options.max_retry_ms);
                 }
-                task::sleep(retry.as_std()).await;
-                retry = DurationMs::new(retry.get() * 2).min(options.max_retry_ms);
             }
         }
     }
-}
 
-/// Watches until a listing is needed; returns when the store last answered.
-async fn watch(
-    store: &dyn ObjectStore,
-    prefix: &str,
-    mut after: Version,
-    options: FollowOptions,
-    clock: &dyn Clock,
-    contact: &StoreContact,
-    follower: &dyn Follower,
-) -> Timestamp {
-    let mut last_answer = clock.now();
-    loop {
-        match store.watch(prefix, after, options.watch_ms).await {
-            Ok(changes) => {
-                last_answer = clock.now();
-                contact.answered(last_answer);
-                after = changes.version;
-                for change in changes.changes {
-                    follower.changed(change);
+    /// Lists the prefix and tells the follower what changed.
+    async fn list(&self, confirmed_at: Timestamp) -> Result<Position, String> {
+        let copy = self
+            .source
+            .list(self.space, self.prefix, self.options.max_age_ms)
+            .await;
+        let (listing, age) = match copy {
+            Some(copy) => copy,
+            None => {
+                let listing = self.store.list(self.prefix).await;
+                (listing.map_err(|error| error.to_string())?, DurationMs::new(0))
+            }
+        };
+        let now = self.clock.now();
+        let gap = now.since(confirmed_at).saturating_sub(age);
+        let position = Position {
+            version: listing.version,
+            listed_at: now,
+            confirmed_at: Timestamp::new(now.get().saturating_sub(age.get())),
+        };
+        let changed = self.mirror.list(self.space, self.prefix, &listing, age);
+        if changed > 0 || gap >= NOTABLE_GAP_MS {
+            self.follower.listed(listing.objects, gap);
+        }
+        Ok(position)
+    }
+
+    /// Follows the changes until a listing is due; returns when the store last confirmed what is known.
+    async fn watch(&self, mut position: Position) -> Timestamp {
+        loop {
+            let now = self.clock.now();
+            let until_listing = self
+                .options
+                .relist_ms
+                .saturating_sub(now.since(position.listed_at));
+            if until_listing.get() == 0 {
+                return position.confirmed_at;
+            }
+            let copied = self
+                .source
+                .watch(
+                    self.space,
+                    self.prefix,
+                    position.version,
+                    COPY_WAIT_MS,
+                    self.options.max_age_ms,
+                )
+                .await;
+            let (changes, age) = match copied {
+                MirrorChanges::Changes { changes, age_ms } => {
+                    // The other host lists for all; a listing here is only due when it cannot be reached.
+                    position.listed_at = self.clock.now();
+                    (changes, age_ms)
                 }
+                MirrorChanges::Relist => return position.confirmed_at,
+                MirrorChanges::Stale => match self.watch_store(position.version, until_listing).await {
+                    Some(changes) => (changes, DurationMs::new(0)),
+                    None => return position.confirmed_at,
+                },
+            };
+            position.version = changes.version;
+            position.confirmed_at = Timestamp::new(self.clock.now().get().saturating_sub(age.get()));
+            self.mirror.change(self.space, self.prefix, &changes, age);
+            for change in changes.changes {
+                self.follower.changed(change);
             }
+        }
+    }
+
+    /// Changes from the store itself; none when a listing is needed.
+    async fn watch_store(&self, after: Version, until_listing: DurationMs) -> Option<Changes> {
+        let wait = self.options.watch_ms.min(until_listing);
+        if wait.get() == 0 {
+            task::sleep(until_listing.as_std()).await;
+            return None;
+        }
+        match self.store.watch(self.prefix, after, wait).await {
+            Ok(changes) => Some(changes),
+            Err(WatchError::Relist { .. }) => None,
             Err(error) => {
-                if let WatchError::Watch { source } = &error {
-                    LogEvent::StoreUnavailable.write(format_args!("the watch of {prefix} ended: {source}"));
-                }
-                return last_answer;
+                let reason = error.to_string();
+                LogEvent::StoreUnavailable
+                    .write_fields(&reason, &[("prefix", &self.prefix), ("call", &"watch")]);
+                None
             }
         }
     }
 }
+
+/// Time without a confirmation that followers hear of even when nothing changed.
+const NOTABLE_GAP_MS: DurationMs = DurationMs::new(1_000);
--- a/crates/jm-host/src/host.rs
+++ b/crates/jm-host/src/host.rs
@@ -26,12 +26,14 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::{
-    FollowOptions, Follower, HostObserver, HostSettings, Membership, PlatformParts, RelayedStore,
-    StoreContact,
+    FollowOptions, FollowTask, Follower, HostObserver, HostSettings, Membership, Mirror, PlatformParts,
+    RelayedStore,
     duty::{LeaseLoop, LeaseView, Upkeep, UsageBook, UsageCounter, UsageDuty, WeightDuty, push_usage},
-    follow::follow,
     membership::MEMBER_PREFIX,
-    peer::{ObjectSpace, PeerClient, PeerHandler, PeerReply, PeerRequest, Relay, SEED_RETRY, ask_seeds},
+    peer::{
+        ObjectSpace, PeerClient, PeerHandler, PeerReply, PeerRequest, ReaderCopy, Relay, SEED_RETRY,
+        ask_seeds,
+    },
     world::{RoutingFollower, TargetsFollower, VersionsFollower, World},
 };
 
@@ -102,6 +104,7 @@
     platform_store: Arc<dyn ObjectStore>,
     usage: Arc<UsageCounter>,
     book: Arc<UsageBook>,
+    mirror: Arc<Mirror>,
     platform: PlatformParts,
 }
 
@@ -168,6 +171,7 @@
             platform_store: relayed(&platform.platform_store, ObjectSpace::Platform),
             usage,
             book: Arc::default(),
+            mirror: Arc::new(Mirror::new(Arc::clone(&clock))),
             platform,
         };
         let batches = BatchService::new(
@@ -327,6 +331,7 @@
             world: Arc::clone(&self.world),
             batches: Arc::clone(&self.batches),
             usage: Arc::clone(&wiring.book),
+            mirror: Arc::clone(&wiring.mirror),
             product_store: Arc::clone(&wiring.platform.store),
             platform_store: Arc::clone(&wiring.platform.platform_store),
         };
@@ -358,48 +363,55 @@
 
     fn start_followers(self: &Arc<Self>, wiring: &Wiring) {
         let objects = &wiring.platform.objects;
-        let routing_prefix = prefix_of(objects.routing_key());
-        let platform: [(&'static str, Arc<dyn Follower>); 3] = [
-            (routing_prefix, Arc::new(RoutingFollower(Arc::clone(&self.world)))),
-            (
-                objects.targets_prefix(),
-                Arc::new(TargetsFollower(Arc::clone(&self.world))),
-            ),
-            (
-                objects.versions_prefix(),
-                Arc::new(VersionsFollower(Arc::clone(&self.world))),
-            ),
-        ];
-        for (prefix, follower) in platform {
-            self.follow(&wiring.platform_store, prefix, SHORT_WATCH, follower);
-        }
+        let world = &self.world;
+        let routing = Arc::new(RoutingFollower(Arc::clone(world)));
+        let targets = Arc::new(TargetsFollower(Arc::clone(world)));
+        let versions = Arc::new(VersionsFollower(Arc::clone(world)));
+        let states = Arc::new(StatesFollower(Arc::clone(&self.batches)));
+        let (product, platform) = (ObjectSpace::Product, ObjectSpace::Platform);
+        self.follow(
+            wiring,
+            platform,
+            prefix_of(objects.routing_key()),
+            POLLED,
+            routing,
+        );
+        self.follow(wiring, platform, objects.targets_prefix(), POLLED, targets);
+        self.follow(wiring, platform, objects.versions_prefix(), WATCHED, versions);
         self.follow(
-            &wiring.product_store,
+            wiring,
+            product,
             MEMBER_PREFIX,
-            LONG_WATCH,
+            WATCHED,
             Arc::clone(&self.membership) as _,
         );
-        let states = Arc::new(StatesFollower(Arc::clone(&self.batches)));
-        self.follow(&wiring.product_store, BATCH_STATE_PREFIX, LONG_WATCH, states);
+        self.follow(wiring, product, BATCH_STATE_PREFIX, WATCHED, states);
     }
 
     fn follow(
         &self,
-        store: &Arc<dyn ObjectStore>,
+        wiring: &Wiring,
+        space: ObjectSpace,
         prefix: &'static str,
         options: FollowOptions,
         follower: Arc<dyn Follower>,
     ) {
-        let contact = Arc::new(StoreContact::default());
-        let clock = Arc::clone(&self.clock);
-        task::spawn(follow(
-            Arc::clone(store),
+        let store = match space {
+            ObjectSpace::Product => &wiring.product_store,
+            ObjectSpace::Platform => &wiring.platform_store,
+        };
+        let client = Arc::clone(&self.peers);
+        let task = FollowTask {
+            store: Arc::clone(store),
+            space,
             prefix,
             options,
-            clock,
-            contact,
+            clock: Arc::clone(&self.clock),
+            mirror: Arc::clone(&wiring.mirror),
+            source: Arc::new(ReaderCopy { client }),
             follower,
-        ));
+        };
+        task::spawn(task.run());
     }
 
     fn start_duties(self: &Arc<Self>, wiring: &Wiring) {
@@ -431,6 +443,7 @@
         task::spawn(async move { usage.run().await });
         let weights = WeightDuty::new(
             Arc::clone(&self.world),
+            Arc::clone(&self.batches),
             Arc::clone(&wiring.platform.duties),
             Arc::clone(&self.lease),
             Arc::clone(&self.clock),
@@ -594,16 +607,20 @@
     }
 }
 
-/// Watches of a few seconds: a connection that went silent goes unnoticed for no longer.
-const SHORT_WATCH: FollowOptions = FollowOptions {
-    watch_ms: DurationMs::new(2_500),
+/// Configuration and targets have to take effect within two seconds whatever happens to watches, so they are listed.
+const POLLED: FollowOptions = FollowOptions {
+    watch_ms: DurationMs::new(0),
+    relist_ms: DurationMs::new(750),
+    max_age_ms: DurationMs::new(1_300),
     retry_ms: DurationMs::new(150),
     max_retry_ms: DurationMs::new(600),
 };
 
-/// Watches of objects whose changes other ways bring as well.
-const LONG_WATCH: FollowOptions = FollowOptions {
-    watch_ms: DurationMs::new(5_000),
+/// Versions, hosts and batches: an event is passed on at once, and a lost one is found by the next listing.
+const WATCHED: FollowOptions = FollowOptions {
+    watch_ms: DurationMs::new(1_500),
+    relist_ms: DurationMs::new(4_000),
+    max_age_ms: DurationMs::new(2_500),
     retry_ms: DurationMs::new(200),
     max_retry_ms: DurationMs::new(800),
 };
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -10,6 +10,7 @@
 mod host;
 mod log_lines;
 mod membership;
+mod mirror;
 mod observer;
 mod peer;
 mod platform;
@@ -18,10 +19,11 @@
 mod world;
 
 pub use duty::{UsageBook, UsageCounter};
-pub use follow::{FollowOptions, Follower, StoreContact, follow};
+pub use follow::{CopySource, FollowOptions, FollowTask, Follower};
 pub use host::{Host, HostError, HostParts, connection_limits};
 pub use log_lines::{LineBudget, set_up_log_lines};
 pub use membership::{Membership, Registration};
+pub use mirror::{Mirror, MirrorChanges};
 pub use observer::HostObserver;
 pub use peer::{ObjectSpace, UsageCounts};
 pub use platform::{
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jm_batch::{BatchEvents, GenerationEnd, RunEnd};
+use jm_batch::{BatchEvents, BatchProgress, GenerationEnd, RunEnd};
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, Forwarded, Route, RunKey, Target};
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
 use prometheus::{
@@ -300,6 +300,21 @@
         );
     }
 
+    fn progress(&self, batch: &BatchId, progress: &BatchProgress) {
+        LogEvent::BatchWaits.write_fields(
+            "items wait for engines",
+            &[
+                ("batch", &batch.as_str()),
+                ("waiting", &progress.waiting),
+                ("running", &progress.running),
+                ("listed", &progress.listed),
+                ("engines", &progress.engines),
+                ("with_weights", &progress.with_weights),
+                ("with_room", &progress.with_room),
+            ],
+        );
+    }
+
     fn finished(&self, batch: &BatchId, took: DurationMs) {
         self.batches.with_label_values(&["finished"]).inc();
         LogEvent::BatchFinished.write_fields(
--- a/crates/jm-host/src/peer.rs
+++ b/crates/jm-host/src/peer.rs
@@ -10,16 +10,20 @@
 use futures::FutureExt;
 use futures::future::select_ok;
 use indexmap::IndexMap;
-use jm_batch::{BatchPeers, BatchService, ResultPage};
+use jm_batch::{BatchMembers, BatchPeers, BatchService, BatchState, ResultPage};
 use jm_http::{Client, Connection, Handler, Limits, Method, Request, Response, Reuse, StatusCode, Url};
 use jm_node::{decode, encode};
-use jm_platform::{Condition, KeyedObject, Listing, Object, ObjectError, ObjectStore, ReadError, Version};
+use jm_platform::{
+    Change, Changes, Condition, KeyedObject, Listing, Object, ObjectError, ObjectStore, ReadError, Version,
+};
+use jm_route::{owner_by_key, stable_hash};
 use jm_types::{BatchId, ByteSize, DurationMs, Incarnation, LogEvent, MemberId, OrganisationId};
 use jm_usage::WindowId;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    CopySource, Mirror, MirrorChanges,
     duty::UsageBook,
     membership::{Membership, Registration},
     relay::RelayPeer,
@@ -33,7 +37,7 @@
 const CALL_MS: DurationMs = DurationMs::new(1_000);
 
 /// Which objects a relayed call concerns.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum ObjectSpace {
     /// Objects of the product.
     Product,
@@ -63,6 +67,22 @@
         incarnation: Incarnation,
         counts: UsageCounts,
     },
+    BatchState {
+        state: BatchState,
+        version: Version,
+    },
+    ListCopy {
+        space: ObjectSpace,
+        prefix: String,
+        max_age_ms: DurationMs,
+    },
+    WatchCopy {
+        space: ObjectSpace,
+        prefix: String,
+        after: Version,
+        wait_ms: DurationMs,
+        max_age_ms: DurationMs,
+    },
     GetObject {
         space: ObjectSpace,
         key: String,
@@ -117,6 +137,15 @@
     version: Version,
 }
 
+/// A change on the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct WireChange {
+    key: String,
+    version: Version,
+    #[serde(with = "serde_bytes")]
+    value: Option<Vec<u8>>,
+}
+
 /// What the other host answers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum PeerReply {
@@ -131,6 +160,20 @@
         objects: Vec<WireObject>,
         version: Version,
     },
+    Copy {
+        objects: Vec<WireObject>,
+        version: Version,
+        age_ms: DurationMs,
+    },
+    CopyChanges {
+        changes: Vec<WireChange>,
+        version: Version,
+        age_ms: DurationMs,
+    },
+    /// The changes after the given version are not kept.
+    CopyRelist,
+    /// The copy is too old or does not exist.
+    CopyStale,
     /// The store did not answer the other host either; nothing was changed.
     StoreUnavailable,
     /// The store's answer to the other host was lost.
@@ -165,8 +208,18 @@
         request: &PeerRequest,
         wait: DurationMs,
     ) -> Option<PeerReply> {
-        let limit = wait.saturating_add(CALL_MS).as_std();
-        let result = timeout(limit, self.exchange(address, request)).await;
+        self.call_within(address, request, wait.saturating_add(CALL_MS))
+            .await
+    }
+
+    /// Calls one host; none when it does not answer within `limit`.
+    async fn call_within(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        limit: DurationMs,
+    ) -> Option<PeerReply> {
+        let result = timeout(limit.as_std(), self.exchange(address, request)).await;
         let failure = match result {
             Ok(Ok(reply)) => return Some(reply),
             Ok(Err(reason)) => reason,
@@ -243,6 +296,15 @@
             _ => None,
         }
     }
+
+    async fn announce(&self, owner: &MemberId, state: &BatchState, version: Version) {
+        let request = PeerRequest::BatchState {
+            state: state.clone(),
+            version,
+        };
+        // A host that does not answer hears of its batch from the store.
+        self.call_member(owner, &request, DurationMs::new(0)).await;
+    }
 }
 
 /// Relays the calls on one set of objects.
@@ -317,16 +379,7 @@
         };
         match self.client.call_any(&request).await? {
             PeerReply::Objects { objects, version } => {
-                let objects = objects
-                    .into_iter()
-                    .map(|object| KeyedObject {
-                        key: object.key,
-                        object: Object {
-                            value: object.value,
-                            version: object.version,
-                        },
-                    })
-                    .collect();
+                let objects = objects.into_iter().map(keyed_object).collect();
                 Some(Ok(Listing { objects, version }))
             }
             _ => Some(Err(unavailable())),
@@ -334,12 +387,114 @@
     }
 }
 
+/// Hosts for one that reads the store for the others.
+const HOSTS_PER_READER: usize = 40;
+
+/// The copy of the host that reads the store for this one.
+pub(crate) struct ReaderCopy {
+    pub(crate) client: Arc<PeerClient>,
+}
+
+impl ReaderCopy {
+    /// The host that reads the store for this one; none when this one reads for itself or is not known to the others.
+    fn reader(&self) -> Option<MemberId> {
+        let membership = &self.client.membership;
+        let live: Vec<MemberId> = membership.live().into_iter().map(|(member, _)| member).collect();
+        let readers = live.len().div_ceil(HOSTS_PER_READER).max(1);
+        let own = membership.own();
+        let slot = stable_hash(own.as_str().as_bytes()) % readers as u64;
+        let chosen: Vec<&MemberId> = (0..readers)
+            .filter_map(|index| owner_by_key(&format!("store-reader/{index}"), &live))
+            .collect();
+        if chosen.contains(&own) {
+            return None;
+        }
+        chosen.get(slot as usize).map(|reader| (*reader).clone())
+    }
+
+    async fn call(&self, request: PeerRequest, wait: DurationMs) -> Option<PeerReply> {
+        let reader = self.reader()?;
+        let address = self.client.membership.peer_address(&reader)?;
+        self.client
+            .call_within(address, &request, wait.saturating_add(COPY_CALL_MS))
+            .await
+    }
+}
+
+/// Time that a call on a copy may take besides its wait; the store is asked after that.
+const COPY_CALL_MS: DurationMs = DurationMs::new(300);
+
+#[async_trait]
+impl CopySource for ReaderCopy {
+    async fn list(
+        &self,
+        space: ObjectSpace,
+        prefix: &str,
+        max_age: DurationMs,
+    ) -> Option<(Listing, DurationMs)> {
+        let request = PeerRequest::ListCopy {
+            space,
+            prefix: prefix.to_owned(),
+            max_age_ms: max_age,
+        };
+        match self.call(request, DurationMs::new(0)).await? {
+            PeerReply::Copy {
+                objects,
+                version,
+                age_ms,
+            } => {
+                let objects = objects.into_iter().map(keyed_object).collect();
+                Some((Listing { objects, version }, age_ms))
+            }
+            _ => None,
+        }
+    }
+
+    async fn watch(
+        &self,
+        space: ObjectSpace,
+        prefix: &str,
+        after: Version,
+        wait: DurationMs,
+        max_age: DurationMs,
+    ) -> MirrorChanges {
+        let request = PeerRequest::WatchCopy {
+            space,
+            prefix: prefix.to_owned(),
+            after,
+            wait_ms: wait,
+            max_age_ms: max_age,
+        };
+        match self.call(request, wait).await {
+            Some(PeerReply::CopyChanges {
+                changes,
+                version,
+                age_ms,
+            }) => {
+                let changes = changes.into_iter().map(|change| Change {
+                    key: change.key,
+                    version: change.version,
+                    value: change.value,
+                });
+                let changes = Changes {
+                    changes: changes.collect(),
+                    version,
+                };
+                MirrorChanges::Changes { changes, age_ms }
+            }
+            Some(PeerReply::CopyRelist) => MirrorChanges::Relist,
+            _ => MirrorChanges::Stale,
+        }
+    }
+}
+
 /// Answers other hosts.
 pub(crate) struct PeerHandler {
     pub(crate) membership: Arc<Membership>,
     pub(crate) world: Arc<World>,
     pub(crate) batches: Arc<BatchService>,
     pub(crate) usage: Arc<UsageBook>,
+    pub(crate) mirror: Arc<Mirror>,
     /// The stores without a relay, so that no call goes round.
     pub(crate) product_store: Arc<dyn ObjectStore>,
     pub(crate) platform_store: Arc<dyn ObjectStore>,
@@ -363,6 +518,35 @@
                 self.usage.take(host, incarnation, counts);
                 PeerReply::Taken
             }
+            PeerRequest::BatchState { state, version } => {
+                self.batches.apply_state(state, version);
+                PeerReply::Taken
+            }
+            PeerRequest::ListCopy {
+                space,
+                prefix,
+                max_age_ms,
+            } => match self.mirror.listing(space, &prefix, max_age_ms) {
+                Some((listing, age_ms)) => PeerReply::Copy {
+                    version: listing.version,
+                    objects: listing.objects.into_iter().map(wire_object).collect(),
+                    age_ms,
+                },
+                None => PeerReply::CopyStale,
+            },
+            PeerRequest::WatchCopy {
+                space,
+                prefix,
+                after,
+                wait_ms,
+                max_age_ms,
+            } => {
+                let changes = self
+                    .mirror
+                    .watch(space, &prefix, after, wait_ms, max_age_ms)
+                    .await;
+                copy_changes(changes)
+            }
             PeerRequest::GetObject { space, key } => match self.store(space).get(&key).await {
                 Ok(object) => PeerReply::Object(object.map(|object| WireObject {
                     key,
@@ -400,6 +584,36 @@
     }
 }
 
+fn copy_changes(changes: MirrorChanges) -> PeerReply {
+    match changes {
+        MirrorChanges::Changes { changes, age_ms } => PeerReply::CopyChanges {
+            version: changes.version,
+            changes: changes.changes.into_iter().map(wire_change).collect(),
+            age_ms,
+        },
+        MirrorChanges::Relist => PeerReply::CopyRelist,
+        MirrorChanges::Stale => PeerReply::CopyStale,
+    }
+}
+
+fn wire_change(change: Change) -> WireChange {
+    WireChange {
+        key: change.key,
+        version: change.version,
+        value: change.value,
+    }
+}
+
+fn keyed_object(object: WireObject) -> KeyedObject {
+    KeyedObject {
+        key: object.key,
+        object: Object {
+            value: object.value,
+            version: object.version,
+        },
+    }
+}
+
 fn wire_object(object: KeyedObject) -> WireObject {
     WireObject {
         key: object.key,
--- /dev/null
+++ b/crates/jm-plan/src/assign.rs
@@ -0,0 +1,86 @@
+//! Which engines serve which model, when engines can serve several.
+//!
+//! Load pattern: two or more trainers share engines and each names a version every few seconds. Loading every version
+//! of every model on every engine takes longer than that, so that all steps wait for weights. When each engine keeps up
+//! with one model, loads stay within the rate and every step finds engines with its version.
+
+use std::hash::Hash;
+
+use indexmap::IndexMap;
+use jm_types::ModelId;
+
+/// Which model each engine keeps up with. Changes as little as the demand allows.
+#[derive(Debug)]
+pub struct Assignment<K> {
+    by_engine: IndexMap<K, ModelId>,
+}
+
+/// Engines by which a model's part may be off before engines change their model. Each change costs a load and leaves an
+/// engine without useful weights for a while.
+const TOLERANCE_ENGINES: f64 = 0.75;
+
+impl<K> Default for Assignment<K> {
+    fn default() -> Self {
+        Self {
+            by_engine: IndexMap::new(),
+        }
+    }
+}
+
+impl<K: Clone + Eq + Hash> Assignment<K> {
+    /// The model of an engine.
+    pub fn model(&self, engine: &K) -> Option<&ModelId> {
+        self.by_engine.get(engine)
+    }
+
+    /// Follows the engines and the demand for each model; only proportions of the demand matter.
+    pub fn update(&mut self, engines: &[K], demand: &IndexMap<ModelId, u64>) {
+        self.by_engine
+            .retain(|engine, model| engines.contains(engine) && demand.contains_key(model));
+        let parts = parts(engines.len(), demand);
+        for (model, part) in &parts {
+            self.release_surplus(model, *part);
+        }
+        for engine in engines {
+            if self.by_engine.contains_key(engine) {
+                continue;
+            }
+            let most_short = parts
+                .iter()
+                .map(|(model, part)| (model, part - self.count(model) as f64))
+                .max_by(|a, b| a.1.total_cmp(&b.1));
+            if let Some((model, _)) = most_short {
+                self.by_engine.insert(engine.clone(), (*model).clone());
+            }
+        }
+    }
+
+    fn release_surplus(&mut self, model: &ModelId, part: f64) {
+        let surplus = self.count(model) as f64 - part;
+        if surplus <= TOLERANCE_ENGINES {
+            return;
+        }
+        let last = self.by_engine.iter().rposition(|(_, assigned)| assigned == model);
+        if let Some(index) = last {
+            self.by_engine.shift_remove_index(index);
+        }
+    }
+
+    fn count(&self, model: &ModelId) -> usize {
+        self.by_engine
+            .values()
+            .filter(|assigned| *assigned == model)
+            .count()
+    }
+}
+
+/// The part of each model in the engines; at least one engine for each while there are enough.
+fn parts(engines: usize, demand: &IndexMap<ModelId, u64>) -> IndexMap<ModelId, f64> {
+    let total: u64 = demand.values().map(|demand| (*demand).max(1)).sum();
+    let engines = engines as f64;
+    let part = |demand: u64| (engines * demand.max(1) as f64 / total.max(1) as f64).max(1.0);
+    demand
+        .iter()
+        .map(|(model, demand)| (model.clone(), part(*demand)))
+        .collect()
+}
--- a/crates/jm-plan/src/lib.rs
+++ b/crates/jm-plan/src/lib.rs
@@ -6,12 +6,14 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod allocate;
+mod assign;
 mod capacity;
 mod demand;
 mod loads;
 mod offer;
 mod rollout;
 
+pub use assign::Assignment;
 pub use capacity::{CapacityOrder, CapacityPlan, PlanInput, Shortfall, plan_capacity};
 pub use demand::{DemandMemory, ServiceDemand};
 pub use loads::{Load, LoadEngine, LoadPlan, LoadsOptions};
--- a/crates/jm-plan/src/loads.rs
+++ b/crates/jm-plan/src/loads.rs
@@ -4,6 +4,8 @@
 //! its next step accepts the version before as well. Engines that lag most load first and go straight to the newest
 //! version, so that each of them is useful for as long as possible.
 
+use std::cmp::Reverse;
+
 use indexmap::IndexMap;
 use jm_types::{DurationMs, ModelId, Timestamp, WeightVersion};
 
@@ -35,6 +37,8 @@
     pub run: K,
     /// Its weights by model.
     pub versions: IndexMap<ModelId, WeightVersion>,
+    /// The model that it keeps up with; others follow when nothing else has to load.
+    pub model: Option<ModelId>,
 }
 
 /// An engine that is to load weights.
@@ -86,12 +90,19 @@
         let limit = (engines.len() + self.options.engines_per_load / 2) / self.options.engines_per_load;
         let loading = self.loading();
         let room = limit.max(1).saturating_sub(loading);
-        let mut behind: Vec<(u64, Load<K>)> = engines
+        let free = engines
             .iter()
-            .filter(|engine| !self.states.contains_key(&engine.run))
-            .filter_map(|engine| most_behind(engine, newest))
-            .collect();
-        behind.sort_by_key(|(lag, _)| std::cmp::Reverse(*lag));
+            .filter(|engine| !self.states.contains_key(&engine.run));
+        let own = free
+            .clone()
+            .filter_map(|engine| most_behind(engine, newest, is_own_model));
+        let mut behind: Vec<(u64, Load<K>)> = own.collect();
+        behind.sort_by_key(|(lag, _)| Reverse(*lag));
+        if behind.is_empty() && loading == 0 {
+            // One at a time, so that a version that is named now finds room.
+            let other = free.filter_map(|engine| most_behind(engine, newest, is_other_model));
+            behind.extend(other.max_by_key(|(lag, _)| *lag));
+        }
         let loads: Vec<Load<K>> = behind.into_iter().take(room).map(|(_, load)| load).collect();
         for load in &loads {
             self.states
@@ -126,15 +137,24 @@
     }
 }
 
-/// The model for which an engine lags most, with the number of versions.
+fn is_own_model<K>(engine: &LoadEngine<K>, model: &ModelId) -> bool {
+    engine.model.as_ref().is_none_or(|own| own == model)
+}
+
+fn is_other_model<K>(engine: &LoadEngine<K>, model: &ModelId) -> bool {
+    !is_own_model(engine, model)
+}
+
+/// The model for which an engine lags most, with the number of versions, among those that `counts` takes.
 fn most_behind<K: Clone>(
     engine: &LoadEngine<K>,
     newest: &IndexMap<ModelId, WeightVersion>,
+    counts: impl Fn(&LoadEngine<K>, &ModelId) -> bool,
 ) -> Option<(u64, Load<K>)> {
     let lags = engine.versions.iter().filter_map(|(model, version)| {
         let newest = *newest.get(model)?;
         let lag = newest.saturating_sub(*version).get();
-        (lag > 0).then_some((lag, model, newest))
+        (lag > 0 && counts(engine, model)).then_some((lag, model, newest))
     });
     let (lag, model, version) = lags.max_by_key(|(lag, ..)| *lag)?;
     let load = Load {
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -133,6 +133,8 @@
     BatchStoreFailed = 5109, Warn;
     /// A batch could not be read or ended for a caller.
     BatchNotRead = 5110, Info;
+    /// Items of a batch wait for engines.
+    BatchWaits = 5111, Info;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
