Items move off slow engines, broken engines get one item at a time, windows sealed under keys of one segment

Ruled out: pauses of runs during loads. Change: runs continue at an engine with less than 0.6 of the pause between events; engines under suspicion get one item; loads that running steps need come first; keys of sealed windows without a second slash.

--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -29,6 +29,9 @@
     }
 }
 
+/// An item moves to an engine whose pause between events is below this part of its engine's.
+const MOVE_FACTOR: f64 = 0.6;
+
 /// Weight of the newest pause in the running pause between events.
 const GAP_GAIN: f64 = 0.1;
 
@@ -42,6 +45,8 @@
     tokens: u64,
     gap_ms: f64,
     avoid_until: Timestamp,
+    /// A run broke or stood still, and no event has come since. Such an engine gets one item at a time.
+    is_suspect: bool,
     /// Weights that its answers named; newer than what the platform lists.
     versions: IndexMap<ModelId, WeightVersion>,
 }
@@ -113,7 +118,10 @@
     fn can_take(&self, target: &Target, need: Need<'_>, now: Timestamp) -> bool {
         let load = self.loads.get(&target.run);
         let running = load.map_or(0, |load| load.running);
-        let window = (target.slots as f64 * self.share(target, need)).ceil().max(1.0) as usize;
+        let window = match load.is_some_and(|load| load.is_suspect) {
+            true => 1,
+            false => (target.slots as f64 * self.share(target, need)).ceil().max(1.0) as usize,
+        };
         let is_avoided = load.is_some_and(|load| now < load.avoid_until);
         running < window && !is_avoided && self.has_memory(target, need) && self.has_weights(target, need)
     }
@@ -199,6 +207,26 @@
         load.gap_ms += GAP_GAIN * (gap.get() as f64 - load.gap_ms);
     }
 
+    /// An engine brought an event.
+    pub(crate) fn is_alive(&mut self, run: &RunKey) {
+        self.load(run).is_suspect = false;
+    }
+
+    /// An engine on which an item would go on so much faster that moving it is worth a second reading of its prompt.
+    pub(crate) fn pick_faster<'a>(
+        &self,
+        current: &RunKey,
+        targets: impl Iterator<Item = &'a Target>,
+        need: Need<'_>,
+        now: Timestamp,
+    ) -> Option<&'a Target> {
+        let current_gap_ms = self.loads.get(current)?.gap_ms;
+        let others = targets.filter(|target| target.run != *current);
+        let best = self.pick(others, need, now)?;
+        let best_gap_ms = self.loads.get(&best.run).map(|load| load.gap_ms);
+        (best_gap_ms? < current_gap_ms * MOVE_FACTOR).then_some(best)
+    }
+
     /// An answer named the engine's weights.
     pub(crate) fn saw_version(&mut self, run: &RunKey, model: &ModelId, version: WeightVersion) {
         self.load(run).versions.insert(model.clone(), version);
@@ -216,6 +244,7 @@
         let until = now.after(self.options.avoid_failed_ms);
         let load = self.load(run);
         load.avoid_until = load.avoid_until.max(until);
+        load.is_suspect = true;
     }
 
     /// Forgets engines that are no longer listed and run nothing.
@@ -230,6 +259,7 @@
             tokens: 0,
             gap_ms,
             avoid_until: Timestamp::new(0),
+            is_suspect: false,
             versions: IndexMap::new(),
         })
     }
--- a/crates/jm-batch/src/runner.rs
+++ b/crates/jm-batch/src/runner.rs
@@ -75,6 +75,9 @@
     }
 }
 
+/// Events of a run before its engine's speed can move it, so that items do not go to and fro.
+const EVENTS_BEFORE_MOVE: u64 = 3;
+
 /// Largest piece of results in one object.
 const PIECE_BYTES: usize = 700_000;
 
@@ -332,7 +335,8 @@
             return;
         };
         let catalog = self.parts.world.catalog();
-        let starts = self.choose_starts(&routing, &catalog);
+        let mut starts = self.choose_moves(&routing, &catalog);
+        starts.extend(self.choose_starts(&routing, &catalog));
         for start in starts {
             let runner = Arc::clone(self);
             task::spawn(async move { runner.run_item(start).await });
@@ -377,6 +381,42 @@
         starts
     }
 
+    /// Moves items off engines that are much slower than one with room. The longest text decides when a step ends, and
+    /// a text goes on at another engine after a few milliseconds.
+    fn choose_moves(&self, routing: &RoutingTable, catalog: &Catalog) -> Vec<Start> {
+        let now = self.now();
+        let unix_ms = self.parts.wall.unix_ms();
+        let mut guard = self.state();
+        let RunnerState {
+            owned,
+            loads,
+            next_serial,
+            ..
+        } = &mut *guard;
+        let shares = Shares::new(owned, self.foreign());
+        let mut starts = Vec::new();
+        for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
+            let settled = owned
+                .runs
+                .iter()
+                .filter(|(_, run)| run.events >= EVENTS_BEFORE_MOVE);
+            let items: Vec<usize> = settled.map(|(item, _)| *item).collect();
+            for item in items {
+                let Some(target) = faster_target(owned, item, routing, catalog, loads, &shares, now) else {
+                    continue;
+                };
+                let Some(run) = owned.stop_run(item, now) else {
+                    continue;
+                };
+                loads.ended(&run.target, run.tokens);
+                *next_serial += 1;
+                starts.push(start(owned, item, *next_serial, target, now, unix_ms));
+                loads.began(&target.run, owned.spec.items[item].work_tokens());
+            }
+        }
+        starts
+    }
+
     async fn run_item(self: Arc<Self>, start: Start) {
         let Start {
             batch,
@@ -419,8 +459,11 @@
             return Progress::Useless;
         };
         let progress = owned.on_event(item, serial, event, now);
-        if let Progress::Event { gap, is_first: false } = progress {
-            loads.progressed(&target.run, gap);
+        if let Progress::Event { gap, is_first } = progress {
+            loads.is_alive(&target.run);
+            if !is_first {
+                loads.progressed(&target.run, gap);
+            }
         }
         progress
     }
@@ -762,6 +805,20 @@
     Some(catalog.serving(service))
 }
 
+fn faster_target<'a>(
+    owned: &OwnedBatch,
+    item: usize,
+    routing: &'a RoutingTable,
+    catalog: &'a Catalog,
+    loads: &EngineLoads,
+    shares: &Shares,
+    now: Timestamp,
+) -> Option<&'a Target> {
+    let current = &owned.runs.get(&item)?.target;
+    let targets = service_targets(owned, item, routing, catalog)?;
+    loads.pick_faster(current, targets, need(&owned.spec, item, routing, shares), now)
+}
+
 fn choose_target<'a>(
     owned: &OwnedBatch,
     item: usize,
--- a/crates/jm-batch/src/service.rs
+++ b/crates/jm-batch/src/service.rs
@@ -207,6 +207,22 @@
             .collect()
     }
 
+    /// The newest of the oldest weights that running batches of all hosts accept, by model.
+    pub fn wanted_versions(&self) -> IndexMap<ModelId, WeightVersion> {
+        let state = self.state();
+        let mut wanted = IndexMap::new();
+        let running = state
+            .known
+            .values()
+            .filter(|known| known.state.phase == BatchPhase::Running);
+        for known in running {
+            let Some(model) = &known.state.model else { continue };
+            let version = wanted.entry(model.clone()).or_insert(known.state.min_version);
+            *version = known.state.min_version.max(*version);
+        }
+        wanted
+    }
+
     /// An engine's weights became known by other means than its answers.
     pub fn saw_version(&self, run: &RunKey, model: &ModelId, version: WeightVersion) {
         self.runner.saw_version(run, model, version);
--- a/crates/jm-host/src/duty/usage.rs
+++ b/crates/jm-host/src/duty/usage.rs
@@ -18,6 +18,8 @@
     platform::DutyCalls,
 };
 
+/// Prefix of the keys of sealed windows.
+const SEALED_PREFIX: &str = "usage-window/";
 /// Windows that a host goes on telling the holder, which may be a new one.
 const KEPT_WINDOWS: usize = 5;
 /// Time between two messages to the holder.
@@ -210,7 +212,8 @@
 
     /// The figures of a window as they stand in the store for good.
     async fn seal(&self, window: WindowId) -> Option<Vec<u8>> {
-        let key = window.sealed_key();
+        // One segment after the kind: stores may take a further slash for the end of a name.
+        let key = format!("{SEALED_PREFIX}{window}");
         let total = self.book.total(window);
         let sealed = self.duties.usage_report(window, &total);
         let reason = match self.store.put(&key, sealed.clone(), Condition::Absent).await {
--- a/crates/jm-host/src/duty/weights.rs
+++ b/crates/jm-host/src/duty/weights.rs
@@ -114,7 +114,7 @@
                 model: assigned_model(assignments, target),
             })
             .collect();
-        plan.next(&engines, &newest, now)
+        plan.next(&engines, &newest, &self.batches.wanted_versions(), now)
     }
 
     async fn load(&self, target: Target, load: Load<RunKey>, guard: LeaseGuard) {
--- a/crates/jm-plan/src/loads.rs
+++ b/crates/jm-plan/src/loads.rs
@@ -79,11 +79,13 @@
         }
     }
 
-    /// The loads to start now, given the newest version of each model. They count as running.
+    /// The loads to start now, given the newest version of each model and the oldest one that running steps accept. They
+    /// count as running.
     pub fn next(
         &mut self,
         engines: &[LoadEngine<K>],
         newest: &IndexMap<ModelId, WeightVersion>,
+        needed: &IndexMap<ModelId, WeightVersion>,
         now: Timestamp,
     ) -> Vec<Load<K>> {
         self.expire(now);
@@ -97,7 +99,13 @@
             .clone()
             .filter_map(|engine| most_behind(engine, newest, is_own_model));
         let mut behind: Vec<(u64, Load<K>)> = own.collect();
-        behind.sort_by_key(|(lag, _)| Reverse(*lag));
+        // Engines that running steps cannot use come first.
+        let is_needed = |load: &Load<K>| {
+            let engine = engines.iter().find(|engine| engine.run == load.run);
+            let version = engine.and_then(|engine| engine.versions.get(&load.model));
+            needed.get(&load.model) > version
+        };
+        behind.sort_by_key(|(lag, load)| Reverse((is_needed(load), *lag)));
         if behind.is_empty() && loading == 0 {
             // One at a time, so that a version that is named now finds room.
             let other = free.filter_map(|engine| most_behind(engine, newest, is_other_model));
