A lease of 2.2 s, retaken at once by a restarted holder; loads follow one another without the report's delay

Ruled out: missing engines (with_weights 0 of 8 engines in the lines on waiting items, no failed order). Change: shorter term and calls; a new run of the last holder retakes the lease, others rest for the platform's bound after their start or loss so that holders never alternate within it; an unknown host counts as running until the list has settled, and a host that sees most others dead waits; a load is taken to be over when the last ones were.

--- a/crates/jm-host/src/duty/mod.rs
+++ b/crates/jm-host/src/duty/mod.rs
@@ -24,7 +24,7 @@
 use crate::membership::Membership;
 
 /// Time between two looks of the holder, or of a host that may become the holder.
-const CANDIDATE_INTERVAL_MS: DurationMs = DurationMs::new(900);
+const CANDIDATE_INTERVAL_MS: DurationMs = DurationMs::new(600);
 /// Time between two looks of the other hosts, which only want to know the holder.
 const OBSERVER_INTERVAL_MS: DurationMs = DurationMs::new(6_000);
 /// Time after which another host looks again when the holder is not known or not alive.
@@ -33,10 +33,15 @@
 const REST_STEP_MS: DurationMs = DurationMs::new(300);
 /// Hosts that try to get the lease.
 const CANDIDATES: usize = 2;
+/// Time for which others leave the lease alone after they saw its last update. Weights are not loaded meanwhile, and a
+/// step is due a few seconds after its version was named.
+const LEASE_TERM_MS: DurationMs = DurationMs::new(2_200);
 /// Part of the term that the holder does not use.
-const LEASE_MARGIN_MS: DurationMs = DurationMs::new(500);
+const LEASE_MARGIN_MS: DurationMs = DurationMs::new(400);
 /// Longest time for which a call of a duty can take effect after it was written.
-const LONGEST_CALL_MS: DurationMs = DurationMs::new(1_500);
+pub const LONGEST_CALL_MS: DurationMs = DurationMs::new(800);
+/// Part by which the rest between two terms exceeds the platform's bound on alternating holders.
+const REST_MARGIN_MS: DurationMs = DurationMs::new(500);
 
 /// The lease as this host knows it.
 #[derive(Default)]
@@ -106,10 +111,9 @@
             self.membership.own().clone(),
             self.membership.incarnation(),
         );
-        options.term_ms = self
-            .lease_ms
-            .saturating_add(LEASE_MARGIN_MS)
-            .saturating_add(LEASE_MARGIN_MS);
+        options.term_ms = LEASE_TERM_MS;
+        options.runs_one_at_a_time = true;
+        options.rest_ms = self.lease_ms.saturating_add(REST_MARGIN_MS);
         options.margin_ms = LEASE_MARGIN_MS;
         options.longest_order_ms = LONGEST_CALL_MS;
         let mut keeper = match LeaseKeeper::new(options) {
--- a/crates/jm-host/src/duty/weights.rs
+++ b/crates/jm-host/src/duty/weights.rs
@@ -129,7 +129,10 @@
                         ("took_ms", &took.get()),
                     ],
                 );
-                self.lock().plan.loaded(&load.run);
+                match took.get() {
+                    0 => self.lock().plan.has_weights(&load.run),
+                    _ => self.lock().plan.loaded(&load.run, took),
+                }
             }
             Err(reason) => {
                 LogEvent::OrderFailed.write_fields(
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -18,7 +18,7 @@
 mod settings;
 mod world;
 
-pub use duty::{UsageBook, UsageCounter};
+pub use duty::{LONGEST_CALL_MS, UsageBook, UsageCounter};
 pub use follow::{CopySource, FollowOptions, FollowTask, Follower};
 pub use host::{Host, HostError, HostParts, connection_limits};
 pub use log_lines::{LineBudget, set_up_log_lines};
--- a/crates/jm-host/src/membership.rs
+++ b/crates/jm-host/src/membership.rs
@@ -5,7 +5,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use async_std::task;
@@ -16,7 +19,7 @@
     AgentError, Detector, DetectorOptions, MemberAgent, MemberRecord, MemberRole, MemberState, MemberView,
 };
 use jm_platform::{Change, Condition, KeyedObject, ObjectStore};
-use jm_types::{Clock, DurationMs, Incarnation, LogEvent, MemberId, Revision, ZoneId};
+use jm_types::{Clock, DurationMs, Incarnation, LogEvent, MemberId, Revision, Timestamp, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::{HostSettings, follow::Follower};
@@ -30,6 +33,13 @@
 /// Time for which a failed host keeps its registration.
 const KEEP_FAILED_MS: DurationMs = DurationMs::new(60_000);
 
+/// Time after the first list of hosts in which an unlisted one may still register.
+const SETTLE_MS: DurationMs = DurationMs::new(2_000);
+
+/// Time after which a host that sees less than half of the others alive takes them for dead all the same: all but a few
+/// may really have stopped.
+const ISOLATION_MS: DurationMs = DurationMs::new(3_000);
+
 /// Registration of one run of a host.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
@@ -62,7 +72,9 @@
     clock: Arc<dyn Clock>,
     registrations: Mutex<IndexMap<MemberId, Registration>>,
     on_change: Box<dyn Fn() + Send + Sync>,
-    is_leaving: std::sync::atomic::AtomicBool,
+    is_leaving: AtomicBool,
+    /// When the registrations were first listed; zero before.
+    listed_at_ms: AtomicU64,
 }
 
 impl Membership {
@@ -100,6 +112,7 @@
             registrations: Mutex::new(registrations),
             on_change,
             is_leaving: false.into(),
+            listed_at_ms: 0.into(),
         }))
     }
 
@@ -201,13 +214,13 @@
 
     /// This host is about to stop.
     pub fn leave(&self) {
-        self.is_leaving.store(true, std::sync::atomic::Ordering::SeqCst);
+        self.is_leaving.store(true, Ordering::SeqCst);
         self.agent.leave();
     }
 
     /// Whether this host is about to stop.
     pub fn is_leaving(&self) -> bool {
-        self.is_leaving.load(std::sync::atomic::Ordering::SeqCst)
+        self.is_leaving.load(Ordering::SeqCst)
     }
 
     /// Hosts that have been dead for so long that their registrations can go.
@@ -225,6 +238,21 @@
         self.agent.view()
     }
 
+    /// Whether the list of hosts was read, long enough ago for the detector to have reached them.
+    fn is_settled(&self) -> bool {
+        let listed_at_ms = self.listed_at_ms.load(Ordering::Relaxed);
+        listed_at_ms > 0 && self.clock.now().since(Timestamp::new(listed_at_ms)) >= SETTLE_MS
+    }
+
+    /// Whether at least half of the hosts are alive as far as this one can tell.
+    fn sees_most(&self, view: &MemberView) -> bool {
+        let dead = view
+            .iter()
+            .filter(|member| member.state == MemberState::Failed)
+            .count();
+        2 * dead <= view.len()
+    }
+
     fn add(&self, registration: Registration) {
         let id = registration.record.id.clone();
         if id == *self.own() {
@@ -283,6 +311,11 @@
         for id in gone {
             self.remove(&id);
         }
+        let now_ms = self.clock.now().get().max(1);
+        // Only the first list counts.
+        let _ = self
+            .listed_at_ms
+            .compare_exchange(0, now_ms, Ordering::Relaxed, Ordering::Relaxed);
         (self.on_change)();
     }
 
@@ -293,15 +326,24 @@
 }
 
 impl BatchMembers for Membership {
+    /// A host that has just started knows nobody yet, and a host that is cut off from the others takes all of them for
+    /// dead. Neither may take work over.
     fn is_running(&self, member: &MemberId, incarnation: Incarnation) -> bool {
         if member == self.own() {
             return incarnation == self.incarnation();
         }
         let view = self.agent.view();
         let Some(viewed) = view.get(member) else {
-            return false;
+            return !self.is_settled();
+        };
+        if viewed.epoch.incarnation != incarnation {
+            return viewed.epoch.incarnation < incarnation;
+        }
+        let failed_ms = match viewed.state {
+            MemberState::Failed => self.clock.now().since(viewed.since),
+            _ => return true,
         };
-        viewed.epoch.incarnation == incarnation && viewed.state.is_live()
+        !self.sees_most(&view) && failed_ms < ISOLATION_MS
     }
 
     fn live(&self) -> Vec<(MemberId, Incarnation)> {
--- a/crates/jm-lease/src/keeper.rs
+++ b/crates/jm-lease/src/keeper.rs
@@ -121,6 +121,8 @@
     attempts: Vec<Attempt>,
     observation: Option<Observation>,
     held: Option<Held>,
+    /// When the rest after the start or after the last loss ends; none before the first look.
+    rested_at: Option<Timestamp>,
 }
 
 impl LeaseKeeper {
@@ -134,6 +136,7 @@
             attempts: Vec::new(),
             observation: None,
             held: None,
+            rested_at: None,
         })
     }
 
@@ -154,6 +157,8 @@
         store: &dyn ObjectStore,
         clock: &dyn Clock,
     ) -> Result<Acquisition, LeaseError> {
+        let rested_at = clock.now().after(self.options.rest_ms);
+        self.rested_at.get_or_insert(rested_at);
         if self.held.is_none() {
             self.read(store, clock).await?;
         }
@@ -163,13 +168,23 @@
                 Err(error) => return Err(error),
             }
         }
-        let takeover_at = self.observation.as_ref().map(Observation::takeover_at);
+        let takeover_at = self.observation.as_ref().map(|current| self.takeover_at(current));
         if takeover_at.is_none_or(|takeover_at| clock.now() >= takeover_at) {
             self.take_over(store, clock).await?;
         }
         Ok(self.acquisition(clock))
     }
 
+    /// When this daemon may take the lease over if its object does not change until then.
+    fn takeover_at(&self, current: &Observation) -> Timestamp {
+        let was_own = current.record.holder == self.options.holder;
+        if was_own && self.options.runs_one_at_a_time {
+            return current.since;
+        }
+        let rested_at = self.rested_at.filter(|_| !was_own);
+        current.takeover_at().max(rested_at.unwrap_or_default())
+    }
+
     /// Extends the validity of the guard by updating the object.
     pub async fn renew(&mut self, store: &dyn ObjectStore, clock: &dyn Clock) -> Result<(), LeaseError> {
         if self.held.is_none() {
@@ -199,6 +214,7 @@
             return NotHeldSnafu.fail();
         };
         held.guard.end();
+        self.rested_at = Some(clock.now().after(self.options.rest_ms));
         let mut version = held.version;
         for _ in 0..UPDATE_ROUNDS {
             let guard = held.guard.clone();
@@ -315,7 +331,7 @@
         let attempt = self.attempt_of(&record);
         // All sent updates expect an earlier version and cannot take effect any more.
         self.attempts.clear();
-        self.hold(attempt, version, &record);
+        self.hold(attempt, version, &record, now);
         self.observation = Some(Observation {
             version,
             record,
@@ -332,12 +348,13 @@
     }
 
     /// Holds the lease if the object is an update of this keeper, and ends the guard otherwise.
-    fn hold(&mut self, attempt: Option<Attempt>, version: Version, record: &LeaseRecord) {
+    fn hold(&mut self, attempt: Option<Attempt>, version: Version, record: &LeaseRecord, now: Timestamp) {
         let previous = self.held.take();
         let attempt = attempt.filter(|attempt| !record.released && !attempt.guard.is_ended());
         let Some(Attempt { sent_at, guard, .. }) = attempt else {
             if let Some(previous) = previous {
                 previous.guard.end();
+                self.rested_at = Some(now.after(self.options.rest_ms));
             }
             return;
         };
@@ -387,7 +404,7 @@
         let current = self.observation.as_ref();
         Acquisition::Observing {
             holder: current.map(|current| current.record.holder.clone()),
-            takeover_at: current.map_or_else(|| clock.now(), Observation::takeover_at),
+            takeover_at: current.map_or_else(|| clock.now(), |current| self.takeover_at(current)),
         }
     }
 }
--- a/crates/jm-lease/src/options.rs
+++ b/crates/jm-lease/src/options.rs
@@ -21,6 +21,12 @@
     pub margin_ms: DurationMs,
     /// Longest time for which an order can still take effect after it was written.
     pub longest_order_ms: DurationMs,
+    /// Whether a run of the holder ends before the next one starts. A new run then need not wait for the term of the
+    /// one before it.
+    pub runs_one_at_a_time: bool,
+    /// Time for which this daemon leaves the lease to others after it started or lost it, unless it was the last
+    /// holder. Receivers that watch for alternating holders then never see this one twice within it.
+    pub rest_ms: DurationMs,
 }
 
 /// The settings of a lease contradict one another.
@@ -41,6 +47,8 @@
             term_ms: DurationMs::new(10_000),
             margin_ms: DurationMs::new(1_000),
             longest_order_ms: DurationMs::new(5_000),
+            runs_one_at_a_time: false,
+            rest_ms: DurationMs::new(0),
         }
     }
 
--- a/crates/jm-plan/src/loads.rs
+++ b/crates/jm-plan/src/loads.rs
@@ -16,6 +16,10 @@
     pub engines_per_load: usize,
     /// A load without a result after this time no longer counts.
     pub load_timeout_ms: DurationMs,
+    /// Time of a load before any was seen.
+    pub first_load_ms: DurationMs,
+    /// Part of a load's seen time that is its report's delay.
+    pub report_delay_ms: DurationMs,
     /// Wait before an engine that refused an order gets another one.
     pub retry_ms: DurationMs,
 }
@@ -25,6 +29,8 @@
         Self {
             engines_per_load: 5,
             load_timeout_ms: DurationMs::new(6_000),
+            first_load_ms: DurationMs::new(1_000),
+            report_delay_ms: DurationMs::new(150),
             retry_ms: DurationMs::new(300),
         }
     }
@@ -68,12 +74,15 @@
 pub struct LoadPlan<K> {
     options: LoadsOptions,
     states: IndexMap<K, LoadState>,
+    /// Time after which a load is taken to be over although its engine has not reported so; the next one starts then.
+    load_ms: DurationMs,
 }
 
 impl<K: Clone + Eq + std::hash::Hash> LoadPlan<K> {
     /// No load runs.
     pub fn new(options: LoadsOptions) -> Self {
         Self {
+            load_ms: options.first_load_ms,
             options,
             states: IndexMap::new(),
         }
@@ -90,7 +99,7 @@
     ) -> Vec<Load<K>> {
         self.expire(now);
         let limit = (engines.len() + self.options.engines_per_load / 2) / self.options.engines_per_load;
-        let loading = self.loading();
+        let loading = self.loading(now);
         let room = limit.max(1).saturating_sub(loading);
         let free = engines
             .iter()
@@ -119,8 +128,17 @@
         loads
     }
 
-    /// A load ended well.
-    pub fn loaded(&mut self, run: &K) {
+    /// A load ended well; it was seen to be over after `took`.
+    pub fn loaded(&mut self, run: &K, took: DurationMs) {
+        self.states.swap_remove(run);
+        let load_ms = took.saturating_sub(self.options.report_delay_ms);
+        if load_ms.get() > 0 {
+            self.load_ms = DurationMs::new((3 * self.load_ms.get() + load_ms.get()) / 4);
+        }
+    }
+
+    /// An engine has its weights without a load.
+    pub fn has_weights(&mut self, run: &K) {
         self.states.swap_remove(run);
     }
 
@@ -130,9 +148,12 @@
         self.states.insert(run.clone(), LoadState::Resting { until });
     }
 
-    /// Loads that run.
-    pub fn loading(&self) -> usize {
-        let is_loading = |state: &&LoadState| matches!(state, LoadState::Loading { .. });
+    /// Loads that are taken to run.
+    pub fn loading(&self, now: Timestamp) -> usize {
+        let is_loading = |state: &&LoadState| match state {
+            LoadState::Loading { since } => now.since(*since) < self.load_ms,
+            LoadState::Resting { .. } => false,
+        };
         self.states.values().filter(is_loading).count()
     }
 
