Results are gathered for 300 ms, read back in one listing; the holder of the lease is asked of hosts

Ruled out: watches of configuration and targets (137 calls each). Change: results wait up to 300 ms for others unless the submitter has enough groups with them; a batch's pieces are read in one listing that starts at their names; hosts ask the candidates for the holder.

--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -100,6 +100,21 @@
         self.listed.len() >= self.spec.items.len()
     }
 
+    /// Whether the submitter has what it waits for once the finished results are listed.
+    pub(crate) fn has_enough(&self) -> bool {
+        let done = |index: &usize| self.plan.state(*index) == ItemState::Done;
+        let mut open: HashSet<&str> = HashSet::new();
+        let mut groups: HashSet<&str> = HashSet::new();
+        for (index, item) in self.spec.items.iter().enumerate() {
+            let group = item.group.as_deref().unwrap_or(&item.id);
+            groups.insert(group);
+            if !done(&index) {
+                open.insert(group);
+            }
+        }
+        open.is_empty() || groups.len() - open.len() >= self.spec.wanted_groups.max(1)
+    }
+
     /// Number of the event after which a new run of an item continues.
     pub(crate) fn resume_after(&self, index: usize) -> Option<u64> {
         self.texts[index].last_event
--- a/crates/jm-batch/src/runner.rs
+++ b/crates/jm-batch/src/runner.rs
@@ -48,7 +48,7 @@
     pub first_event_stall_ms: DurationMs,
     /// Factor on both while no other engine has room.
     pub patience_factor: u64,
-    /// Time between two writes of results, so that one write carries several.
+    /// Time between two writes of results, so that one write carries several. The last results are not held back.
     pub write_interval_ms: DurationMs,
     /// Wait before a write that the store did not take is repeated.
     pub write_retry_ms: DurationMs,
@@ -67,7 +67,7 @@
             stall_ms: DurationMs::new(400),
             first_event_stall_ms: DurationMs::new(700),
             patience_factor: 4,
-            write_interval_ms: DurationMs::new(80),
+            write_interval_ms: DurationMs::new(300),
             write_retry_ms: DurationMs::new(150),
             report_ms: DurationMs::new(1_000),
             route_gone_ms: DurationMs::new(5_000),
@@ -78,6 +78,9 @@
 /// Events of a run before its engine's speed can move it, so that items do not go to and fro.
 const EVENTS_BEFORE_MOVE: u64 = 3;
 
+/// Time between two looks whether results have to be written before their interval is over.
+const GATHER_STEP_MS: DurationMs = DurationMs::new(40);
+
 /// Largest piece of results in one object.
 const PIECE_BYTES: usize = 700_000;
 
@@ -651,23 +654,35 @@
 
     /// Writes results to the store until none is left.
     async fn write_results(self: Arc<Self>, batch: BatchId) {
-        while let Some(piece) = self.next_piece(&batch) {
-            let pause = match self.write_piece(&batch, piece).await {
-                true => self.options.write_interval_ms,
-                false => self.options.write_retry_ms,
+        let mut written_at = None;
+        loop {
+            self.gather_results(&batch, written_at).await;
+            let Some(piece) = self.next_piece(&batch) else {
+                return;
             };
-            if self.has_unlisted(&batch) {
-                task::sleep(pause.as_std()).await;
+            if !self.write_piece(&batch, piece).await {
+                task::sleep(self.options.write_retry_ms.as_std()).await;
             }
+            written_at = Some(self.now());
+        }
+    }
+
+    /// Waits so that one write carries several results, unless the submitter waits for just these.
+    async fn gather_results(&self, batch: &BatchId, written_at: Option<Timestamp>) {
+        let Some(written_at) = written_at else { return };
+        let due = written_at.after(self.options.write_interval_ms);
+        while self.now() < due && self.may_gather(batch) {
+            let step = GATHER_STEP_MS.min(due.since(self.now()));
+            task::sleep(step.as_std()).await;
         }
     }
 
-    fn has_unlisted(&self, batch: &BatchId) -> bool {
+    fn may_gather(&self, batch: &BatchId) -> bool {
         let state = self.state();
-        state
-            .owned
-            .get(batch)
-            .is_some_and(|owned| !owned.unlisted.is_empty())
+        let Some(owned) = state.owned.get(batch) else {
+            return false;
+        };
+        !owned.unlisted.is_empty() && !owned.is_ended && !owned.has_enough()
     }
 
     /// The next results to write; none ends the writing.
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -166,6 +166,9 @@
         batch: &BatchId,
         listed: &mut Vec<BatchResult>,
     ) -> Result<(), StoreError> {
+        if listed.is_empty() {
+            *listed = self.list_results(batch).await?;
+        }
         while let Some(piece) = self.load_piece(batch, listed.len()).await? {
             if piece.results.is_empty() {
                 return Err(corrupt(&piece_key(batch, piece.first), "it is empty"));
@@ -175,6 +178,22 @@
         Ok(())
     }
 
+    /// Reads all pieces in one listing, which costs far fewer calls than reading one after another.
+    async fn list_results(&self, batch: &BatchId) -> Result<Vec<BatchResult>, StoreError> {
+        let listing = self.objects.list(&piece_prefix(batch)).await;
+        let listing = listing.map_err(StoreError::unavailable)?;
+        let mut results: Vec<BatchResult> = Vec::new();
+        for object in listing.objects {
+            let piece: ResultPiece = decode(&object.key, &object.object.value)?;
+            if piece.first != results.len() {
+                // A page that was read before a piece was created can lack it; the rest is read one by one.
+                break;
+            }
+            results.extend(piece.results);
+        }
+        Ok(results)
+    }
+
     /// Removes everything of a batch that nobody can ask for any more.
     pub(crate) async fn remove(&self, batch: &BatchId) -> Result<(), StoreError> {
         let mut first = 0;
@@ -262,6 +281,10 @@
     format!("{BATCH_STATE_PREFIX}{batch}")
 }
 
+fn piece_prefix(batch: &BatchId) -> String {
+    format!("batch-result/{batch}.")
+}
+
 fn piece_key(batch: &BatchId, first: usize) -> String {
-    format!("batch-result/{batch}.{first:06}")
+    format!("{}{first:06}", piece_prefix(batch))
 }
--- a/crates/jm-host/src/duty/mod.rs
+++ b/crates/jm-host/src/duty/mod.rs
@@ -21,7 +21,10 @@
 pub(crate) use usage::{UsageDuty, push_usage};
 pub(crate) use weights::WeightDuty;
 
-use crate::membership::Membership;
+use crate::{
+    membership::Membership,
+    peer::{PeerClient, PeerReply, PeerRequest},
+};
 
 /// Time between two looks of the holder, or of a host that may become the holder.
 const CANDIDATE_INTERVAL_MS: DurationMs = DurationMs::new(600);
@@ -100,6 +103,7 @@
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) membership: Arc<Membership>,
     pub(crate) view: Arc<LeaseView>,
+    pub(crate) peers: Arc<PeerClient>,
     pub(crate) lease_ms: DurationMs,
 }
 
@@ -168,7 +172,19 @@
         CANDIDATE_INTERVAL_MS
     }
 
+    /// Learns the holder from a candidate, or from the store when none answers.
     async fn observe(&self) {
+        for candidate in self.candidates() {
+            let request = PeerRequest::LeaseHolder;
+            let reply = self
+                .peers
+                .call_member(&candidate, &request, DurationMs::new(0))
+                .await;
+            if let Some(PeerReply::LeaseHolder(Some(holder))) = reply {
+                self.view.set(None, Some(holder));
+                return;
+            }
+        }
         match self.store.get(&Duty::Fleet.key()).await {
             Ok(Some(object)) => match serde_json::from_slice::<LeaseRecord>(&object.value) {
                 Ok(record) => self.view.set(None, Some(record.holder)),
@@ -185,23 +201,26 @@
         self.membership.live().iter().any(|(live, _)| live == member)
     }
 
-    /// Whether this host is among the first for the lease. Others look less often.
     fn is_candidate(&self) -> bool {
+        self.candidates().contains(self.membership.own())
+    }
+
+    /// The first hosts for the lease. Others look less often.
+    fn candidates(&self) -> Vec<MemberId> {
         let mut live: Vec<MemberId> = self
             .membership
             .live()
             .into_iter()
             .map(|(member, _)| member)
             .collect();
-        for _ in 0..CANDIDATES {
+        let mut candidates = Vec::new();
+        while candidates.len() < CANDIDATES {
             let Some(first) = owner_by_key(&Duty::Fleet.key(), &live).cloned() else {
-                return false;
+                break;
             };
-            if first == *self.membership.own() {
-                return true;
-            }
             live.retain(|member| *member != first);
+            candidates.push(first);
         }
-        false
+        candidates
     }
 }
--- a/crates/jm-host/src/host.rs
+++ b/crates/jm-host/src/host.rs
@@ -332,6 +332,7 @@
             batches: Arc::clone(&self.batches),
             usage: Arc::clone(&wiring.book),
             mirror: Arc::clone(&wiring.mirror),
+            lease: Arc::clone(&self.lease),
             product_store: Arc::clone(&wiring.platform.store),
             platform_store: Arc::clone(&wiring.platform.platform_store),
         };
@@ -420,6 +421,7 @@
             clock: Arc::clone(&self.clock),
             membership: Arc::clone(&self.membership),
             view: Arc::clone(&self.lease),
+            peers: Arc::clone(&self.peers),
             lease_ms: self.settings.bounds.lease_ms,
         };
         task::spawn(async move { lease.run().await });
--- a/crates/jm-host/src/peer.rs
+++ b/crates/jm-host/src/peer.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     CopySource, Mirror, MirrorChanges,
-    duty::UsageBook,
+    duty::{LeaseView, UsageBook},
     membership::{Membership, Registration},
     relay::RelayPeer,
     world::World,
@@ -62,6 +62,7 @@
     },
     Members,
     Configuration,
+    LeaseHolder,
     Usage {
         host: MemberId,
         incarnation: Incarnation,
@@ -152,6 +153,8 @@
     Page(Option<ResultPage>),
     Members(Vec<Registration>),
     Configuration(#[serde(with = "serde_bytes")] Vec<u8>),
+    /// None when the host does not know it.
+    LeaseHolder(Option<MemberId>),
     Taken,
     Object(Option<WireObject>),
     Put(Version),
@@ -495,6 +498,7 @@
     pub(crate) batches: Arc<BatchService>,
     pub(crate) usage: Arc<UsageBook>,
     pub(crate) mirror: Arc<Mirror>,
+    pub(crate) lease: Arc<LeaseView>,
     /// The stores without a relay, so that no call goes round.
     pub(crate) product_store: Arc<dyn ObjectStore>,
     pub(crate) platform_store: Arc<dyn ObjectStore>,
@@ -510,6 +514,7 @@
             } => PeerReply::Page(self.batches.read_owned(&batch, after, wait_ms).await),
             PeerRequest::Members => PeerReply::Members(self.membership.registrations()),
             PeerRequest::Configuration => PeerReply::Configuration(self.world.routing_value()),
+            PeerRequest::LeaseHolder => PeerReply::LeaseHolder(self.lease.holder()),
             PeerRequest::Usage {
                 host,
                 incarnation,
