--- a/crates/jm-batch/tests/batch_takeover.rs
+++ b/crates/jm-batch/tests/batch_takeover.rs
@@ -24,7 +24,11 @@
     let second = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 8, 1)], all);
     second.learn(&store).await;
     let after = second.listed("b1", 4).await;
-    assert_eq!(after.results[..2], before.results[..], "listed results stay where they are");
+    assert_eq!(
+        after.results[..2],
+        before.results[..],
+        "listed results stay where they are"
+    );
     let mut items: Vec<&str> = after.results.iter().map(|result| result.item.as_str()).collect();
     items.sort_unstable();
     items.dedup();
@@ -69,7 +73,10 @@
     }
 
     fn live(&self) -> Vec<(MemberId, Incarnation)> {
-        self.live.iter().map(|member| (member.clone(), Incarnation::new(1))).collect()
+        self.live
+            .iter()
+            .map(|member| (member.clone(), Incarnation::new(1)))
+            .collect()
     }
 }
 
@@ -91,9 +98,14 @@
 /// Exactly one live host claims a batch whose owner is gone, and none a batch whose owner runs or that is over.
 #[test]
 fn one_successor() {
-    let live: Vec<MemberId> = ["host-a", "host-b", "host-c"].map(|id| id.parse().unwrap()).to_vec();
+    let live: Vec<MemberId> = ["host-a", "host-b", "host-c"]
+        .map(|id| id.parse().unwrap())
+        .to_vec();
     let claims = |state: &BatchState, running: bool| {
-        let known = Known { running, live: live.clone() };
+        let known = Known {
+            running,
+            live: live.clone(),
+        };
         let decide = |own: &&MemberId| takeover(state, own, Incarnation::new(9), &known) == Takeover::Claim;
         live.iter().filter(decide).count()
     };
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -14,18 +14,20 @@
 use indexmap::IndexMap;
 use jm_batch::{
     BatchEvents, BatchItem, BatchMembers, BatchPeers, BatchProgress, BatchService, BatchServiceOptions,
-    BatchServiceParts, BatchSpec, BatchState, BatchStore, BatchWorld, EventSink, GenerationEnd, GenerationEvent,
-    GenerationRequest, Generator, ResultPage, RunEnd, RunnerOptions,
+    BatchServiceParts, BatchSpec, BatchState, BatchStore, BatchWorld, EventSink, GenerationEnd,
+    GenerationEvent, GenerationRequest, Generator, ResultPage, RunEnd, RunnerOptions,
 };
 use jm_forward::{
-    BatchTerms, CallerLimits, Catalog, EngineTerms, Route, RouteKind, RoutingTable, RunKey, Service, ServiceWeight,
-    Target, TargetState,
+    BatchTerms, CallerLimits, Catalog, EngineTerms, Route, RouteKind, RoutingTable, RunKey, Service,
+    ServiceWeight, Target, TargetState,
 };
 use jm_platform::{
-    Changes, Condition, Listing, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError, Version, WatchError,
+    Changes, Condition, Listing, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError, Version,
+    WatchError,
 };
 use jm_types::{
-    BatchId, ByteSize, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, WallClock, WeightVersion,
+    BatchId, ByteSize, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, WallClock,
+    WeightVersion,
 };
 
 /// Ends a test that would otherwise hang; no verdict depends on its length.
@@ -154,7 +156,12 @@
 
 #[async_trait]
 impl Generator for ScriptedEngines {
-    async fn generate(&self, target: &Target, request: &GenerationRequest, sink: EventSink<'_>) -> GenerationEnd {
+    async fn generate(
+        &self,
+        target: &Target,
+        request: &GenerationRequest,
+        sink: EventSink<'_>,
+    ) -> GenerationEnd {
         let item = request.spec.items[request.item].id.clone();
         self.runs.lock().unwrap().push((target.run.id.to_string(), item));
         for step in (self.script)(target, request) {
@@ -200,7 +207,10 @@
     }
 
     pub(crate) fn kill(&self, member: &str) {
-        self.live.lock().unwrap().retain(|(live, _)| live.as_str() != member);
+        self.live
+            .lock()
+            .unwrap()
+            .retain(|(live, _)| live.as_str() != member);
     }
 }
 
--- a/crates/jm-batch/tests/engine_faults.rs
+++ b/crates/jm-batch/tests/engine_faults.rs
@@ -39,19 +39,24 @@
     host.service.submit(spec("b1", &[1])).await.unwrap();
     let page = host.listed("b1", 1).await;
     assert_eq!(page.results[0].text, whole_text(4));
-    let versions: Vec<u64> = page.results[0].versions.iter().map(|version| version.get()).collect();
+    let versions: Vec<u64> = page.results[0]
+        .versions
+        .iter()
+        .map(|version| version.get())
+        .collect();
     assert_eq!(versions, [1, 2], "both versions made a part of the text");
 }
 
 /// An engine that went dark holds its items only until another one has room.
 #[async_std::test]
 async fn dark_engine() {
-    let script = Box::new(|target: &jm_forward::Target, request: &GenerationRequest| {
-        match target.run.id.as_str() {
-            "dark" => vec![data(1), Step::Silence],
-            _ => text(request, 3, 1),
-        }
-    });
+    let script =
+        Box::new(
+            |target: &jm_forward::Target, request: &GenerationRequest| match target.run.id.as_str() {
+                "dark" => vec![data(1), Step::Silence],
+                _ => text(request, 3, 1),
+            },
+        );
     let (host, _store) = start(vec![engine("dark", 4, 1), engine("e2", 4, 1)], script);
     host.service.submit(spec("b1", &[1; 8])).await.unwrap();
     let page = host.listed("b1", 8).await;
@@ -61,16 +66,17 @@
 /// After its failure an engine gets one item until it brings an event: a full window would be lost again and again.
 #[async_std::test]
 async fn one_item_for_a_suspect() {
-    let script = Box::new(|target: &jm_forward::Target, request: &GenerationRequest| {
-        match target.run.id.as_str() {
-            "dark" => vec![Step::Silence],
-            _ => {
-                let mut steps = text(request, 2, 1);
-                steps.insert(0, Step::Wait(Duration::from_millis(30)));
-                steps
-            }
-        }
-    });
+    let script =
+        Box::new(
+            |target: &jm_forward::Target, request: &GenerationRequest| match target.run.id.as_str() {
+                "dark" => vec![Step::Silence],
+                _ => {
+                    let mut steps = text(request, 2, 1);
+                    steps.insert(0, Step::Wait(Duration::from_millis(30)));
+                    steps
+                }
+            },
+        );
     let (host, _store) = start(vec![engine("dark", 4, 1), engine("e2", 1, 1)], script);
     host.service.submit(spec("b1", &[1; 30])).await.unwrap();
     host.listed("b1", 30).await;
@@ -86,7 +92,11 @@
     let runs = Arc::clone(&loaded);
     let script = Box::new(move |_: &_, request: &GenerationRequest| {
         // The list says version 3; the engine still has 2 at first.
-        let version = if runs.fetch_add(1, Ordering::SeqCst) < 3 { 2 } else { 3 };
+        let version = if runs.fetch_add(1, Ordering::SeqCst) < 3 {
+            2
+        } else {
+            3
+        };
         text(request, 2, version)
     });
     let (host, _store) = start(vec![engine("e1", 1, 3)], script);
@@ -102,16 +112,19 @@
 #[async_std::test]
 async fn single_version() {
     let runs = AtomicUsize::new(0);
-    let script = Box::new(move |_: &_, request: &GenerationRequest| match runs.fetch_add(1, Ordering::SeqCst) {
-        0 => vec![
-            Step::Send(GenerationEvent::Version(WeightVersion::new(1))),
-            data(1),
-            Step::End(GenerationEnd::Lost {
-                reason: "reset".to_owned(),
-            }),
-        ],
-        _ => text(request, 3, 2),
-    });
+    let script =
+        Box::new(
+            move |_: &_, request: &GenerationRequest| match runs.fetch_add(1, Ordering::SeqCst) {
+                0 => vec![
+                    Step::Send(GenerationEvent::Version(WeightVersion::new(1))),
+                    data(1),
+                    Step::End(GenerationEnd::Lost {
+                        reason: "reset".to_owned(),
+                    }),
+                ],
+                _ => text(request, 3, 2),
+            },
+        );
     let (host, _store) = start(vec![engine("e1", 1, 1), engine("e2", 1, 1)], script);
     let mut batch = spec("b1", &[1]);
     batch.is_single_version = true;
@@ -151,10 +164,13 @@
 #[async_std::test]
 async fn missing_event() {
     let runs = AtomicUsize::new(0);
-    let script = Box::new(move |_: &_, request: &GenerationRequest| match runs.fetch_add(1, Ordering::SeqCst) {
-        0 => vec![data(1), data(3), Step::End(GenerationEnd::Complete)],
-        _ => text(request, 3, 1),
-    });
+    let script =
+        Box::new(
+            move |_: &_, request: &GenerationRequest| match runs.fetch_add(1, Ordering::SeqCst) {
+                0 => vec![data(1), data(3), Step::End(GenerationEnd::Complete)],
+                _ => text(request, 3, 1),
+            },
+        );
     let (host, _store) = start(vec![engine("e1", 1, 1)], script);
     host.service.submit(spec("b1", &[1])).await.unwrap();
     assert_eq!(host.listed("b1", 1).await.results[0].text, whole_text(3));
--- a/crates/jm-batch/tests/item_order.rs
+++ b/crates/jm-batch/tests/item_order.rs
@@ -22,12 +22,17 @@
 /// The load of a step: 232 texts on 132 slots, one in twelve five times as long as the others.
 #[test]
 fn long_texts_first() {
-    let lengths: Vec<u64> = (0..232).map(|index| if index % 12 == 11 { 50 } else { 4 + index % 13 }).collect();
+    let lengths: Vec<u64> = (0..232)
+        .map(|index| if index % 12 == 11 { 50 } else { 4 + index % 13 })
+        .collect();
     let plan = BatchPlan::new(&spec("b", &lengths), PlanOptions::default());
     let planned = last_end(&lengths, plan.ready(Timestamp::new(0)), 132);
     let as_submitted = last_end(&lengths, 0..lengths.len(), 132);
     assert_eq!(planned, 50, "no text starts after the longest ones");
-    assert!(as_submitted > planned, "the order as submitted ends at {as_submitted}");
+    assert!(
+        as_submitted > planned,
+        "the order as submitted ends at {as_submitted}"
+    );
 }
 
 quickcheck! {
@@ -78,6 +83,10 @@
     let host = TestHost::start("host-a", &Arc::default(), &store, targets, script);
     host.service.submit(spec("b1", &[1; 8])).await.unwrap();
     let page = host.listed("b1", 8).await;
-    assert!(page.results.iter().all(|result| result.text == common::whole_text(40)));
+    assert!(
+        page.results
+            .iter()
+            .all(|result| result.text == common::whole_text(40))
+    );
     assert!(host.events.moved.load(std::sync::atomic::Ordering::SeqCst) > 0);
 }
--- a/crates/jm-batch/tests/kept_batch.rs
+++ b/crates/jm-batch/tests/kept_batch.rs
@@ -55,7 +55,10 @@
     let host = host(&store);
     store.is_down.store(true, Ordering::SeqCst);
     let refused = host.service.submit(spec("b1", &[1])).await;
-    assert!(matches!(refused, Err(SubmitError::NotStored { .. })), "{refused:?}");
+    assert!(
+        matches!(refused, Err(SubmitError::NotStored { .. })),
+        "{refused:?}"
+    );
     store.is_down.store(false, Ordering::SeqCst);
     host.learn(&store).await;
     assert!(host.engines.runs.lock().unwrap().is_empty());
@@ -113,10 +116,12 @@
 async fn ended_batch() {
     let store = FaultyStore::new();
     let hosts = Arc::default();
-    let script = Box::new(|_: &_, request: &jm_batch::GenerationRequest| match request.item {
-        0 => text(request, 2, 1),
-        _ => vec![common::Step::Silence],
-    });
+    let script = Box::new(
+        |_: &_, request: &jm_batch::GenerationRequest| match request.item {
+            0 => text(request, 2, 1),
+            _ => vec![common::Step::Silence],
+        },
+    );
     let host = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 2, 1)], script);
     host.service.submit(spec("b1", &[9, 5, 5, 5])).await.unwrap();
     host.listed("b1", 1).await;
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -10,9 +10,9 @@
 use async_trait::async_trait;
 use indexmap::IndexMap;
 use jm_forward::{
-    AnswerBody, AttemptOptions, AttemptOutcome, AttemptsOptions, CallerLimits, CallerRequest, Catalog, ChoiceOptions,
-    ForwardObserver, Forwarder, ForwarderOptions, Organisation, Route, RouteKind, RoutingTable, RunKey, Service,
-    ServiceWeight, Target, TargetAnswer, TargetClient, TargetState,
+    AnswerBody, AttemptOptions, AttemptOutcome, AttemptsOptions, CallerLimits, CallerRequest, Catalog,
+    ChoiceOptions, ForwardObserver, Forwarder, ForwarderOptions, Organisation, Route, RouteKind,
+    RoutingTable, RunKey, Service, ServiceWeight, Target, TargetAnswer, TargetClient, TargetState,
 };
 use jm_http::{Method, RequestTarget, Response, StatusCode, headers::Headers};
 use jm_types::{ByteSize, DurationMs, OrganisationId, Revision, SystemClock};
@@ -111,10 +111,22 @@
 
 #[async_trait]
 impl TargetClient for ScriptedTargets {
-    async fn send(&self, target: &Target, _request: &CallerRequest, options: &AttemptOptions) -> AttemptOutcome {
+    async fn send(
+        &self,
+        target: &Target,
+        _request: &CallerRequest,
+        options: &AttemptOptions,
+    ) -> AttemptOutcome {
         let id = target.run.id.to_string();
-        self.attempts.lock().unwrap().push((id.clone(), options.organisation.clone()));
-        let rule = self.rules.iter().find(|(name, _)| *name == id).map_or(Does::Answer, |(_, does)| *does);
+        self.attempts
+            .lock()
+            .unwrap()
+            .push((id.clone(), options.organisation.clone()));
+        let rule = self
+            .rules
+            .iter()
+            .find(|(name, _)| *name == id)
+            .map_or(Does::Answer, |(_, does)| *does);
         let reason = "scripted".to_owned();
         match rule {
             Does::Answer => answer(),
--- a/crates/jm-forward/tests/forwarded_request.rs
+++ b/crates/jm-forward/tests/forwarded_request.rs
@@ -10,7 +10,9 @@
     let route = route(kind);
     let access = Access::Organisation("parish".parse().unwrap());
     let request = request("/orders/1", Some("key-1"));
-    test.forwarder.forward(&request, &route, &access, &test.catalog).await
+    test.forwarder
+        .forward(&request, &route, &access, &test.catalog)
+        .await
 }
 
 fn attempts(test: &TestForwarder) -> usize {
@@ -38,7 +40,10 @@
 /// An order may have run, so nobody gets it again, and the answer promises nothing.
 #[async_std::test]
 async fn never_twice() {
-    let test = forwarder(&["t1", "t2", "t3"], vec![("t1", Does::Lose), ("t2", Does::Lose), ("t3", Does::Lose)]);
+    let test = forwarder(
+        &["t1", "t2", "t3"],
+        vec![("t1", Does::Lose), ("t2", Does::Lose), ("t3", Does::Lose)],
+    );
     let refusal = forward(&test, RouteKind::NonIdempotent).await.unwrap_err();
     assert_eq!(attempts(&test), 1);
     assert_eq!(refusal.code.execution(), Execution::Unknown);
@@ -80,7 +85,10 @@
 /// A request that must not be repeated is not hedged either.
 #[async_std::test]
 async fn no_second_target_for_orders() {
-    let test = forwarder(&["t1", "t2"], vec![("t1", Does::AnswerAfter(120)), ("t2", Does::AnswerAfter(120))]);
+    let test = forwarder(
+        &["t1", "t2"],
+        vec![("t1", Does::AnswerAfter(120)), ("t2", Does::AnswerAfter(120))],
+    );
     forward(&test, RouteKind::NonIdempotent).await.unwrap();
     assert_eq!(attempts(&test), 1);
 }
@@ -110,7 +118,10 @@
         let refused = test.forwarder.admit(&request(path, key), &table);
         refused.map(drop).map_err(|refusal| refusal.code)
     };
-    assert_eq!(code("/elsewhere/", Some("key-1")), Err(ResultCode::UnknownEndpoint));
+    assert_eq!(
+        code("/elsewhere/", Some("key-1")),
+        Err(ResultCode::UnknownEndpoint)
+    );
     assert_eq!(code("/orders/1", Some("key-2")), Err(ResultCode::UnknownKey));
     assert_eq!(code("/orders/1", None), Err(ResultCode::MissingKey));
     assert_eq!(code("/orders/1", Some("key-1")), Ok(()));
--- a/crates/jm-forward/tests/route_match.rs
+++ b/crates/jm-forward/tests/route_match.rs
@@ -53,6 +53,9 @@
     let at_b = (0..10_000)
         .filter(|id| split.service_for(&format!("r{id}")).unwrap().as_str() == "b")
         .count();
-    assert!((700..1_300).contains(&at_b), "{at_b} of 10,000 went to the service with a tenth");
+    assert!(
+        (700..1_300).contains(&at_b),
+        "{at_b} of 10,000 went to the service with a tenth"
+    );
     assert_eq!(split.service_for("r7"), split.service_for("r7"));
 }
--- a/crates/jm-forward/tests/target_choice.rs
+++ b/crates/jm-forward/tests/target_choice.rs
@@ -7,7 +7,11 @@
 use jm_types::{DurationMs, Timestamp, ZoneId};
 
 /// Mean answer time of requests, one each 6 ms, on targets that take `times_ms` for one request.
-fn mean_answer_ms(targets: &[Target], times_ms: &[u64], mut choose: impl FnMut(&[usize], u64) -> usize) -> (f64, Vec<usize>) {
+fn mean_answer_ms(
+    targets: &[Target],
+    times_ms: &[u64],
+    mut choose: impl FnMut(&[usize], u64) -> usize,
+) -> (f64, Vec<usize>) {
     let mut ends: Vec<Vec<u64>> = vec![Vec::new(); targets.len()];
     let (mut total_ms, mut per_target) = (0, vec![0; targets.len()]);
     let count = 600;
@@ -41,17 +45,23 @@
             }
             is_open
         });
-        let chosen = loads.choose(targets.iter(), &[], &zone, Timestamp::new(now_ms)).unwrap();
-        let index = targets.iter().position(|target| target.run == chosen.run).unwrap();
+        let chosen = loads
+            .choose(targets.iter(), &[], &zone, Timestamp::new(now_ms))
+            .unwrap();
+        let index = targets
+            .iter()
+            .position(|target| target.run == chosen.run)
+            .unwrap();
         running.push((now_ms + times_ms[index], chosen.run.clone(), times_ms[index]));
         index
     };
     let (mean_ms, per_target) = mean_answer_ms(&targets, &times_ms, by_waiting_time);
-    let naive = |in_flight: &[usize], _: u64| {
-        (0..3).min_by_key(|index| in_flight[*index]).unwrap()
-    };
+    let naive = |in_flight: &[usize], _: u64| (0..3).min_by_key(|index| in_flight[*index]).unwrap();
     let (naive_ms, _) = mean_answer_ms(&targets, &times_ms, naive);
-    assert!(mean_ms < naive_ms, "{mean_ms} ms against {naive_ms} ms of the naive choice");
+    assert!(
+        mean_ms < naive_ms,
+        "{mean_ms} ms against {naive_ms} ms of the naive choice"
+    );
     assert!(per_target[2] < per_target[0], "{per_target:?}");
 }
 
@@ -60,10 +70,16 @@
     let targets = [target("t1"), target("t2")];
     let zone: ZoneId = "a".parse().unwrap();
     let mut loads = TargetLoads::new(ChoiceOptions::default());
-    let first = loads.choose(targets.iter(), &[], &zone, Timestamp::new(0)).unwrap().run.clone();
+    let first = loads
+        .choose(targets.iter(), &[], &zone, Timestamp::new(0))
+        .unwrap()
+        .run
+        .clone();
     loads.failed(&first, Timestamp::new(10));
     for now_ms in [20, 500, 900] {
-        let chosen = loads.choose(targets.iter(), &[], &zone, Timestamp::new(now_ms)).unwrap();
+        let chosen = loads
+            .choose(targets.iter(), &[], &zone, Timestamp::new(now_ms))
+            .unwrap();
         assert_ne!(chosen.run, first);
     }
     let only = [targets.iter().find(|target| target.run == first).unwrap().clone()];
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -21,7 +21,7 @@
 pub use duty::{LONGEST_CALL_MS, UsageBook, UsageCounter};
 pub use follow::{CopySource, FollowOptions, FollowTask, Follower};
 pub use host::{Host, HostError, HostParts, connection_limits};
-pub use log_lines::{LineBudget, set_up_log_lines};
+pub use log_lines::{LineBudget, LineVerdict, SetUpLogError, set_up_log_lines};
 pub use membership::{Membership, Registration};
 pub use mirror::{Mirror, MirrorChanges};
 pub use observer::HostObserver;
--- a/crates/jm-host/src/world.rs
+++ b/crates/jm-host/src/world.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Receives the list of targets.
+    pub fn targets_follower(world: &Arc<Self>) -> Box<dyn Follower> {
+        Box::new(TargetsFollower(Arc::clone(world)))
+    }
+
     /// Puts a configuration in force unless it is older than the one in force.
     pub fn apply_routing(&self, value: &[u8]) {
         let table = match self.objects.routing(value) {
--- /dev/null
+++ b/crates/jm-host/tests/host_settings.rs
@@ -0,0 +1,76 @@
+//! Guards against a host that starts with settings it cannot use, or says nothing of what is wrong with them.
+
+use jm_host::{HostSettings, SettingsError};
+use jm_types::DurationMs;
+
+const SETTINGS: &str = "\
+[host]
+id = host-a
+zone = riga-a
+region = baltic-north
+colour = unknown keys are left out
+
+[listen]
+callers = 127.0.0.1:8000
+ready = 127.0.0.1:8001
+addresses = 127.0.0.1:8002
+peers = 127.0.0.1:8003
+members = 127.0.0.1:8004
+metrics = 127.0.0.1:8005
+
+[platform]
+store = 127.0.0.1:9000
+duties = 127.0.0.1:9001
+seeds = 127.0.0.1:8003, 127.0.0.2:8003
+
+[bounds]
+grace = 8s
+lease = 3000ms
+usage_window = 5s
+batch_keep = 120s
+";
+
+#[test]
+fn whole_file() {
+    let settings = HostSettings::parse(SETTINGS).unwrap();
+    assert_eq!(settings.id.as_str(), "host-a");
+    assert_eq!(settings.bounds.grace_ms, DurationMs::new(8_000));
+    assert_eq!(settings.seeds.len(), 2);
+}
+
+#[test]
+fn no_seeds() {
+    let settings = HostSettings::parse(&SETTINGS.replace("127.0.0.1:8003, 127.0.0.2:8003", "")).unwrap();
+    assert!(settings.seeds.is_empty());
+}
+
+#[test]
+fn names_the_missing_key() {
+    let error = HostSettings::parse(&SETTINGS.replace("zone = riga-a", "")).unwrap_err();
+    assert_eq!(error.to_string(), "[host] zone is missing");
+    let error = HostSettings::parse(&SETTINGS.replace("127.0.0.1:9001", "")).unwrap_err();
+    assert_eq!(error.to_string(), "[platform] duties is missing");
+}
+
+#[test]
+fn names_the_wrong_value() {
+    let error = HostSettings::parse(&SETTINGS.replace("grace = 8s", "grace = 8")).unwrap_err();
+    assert!(matches!(error, SettingsError::Invalid { .. }), "{error}");
+    assert!(
+        error
+            .to_string()
+            .starts_with("[bounds] grace = \"8\" cannot be used"),
+        "{error}"
+    );
+    let error = HostSettings::parse(&SETTINGS.replace("127.0.0.1:8000", "somewhere")).unwrap_err();
+    assert!(
+        error.to_string().contains("[listen] callers = \"somewhere\""),
+        "{error}"
+    );
+}
+
+#[test]
+fn missing_file() {
+    let error = HostSettings::read(std::path::Path::new("no-such-file.ini")).unwrap_err();
+    assert!(error.to_string().contains("no-such-file.ini"), "{error}");
+}
--- /dev/null
+++ b/crates/jm-host/tests/line_budget.rs
@@ -0,0 +1,38 @@
+//! Guards against a log that grows with the load or hides one event behind another.
+
+use jm_host::{LineBudget, LineVerdict};
+use jm_types::LogEvent;
+
+fn write() -> LineVerdict {
+    LineVerdict::Write { left_out: Vec::new() }
+}
+
+#[test]
+fn bounded_a_second() {
+    let mut budget = LineBudget::new(3, 1);
+    let verdicts: Vec<_> = (0..5).map(|_| budget.take("E1102", 7)).collect();
+    assert_eq!(verdicts[..3], [write(), write(), write()]);
+    assert_eq!(verdicts[3..], [LineVerdict::LeaveOut, LineVerdict::LeaveOut]);
+    assert_eq!(budget.take("E1104", 7), write(), "each event has its own budget");
+}
+
+#[test]
+fn says_what_was_left_out() {
+    let mut budget = LineBudget::new(1, 1);
+    for _ in 0..4 {
+        budget.take("E1102", 7);
+    }
+    let next = budget.take("E1104", 8);
+    let left_out = vec![("E1102".to_owned(), 3)];
+    assert_eq!(next, LineVerdict::Write { left_out });
+    assert_eq!(budget.take("E1104", 9), write());
+}
+
+/// Requests that went well must not take the room of those that failed.
+#[test]
+fn routine_lines() {
+    let mut budget = LineBudget::new(10, 2);
+    let served = LogEvent::RequestServed.to_string();
+    let written = (0..10).filter(|_| budget.take(&served, 1) == write()).count();
+    assert_eq!(written, 2);
+}
--- /dev/null
+++ b/crates/jm-host/tests/lost_targets.rs
@@ -0,0 +1,183 @@
+//! Guards against targets that vanish with an outage of the store, and against gone ones that still get work.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+use jm_batch::BatchWorld;
+use jm_forward::{CallerLimits, RoutingTable, RunKey, Target, TargetState};
+use jm_host::{DecodeError, Follower, PlatformObjects, World};
+use jm_platform::{Change, KeyedObject, Object, Version};
+use jm_types::{ByteSize, DurationMs, ManualClock, ModelId, Revision, WeightVersion};
+
+/// Objects whose value is a number or a word.
+struct PlainObjects;
+
+impl PlatformObjects for PlainObjects {
+    fn routing_key(&self) -> &'static str {
+        "routing/main"
+    }
+    fn targets_prefix(&self) -> &'static str {
+        "targets/"
+    }
+    fn versions_prefix(&self) -> &'static str {
+        "versions/"
+    }
+    fn retirements_prefix(&self) -> &'static str {
+        "retirements/"
+    }
+    fn routing(&self, value: &[u8]) -> Result<RoutingTable, DecodeError> {
+        let text = String::from_utf8_lossy(value);
+        let revision = text.parse().map_err(|_| DecodeError {
+            reason: "no number".to_owned(),
+        })?;
+        let limits = CallerLimits {
+            head_bytes: ByteSize::new(1),
+            body_bytes: ByteSize::new(1),
+            head_timeout_ms: DurationMs::new(1),
+            idle_timeout_ms: DurationMs::new(1),
+        };
+        Ok(RoutingTable::new(Revision::new(revision), limits))
+    }
+    fn target(&self, key: &str, value: &[u8]) -> Result<Target, DecodeError> {
+        let state = match value {
+            b"serving" => TargetState::Serving,
+            b"leaving" => TargetState::Leaving,
+            _ => {
+                return Err(DecodeError {
+                    reason: "no state".to_owned(),
+                });
+            }
+        };
+        Ok(Target {
+            run: RunKey {
+                id: key.trim_start_matches("targets/").parse().unwrap(),
+                started_unix_ms: 1,
+            },
+            service: "s".parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            zone: "a".parse().unwrap(),
+            slots: 1,
+            state,
+            models: Default::default(),
+        })
+    }
+    fn version(&self, _value: &[u8]) -> Result<(ModelId, WeightVersion), DecodeError> {
+        unreachable!("no versions here")
+    }
+}
+
+struct Test {
+    world: Arc<World>,
+    targets: Box<dyn Follower>,
+    clock: Arc<ManualClock>,
+}
+
+fn start() -> Test {
+    let clock = Arc::new(ManualClock::default());
+    let changes = AtomicUsize::new(0);
+    let on_change = Box::new(move || {
+        changes.fetch_add(1, Ordering::SeqCst);
+    });
+    let world = Arc::new(World::new(
+        Arc::new(PlainObjects),
+        Arc::clone(&clock) as _,
+        on_change,
+    ));
+    Test {
+        targets: World::targets_follower(&world),
+        world,
+        clock,
+    }
+}
+
+fn objects(targets: &[(&str, &str)]) -> Vec<KeyedObject> {
+    let object = |(id, state): &(&str, &str)| KeyedObject {
+        key: format!("targets/{id}"),
+        object: Object {
+            value: state.as_bytes().to_vec(),
+            version: Version::new(1),
+        },
+    };
+    targets.iter().map(object).collect()
+}
+
+impl Test {
+    fn serving(&self) -> Vec<String> {
+        let service = "s".parse().unwrap();
+        let catalog = self.world.catalog();
+        catalog
+            .serving(&service)
+            .map(|target| target.run.id.to_string())
+            .collect()
+    }
+
+    fn list(&self, targets: &[(&str, &str)], gap_ms: u64) {
+        self.targets.listed(objects(targets), DurationMs::new(gap_ms));
+    }
+
+    fn change(&self, id: &str, value: Option<&str>) {
+        self.targets.changed(Change {
+            key: format!("targets/{id}"),
+            version: Version::new(2),
+            value: value.map(|value| value.as_bytes().to_vec()),
+        });
+    }
+}
+
+#[test]
+fn gone_at_once() {
+    let test = start();
+    test.list(&[("a", "serving"), ("b", "serving"), ("c", "leaving")], 0);
+    assert_eq!(test.serving(), ["a", "b"]);
+    test.list(&[("a", "serving")], 700);
+    assert_eq!(test.serving(), ["a"]);
+    test.change("a", None);
+    assert!(test.serving().is_empty());
+}
+
+/// Entries lapse while the store is away and come back within two seconds; only then is a missing one gone.
+#[test]
+fn lapsed_in_an_outage() {
+    let test = start();
+    test.list(&[("a", "serving"), ("b", "serving")], 0);
+    test.list(&[], 4_500);
+    assert_eq!(test.serving(), ["a", "b"], "they may come back");
+    test.clock.advance(DurationMs::new(1_000));
+    test.change("a", Some("serving"));
+    test.clock.advance(DurationMs::new(1_300));
+    test.world.drop_missing();
+    assert_eq!(test.serving(), ["a"]);
+}
+
+/// A target that says it leaves is believed, outage or not.
+#[test]
+fn leaving_after_an_outage() {
+    let test = start();
+    test.list(&[("a", "serving")], 0);
+    test.list(&[("a", "leaving")], 4_500);
+    assert!(test.serving().is_empty());
+}
+
+/// An entry of another writer names no target and leaves the others alone.
+#[test]
+fn unreadable_entry() {
+    let test = start();
+    test.list(&[("a", "serving"), ("b", "???")], 0);
+    assert_eq!(test.serving(), ["a"]);
+    test.change("a", Some("???"));
+    assert!(test.serving().is_empty());
+}
+
+/// Within one run of a host the configuration never goes back.
+#[test]
+fn never_an_older_configuration() {
+    let test = start();
+    test.world.apply_routing(b"7");
+    test.world.apply_routing(b"5");
+    test.world.apply_routing(b"unreadable");
+    assert_eq!(test.world.revision(), Revision::new(7));
+    test.world.apply_routing(b"12");
+    assert_eq!(test.world.revision(), Revision::new(12));
+}
--- /dev/null
+++ b/crates/jm-host/tests/mirror_copy.rs
@@ -0,0 +1,131 @@
+//! Guards against hosts that act on an old copy of the store, or miss a change because another host read it for them.
+
+use std::sync::Arc;
+
+use async_std::task;
+use jm_host::{Mirror, MirrorChanges, ObjectSpace};
+use jm_platform::{Change, Changes, KeyedObject, Listing, Object, Version};
+use jm_types::{DurationMs, ManualClock};
+
+const SPACE: ObjectSpace = ObjectSpace::Product;
+const PREFIX: &str = "batch-state/";
+const NO_AGE: DurationMs = DurationMs::new(0);
+const MAX_AGE: DurationMs = DurationMs::new(1_000);
+
+fn listing(version: u64, objects: &[(&str, u64)]) -> Listing {
+    let objects = objects.iter().map(|(key, version)| KeyedObject {
+        key: format!("{PREFIX}{key}"),
+        object: Object {
+            value: version.to_string().into_bytes(),
+            version: Version::new(*version),
+        },
+    });
+    Listing {
+        objects: objects.collect(),
+        version: Version::new(version),
+    }
+}
+
+fn mirror() -> (Mirror, Arc<ManualClock>) {
+    let clock = Arc::new(ManualClock::default());
+    clock.advance(DurationMs::new(10_000));
+    (Mirror::new(Arc::clone(&clock) as _), clock)
+}
+
+fn watch(mirror: &Mirror, after: u64) -> MirrorChanges {
+    let after = Version::new(after);
+    task::block_on(mirror.watch(SPACE, PREFIX, after, NO_AGE, MAX_AGE))
+}
+
+fn changed_keys(reply: &MirrorChanges) -> Vec<(String, u64, bool)> {
+    let MirrorChanges::Changes { changes, .. } = reply else {
+        panic!("no changes: {reply:?}");
+    };
+    let keys = changes.changes.iter().map(|change| {
+        let key = change.key.trim_start_matches(PREFIX).to_owned();
+        (key, change.version.get(), change.value.is_some())
+    });
+    keys.collect()
+}
+
+#[test]
+fn difference_of_listings() {
+    let (mirror, _clock) = mirror();
+    assert_eq!(
+        mirror.list(SPACE, PREFIX, &listing(10, &[("a", 5), ("b", 6)]), NO_AGE),
+        2
+    );
+    assert_eq!(
+        mirror.list(
+            SPACE,
+            PREFIX,
+            &listing(20, &[("a", 5), ("b", 15), ("c", 16)]),
+            NO_AGE
+        ),
+        2
+    );
+    let reply = watch(&mirror, 10);
+    // A reader needs the version of the object itself for its conditional updates.
+    assert_eq!(
+        changed_keys(&reply),
+        [("b".to_owned(), 15, true), ("c".to_owned(), 16, true)]
+    );
+    assert_eq!(
+        mirror.list(SPACE, PREFIX, &listing(30, &[("a", 5), ("c", 16)]), NO_AGE),
+        1
+    );
+    assert_eq!(changed_keys(&watch(&mirror, 20)), [("b".to_owned(), 30, false)]);
+    assert!(changed_keys(&watch(&mirror, 30)).is_empty());
+}
+
+/// A deletion may come with the version of the deleted object, which readers are past already.
+#[test]
+fn deletion_with_an_old_version() {
+    let (mirror, _clock) = mirror();
+    mirror.list(SPACE, PREFIX, &listing(10, &[("a", 5)]), NO_AGE);
+    let deletion = Change {
+        key: format!("{PREFIX}a"),
+        version: Version::new(5),
+        value: None,
+    };
+    let changes = Changes {
+        changes: vec![deletion],
+        version: Version::new(12),
+    };
+    mirror.change(SPACE, PREFIX, &changes, NO_AGE);
+    assert_eq!(changed_keys(&watch(&mirror, 10)), [("a".to_owned(), 5, false)]);
+}
+
+/// The host that reads the store was cut off from it: its readers must hear so and turn to the store themselves.
+#[test]
+fn old_copy() {
+    let (mirror, clock) = mirror();
+    mirror.list(SPACE, PREFIX, &listing(10, &[]), NO_AGE);
+    clock.advance(DurationMs::new(1_001));
+    assert_eq!(watch(&mirror, 10), MirrorChanges::Stale);
+    assert!(mirror.listing(SPACE, PREFIX, MAX_AGE).is_none());
+    mirror.list(SPACE, PREFIX, &listing(11, &[]), NO_AGE);
+    assert!(mirror.listing(SPACE, PREFIX, MAX_AGE).is_some());
+}
+
+/// A copy that was itself read from another host is as old as that one.
+#[test]
+fn age_adds_up() {
+    let (mirror, clock) = mirror();
+    mirror.list(SPACE, PREFIX, &listing(10, &[]), DurationMs::new(900));
+    clock.advance(DurationMs::new(200));
+    assert_eq!(watch(&mirror, 10), MirrorChanges::Stale);
+}
+
+/// A reader that knows more than the copy, or less than it keeps, gets no changes from it.
+#[test]
+fn reader_out_of_step() {
+    let (mirror, _clock) = mirror();
+    mirror.list(SPACE, PREFIX, &listing(10, &[("a", 5)]), NO_AGE);
+    assert_eq!(watch(&mirror, 11), MirrorChanges::Stale);
+    assert_eq!(watch(&mirror, 4), MirrorChanges::Relist);
+    assert_eq!(
+        task::block_on(mirror.watch(SPACE, "other/", Version::new(1), NO_AGE, MAX_AGE)),
+        MirrorChanges::Stale
+    );
+}
--- a/crates/jm-lease/tests/holder_rest.rs
+++ b/crates/jm-lease/tests/holder_rest.rs
@@ -59,7 +59,10 @@
         let mut other = keeper("host-b", 1);
         assert!(!is_held(&mut other, &store, &clock).await);
         advance(&clock, TERM_MS + 100);
-        assert!(!is_held(&mut other, &store, &clock).await, "the term is over, the rest is not");
+        assert!(
+            !is_held(&mut other, &store, &clock).await,
+            "the term is over, the rest is not"
+        );
         advance(&clock, REST_MS - TERM_MS);
         assert!(is_held(&mut other, &store, &clock).await);
     });
@@ -74,7 +77,10 @@
         assert!(is_held(&mut a, &store, &clock).await);
         assert!(!is_held(&mut b, &store, &clock).await);
         advance(&clock, REST_MS + 1);
-        assert!(is_held(&mut b, &store, &clock).await, "the first holder stood still");
+        assert!(
+            is_held(&mut b, &store, &clock).await,
+            "the first holder stood still"
+        );
         assert!(!is_held(&mut a, &store, &clock).await);
         b.release(&store, &clock).await.expect("the store answers");
         advance(&clock, REST_MS - 1);
--- a/crates/jm-plan/tests/engine_assignment.rs
+++ b/crates/jm-plan/tests/engine_assignment.rs
@@ -6,7 +6,9 @@
 use quickcheck::quickcheck;
 
 fn models(count: usize) -> Vec<ModelId> {
-    (0..count).map(|index| format!("m{index}").parse().unwrap()).collect()
+    (0..count)
+        .map(|index| format!("m{index}").parse().unwrap())
+        .collect()
 }
 
 fn demand(work: &[u64]) -> IndexMap<ModelId, u64> {
@@ -15,7 +17,9 @@
 
 fn counts(assignment: &Assignment<usize>, engines: &[usize], models: usize) -> Vec<usize> {
     let count = |model: &ModelId| {
-        let assigned = engines.iter().filter(|engine| assignment.model(engine) == Some(model));
+        let assigned = engines
+            .iter()
+            .filter(|engine| assignment.model(engine) == Some(model));
         assigned.count()
     };
     self::models(models).iter().map(count).collect()
@@ -35,11 +39,17 @@
     let engines: Vec<usize> = (0..9).collect();
     let mut assignment = Assignment::default();
     assignment.update(&engines, &demand(&[100, 200]));
-    let before: Vec<_> = engines.iter().map(|engine| assignment.model(engine).cloned()).collect();
+    let before: Vec<_> = engines
+        .iter()
+        .map(|engine| assignment.model(engine).cloned())
+        .collect();
     for work in [[105, 195], [95, 210], [110, 200]] {
         assignment.update(&engines, &demand(&work));
     }
-    let after: Vec<_> = engines.iter().map(|engine| assignment.model(engine).cloned()).collect();
+    let after: Vec<_> = engines
+        .iter()
+        .map(|engine| assignment.model(engine).cloned())
+        .collect();
     assert_eq!(before, after);
 }
 
@@ -83,7 +93,8 @@
     if assigned {
         assignment.update(&engines, &demand(&[100, 100]));
     }
-    let mut versions = vec![IndexMap::from_iter(models(2).into_iter().map(|model| (model, WeightVersion::new(1)))); 9];
+    let mut versions =
+        vec![IndexMap::from_iter(models(2).into_iter().map(|model| (model, WeightVersion::new(1)))); 9];
     let mut plan = LoadPlan::new(LoadsOptions {
         first_load_ms: DurationMs::new(LOAD_MS),
         report_delay_ms: DurationMs::new(0),
--- a/crates/jm-plan/tests/weight_loads.rs
+++ b/crates/jm-plan/tests/weight_loads.rs
@@ -23,7 +23,12 @@
 
 fn runs(plan: &mut LoadPlan<usize>, versions: &[u64], newest: u64, now_ms: u64) -> Vec<usize> {
     let needed = named(newest.saturating_sub(1));
-    let loads = plan.next(&engines(versions), &named(newest), &needed, Timestamp::new(now_ms));
+    let loads = plan.next(
+        &engines(versions),
+        &named(newest),
+        &needed,
+        Timestamp::new(now_ms),
+    );
     loads.into_iter().map(|load| load.run).collect()
 }
 
@@ -33,7 +38,10 @@
     assert_eq!(runs(&mut plan, &[1; 11], 2, 0).len(), 2);
     assert!(runs(&mut plan, &[1; 11], 2, 100).is_empty(), "two loads run");
     plan.loaded(&0, DurationMs::new(900));
-    assert_eq!(runs(&mut plan, &[2, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1], 2, 500).len(), 1);
+    assert_eq!(
+        runs(&mut plan, &[2, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1], 2, 500).len(),
+        1
+    );
 }
 
 #[test]
@@ -68,5 +76,8 @@
 fn nothing_to_do() {
     let mut plan = LoadPlan::new(LoadsOptions::default());
     assert!(runs(&mut plan, &[3, 3], 3, 0).is_empty());
-    assert!(runs(&mut plan, &[4, 3], 3, 0).is_empty(), "an engine is ahead of the list");
+    assert!(
+        runs(&mut plan, &[4, 3], 3, 0).is_empty(),
+        "an engine is ahead of the list"
+    );
 }
