--- /dev/null
+++ b/crates/jm-batch/src/runner/attend.rs
@@ -0,0 +1,163 @@
+//! Looks after runs that bring nothing and batches whose time is over.
+
+use std::sync::Arc;
+
+use async_std::task;
+use jm_forward::{Catalog, RoutingTable, Target};
+use jm_types::{BatchId, DurationMs, Timestamp};
+
+use super::{
+    Runner, RunnerState, end_runs,
+    share::{Shares, need, service_targets},
+    write::begin_writing,
+};
+use crate::{
+    BatchProgress, EngineLoads, GenerationEnd,
+    owned::{OwnedBatch, Run},
+};
+
+impl Runner {
+    /// Says regularly what waiting items find, so that a late step can be explained afterwards.
+    pub(super) fn report_progress(&self) {
+        let now = self.now();
+        let Some(routing) = self.parts.world.routing() else {
+            return;
+        };
+        let catalog = self.parts.world.catalog();
+        let mut guard = self.state();
+        if now.since(guard.reported_at) < self.options.report_ms {
+            return;
+        }
+        guard.reported_at = now;
+        let shares = Shares::new(&guard.owned, self.foreign());
+        let waiting = guard
+            .owned
+            .values()
+            .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0);
+        let reports: Vec<(BatchId, BatchProgress)> = waiting
+            .filter_map(|owned| {
+                let item = owned.plan.ready(now).next()?;
+                let targets = service_targets(owned, item, &routing, &catalog)?;
+                let need = need(&owned.spec, item, &routing, &shares);
+                let (engines, with_weights, with_room) = guard.loads.count(targets, need, now);
+                let progress = BatchProgress {
+                    waiting: owned.plan.waiting(),
+                    running: owned.runs.len(),
+                    listed: owned.listed.len(),
+                    engines,
+                    with_weights,
+                    with_room,
+                };
+                Some((owned.spec.id.clone(), progress))
+            })
+            .collect();
+        drop(guard);
+        for (batch, progress) in reports {
+            self.parts.events.progress(&batch, &progress);
+        }
+    }
+
+    /// Stops runs that bring nothing, so that their items continue elsewhere.
+    pub(super) fn stop_stalled(&self) {
+        let now = self.now();
+        let Some(routing) = self.parts.world.routing() else {
+            return;
+        };
+        let catalog = self.parts.world.catalog();
+        let mut stopped = Vec::new();
+        let mut guard = self.state();
+        let RunnerState { owned, loads, .. } = &mut *guard;
+        for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
+            for item in self.stalled(owned, &routing, &catalog, loads, now) {
+                let Some(run) = owned.stop_run(item, now) else {
+                    continue;
+                };
+                loads.ended(&run.target, run.tokens);
+                loads.failed(&run.target, now);
+                stopped.push((
+                    owned.spec.id.clone(),
+                    owned.spec.items[item].id.clone(),
+                    run,
+                    owned.events(item),
+                ));
+            }
+        }
+        drop(guard);
+        for (batch, item, run, events) in stopped {
+            let reason = format!("no event for {}", now.since(run.last_progress));
+            let end = GenerationEnd::Lost { reason };
+            self.log_run(&batch, &item, &run.target, &end, now.since(run.begun), events);
+        }
+    }
+
+    fn stalled(
+        &self,
+        owned: &OwnedBatch,
+        routing: &RoutingTable,
+        catalog: &Catalog,
+        loads: &EngineLoads,
+        now: Timestamp,
+    ) -> Vec<usize> {
+        let options = &self.options;
+        let limit = |run: &Run| match run.events {
+            0 => options.first_event_stall_ms,
+            _ => options.stall_ms,
+        };
+        let late = owned
+            .runs
+            .iter()
+            .filter(|(_, run)| now.since(run.last_progress) >= limit(run));
+        let alone = Shares::alone();
+        let is_stalled = |(item, run): &(&usize, &Run)| {
+            let others = |target: &&Target| target.run != run.target;
+            let need = need(&owned.spec, **item, routing, &alone);
+            let room = service_targets(owned, **item, routing, catalog)
+                .is_some_and(|targets| loads.pick(targets.filter(others), need, now).is_some());
+            let patience = DurationMs::new(limit(run).get() * options.patience_factor);
+            room || now.since(run.last_progress) >= patience
+        };
+        late.filter(is_stalled).map(|(item, _)| *item).collect()
+    }
+
+    /// Gives up items whose time is over or whose route is gone.
+    pub(super) fn give_up_late(self: &Arc<Self>) {
+        let unix_ms = self.parts.wall.unix_ms();
+        let now = self.now();
+        let routing = self.parts.world.routing();
+        let mut guard = self.state();
+        let RunnerState { owned, loads, .. } = &mut *guard;
+        let mut writes = Vec::new();
+        for owned in owned
+            .values_mut()
+            .filter(|owned| !owned.is_ended && !owned.is_finished())
+        {
+            let is_late = owned.spec.may_give_up(unix_ms);
+            let has_waited = now.since(owned.adopted_at) >= self.options.route_gone_ms;
+            let has_no_route = routing.as_ref().is_some_and(|routing| {
+                let path = owned.spec.items.first().map_or("", |item| item.path.as_str());
+                routing.route(&owned.spec.host, path).is_none()
+            });
+            let is_over = is_late || (has_waited && has_no_route);
+            if !is_over {
+                continue;
+            }
+            let runs = owned.stop_all();
+            end_runs(loads, &runs);
+            for item in 0..owned.spec.items.len() {
+                owned.expire(item);
+            }
+            if begin_writing(owned) {
+                writes.push(owned.spec.id.clone());
+            }
+        }
+        drop(guard);
+        for batch in writes {
+            self.parts.events.expired(
+                &batch,
+                "all that were open",
+                "their time is over or their route is gone",
+            );
+            task::spawn(Arc::clone(self).write_results(batch));
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -0,0 +1,311 @@
+//! Runs the batches that this host owns.
+
+mod attend;
+mod share;
+mod start;
+mod write;
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use async_std::{
+    channel::{Receiver, Sender, bounded},
+    future::timeout,
+};
+use indexmap::IndexMap;
+use jm_forward::{Catalog, RoutingTable, RunKey};
+use jm_types::{BatchId, Clock, DurationMs, ModelId, Timestamp, WallClock, WeightVersion};
+
+use crate::{
+    BatchEvents, BatchResult, BatchSpec, BatchStore, EngineLoads, GenerationEnd, Generator, LoadOptions,
+    PlanOptions, ResultPage, RunEnd,
+    engine_load::ForeignWork,
+    owned::{OwnedBatch, Run},
+};
+
+/// What a runner knows of the world around it.
+pub trait BatchWorld: Send + Sync {
+    /// The configuration in force; none before the first one is known.
+    fn routing(&self) -> Option<Arc<RoutingTable>>;
+
+    /// The engines.
+    fn catalog(&self) -> Arc<Catalog>;
+}
+
+/// Settings of a runner.
+#[derive(Debug, Clone, Copy)]
+pub struct RunnerOptions {
+    /// Settings of the order of items.
+    pub plan: PlanOptions,
+    /// Settings of the choice of engines.
+    pub load: LoadOptions,
+    /// Time between two looks at runs that may stand still, while something runs.
+    pub tick_ms: DurationMs,
+    /// Pause between two events after which a run is taken to stand still, while another engine has room.
+    pub stall_ms: DurationMs,
+    /// The same for the first event, before which a run may wait in the engine's queue.
+    pub first_event_stall_ms: DurationMs,
+    /// Factor on both while no other engine has room.
+    pub patience_factor: u64,
+    /// Time between two writes of results, so that one write carries several. The last results are not held back.
+    pub write_interval_ms: DurationMs,
+    /// Wait before a write that the store did not take is repeated.
+    pub write_retry_ms: DurationMs,
+    /// Time between two reports on items that wait.
+    pub report_ms: DurationMs,
+    /// How long a batch whose route is gone from the configuration waits before it is given up.
+    pub route_gone_ms: DurationMs,
+}
+
+impl Default for RunnerOptions {
+    fn default() -> Self {
+        Self {
+            plan: PlanOptions::default(),
+            load: LoadOptions::default(),
+            tick_ms: DurationMs::new(100),
+            stall_ms: DurationMs::new(400),
+            first_event_stall_ms: DurationMs::new(700),
+            patience_factor: 4,
+            write_interval_ms: DurationMs::new(300),
+            write_retry_ms: DurationMs::new(150),
+            report_ms: DurationMs::new(1_000),
+            route_gone_ms: DurationMs::new(5_000),
+        }
+    }
+}
+
+/// Everything that carries a runner's decisions out.
+pub(crate) struct RunnerParts {
+    pub(crate) clock: Arc<dyn Clock>,
+    pub(crate) wall: Arc<dyn WallClock>,
+    pub(crate) store: BatchStore,
+    pub(crate) generator: Arc<dyn Generator>,
+    pub(crate) world: Arc<dyn BatchWorld>,
+    pub(crate) events: Arc<dyn BatchEvents>,
+}
+
+#[derive(Default)]
+struct RunnerState {
+    owned: IndexMap<BatchId, OwnedBatch>,
+    loads: EngineLoads,
+    next_serial: u64,
+    reported_at: Timestamp,
+}
+
+/// Runs the batches that this host owns.
+pub(crate) struct Runner {
+    options: RunnerOptions,
+    parts: RunnerParts,
+    state: Mutex<RunnerState>,
+    wake: (Sender<()>, Receiver<()>),
+    /// Batches that other hosts run; they share the engines.
+    foreign: Mutex<Arc<Vec<ForeignWork>>>,
+}
+
+impl Runner {
+    pub(crate) fn new(options: RunnerOptions, parts: RunnerParts) -> Arc<Self> {
+        let state = RunnerState {
+            loads: EngineLoads::new(options.load),
+            ..RunnerState::default()
+        };
+        Arc::new(Self {
+            options,
+            parts,
+            state: Mutex::new(state),
+            wake: bounded(1),
+            foreign: Mutex::default(),
+        })
+    }
+
+    /// Starts runs whenever something changes, and looks after those that stand still.
+    pub(crate) async fn run(self: Arc<Self>) {
+        loop {
+            let wait = match self.is_idle() {
+                true => Duration::from_secs(3600),
+                false => self.options.tick_ms.as_std(),
+            };
+            // Both a message and the end of the wait lead to the same look.
+            let _ = timeout(wait, self.wake.1.recv()).await;
+            self.stop_stalled();
+            self.give_up_late();
+            self.start_ready();
+            self.report_progress();
+        }
+    }
+
+    /// Something changed that may let items start.
+    pub(crate) fn wake(&self) {
+        // A full channel means that a look is due anyway.
+        let _ = self.wake.0.try_send(());
+    }
+
+    pub(crate) fn saw_version(&self, run: &RunKey, model: &ModelId, version: WeightVersion) {
+        self.state().loads.saw_version(run, model, version);
+        self.wake();
+    }
+
+    pub(crate) fn set_foreign(&self, work: Vec<ForeignWork>) {
+        *self.foreign.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(work);
+    }
+
+    fn foreign(&self) -> Arc<Vec<ForeignWork>> {
+        Arc::clone(&self.foreign.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Begins to run a batch; `listed` are its results so far.
+    pub(crate) fn adopt(&self, spec: Arc<BatchSpec>, listed: Vec<BatchResult>) {
+        let batch = spec.id.clone();
+        let now = self.now();
+        let owned = OwnedBatch::new(spec, listed, self.options.plan, now);
+        self.state().owned.insert(batch, owned);
+        self.wake();
+    }
+
+    pub(crate) fn owns(&self, batch: &BatchId) -> bool {
+        self.state().owned.contains_key(batch)
+    }
+
+    /// Batches whose results are all listed.
+    pub(crate) fn finished_batches(&self) -> Vec<BatchId> {
+        let state = self.state();
+        let finished = state.owned.iter().filter(|(_, owned)| owned.is_finished());
+        finished.map(|(batch, _)| batch.clone()).collect()
+    }
+
+    /// The oldest weights that running batches accept, by model; engines with older ones are of no use to them.
+    pub(crate) fn needed_versions(&self) -> IndexMap<ModelId, WeightVersion> {
+        let state = self.state();
+        let mut needed = IndexMap::new();
+        for owned in state
+            .owned
+            .values()
+            .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0)
+        {
+            if let Some(model) = &owned.spec.model {
+                let least = needed.entry(model.clone()).or_insert(owned.spec.min_version);
+                *least = owned.spec.min_version.min(*least);
+            }
+        }
+        needed
+    }
+
+    /// Batches that still have work to do.
+    pub(crate) fn open_batches(&self) -> Vec<BatchId> {
+        let state = self.state();
+        let open = state
+            .owned
+            .iter()
+            .filter(|(_, owned)| !owned.is_ended && !owned.is_finished());
+        open.map(|(batch, _)| batch.clone()).collect()
+    }
+
+    /// Stops the runs of a batch whose submitter ended it. Its results stay readable.
+    pub(crate) fn end(&self, batch: &BatchId) {
+        let mut state = self.state();
+        let Some(owned) = state.owned.get_mut(batch).filter(|owned| !owned.is_ended) else {
+            return;
+        };
+        owned.is_ended = true;
+        let listed = owned.listed.len();
+        let runs = owned.stop_all();
+        owned.notify();
+        end_runs(&mut state.loads, &runs);
+        drop(state);
+        self.parts.events.ended(batch, listed);
+        self.wake();
+    }
+
+    /// Stops running a batch, because another host does or this one leaves. Returns its results.
+    pub(crate) fn release(&self, batch: &BatchId) -> Option<Vec<BatchResult>> {
+        let mut state = self.state();
+        let mut owned = state.owned.swap_remove(batch)?;
+        let runs = owned.stop_all();
+        owned.notify();
+        end_runs(&mut state.loads, &runs);
+        Some(owned.listed)
+    }
+
+    /// The specification of a batch that this host runs or ran.
+    pub(crate) fn spec(&self, batch: &BatchId) -> Option<Arc<BatchSpec>> {
+        let state = self.state();
+        state.owned.get(batch).map(|owned| Arc::clone(&owned.spec))
+    }
+
+    /// Results from a position on; waits for the first one. None when this host does not run the batch.
+    pub(crate) async fn read(&self, batch: &BatchId, after: usize, wait: DurationMs) -> Option<ResultPage> {
+        let deadline = self.now().after(wait);
+        loop {
+            let (page, changed) = self.page(batch, after)?;
+            let left = deadline.since(self.now());
+            let Some(changed) = changed.filter(|_| left.get() > 0) else {
+                return Some(page);
+            };
+            if timeout(left.as_std(), changed.recv()).await.is_err() {
+                return Some(page);
+            }
+        }
+    }
+
+    /// A page, and what to wait for when it is empty and more can come.
+    fn page(&self, batch: &BatchId, after: usize) -> Option<(ResultPage, Option<Receiver<()>>)> {
+        let mut state = self.state();
+        let owned = state.owned.get_mut(batch)?;
+        let page = ResultPage::cut(&owned.listed, after, owned.spec.items.len());
+        let is_open = !owned.is_ended && !owned.is_finished();
+        let changed = (page.results.is_empty() && is_open).then(|| owned.wait());
+        Some((page, changed))
+    }
+
+    /// Forgets finished batches that were submitted before a time of day.
+    pub(crate) fn forget(&self, submitted_before_unix_ms: u64) {
+        let mut state = self.state();
+        state
+            .owned
+            .retain(|_, owned| owned.spec.submitted_unix_ms >= submitted_before_unix_ms);
+    }
+
+    /// Whether no item waits or runs.
+    pub(crate) fn is_idle(&self) -> bool {
+        let state = self.state();
+        state
+            .owned
+            .values()
+            .all(|owned| owned.is_ended || (owned.plan.waiting() == 0 && owned.runs.is_empty()))
+    }
+
+    fn log_run(
+        &self,
+        batch: &BatchId,
+        item: &str,
+        target: &RunKey,
+        end: &GenerationEnd,
+        took: DurationMs,
+        events: u64,
+    ) {
+        self.parts.events.run_failed(&RunEnd {
+            batch,
+            item,
+            target,
+            end,
+            took,
+            events,
+        });
+    }
+
+    fn now(&self) -> Timestamp {
+        self.parts.clock.now()
+    }
+
+    fn state(&self) -> MutexGuard<'_, RunnerState> {
+        // Each change of the state is complete before anything that could panic.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn end_runs(loads: &mut EngineLoads, runs: &[Run]) {
+    for run in runs {
+        loads.ended(&run.target, run.tokens);
+    }
+}
--- /dev/null
+++ b/crates/jm-batch/src/runner/share.rs
@@ -0,0 +1,76 @@
+//! How hosts divide the engines that several of them can use.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use jm_forward::{Catalog, RoutingTable, Target};
+use jm_types::{BatchId, ModelId};
+
+use crate::{
+    BatchSpec,
+    engine_load::{ForeignWork, Need},
+    owned::OwnedBatch,
+};
+
+/// Work of this host and of the others, by which they share engines.
+pub(super) struct Shares {
+    own: IndexMap<Option<ModelId>, u64>,
+    foreign: Arc<Vec<ForeignWork>>,
+}
+
+impl Shares {
+    pub(super) fn new(owned: &IndexMap<BatchId, OwnedBatch>, foreign: Arc<Vec<ForeignWork>>) -> Self {
+        let mut own: IndexMap<Option<ModelId>, u64> = IndexMap::new();
+        for owned in owned
+            .values()
+            .filter(|owned| !owned.is_ended && !owned.is_finished())
+        {
+            *own.entry(owned.spec.model.clone()).or_default() += owned.spec.work_tokens();
+        }
+        Self { own, foreign }
+    }
+
+    /// As if no other host had work.
+    pub(super) fn alone() -> Self {
+        Self {
+            own: IndexMap::new(),
+            foreign: Arc::default(),
+        }
+    }
+
+    pub(super) fn own_work(&self) -> u64 {
+        self.own.values().sum()
+    }
+}
+
+pub(super) fn need<'a>(
+    spec: &'a BatchSpec,
+    item: usize,
+    routing: &RoutingTable,
+    shares: &'a Shares,
+) -> Need<'a> {
+    let item = &spec.items[item];
+    let route = routing.route(&spec.host, &item.path);
+    let service = route.and_then(|route| routing.service(route.service_for(&item.id)?));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    Need {
+        model: spec.model.as_ref(),
+        min_version: spec.min_version,
+        own_work: shares.own_work(),
+        foreign: &shares.foreign,
+        tokens: item.work_tokens(),
+        memory_tokens: engine.and_then(|engine| engine.memory_tokens),
+    }
+}
+
+pub(super) fn service_targets<'a>(
+    owned: &OwnedBatch,
+    item: usize,
+    routing: &'a RoutingTable,
+    catalog: &'a Catalog,
+) -> Option<impl Iterator<Item = &'a Target>> {
+    let item = &owned.spec.items[item];
+    let route = routing.route(&owned.spec.host, &item.path)?;
+    let service = route.service_for(&item.id)?;
+    Some(catalog.serving(service))
+}
--- /dev/null
+++ b/crates/jm-batch/src/service/mod.rs
@@ -0,0 +1,340 @@
+//! What callers ask of batches, on any host.
+
+mod own;
+mod read;
+mod submit;
+
+use std::{
+    collections::HashSet,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use async_std::task;
+use async_trait::async_trait;
+use indexmap::IndexMap;
+use jm_forward::RunKey;
+use jm_platform::Version;
+use jm_types::{
+    BatchId, Clock, DurationMs, Incarnation, MemberId, ModelId, OrganisationId, WallClock, WeightVersion,
+};
+use snafu::Snafu;
+
+use crate::{
+    BatchEvents, BatchMembers, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, BatchWorld,
+    Generator, ResultPage, RunnerOptions, StoreError,
+    runner::{Runner, RunnerParts},
+    store::Changed,
+};
+
+/// Reaches the hosts that run batches.
+#[async_trait]
+pub trait BatchPeers: Send + Sync {
+    /// Results of a batch that `owner` runs; none when it does not answer or does not run the batch.
+    async fn read(
+        &self,
+        owner: &MemberId,
+        batch: &BatchId,
+        after: usize,
+        wait: DurationMs,
+    ) -> Option<ResultPage>;
+
+    /// Tells a host that it owns a batch now; it also hears of it from the store.
+    async fn announce(&self, owner: &MemberId, state: &BatchState, version: Version);
+}
+
+/// Settings of the service.
+#[derive(Debug, Clone)]
+pub struct BatchServiceOptions {
+    /// This host.
+    pub own: MemberId,
+    /// This run of it.
+    pub incarnation: Incarnation,
+    /// Settings of the runner.
+    pub runner: RunnerOptions,
+    /// How long a batch can be read after its submission.
+    pub keep_ms: DurationMs,
+}
+
+/// Parts that the service works with.
+pub struct BatchServiceParts {
+    /// The boot clock.
+    pub clock: Arc<dyn Clock>,
+    /// The time of day.
+    pub wall: Arc<dyn WallClock>,
+    /// The store.
+    pub store: BatchStore,
+    /// Runs items.
+    pub generator: Arc<dyn Generator>,
+    /// Configuration and engines.
+    pub world: Arc<dyn BatchWorld>,
+    /// The hosts.
+    pub members: Arc<dyn BatchMembers>,
+    /// Reaches the hosts.
+    pub peers: Arc<dyn BatchPeers>,
+    /// Is told of decisions.
+    pub events: Arc<dyn BatchEvents>,
+}
+
+/// Why a batch was not accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum SubmitError {
+    /// Nothing of it is kept and nothing will run.
+    #[snafu(display("the batch could not be stored: {reason}"))]
+    NotStored {
+        /// The cause.
+        reason: String,
+    },
+    /// It may be kept and run.
+    #[snafu(display("whether the batch was stored is not known: {reason}"))]
+    MayBeStored {
+        /// The cause.
+        reason: String,
+    },
+    /// Another organisation has a batch with this id.
+    #[snafu(display("the id belongs to another batch"))]
+    TakenId,
+}
+
+/// Why a batch cannot be read or ended.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum ReadError {
+    /// No such batch exists for the organisation.
+    #[snafu(display("no such batch exists"))]
+    NotFound,
+    /// Whether it exists, or what it holds, cannot be told now.
+    #[snafu(display("the batch cannot be read now: {reason}"))]
+    CannotTell {
+        /// The cause.
+        reason: String,
+    },
+}
+
+impl From<StoreError> for ReadError {
+    fn from(error: StoreError) -> Self {
+        Self::CannotTell {
+            reason: error.to_string(),
+        }
+    }
+}
+
+/// Tries of a change of a state object.
+const STATE_TRIES: usize = 8;
+/// Wait between them.
+const STATE_RETRY_MS: DurationMs = DurationMs::new(200);
+/// Batches of other hosts whose results are kept in memory.
+const KEPT_RESULTS: usize = 6;
+
+#[derive(Debug, Clone)]
+struct Known {
+    state: BatchState,
+    version: Version,
+}
+
+#[derive(Default)]
+struct ServiceState {
+    known: IndexMap<BatchId, Known>,
+    /// Batches that are being taken over.
+    claiming: HashSet<BatchId>,
+    results: IndexMap<BatchId, Arc<Vec<BatchResult>>>,
+    specs: IndexMap<BatchId, Arc<BatchSpec>>,
+    is_leaving: bool,
+}
+
+/// Batches on this host: those it runs and those of others.
+pub struct BatchService {
+    options: BatchServiceOptions,
+    parts: BatchServiceParts,
+    runner: Arc<Runner>,
+    state: Mutex<ServiceState>,
+}
+
+impl BatchService {
+    /// A service that runs nothing yet. [`Self::run`] starts it.
+    pub fn new(options: BatchServiceOptions, parts: BatchServiceParts) -> Arc<Self> {
+        let runner_parts = RunnerParts {
+            clock: Arc::clone(&parts.clock),
+            wall: Arc::clone(&parts.wall),
+            store: parts.store.clone(),
+            generator: Arc::clone(&parts.generator),
+            world: Arc::clone(&parts.world),
+            events: Arc::clone(&parts.events),
+        };
+        Arc::new(Self {
+            runner: Runner::new(options.runner, runner_parts),
+            options,
+            parts,
+            state: Mutex::default(),
+        })
+    }
+
+    /// Runs the batches of this host.
+    pub async fn run(&self) {
+        Arc::clone(&self.runner).run().await;
+    }
+
+    /// Configuration or engines changed.
+    pub fn world_changed(&self) {
+        self.runner.wake();
+    }
+
+    /// The oldest weights that running batches of this host accept, by model.
+    pub fn needed_versions(&self) -> IndexMap<ModelId, WeightVersion> {
+        self.runner.needed_versions()
+    }
+
+    /// Work of the newest batch of each model, whatever became of it: the next one will be about as large.
+    pub fn demand(&self) -> IndexMap<ModelId, u64> {
+        let state = self.state();
+        let mut newest: IndexMap<ModelId, (u64, u64)> = IndexMap::new();
+        for known in state.known.values() {
+            let Some(model) = &known.state.model else { continue };
+            let batch = (known.state.submitted_unix_ms, known.state.work_tokens);
+            let entry = newest.entry(model.clone()).or_insert(batch);
+            *entry = batch.max(*entry);
+        }
+        newest
+            .into_iter()
+            .map(|(model, (_, work))| (model, work))
+            .collect()
+    }
+
+    /// The newest of the oldest weights that running batches of all hosts accept, by model.
+    pub fn wanted_versions(&self) -> IndexMap<ModelId, WeightVersion> {
+        let state = self.state();
+        let mut wanted = IndexMap::new();
+        let running = state
+            .known
+            .values()
+            .filter(|known| known.state.phase == BatchPhase::Running);
+        for known in running {
+            let Some(model) = &known.state.model else { continue };
+            let version = wanted.entry(model.clone()).or_insert(known.state.min_version);
+            *version = known.state.min_version.max(*version);
+        }
+        wanted
+    }
+
+    /// An engine's weights became known by other means than its answers.
+    pub fn saw_version(&self, run: &RunKey, model: &ModelId, version: WeightVersion) {
+        self.runner.saw_version(run, model, version);
+    }
+
+    /// Ends a batch: nothing of it runs afterwards, and what is listed stays.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such batch, or when the store does not take the end.
+    pub async fn end(&self, batch: &BatchId, organisation: Option<&OrganisationId>) -> Result<(), ReadError> {
+        let mut reason = String::new();
+        self.state_for(batch, organisation).await?;
+        for _ in 0..STATE_TRIES {
+            match self.try_end(batch).await {
+                Ok(true) => return Ok(()),
+                Ok(false) => {}
+                Err(error) => {
+                    reason = error.to_string();
+                    task::sleep(STATE_RETRY_MS.as_std()).await;
+                }
+            }
+        }
+        CannotTellSnafu { reason }.fail()
+    }
+
+    /// Whether the batch is ended now; `false` asks for another try with what the store holds by now.
+    async fn try_end(&self, batch: &BatchId) -> Result<bool, ReadError> {
+        let Some(known) = self.known(batch) else {
+            self.load_state(batch).await?;
+            return Ok(false);
+        };
+        if known.state.phase != BatchPhase::Running {
+            return Ok(true);
+        }
+        let ended = BatchState {
+            phase: BatchPhase::Ended,
+            ..known.state
+        };
+        match self.parts.store.update_state(&ended, known.version).await {
+            Ok(Changed::Made(version)) => {
+                self.remember(ended, version);
+                self.runner.end(batch);
+                Ok(true)
+            }
+            Ok(Changed::Conflict) | Err(StoreError::Unknown { .. }) => {
+                self.load_state(batch).await?;
+                Ok(false)
+            }
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// A state object as the store shows it.
+    pub fn apply_state(self: &Arc<Self>, state: BatchState, version: Version) {
+        if self.remember(state, version) {
+            self.review();
+        }
+    }
+
+    /// State objects that are gone from the store.
+    pub fn forget(&self, batch: &BatchId) {
+        let mut state = self.state();
+        state.known.swap_remove(batch);
+        state.results.swap_remove(batch);
+        state.specs.swap_remove(batch);
+    }
+
+    async fn state_for(
+        &self,
+        batch: &BatchId,
+        organisation: Option<&OrganisationId>,
+    ) -> Result<BatchState, ReadError> {
+        let state = match self.known(batch) {
+            Some(known) => known.state,
+            None => self.load_state(batch).await?,
+        };
+        if state.organisation.as_ref() != organisation {
+            return NotFoundSnafu.fail();
+        }
+        Ok(state)
+    }
+
+    async fn load_state(&self, batch: &BatchId) -> Result<BatchState, ReadError> {
+        let Some((state, version)) = self.parts.store.load_state(batch).await? else {
+            return NotFoundSnafu.fail();
+        };
+        self.remember(state.clone(), version);
+        Ok(state)
+    }
+
+    fn known(&self, batch: &BatchId) -> Option<Known> {
+        self.state().known.get(batch).cloned()
+    }
+
+    /// Takes note of a state unless a newer one is known; returns whether it was new.
+    fn remember(&self, state: BatchState, version: Version) -> bool {
+        let mut own = self.state();
+        let is_new = own
+            .known
+            .get(&state.batch)
+            .is_none_or(|known| version > known.version);
+        if is_new {
+            own.known.insert(state.batch.clone(), Known { state, version });
+        }
+        is_new
+    }
+
+    fn state(&self) -> MutexGuard<'_, ServiceState> {
+        // Each change is complete before anything that could panic.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Keeps a value and drops the oldest ones over the limit.
+fn keep<T>(kept: &mut IndexMap<BatchId, T>, batch: &BatchId, value: T, limit: usize) {
+    kept.shift_remove(batch);
+    kept.insert(batch.clone(), value);
+    while kept.len() > limit {
+        kept.shift_remove_index(0);
+    }
+}
--- /dev/null
+++ b/crates/jm-batch/src/service/read.rs
@@ -0,0 +1,125 @@
+//! Results and bodies, from this host's runs, from the owner, or from the store.
+
+use std::sync::Arc;
+
+use async_std::task;
+use jm_types::{BatchId, DurationMs, OrganisationId};
+
+use super::{BatchService, KEPT_RESULTS, ReadError, keep};
+use crate::{BatchPhase, BatchResult, BatchSpec, BatchState, ResultPage};
+
+/// Interval at which a reader looks for results in the store when the owner does not answer.
+const STORE_POLL_MS: DurationMs = DurationMs::new(300);
+
+/// Specifications of other hosts' batches that are kept in memory.
+const KEPT_SPECS: usize = 3;
+
+impl BatchService {
+    /// Results from a position on; waits for the first one.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such batch, or when that cannot be told.
+    pub async fn read(
+        &self,
+        batch: &BatchId,
+        organisation: Option<&OrganisationId>,
+        after: usize,
+        wait: DurationMs,
+    ) -> Result<ResultPage, ReadError> {
+        let state = self.state_for(batch, organisation).await?;
+        if let Some(page) = self.runner.read(batch, after, wait).await {
+            return Ok(page);
+        }
+        // The owner keeps its batches in memory after their end as well, which saves a call for each piece.
+        let members = &self.parts.members;
+        if members.is_running(&state.owner, state.owner_incarnation)
+            && let Some(page) = self.parts.peers.read(&state.owner, batch, after, wait).await
+        {
+            return Ok(page);
+        }
+        self.read_stored(&state, after, wait).await
+    }
+
+    /// Results that this host runs, for other hosts; none when it does not run the batch.
+    pub async fn read_owned(&self, batch: &BatchId, after: usize, wait: DurationMs) -> Option<ResultPage> {
+        self.runner.read(batch, after, wait).await
+    }
+
+    async fn read_stored(
+        &self,
+        state: &BatchState,
+        after: usize,
+        wait: DurationMs,
+    ) -> Result<ResultPage, ReadError> {
+        let clock = &self.parts.clock;
+        let deadline = clock.now().after(wait);
+        loop {
+            let listed = self.stored_results(&state.batch, state.items).await?;
+            let page = ResultPage::cut(&listed, after, state.items);
+            let left = deadline.since(clock.now());
+            let is_open = state.phase == BatchPhase::Running && listed.len() < state.items;
+            if !page.results.is_empty() || left.get() == 0 || !is_open {
+                return Ok(page);
+            }
+            task::sleep(STORE_POLL_MS.min(left).as_std()).await;
+        }
+    }
+
+    async fn stored_results(
+        &self,
+        batch: &BatchId,
+        total: usize,
+    ) -> Result<Arc<Vec<BatchResult>>, ReadError> {
+        let kept = self.state().results.get(batch).cloned().unwrap_or_default();
+        if kept.len() >= total {
+            return Ok(kept);
+        }
+        let mut listed = kept.as_ref().clone();
+        self.parts.store.load_results(batch, &mut listed).await?;
+        let listed = Arc::new(listed);
+        keep(
+            &mut self.state().results,
+            batch,
+            Arc::clone(&listed),
+            KEPT_RESULTS,
+        );
+        Ok(listed)
+    }
+
+    /// The body of an item.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no such batch or item, or when that cannot be told.
+    pub async fn body(
+        &self,
+        batch: &BatchId,
+        organisation: Option<&OrganisationId>,
+        item: &str,
+    ) -> Result<Vec<u8>, ReadError> {
+        self.state_for(batch, organisation).await?;
+        let spec = self.spec(batch).await?;
+        let found = spec.items.iter().find(|candidate| candidate.id == item);
+        found.map(|item| item.body.clone()).ok_or(ReadError::NotFound)
+    }
+
+    async fn spec(&self, batch: &BatchId) -> Result<Arc<BatchSpec>, ReadError> {
+        if let Some(spec) = self.runner.spec(batch) {
+            return Ok(spec);
+        }
+        let kept = self.state().specs.get(batch).cloned();
+        if let Some(spec) = kept {
+            return Ok(spec);
+        }
+        let spec = self
+            .parts
+            .store
+            .load_spec(batch)
+            .await?
+            .ok_or(ReadError::NotFound)?;
+        let spec = Arc::new(spec);
+        keep(&mut self.state().specs, batch, Arc::clone(&spec), KEPT_SPECS);
+        Ok(spec)
+    }
+}
--- /dev/null
+++ b/crates/jm-batch/src/service/submit.rs
@@ -0,0 +1,132 @@
+//! Takes batches in: what is acknowledged is in the store.
+
+use std::sync::Arc;
+
+use async_std::task;
+use futures::{FutureExt, future::BoxFuture};
+use jm_route::owner_by_key;
+use jm_types::{Incarnation, MemberId};
+
+use super::{BatchService, MayBeStoredSnafu, NotStoredSnafu, SubmitError, TakenIdSnafu};
+use crate::{BatchPhase, BatchSpec, BatchState, StoreError, state::owner_key, store::Changed};
+
+/// Tries of a create whose answer was lost. A create is idempotent: a second one finds the first.
+const CREATE_TRIES: usize = 3;
+
+impl BatchService {
+    /// Keeps a batch and runs it. The same batch may be submitted again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the store does not take it; the error tells whether it may run all the same.
+    pub async fn submit(self: &Arc<Self>, spec: BatchSpec) -> Result<(), SubmitError> {
+        if let Some(known) = self.known(&spec.id) {
+            return same_organisation(&known.state, &spec);
+        }
+        let spec = self.store_spec(spec).await?;
+        let (owner, owner_incarnation) = self.first_owner(&spec);
+        let state = BatchState {
+            batch: spec.id.clone(),
+            organisation: spec.organisation.clone(),
+            owner,
+            owner_incarnation,
+            phase: BatchPhase::Running,
+            items: spec.items.len(),
+            model: spec.model.clone(),
+            min_version: spec.min_version,
+            work_tokens: spec.work_tokens(),
+            submitted_unix_ms: spec.submitted_unix_ms,
+        };
+        let store = &self.parts.store;
+        match self.create(|| store.create_state(&state).boxed()).await? {
+            Changed::Made(version) => {
+                self.parts.events.accepted(&spec.id, spec.items.len());
+                self.remember(state.clone(), version);
+                if state.is_owned_by(&self.options.own, self.options.incarnation) {
+                    self.runner.adopt(spec, Vec::new());
+                } else {
+                    let service = Arc::clone(self);
+                    task::spawn(async move {
+                        service.parts.peers.announce(&state.owner, &state, version).await;
+                    });
+                }
+                Ok(())
+            }
+            Changed::Conflict => self.accepted_before(&spec).await,
+        }
+    }
+
+    /// The host that runs a new batch.
+    fn first_owner(&self, spec: &BatchSpec) -> (MemberId, Incarnation) {
+        let live = self.parts.members.live();
+        let members: Vec<MemberId> = live.iter().map(|(member, _)| member.clone()).collect();
+        let first = owner_by_key(owner_key(spec.model.as_ref(), &spec.id), &members);
+        let first = first.and_then(|first| live.iter().find(|(member, _)| member == first));
+        first
+            .cloned()
+            .unwrap_or_else(|| (self.options.own.clone(), self.options.incarnation))
+    }
+
+    async fn store_spec(&self, spec: BatchSpec) -> Result<Arc<BatchSpec>, SubmitError> {
+        let store = &self.parts.store;
+        match self.create(|| store.create_spec(&spec).boxed()).await? {
+            Changed::Made(_) => Ok(Arc::new(spec)),
+            Changed::Conflict => {
+                let stored = store.load_spec(&spec.id).await;
+                let stored = stored.map_err(|error| SubmitError::MayBeStored {
+                    reason: error.to_string(),
+                })?;
+                let stored = stored.unwrap_or(spec.clone());
+                if stored.organisation != spec.organisation {
+                    return TakenIdSnafu.fail();
+                }
+                Ok(Arc::new(stored))
+            }
+        }
+    }
+
+    /// The state exists: the batch was accepted before, or a create whose answer was lost took effect.
+    async fn accepted_before(&self, spec: &BatchSpec) -> Result<(), SubmitError> {
+        match self.load_state(&spec.id).await {
+            Ok(state) => same_organisation(&state, spec),
+            Err(error) => MayBeStoredSnafu {
+                reason: error.to_string(),
+            }
+            .fail(),
+        }
+    }
+
+    /// Creates an object; repeats the create while its outcome is not known.
+    async fn create<'a>(
+        &self,
+        create: impl Fn() -> BoxFuture<'a, Result<Changed, StoreError>> + Send,
+    ) -> Result<Changed, SubmitError> {
+        let mut may_be_stored = false;
+        let mut reason = String::new();
+        for _ in 0..CREATE_TRIES {
+            match create().await {
+                Ok(changed) => return Ok(changed),
+                Err(StoreError::Unknown { reason: lost }) => {
+                    may_be_stored = true;
+                    reason = lost;
+                }
+                Err(error) => {
+                    reason = error.to_string();
+                    break;
+                }
+            }
+        }
+        match may_be_stored {
+            true => MayBeStoredSnafu { reason }.fail(),
+            false => NotStoredSnafu { reason }.fail(),
+        }
+    }
+}
+
+fn same_organisation(state: &BatchState, spec: &BatchSpec) -> Result<(), SubmitError> {
+    if state.organisation == spec.organisation {
+        Ok(())
+    } else {
+        TakenIdSnafu.fail()
+    }
+}
--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -186,14 +186,13 @@
             return self.open.next().await;
         };
         let wait = hedge_at.since(self.forwarder.clock.now()).as_std();
-        let ended = match select(self.open.next(), task::sleep(wait).boxed()).await {
-            Either::Left((ended, _)) => ended,
-            Either::Right(_) => {
-                self.hedge(begun).await;
-                None
-            }
-        };
-        ended
+        let either = select(self.open.next(), task::sleep(wait).boxed()).await;
+        if let Either::Left((ended, _)) = either {
+            return ended;
+        }
+        drop(either);
+        self.hedge(begun).await;
+        None
     }
 
     async fn hedge(&mut self, begun: Timestamp) {
--- a/crates/jm-host/src/host.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -1,4 +1,7 @@
-//! One host: its state, its tasks, its listeners and its planned stop.
+//! One host: its state, its listeners and its planned stop.
+
+mod tasks;
+mod watch;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -7,11 +10,7 @@
     task::{self, JoinHandle},
 };
 use async_trait::async_trait;
-use indexmap::IndexMap;
-use jm_batch::{
-    BATCH_STATE_PREFIX, BatchMembers, BatchService, BatchServiceOptions, BatchServiceParts, BatchState,
-    BatchStore, BatchWorld, RunnerOptions,
-};
+use jm_batch::{BatchService, BatchServiceOptions, BatchServiceParts, BatchStore, BatchWorld, RunnerOptions};
 use jm_forward::{
     Access, AttemptsOptions, CallerLimits, CallerRequest, ChoiceOptions, ForwardRefusal, Forwarded,
     Forwarder, ForwarderOptions, Route, RoutingTable,
@@ -19,22 +18,17 @@
 use jm_http::{Connection, Handler, Limits, Request, Response, Server, SharedLimits, listen};
 use jm_member::AgentError;
 use jm_node::{Stop, StopTrigger};
-use jm_platform::{Change, KeyedObject, ObjectStore};
+use jm_platform::ObjectStore;
 use jm_types::{
-    BatchId, ByteSize, Clock, DurationMs, Incarnation, LogEvent, ResultCode, SystemClock, WallClock, ZoneId,
+    ByteSize, Clock, DurationMs, Incarnation, LogEvent, ResultCode, SystemClock, WallClock, ZoneId,
 };
 use snafu::{ResultExt, Snafu};
 
 use crate::{
-    FollowOptions, FollowTask, Follower, HostObserver, HostSettings, Membership, Mirror, PlatformParts,
-    RelayedStore,
-    duty::{LeaseLoop, LeaseView, Upkeep, UsageBook, UsageCounter, UsageDuty, WeightDuty, push_usage},
-    membership::MEMBER_PREFIX,
-    peer::{
-        ObjectSpace, PeerClient, PeerHandler, PeerReply, PeerRequest, ReaderCopy, Relay, SEED_RETRY,
-        ask_seeds,
-    },
-    world::{RoutingFollower, TargetsFollower, VersionsFollower, World},
+    HostObserver, HostSettings, Membership, Mirror, PlatformParts, RelayedStore,
+    duty::{LeaseView, UsageBook, UsageCounter},
+    peer::{ObjectSpace, PeerClient, PeerHandler, Relay},
+    world::World,
 };
 
 /// Why a host did not start.
@@ -56,12 +50,6 @@
     },
 }
 
-/// Time between two looks at ownership, missing targets and stale configuration.
-const REVIEW_INTERVAL_MS: DurationMs = DurationMs::new(400);
-/// Reviews between two rounds of tidying up.
-const REVIEWS_PER_TIDY: u64 = 4;
-/// Time between two questions to engines whose weights are too old for a batch.
-const VERSION_POLL_MS: DurationMs = DurationMs::new(250);
 /// How long callers may keep an address list.
 const ADDRESS_TTL_MS: DurationMs = DurationMs::new(2_000);
 /// Time for which a leaving host goes on serving callers that still have its address.
@@ -346,236 +334,6 @@
         Ok(())
     }
 
-    fn start_tasks(self: &Arc<Self>, wiring: Wiring) {
-        let membership = Arc::clone(&self.membership);
-        task::spawn(async move { membership.run().await });
-        let (membership, store) = (Arc::clone(&self.membership), Arc::clone(&wiring.product_store));
-        task::spawn(async move { membership.register(&*store).await });
-        self.start_followers(&wiring);
-        self.start_duties(&wiring);
-        let batches = Arc::clone(&self.batches);
-        task::spawn(async move { batches.run().await });
-        task::spawn(Arc::clone(self).review());
-        task::spawn(Arc::clone(self).react());
-        let duties = Arc::clone(&wiring.platform.duties);
-        task::spawn(Arc::clone(self).poll_versions(duties));
-        task::spawn(Arc::clone(self).find_hosts());
-    }
-
-    fn start_followers(self: &Arc<Self>, wiring: &Wiring) {
-        let objects = &wiring.platform.objects;
-        let world = &self.world;
-        let routing = Arc::new(RoutingFollower(Arc::clone(world)));
-        let targets = Arc::new(TargetsFollower(Arc::clone(world)));
-        let versions = Arc::new(VersionsFollower(Arc::clone(world)));
-        let states = Arc::new(StatesFollower(Arc::clone(&self.batches)));
-        let (product, platform) = (ObjectSpace::Product, ObjectSpace::Platform);
-        self.follow(
-            wiring,
-            platform,
-            prefix_of(objects.routing_key()),
-            POLLED,
-            routing,
-        );
-        self.follow(wiring, platform, objects.targets_prefix(), POLLED, targets);
-        self.follow(wiring, platform, objects.versions_prefix(), WATCHED, versions);
-        self.follow(
-            wiring,
-            product,
-            MEMBER_PREFIX,
-            WATCHED,
-            Arc::clone(&self.membership) as _,
-        );
-        self.follow(wiring, product, BATCH_STATE_PREFIX, WATCHED, states);
-    }
-
-    fn follow(
-        &self,
-        wiring: &Wiring,
-        space: ObjectSpace,
-        prefix: &'static str,
-        options: FollowOptions,
-        follower: Arc<dyn Follower>,
-    ) {
-        let store = match space {
-            ObjectSpace::Product => &wiring.product_store,
-            ObjectSpace::Platform => &wiring.platform_store,
-        };
-        let client = Arc::clone(&self.peers);
-        let task = FollowTask {
-            store: Arc::clone(store),
-            space,
-            prefix,
-            options,
-            clock: Arc::clone(&self.clock),
-            mirror: Arc::clone(&wiring.mirror),
-            source: Arc::new(ReaderCopy { client }),
-            follower,
-        };
-        task::spawn(task.run());
-    }
-
-    fn start_duties(self: &Arc<Self>, wiring: &Wiring) {
-        let lease = LeaseLoop {
-            store: Arc::clone(&wiring.product_store),
-            clock: Arc::clone(&self.clock),
-            membership: Arc::clone(&self.membership),
-            view: Arc::clone(&self.lease),
-            peers: Arc::clone(&self.peers),
-            lease_ms: self.settings.bounds.lease_ms,
-        };
-        task::spawn(async move { lease.run().await });
-        task::spawn(push_usage(
-            Arc::clone(&wiring.usage),
-            Arc::clone(&wiring.book),
-            Arc::clone(&self.membership),
-            Arc::clone(&self.peers),
-            Arc::clone(&self.lease),
-        ));
-        let usage = UsageDuty {
-            counter: Arc::clone(&wiring.usage),
-            book: Arc::clone(&wiring.book),
-            store: Arc::clone(&wiring.product_store),
-            duties: Arc::clone(&wiring.platform.duties),
-            lease: Arc::clone(&self.lease),
-            clock: Arc::clone(&self.clock),
-            wall: Arc::clone(&self.wall),
-            window_ms: self.settings.bounds.usage_window_ms,
-        };
-        task::spawn(async move { usage.run().await });
-        let weights = WeightDuty::new(
-            Arc::clone(&self.world),
-            Arc::clone(&self.batches),
-            Arc::clone(&wiring.platform.duties),
-            Arc::clone(&self.lease),
-            Arc::clone(&self.clock),
-        );
-        task::spawn(weights.run());
-        let upkeep = Upkeep {
-            store: Arc::clone(&wiring.product_store),
-            platform_store: Arc::clone(&wiring.platform_store),
-            objects: Arc::clone(&wiring.platform.objects),
-            duties: Arc::clone(&wiring.platform.duties),
-            membership: Arc::clone(&self.membership),
-            lease: Arc::clone(&self.lease),
-            clock: Arc::clone(&self.clock),
-        };
-        task::spawn(async move { upkeep.run().await });
-    }
-
-    /// Reacts to changes of configuration, targets and hosts.
-    async fn react(self: Arc<Self>) {
-        let mut revision = self.world.revision();
-        while self.changes.1.recv().await.is_ok() {
-            if self.world.revision() > revision {
-                let was_ready = revision.get() > 0;
-                revision = self.world.revision();
-                self.membership.set_revision(revision);
-                if let Some(table) = self.world.routing() {
-                    self.caller_limits.set(connection_limits(&table.caller_limits));
-                }
-                if !was_ready {
-                    LogEvent::DaemonReady
-                        .write_fields("the host serves callers", &[("revision", &revision.get())]);
-                }
-            }
-            self.batches.world_changed();
-            self.batches.review();
-            self.set_gauges();
-        }
-    }
-
-    fn set_gauges(&self) {
-        let number = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
-        let observer = &self.observer;
-        observer.targets.set(number(self.world.catalog().len()));
-        observer.live_hosts.set(number(self.membership.live().len()));
-        observer
-            .config_revision
-            .set(i64::try_from(self.world.revision().get()).unwrap_or(i64::MAX));
-        observer
-            .holds_lease
-            .set(i64::from(self.lease.guard(&*self.clock).is_some()));
-    }
-
-    /// Looks regularly at what no message announces.
-    async fn review(self: Arc<Self>) {
-        let mut round = 0_u64;
-        loop {
-            task::sleep(REVIEW_INTERVAL_MS.as_std()).await;
-            self.world.drop_missing();
-            self.batches.review();
-            self.fetch_newer_routing().await;
-            round += 1;
-            if round.is_multiple_of(REVIEWS_PER_TIDY) {
-                self.batches.tidy().await;
-                self.set_gauges();
-            }
-        }
-    }
-
-    /// Another host has a newer configuration: a watch that brings nothing looks like a quiet one.
-    async fn fetch_newer_routing(&self) {
-        let own = self.world.revision();
-        if self.membership.newest_revision() <= own {
-            return;
-        }
-        for (member, _) in self.membership.others() {
-            let reply = self
-                .peers
-                .call_member(&member, &PeerRequest::Configuration, DurationMs::new(0))
-                .await;
-            if let Some(PeerReply::Configuration(value)) = reply
-                && !value.is_empty()
-            {
-                self.world.apply_routing(&value);
-            }
-            if self.world.revision() >= self.membership.newest_revision() {
-                return;
-            }
-        }
-    }
-
-    /// Asks seeds for hosts while this one knows none, as when the store does not answer at its start.
-    async fn find_hosts(self: Arc<Self>) {
-        while self.membership.others().is_empty() || self.world.routing().is_none() {
-            task::sleep(SEED_RETRY).await;
-            if self.world.routing().is_none() {
-                ask_seeds(&self.peers, &self.settings.seeds, &self.membership, &self.world).await;
-            }
-            task::sleep(SEED_RETRY).await;
-        }
-    }
-
-    /// Asks engines for their weights while a batch needs newer ones than they are listed with: the list lags by
-    /// seconds, and a step is due in a few.
-    async fn poll_versions(self: Arc<Self>, duties: Arc<dyn crate::DutyCalls>) {
-        loop {
-            task::sleep(VERSION_POLL_MS.as_std()).await;
-            let needed = self.batches.needed_versions();
-            if needed.is_empty() {
-                continue;
-            }
-            let catalog = self.world.catalog();
-            let lagging = catalog.iter().filter(|target| {
-                let is_old = |(model, version): (&jm_types::ModelId, &jm_types::WeightVersion)| {
-                    needed.get(model).is_some_and(|needed| version < needed)
-                };
-                target.is_serving() && target.models.iter().any(is_old)
-            });
-            let questions = lagging.map(|target| {
-                let duties = &duties;
-                async move { (target, duties.engine_report(target).await) }
-            });
-            for (target, report) in futures::future::join_all(questions).await {
-                let models: IndexMap<_, _> = report.map(|report| report.models).unwrap_or_default();
-                for (model, version) in &models {
-                    self.batches.saw_version(&target.run, model, *version);
-                }
-            }
-        }
-    }
-
     /// Stops without cutting off a request: callers and hosts learn that this one leaves, its batches and duties pass
     /// to others, and open requests are finished.
     pub async fn stop(&self, trigger: StopTrigger, callers: Vec<JoinHandle<()>>) {
@@ -609,28 +367,6 @@
     }
 }
 
-/// Configuration and targets have to take effect within two seconds whatever happens to watches, so they are listed.
-const POLLED: FollowOptions = FollowOptions {
-    watch_ms: DurationMs::new(0),
-    relist_ms: DurationMs::new(750),
-    max_age_ms: DurationMs::new(1_300),
-    retry_ms: DurationMs::new(150),
-    max_retry_ms: DurationMs::new(600),
-};
-
-/// Versions, hosts and batches: an event is passed on at once, and a lost one is found by the next listing.
-const WATCHED: FollowOptions = FollowOptions {
-    watch_ms: DurationMs::new(1_500),
-    relist_ms: DurationMs::new(4_000),
-    max_age_ms: DurationMs::new(2_500),
-    retry_ms: DurationMs::new(200),
-    max_retry_ms: DurationMs::new(800),
-};
-
-fn prefix_of(key: &'static str) -> &'static str {
-    key.find('/').map_or(key, |end| &key[..=end])
-}
-
 fn no_configuration() -> ForwardRefusal {
     ForwardRefusal {
         code: ResultCode::NotFresh,
@@ -639,39 +375,6 @@
     }
 }
 
-/// Follows the states of batches.
-struct StatesFollower(Arc<BatchService>);
-
-impl StatesFollower {
-    fn apply(&self, key: &str, value: &[u8], version: jm_platform::Version) {
-        match serde_json::from_slice::<BatchState>(value) {
-            Ok(state) => self.0.apply_state(state, version),
-            Err(error) => LogEvent::ConfigUnreadable
-                .write(format_args!("the batch state {key} cannot be read: {error}")),
-        }
-    }
-}
-
-impl Follower for StatesFollower {
-    fn listed(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
-        for object in objects {
-            self.apply(&object.key, &object.object.value, object.object.version);
-        }
-    }
-
-    fn changed(&self, change: Change) {
-        match change.value {
-            Some(value) => self.apply(&change.key, &value, change.version),
-            None => {
-                let id = change.key.strip_prefix(BATCH_STATE_PREFIX).unwrap_or_default();
-                if let Ok(batch) = id.parse::<BatchId>() {
-                    self.0.forget(&batch);
-                }
-            }
-        }
-    }
-}
-
 /// Serves the metrics on every path.
 struct MetricsHandler(Arc<HostObserver>);
 
--- /dev/null
+++ b/crates/jm-host/src/host/watch.rs
@@ -0,0 +1,138 @@
+//! What a host does when something changed, and what it looks at because no message announces it.
+
+use std::sync::Arc;
+
+use async_std::task;
+use indexmap::IndexMap;
+use jm_batch::{BatchMembers, BatchWorld};
+use jm_types::{DurationMs, LogEvent, ModelId, WeightVersion};
+
+use super::{Host, connection_limits};
+use crate::{
+    DutyCalls,
+    peer::{PeerReply, PeerRequest, SEED_RETRY, ask_seeds},
+};
+
+/// Time between two looks at ownership, missing targets and stale configuration.
+const REVIEW_INTERVAL_MS: DurationMs = DurationMs::new(400);
+
+/// Reviews between two rounds of tidying up.
+const REVIEWS_PER_TIDY: u64 = 4;
+
+/// Time between two questions to engines whose weights are too old for a batch.
+const VERSION_POLL_MS: DurationMs = DurationMs::new(250);
+
+impl Host {
+    /// Reacts to changes of configuration, targets and hosts.
+    pub(super) async fn react(self: Arc<Self>) {
+        let mut revision = self.world.revision();
+        while self.changes.1.recv().await.is_ok() {
+            if self.world.revision() > revision {
+                let was_ready = revision.get() > 0;
+                revision = self.world.revision();
+                self.membership.set_revision(revision);
+                if let Some(table) = self.world.routing() {
+                    self.caller_limits.set(connection_limits(&table.caller_limits));
+                }
+                if !was_ready {
+                    LogEvent::DaemonReady
+                        .write_fields("the host serves callers", &[("revision", &revision.get())]);
+                }
+            }
+            self.batches.world_changed();
+            self.batches.review();
+            self.set_gauges();
+        }
+    }
+
+    fn set_gauges(&self) {
+        let number = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let observer = &self.observer;
+        observer.targets.set(number(self.world.catalog().len()));
+        observer.live_hosts.set(number(self.membership.live().len()));
+        observer
+            .config_revision
+            .set(i64::try_from(self.world.revision().get()).unwrap_or(i64::MAX));
+        observer
+            .holds_lease
+            .set(i64::from(self.lease.guard(&*self.clock).is_some()));
+    }
+
+    /// Looks regularly at what no message announces.
+    pub(super) async fn review(self: Arc<Self>) {
+        let mut round = 0_u64;
+        loop {
+            task::sleep(REVIEW_INTERVAL_MS.as_std()).await;
+            self.world.drop_missing();
+            self.batches.review();
+            self.fetch_newer_routing().await;
+            round += 1;
+            if round.is_multiple_of(REVIEWS_PER_TIDY) {
+                self.batches.tidy().await;
+                self.set_gauges();
+            }
+        }
+    }
+
+    /// Another host has a newer configuration: a watch that brings nothing looks like a quiet one.
+    async fn fetch_newer_routing(&self) {
+        let own = self.world.revision();
+        if self.membership.newest_revision() <= own {
+            return;
+        }
+        for (member, _) in self.membership.others() {
+            let reply = self
+                .peers
+                .call_member(&member, &PeerRequest::Configuration, DurationMs::new(0))
+                .await;
+            if let Some(PeerReply::Configuration(value)) = reply
+                && !value.is_empty()
+            {
+                self.world.apply_routing(&value);
+            }
+            if self.world.revision() >= self.membership.newest_revision() {
+                return;
+            }
+        }
+    }
+
+    /// Asks seeds for hosts while this one knows none, as when the store does not answer at its start.
+    pub(super) async fn find_hosts(self: Arc<Self>) {
+        while self.membership.others().is_empty() || self.world.routing().is_none() {
+            task::sleep(SEED_RETRY).await;
+            if self.world.routing().is_none() {
+                ask_seeds(&self.peers, &self.settings.seeds, &self.membership, &self.world).await;
+            }
+            task::sleep(SEED_RETRY).await;
+        }
+    }
+
+    /// Asks engines for their weights while a batch needs newer ones than they are listed with: the list lags by
+    /// seconds, and a step is due in a few.
+    pub(super) async fn poll_versions(self: Arc<Self>, duties: Arc<dyn DutyCalls>) {
+        loop {
+            task::sleep(VERSION_POLL_MS.as_std()).await;
+            let needed = self.batches.needed_versions();
+            if needed.is_empty() {
+                continue;
+            }
+            let catalog = self.world.catalog();
+            let lagging = catalog.iter().filter(|target| {
+                let is_old = |(model, version): (&ModelId, &WeightVersion)| {
+                    needed.get(model).is_some_and(|needed| version < needed)
+                };
+                target.is_serving() && target.models.iter().any(is_old)
+            });
+            let questions = lagging.map(|target| {
+                let duties = &duties;
+                async move { (target, duties.engine_report(target).await) }
+            });
+            for (target, report) in futures::future::join_all(questions).await {
+                let models: IndexMap<_, _> = report.map(|report| report.models).unwrap_or_default();
+                for (model, version) in &models {
+                    self.batches.saw_version(&target.run, model, *version);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-host/src/peer/copy.rs
@@ -0,0 +1,113 @@
+//! The copy of the store on the host that reads it for this one.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use jm_batch::BatchMembers;
+use jm_platform::{Change, Changes, Listing, Version};
+use jm_route::{owner_by_key, stable_hash};
+use jm_types::{DurationMs, MemberId};
+
+use super::{ObjectSpace, PeerClient, PeerReply, PeerRequest, message::keyed_object};
+use crate::{CopySource, MirrorChanges};
+
+/// Hosts for one that reads the store for the others.
+const HOSTS_PER_READER: usize = 40;
+
+/// The copy of the host that reads the store for this one.
+pub(crate) struct ReaderCopy {
+    pub(crate) client: Arc<PeerClient>,
+}
+
+impl ReaderCopy {
+    /// The host that reads the store for this one; none when this one reads for itself or is not known to the others.
+    fn reader(&self) -> Option<MemberId> {
+        let membership = &self.client.membership;
+        let live: Vec<MemberId> = membership.live().into_iter().map(|(member, _)| member).collect();
+        let readers = live.len().div_ceil(HOSTS_PER_READER).max(1);
+        let own = membership.own();
+        let slot = stable_hash(own.as_str().as_bytes()) % readers as u64;
+        let chosen: Vec<&MemberId> = (0..readers)
+            .filter_map(|index| owner_by_key(&format!("store-reader/{index}"), &live))
+            .collect();
+        if chosen.contains(&own) {
+            return None;
+        }
+        chosen.get(slot as usize).map(|reader| (*reader).clone())
+    }
+
+    async fn call(&self, request: PeerRequest, wait: DurationMs) -> Option<PeerReply> {
+        let reader = self.reader()?;
+        let address = self.client.membership.peer_address(&reader)?;
+        self.client
+            .call_within(address, &request, wait.saturating_add(COPY_CALL_MS))
+            .await
+    }
+}
+
+/// Time that a call on a copy may take besides its wait; the store is asked after that.
+const COPY_CALL_MS: DurationMs = DurationMs::new(300);
+
+#[async_trait]
+impl CopySource for ReaderCopy {
+    async fn list(
+        &self,
+        space: ObjectSpace,
+        prefix: &str,
+        max_age: DurationMs,
+    ) -> Option<(Listing, DurationMs)> {
+        let request = PeerRequest::ListCopy {
+            space,
+            prefix: prefix.to_owned(),
+            max_age_ms: max_age,
+        };
+        match self.call(request, DurationMs::new(0)).await? {
+            PeerReply::Copy {
+                objects,
+                version,
+                age_ms,
+            } => {
+                let objects = objects.into_iter().map(keyed_object).collect();
+                Some((Listing { objects, version }, age_ms))
+            }
+            _ => None,
+        }
+    }
+
+    async fn watch(
+        &self,
+        space: ObjectSpace,
+        prefix: &str,
+        after: Version,
+        wait: DurationMs,
+        max_age: DurationMs,
+    ) -> MirrorChanges {
+        let request = PeerRequest::WatchCopy {
+            space,
+            prefix: prefix.to_owned(),
+            after,
+            wait_ms: wait,
+            max_age_ms: max_age,
+        };
+        match self.call(request, wait).await {
+            Some(PeerReply::CopyChanges {
+                changes,
+                version,
+                age_ms,
+            }) => {
+                let changes = changes.into_iter().map(|change| Change {
+                    key: change.key,
+                    version: change.version,
+                    value: change.value,
+                });
+                let changes = Changes {
+                    changes: changes.collect(),
+                    version,
+                };
+                MirrorChanges::Changes { changes, age_ms }
+            }
+            Some(PeerReply::CopyRelist) => MirrorChanges::Relist,
+            _ => MirrorChanges::Stale,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jm-host/src/peer/handler.rs
@@ -0,0 +1,158 @@
+//! Answers other hosts.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use jm_batch::BatchService;
+use jm_http::{Connection, Handler, Request, Response, StatusCode};
+use jm_node::{decode, encode};
+use jm_platform::{ObjectError, ObjectStore};
+use jm_types::LogEvent;
+
+use super::{
+    ObjectSpace, PEER_PATH, PeerReply, PeerRequest,
+    message::{WireObject, wire_change, wire_object},
+};
+use crate::{
+    Mirror, MirrorChanges,
+    duty::{LeaseView, UsageBook},
+    membership::Membership,
+    world::World,
+};
+
+/// Answers other hosts.
+pub(crate) struct PeerHandler {
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) world: Arc<World>,
+    pub(crate) batches: Arc<BatchService>,
+    pub(crate) usage: Arc<UsageBook>,
+    pub(crate) mirror: Arc<Mirror>,
+    pub(crate) lease: Arc<LeaseView>,
+    /// The stores without a relay, so that no call goes round.
+    pub(crate) product_store: Arc<dyn ObjectStore>,
+    pub(crate) platform_store: Arc<dyn ObjectStore>,
+}
+
+impl PeerHandler {
+    async fn reply(&self, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::ReadBatch {
+                batch,
+                after,
+                wait_ms,
+            } => PeerReply::Page(self.batches.read_owned(&batch, after, wait_ms).await),
+            PeerRequest::Members => PeerReply::Members(self.membership.registrations()),
+            PeerRequest::Configuration => PeerReply::Configuration(self.world.routing_value()),
+            PeerRequest::LeaseHolder => PeerReply::LeaseHolder(self.lease.holder()),
+            PeerRequest::Usage {
+                host,
+                incarnation,
+                counts,
+            } => {
+                self.usage.take(host, incarnation, counts);
+                PeerReply::Taken
+            }
+            PeerRequest::BatchState { state, version } => {
+                self.batches.apply_state(state, version);
+                PeerReply::Taken
+            }
+            PeerRequest::ListCopy {
+                space,
+                prefix,
+                max_age_ms,
+            } => match self.mirror.listing(space, &prefix, max_age_ms) {
+                Some((listing, age_ms)) => PeerReply::Copy {
+                    version: listing.version,
+                    objects: listing.objects.into_iter().map(wire_object).collect(),
+                    age_ms,
+                },
+                None => PeerReply::CopyStale,
+            },
+            PeerRequest::WatchCopy {
+                space,
+                prefix,
+                after,
+                wait_ms,
+                max_age_ms,
+            } => {
+                let changes = self
+                    .mirror
+                    .watch(space, &prefix, after, wait_ms, max_age_ms)
+                    .await;
+                copy_changes(changes)
+            }
+            PeerRequest::GetObject { space, key } => match self.store(space).get(&key).await {
+                Ok(object) => PeerReply::Object(object.map(|object| WireObject {
+                    key,
+                    value: object.value,
+                    version: object.version,
+                })),
+                Err(_) => PeerReply::StoreUnavailable,
+            },
+            PeerRequest::PutObject {
+                space,
+                key,
+                value,
+                condition,
+            } => match self.store(space).put(&key, value, condition.into()).await {
+                Ok(version) => PeerReply::Put(version),
+                Err(ObjectError::Conflict { current }) => PeerReply::Conflict(current),
+                Err(error) if error.may_be_applied() => PeerReply::StoreAnswerLost,
+                Err(_) => PeerReply::StoreUnavailable,
+            },
+            PeerRequest::ListObjects { space, prefix } => match self.store(space).list(&prefix).await {
+                Ok(listing) => PeerReply::Objects {
+                    version: listing.version,
+                    objects: listing.objects.into_iter().map(wire_object).collect(),
+                },
+                Err(_) => PeerReply::StoreUnavailable,
+            },
+        }
+    }
+
+    fn store(&self, space: ObjectSpace) -> &dyn ObjectStore {
+        match space {
+            ObjectSpace::Product => &*self.product_store,
+            ObjectSpace::Platform => &*self.platform_store,
+        }
+    }
+}
+
+fn copy_changes(changes: MirrorChanges) -> PeerReply {
+    match changes {
+        MirrorChanges::Changes { changes, age_ms } => PeerReply::CopyChanges {
+            version: changes.version,
+            changes: changes.changes.into_iter().map(wire_change).collect(),
+            age_ms,
+        },
+        MirrorChanges::Relist => PeerReply::CopyRelist,
+        MirrorChanges::Stale => PeerReply::CopyStale,
+    }
+}
+
+#[async_trait]
+impl Handler for PeerHandler {
+    async fn handle(&self, mut request: Request, _connection: &Connection) -> Response {
+        if request.url().path() != PEER_PATH {
+            return Response::new(StatusCode::NotFound);
+        }
+        let body = match request.body_bytes().await {
+            Ok(body) => body,
+            Err(error) => {
+                LogEvent::ConnectionFailed.write(format_args!("a host's call cannot be read: {error}"));
+                return Response::new(StatusCode::BadRequest);
+            }
+        };
+        match decode::<PeerRequest>(&body) {
+            Ok(request) => {
+                let mut response = Response::new(StatusCode::Ok);
+                response.set_body(encode(&self.reply(request).await));
+                response
+            }
+            Err(error) => {
+                LogEvent::ConnectionFailed.write(format_args!("a host's call cannot be decoded: {error}"));
+                Response::new(StatusCode::BadRequest)
+            }
+        }
+    }
+}
