A host that leaves hands the texts of its runs on

Ruled out: keeping the batches until the grace time ends, because the next owner restarts within it as well. Change: the message that hands a batch on carries the open texts; the next owner continues them after their last events.

--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -21,6 +21,7 @@
 pub use engine_load::{EngineLoads, LoadOptions};
 pub use events::{BatchEvents, BatchProgress, RunEnd};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
+pub use owned::ItemText;
 pub use ownership::{BatchMembers, Takeover, takeover};
 pub use plan::{BatchPlan, ItemState, PlanOptions};
 pub use result::{BatchResult, ResultPage, ResultPiece, ResultState};
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -7,15 +7,21 @@
 use indexmap::IndexMap;
 use jm_forward::RunKey;
 use jm_types::{DurationMs, Timestamp, WeightVersion};
+use serde::{Deserialize, Serialize};
 
 use crate::{BatchPlan, BatchResult, BatchSpec, GenerationEvent, ItemState, PlanOptions, ResultState};
 
-/// The text of an item so far.
-#[derive(Debug, Clone, Default)]
-struct ItemText {
-    text: String,
-    last_event: Option<u64>,
-    versions: Vec<WeightVersion>,
+/// The text of an item so far. A host that leaves hands it on, so that the next owner continues it.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemText {
+    /// Index of the item in the batch.
+    pub item: usize,
+    /// The data of the events, separated by line feeds.
+    pub text: String,
+    /// Number of the last event; none before the first one.
+    pub last_event: Option<u64>,
+    /// The weight versions that generated an event of the text.
+    pub versions: Vec<WeightVersion>,
 }
 
 /// A run of an item.
@@ -96,6 +102,28 @@
         }
     }
 
+    /// Continues texts that an earlier owner handed on. What its results hold already is left out.
+    pub(crate) fn continue_texts(&mut self, texts: Vec<ItemText>) {
+        for text in texts {
+            let is_open = self.texts.len() > text.item && self.plan.state(text.item) != ItemState::Done;
+            if is_open {
+                let item = text.item;
+                self.texts[item] = text;
+            }
+        }
+    }
+
+    /// The texts of open items.
+    pub(crate) fn open_texts(&self) -> Vec<ItemText> {
+        let begun =
+            self.texts.iter().enumerate().filter(|(item, text)| {
+                text.last_event.is_some() && self.plan.state(*item) != ItemState::Done
+            });
+        begun
+            .map(|(item, text)| ItemText { item, ..text.clone() })
+            .collect()
+    }
+
     pub(crate) fn is_finished(&self) -> bool {
         self.listed.len() >= self.spec.items.len()
     }
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -22,7 +22,7 @@
     BatchEvents, BatchResult, BatchSpec, BatchStore, EngineLoads, GenerationEnd, Generator, LoadOptions,
     PlanOptions, ResultPage, RunEnd,
     engine_load::ForeignWork,
-    owned::{OwnedBatch, Run},
+    owned::{ItemText, OwnedBatch, Run},
 };
 
 /// What a runner knows of the world around it.
@@ -154,11 +154,12 @@
         Arc::clone(&self.foreign.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Begins to run a batch; `listed` are its results so far.
-    pub(crate) fn adopt(&self, spec: Arc<BatchSpec>, listed: Vec<BatchResult>) {
+    /// Begins to run a batch; `listed` are its results so far, and `texts` what an earlier owner handed on.
+    pub(crate) fn adopt(&self, spec: Arc<BatchSpec>, listed: Vec<BatchResult>, texts: Vec<ItemText>) {
         let batch = spec.id.clone();
         let now = self.now();
-        let owned = OwnedBatch::new(spec, listed, self.options.plan, now);
+        let mut owned = OwnedBatch::new(spec, listed, self.options.plan, now);
+        owned.continue_texts(texts);
         self.state().owned.insert(batch, owned);
         self.wake();
     }
@@ -227,6 +228,12 @@
         Some(owned.listed)
     }
 
+    /// The texts of open items of a batch, for its next owner.
+    pub(crate) fn open_texts(&self, batch: &BatchId) -> Vec<ItemText> {
+        let state = self.state();
+        state.owned.get(batch).map_or(Vec::new(), OwnedBatch::open_texts)
+    }
+
     /// The specification of a batch that this host runs or ran.
     pub(crate) fn spec(&self, batch: &BatchId) -> Option<Arc<BatchSpec>> {
         let state = self.state();
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     BatchEvents, BatchMembers, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, BatchWorld,
-    Generator, ResultPage, RunnerOptions, StoreError,
+    Generator, ItemText, ResultPage, RunnerOptions, StoreError,
     runner::{Runner, RunnerParts},
     store::Changed,
 };
@@ -38,8 +38,9 @@
         wait: DurationMs,
     ) -> Option<ResultPage>;
 
-    /// Tells a host that it owns a batch now; it also hears of it from the store.
-    async fn announce(&self, owner: &MemberId, state: &BatchState, version: Version);
+    /// Tells the owner that a state names that it owns the batch now, and hands on the texts so far. It hears of the
+    /// batch from the store as well.
+    async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>);
 }
 
 /// Settings of the service.
@@ -123,6 +124,8 @@
 const STATE_TRIES: usize = 8;
 /// Wait between them.
 const STATE_RETRY_MS: DurationMs = DurationMs::new(200);
+/// Batches whose handed texts are kept at the same time.
+const KEPT_HANDED: usize = 16;
 /// Batches of other hosts whose results are kept in memory.
 const KEPT_RESULTS: usize = 6;
 
@@ -139,6 +142,8 @@
     claiming: HashSet<BatchId>,
     results: IndexMap<BatchId, Arc<Vec<BatchResult>>>,
     specs: IndexMap<BatchId, Arc<BatchSpec>>,
+    /// Texts that earlier owners handed on, until this host takes their batches over.
+    handed: IndexMap<BatchId, Vec<ItemText>>,
     is_leaving: bool,
 }
 
@@ -269,6 +274,14 @@
         }
     }
 
+    /// Another host hands a batch on.
+    pub fn take_handed(self: &Arc<Self>, state: BatchState, version: Version, texts: Vec<ItemText>) {
+        if !texts.is_empty() {
+            keep(&mut self.state().handed, &state.batch, texts, KEPT_HANDED);
+        }
+        self.apply_state(state, version);
+    }
+
     /// A state object as the store shows it.
     pub fn apply_state(self: &Arc<Self>, state: BatchState, version: Version) {
         if self.remember(state, version) {
--- a/crates/jm-batch/src/service/own.rs
+++ b/crates/jm-batch/src/service/own.rs
@@ -98,7 +98,8 @@
         let mut listed = Vec::new();
         self.parts.store.load_results(&state.batch, &mut listed).await?;
         let count = listed.len();
-        self.runner.adopt(Arc::new(spec), listed);
+        let texts = self.state().handed.swap_remove(&state.batch).unwrap_or_default();
+        self.runner.adopt(Arc::new(spec), listed, texts);
         self.parts.events.taken_over(&state.batch, &from, count);
         Ok(())
     }
@@ -196,9 +197,10 @@
             };
             match self.parts.store.update_state(&handed, known.version).await {
                 Ok(Changed::Made(version)) => {
+                    let texts = self.runner.open_texts(&batch);
                     self.stop(&handed);
                     self.remember(handed.clone(), version);
-                    self.parts.peers.announce(&handed.owner, &handed, version).await;
+                    self.parts.peers.announce(&handed, version, texts).await;
                 }
                 Ok(Changed::Conflict) => {}
                 Err(error) => {
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -43,11 +43,11 @@
                 self.parts.events.accepted(&spec.id, spec.items.len());
                 self.remember(state.clone(), version);
                 if state.is_owned_by(&self.options.own, self.options.incarnation) {
-                    self.runner.adopt(spec, Vec::new());
+                    self.runner.adopt(spec, Vec::new(), Vec::new());
                 } else {
                     let service = Arc::clone(self);
                     task::spawn(async move {
-                        service.parts.peers.announce(&state.owner, &state, version).await;
+                        service.parts.peers.announce(&state, version, Vec::new()).await;
                     });
                 }
                 Ok(())
--- a/crates/jm-batch/tests/batch_takeover.rs
+++ b/crates/jm-batch/tests/batch_takeover.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{FaultyStore, Hosts, Step, TestHost, engine, spec, text, whole_text};
+use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text};
 use jm_batch::{BatchMembers, BatchPhase, BatchState, GenerationRequest, Takeover, takeover};
 use jm_types::{Incarnation, MemberId, WeightVersion};
 
@@ -62,6 +62,36 @@
     assert!(a.results.iter().all(|result| result.text == whole_text(3)));
 }
 
+/// A host that leaves hands on what its runs have brought, and the next owner continues the texts.
+#[async_std::test]
+async fn handed_on() {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
+    let half = Box::new(|_: &_, _: &GenerationRequest| vec![data(1), data(2), Step::Silence]);
+    let first = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 8, 1)], half);
+    first.service.submit(spec("b1", &[3, 2])).await.unwrap();
+    common::without_hang(async {
+        while first.engines.runs.lock().unwrap().len() < 2 {
+            async_std::task::sleep(std::time::Duration::from_millis(2)).await;
+        }
+    })
+    .await;
+    async_std::task::sleep(std::time::Duration::from_millis(10)).await;
+    let rest = Box::new(|_: &_, request: &GenerationRequest| {
+        assert_eq!(request.resume_after, Some(2), "the text goes on where it was");
+        text(request, 4, 1)
+    });
+    let second = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 8, 1)], rest);
+    first.service.leave().await;
+    hosts.kill("host-a");
+    let handed = std::mem::take(&mut *first.peers.handed.lock().unwrap());
+    assert_eq!(handed.len(), 1);
+    for (state, version, texts) in handed {
+        second.service.take_handed(state, version, texts);
+    }
+    let page = second.listed("b1", 2).await;
+    assert!(page.results.iter().all(|result| result.text == whole_text(4)));
+}
+
 struct Known {
     running: bool,
     live: Vec<MemberId>,
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use jm_batch::{
     BatchEvents, BatchItem, BatchMembers, BatchPeers, BatchProgress, BatchService, BatchServiceOptions,
     BatchServiceParts, BatchSpec, BatchState, BatchStore, BatchWorld, EventSink, GenerationEnd,
-    GenerationEvent, GenerationRequest, Generator, ResultPage, RunEnd, RunnerOptions,
+    GenerationEvent, GenerationRequest, Generator, ItemText, ResultPage, RunEnd, RunnerOptions,
 };
 use jm_forward::{
     BatchTerms, CallerLimits, Catalog, EngineTerms, Route, RouteKind, RoutingTable, RunKey, Service,
@@ -224,11 +224,14 @@
     }
 }
 
-/// Hosts that never answer one another.
-pub(crate) struct NoPeers;
+/// Hosts that never answer one another. What is handed on waits for the test.
+#[derive(Default)]
+pub(crate) struct SilentPeers {
+    pub(crate) handed: Mutex<Vec<(BatchState, Version, Vec<ItemText>)>>,
+}
 
 #[async_trait]
-impl BatchPeers for NoPeers {
+impl BatchPeers for SilentPeers {
     async fn read(
         &self,
         _owner: &MemberId,
@@ -239,7 +242,9 @@
         None
     }
 
-    async fn announce(&self, _owner: &MemberId, _state: &BatchState, _version: Version) {}
+    async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
+        self.handed.lock().unwrap().push((state.clone(), version, texts));
+    }
 }
 
 #[derive(Default)]
@@ -341,6 +346,7 @@
     pub(crate) engines: Arc<ScriptedEngines>,
     pub(crate) events: Arc<SeenEvents>,
     pub(crate) world: Arc<TestWorld>,
+    pub(crate) peers: Arc<SilentPeers>,
 }
 
 impl TestHost {
@@ -360,6 +366,7 @@
         let world = Arc::new(TestWorld {
             catalog: Mutex::new(Arc::new(targets.into_iter().collect())),
         });
+        let peers = Arc::new(SilentPeers::default());
         let options = BatchServiceOptions {
             own: name.parse().unwrap(),
             incarnation: Incarnation::new(1),
@@ -380,7 +387,7 @@
             generator: Arc::clone(&engines) as _,
             world: Arc::clone(&world) as _,
             members: Arc::clone(hosts) as _,
-            peers: Arc::new(NoPeers),
+            peers: Arc::clone(&peers) as _,
             events: Arc::clone(&events) as _,
         };
         let service = BatchService::new(options, parts);
@@ -391,6 +398,7 @@
             engines,
             events,
             world,
+            peers,
         }
     }
 
--- a/crates/jm-host/src/peer/handler.rs
+++ b/crates/jm-host/src/peer/handler.rs
@@ -52,8 +52,12 @@
                 self.usage.take(host, incarnation, counts);
                 PeerReply::Taken
             }
-            PeerRequest::BatchState { state, version } => {
-                self.batches.apply_state(state, version);
+            PeerRequest::BatchState {
+                state,
+                version,
+                texts,
+            } => {
+                self.batches.take_handed(state, version, texts);
                 PeerReply::Taken
             }
             PeerRequest::ListCopy {
--- a/crates/jm-host/src/peer/message.rs
+++ b/crates/jm-host/src/peer/message.rs
@@ -1,7 +1,7 @@
 //! What hosts ask one another, and what they answer.
 
 use indexmap::IndexMap;
-use jm_batch::{BatchState, ResultPage};
+use jm_batch::{BatchState, ItemText, ResultPage};
 use jm_platform::{Change, Condition, KeyedObject, Object, Version};
 use jm_types::{BatchId, DurationMs, Incarnation, MemberId, OrganisationId};
 use jm_usage::WindowId;
@@ -44,6 +44,7 @@
     BatchState {
         state: BatchState,
         version: Version,
+        texts: Vec<ItemText>,
     },
     ListCopy {
         space: ObjectSpace,
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -14,7 +14,7 @@
 use async_trait::async_trait;
 use futures::FutureExt;
 use futures::future::select_ok;
-use jm_batch::{BatchPeers, BatchState, ResultPage};
+use jm_batch::{BatchPeers, BatchState, ItemText, ResultPage};
 use jm_http::{Client, Limits, Method, Request, Reuse, StatusCode, Url};
 use jm_node::{decode, encode};
 use jm_platform::Version;
@@ -152,13 +152,14 @@
         }
     }
 
-    async fn announce(&self, owner: &MemberId, state: &BatchState, version: Version) {
+    async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
         let request = PeerRequest::BatchState {
             state: state.clone(),
             version,
+            texts,
         };
         // A host that does not answer hears of its batch from the store.
-        self.call_member(owner, &request, DurationMs::new(0)).await;
+        self.call_member(&state.owner, &request, DurationMs::new(0)).await;
     }
 }
 
