--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -205,6 +205,12 @@
             .collect()
     }
 
+    /// The states of all batches that are known.
+    pub fn known_states(&self) -> Vec<BatchState> {
+        let state = self.state();
+        state.known.values().map(|known| known.state.clone()).collect()
+    }
+
     /// The newest of the oldest weights that running batches of all hosts accept, by model.
     pub fn wanted_versions(&self) -> IndexMap<ModelId, WeightVersion> {
         let state = self.state();
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -16,6 +16,7 @@
 mod platform;
 mod relay;
 mod settings;
+mod status;
 mod world;
 
 pub use duty::{LONGEST_CALL_MS, UsageBook, UsageCounter};
@@ -32,4 +33,5 @@
 };
 pub use relay::{RelayPeer, RelayedStore};
 pub use settings::{BoundSettings, HostSettings, ListenSettings, SettingsError};
+pub use status::{HostStatus, MemberStatus, OpenBatch, StatusError, TargetStatus, ask_status};
 pub use world::World;
--- a/crates/jm-host/src/peer/handler.rs
+++ b/crates/jm-host/src/peer/handler.rs
@@ -17,6 +17,7 @@
     Mirror, MirrorChanges,
     duty::{LeaseView, UsageBook},
     membership::Membership,
+    status::HostStatus,
     world::World,
 };
 
@@ -43,6 +44,10 @@
             } => PeerReply::Page(self.batches.read_owned(&batch, after, wait_ms).await),
             PeerRequest::Members => PeerReply::Members(self.membership.registrations()),
             PeerRequest::Configuration => PeerReply::Configuration(self.world.routing_value()),
+            PeerRequest::Status => {
+                let (membership, world) = (&self.membership, &self.world);
+                PeerReply::Status(HostStatus::of(membership, world, &self.batches, &self.lease))
+            }
             PeerRequest::LeaseHolder => PeerReply::LeaseHolder(self.lease.holder()),
             PeerRequest::Usage {
                 host,
--- a/crates/jm-host/src/peer/message.rs
+++ b/crates/jm-host/src/peer/message.rs
@@ -7,7 +7,7 @@
 use jm_usage::WindowId;
 use serde::{Deserialize, Serialize};
 
-use crate::membership::Registration;
+use crate::{membership::Registration, status::HostStatus};
 
 /// Which objects a relayed call concerns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -36,6 +36,7 @@
     Members,
     Configuration,
     LeaseHolder,
+    Status,
     Usage {
         host: MemberId,
         incarnation: Incarnation,
@@ -129,6 +130,7 @@
     Configuration(#[serde(with = "serde_bytes")] Vec<u8>),
     /// None when the host does not know it.
     LeaseHolder(Option<MemberId>),
+    Status(HostStatus),
     Taken,
     Object(Option<WireObject>),
     Put(Version),
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -30,7 +30,7 @@
 pub(crate) use relay::Relay;
 
 /// Path of all calls between hosts.
-const PEER_PATH: &str = "/peer";
+pub(crate) const PEER_PATH: &str = "/peer";
 
 /// Time that a call may take besides the wait that it asks for.
 const CALL_MS: DurationMs = DurationMs::new(1_000);
--- /dev/null
+++ b/crates/jm-host/src/status.rs
@@ -0,0 +1,188 @@
+//! What a host believes, for operators.
+
+use std::{net::SocketAddr, time::Duration};
+
+use async_std::future::timeout;
+use jm_batch::{BatchPhase, BatchService, BatchWorld};
+use jm_http::{Client, Limits, Method, Request, Reuse, StatusCode, Url};
+use jm_member::{MemberState, MemberView};
+use jm_node::{decode, encode};
+use jm_types::{
+    BatchId, Incarnation, MemberId, ModelId, Revision, ServiceId, TargetId, WeightVersion, ZoneId,
+};
+use serde::{Deserialize, Serialize};
+use snafu::Snafu;
+
+use crate::{
+    duty::LeaseView,
+    membership::Membership,
+    peer::{PEER_PATH, PeerReply, PeerRequest},
+    world::World,
+};
+
+/// Time for the answer of a host.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A host as another one sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    /// The host.
+    pub host: MemberId,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// `alive`, `leaving`, `suspected` or `failed`.
+    pub state: String,
+}
+
+/// A target as the host sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetStatus {
+    /// The target.
+    pub target: TargetId,
+    /// Its service.
+    pub service: ServiceId,
+    /// Whether it gets new work.
+    pub is_serving: bool,
+    /// Its weights as the platform lists them.
+    pub weights: Vec<(ModelId, WeightVersion)>,
+}
+
+/// A batch that is not over.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OpenBatch {
+    /// The batch.
+    pub batch: BatchId,
+    /// The host that runs it.
+    pub owner: MemberId,
+    /// Its items.
+    pub items: usize,
+}
+
+/// What a host believes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostStatus {
+    /// The host.
+    pub host: MemberId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Whether it is about to stop.
+    pub is_leaving: bool,
+    /// Revision of its configuration; zero before the first one.
+    pub config_revision: Revision,
+    /// Holder of the lease of the shared duties, when known.
+    pub lease_holder: Option<MemberId>,
+    /// The other hosts.
+    pub members: Vec<MemberStatus>,
+    /// The targets.
+    pub targets: Vec<TargetStatus>,
+    /// Batches that are not over.
+    pub open_batches: Vec<OpenBatch>,
+}
+
+impl HostStatus {
+    pub(crate) fn of(
+        membership: &Membership,
+        world: &World,
+        batches: &BatchService,
+        lease: &LeaseView,
+    ) -> Self {
+        Self {
+            host: membership.own().clone(),
+            incarnation: membership.incarnation(),
+            is_leaving: membership.is_leaving(),
+            config_revision: world.revision(),
+            lease_holder: lease.holder(),
+            members: members(membership.own(), &membership.view()),
+            targets: targets(world),
+            open_batches: open_batches(batches),
+        }
+    }
+}
+
+fn members(own: &MemberId, view: &MemberView) -> Vec<MemberStatus> {
+    let others = view.iter().filter(|member| member.record.id != *own);
+    others
+        .map(|member| MemberStatus {
+            host: member.record.id.clone(),
+            zone: member.record.zone.clone(),
+            state: state_name(member.state).to_owned(),
+        })
+        .collect()
+}
+
+fn state_name(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Leaving => "leaving",
+        MemberState::Suspected => "suspected",
+        MemberState::Failed => "failed",
+    }
+}
+
+fn targets(world: &World) -> Vec<TargetStatus> {
+    let catalog = world.catalog();
+    let targets = catalog.iter().map(|target| TargetStatus {
+        target: target.run.id.clone(),
+        service: target.service.clone(),
+        is_serving: target.is_serving(),
+        weights: target
+            .models
+            .iter()
+            .map(|(model, version)| (model.clone(), *version))
+            .collect(),
+    });
+    targets.collect()
+}
+
+fn open_batches(batches: &BatchService) -> Vec<OpenBatch> {
+    let states = batches.known_states().into_iter();
+    states
+        .filter(|state| state.phase == BatchPhase::Running)
+        .map(|state| OpenBatch {
+            batch: state.batch,
+            owner: state.owner,
+            items: state.items,
+        })
+        .collect()
+}
+
+/// A host did not tell its status.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display(
+    "the host at {address} does not tell its status: {reason}; give the address of its peers' port"
+))]
+pub struct StatusError {
+    address: SocketAddr,
+    reason: String,
+}
+
+/// Asks a host what it believes.
+///
+/// # Errors
+///
+/// Fails when the host does not answer in time or answers something else.
+pub async fn ask_status(address: SocketAddr) -> Result<HostStatus, StatusError> {
+    let failed = |reason: String| StatusError { address, reason };
+    let url =
+        Url::parse(&format!("http://{address}{PEER_PATH}")).map_err(|error| failed(error.to_string()))?;
+    let mut call = Request::new(Method::Post, url);
+    call.set_body(encode(&PeerRequest::Status));
+    let client = Client::new(Limits::default());
+    let exchange = async {
+        let mut response = client
+            .send_to(address.to_string(), call, Reuse::Fresh)
+            .await
+            .map_err(|error| error.to_string())?;
+        if response.status() != StatusCode::Ok {
+            return Err(format!("status {}", response.status()));
+        }
+        let body = response.body_bytes().await.map_err(|error| error.to_string())?;
+        decode::<PeerReply>(&body).map_err(|error| error.to_string())
+    };
+    match timeout(STATUS_TIMEOUT, exchange).await {
+        Ok(Ok(PeerReply::Status(status))) => Ok(status),
+        Ok(Ok(_)) => Err(failed("it answered something else".to_owned())),
+        Ok(Err(reason)) => Err(failed(reason)),
+        Err(_) => Err(failed("no answer in time".to_owned())),
+    }
+}
