Fewer calls in an outage of the store: no calls for other hosts, and a growing wait before one's own

Ruled out: restarts (about ten calls each). Change: a host that the store does not answer makes no calls for others; a follower whose copies are all old waits 0.2 s to 1.6 s between its own calls and goes on asking for copies meanwhile.

--- a/crates/jm-host/src/follow.rs
+++ b/crates/jm-host/src/follow.rs
@@ -80,6 +80,27 @@
 /// must be noticed within it.
 const COPY_WAIT_MS: DurationMs = DurationMs::new(800);
 
+/// When the store may be called again. During an outage every host finds all copies old; without a growing wait the
+/// calls of a fleet would grow with its size just then.
+#[derive(Default)]
+struct StoreCalls {
+    next_at: Timestamp,
+    failures: u32,
+}
+
+impl StoreCalls {
+    fn failed(&mut self, now: Timestamp) {
+        let factor = 1_u64 << self.failures.min(MAX_DOUBLINGS);
+        self.next_at = now.after(DurationMs::new(FIRST_STORE_WAIT_MS.get() * factor));
+        self.failures += 1;
+    }
+}
+
+/// Wait before the second call on a store that does not answer.
+const FIRST_STORE_WAIT_MS: DurationMs = DurationMs::new(200);
+/// Doublings of that wait.
+const MAX_DOUBLINGS: u32 = 3;
+
 /// What was reached, and when the store confirmed it.
 struct Position {
     version: Version,
@@ -92,8 +113,9 @@
     pub async fn run(self) {
         let mut confirmed_at = self.clock.now();
         let mut retry = self.options.retry_ms;
+        let mut store_calls = StoreCalls::default();
         loop {
-            match self.list(confirmed_at).await {
+            match self.list(confirmed_at, &mut store_calls).await {
                 Ok(position) => {
                     if retry > self.options.retry_ms {
                         LogEvent::StoreAvailable
@@ -115,17 +137,14 @@
     }
 
     /// Lists the prefix and tells the follower what changed.
-    async fn list(&self, confirmed_at: Timestamp) -> Result<Position, String> {
+    async fn list(&self, confirmed_at: Timestamp, store_calls: &mut StoreCalls) -> Result<Position, String> {
         let copy = self
             .source
             .list(self.space, self.prefix, self.options.max_age_ms)
             .await;
         let (listing, age) = match copy {
             Some(copy) => copy,
-            None => {
-                let listing = self.store.list(self.prefix).await;
-                (listing.map_err(|error| error.to_string())?, DurationMs::new(0))
-            }
+            None => (self.list_store(store_calls).await?, DurationMs::new(0)),
         };
         let now = self.clock.now();
         let gap = now.since(confirmed_at).saturating_sub(age);
@@ -141,6 +160,23 @@
         Ok(position)
     }
 
+    /// Lists the prefix in the store, unless it failed lately.
+    async fn list_store(&self, store_calls: &mut StoreCalls) -> Result<Listing, String> {
+        if self.clock.now() < store_calls.next_at {
+            return Err("no other host has a new copy, and the store did not answer lately".to_owned());
+        }
+        match self.store.list(self.prefix).await {
+            Ok(listing) => {
+                *store_calls = StoreCalls::default();
+                Ok(listing)
+            }
+            Err(error) => {
+                store_calls.failed(self.clock.now());
+                Err(error.to_string())
+            }
+        }
+    }
+
     /// Follows the changes until a listing is due; returns when the store last confirmed what is known.
     async fn watch(&self, mut position: Position) -> Timestamp {
         loop {
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -88,8 +88,8 @@
 
 /// The parts of a host that its tasks need and its callers do not.
 struct Wiring {
-    product_store: Arc<dyn ObjectStore>,
-    platform_store: Arc<dyn ObjectStore>,
+    product_store: Arc<RelayedStore>,
+    platform_store: Arc<RelayedStore>,
     usage: Arc<UsageCounter>,
     book: Arc<UsageBook>,
     mirror: Arc<Mirror>,
@@ -144,7 +144,7 @@
         let objects = Arc::clone(&platform.objects);
         let world = Arc::new(World::new(objects, Arc::clone(&clock), on_change(&changes.0)));
         let peers = Arc::new(PeerClient::new(Arc::clone(&membership)));
-        let relayed = |direct: &Arc<dyn ObjectStore>, space| -> Arc<dyn ObjectStore> {
+        let relayed = |direct: &Arc<dyn ObjectStore>, space| -> Arc<RelayedStore> {
             let client = Arc::clone(&peers);
             let relay = Arc::new(Relay { client, space });
             Arc::new(RelayedStore::new(Arc::clone(direct), relay, Arc::clone(&clock)))
@@ -172,7 +172,7 @@
             BatchServiceParts {
                 clock: Arc::clone(&clock),
                 wall: Arc::clone(&wall),
-                store: BatchStore::new(Arc::clone(&wiring.product_store)),
+                store: BatchStore::new(Arc::clone(&wiring.product_store) as _),
                 generator: Arc::clone(&wiring.platform.generator),
                 world: Arc::clone(&world) as _,
                 members: Arc::clone(&membership) as _,
@@ -321,8 +321,8 @@
             usage: Arc::clone(&wiring.book),
             mirror: Arc::clone(&wiring.mirror),
             lease: Arc::clone(&self.lease),
-            product_store: Arc::clone(&wiring.platform.store),
-            platform_store: Arc::clone(&wiring.platform.platform_store),
+            product_store: Arc::clone(&wiring.product_store),
+            platform_store: Arc::clone(&wiring.platform_store),
         };
         let limits = Limits {
             body_bytes: ByteSize::new(8_000_000),
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -92,7 +92,7 @@
         };
         let client = Arc::clone(&self.peers);
         let task = FollowTask {
-            store: Arc::clone(store),
+            store: Arc::clone(store) as _,
             space,
             prefix,
             options,
@@ -106,7 +106,7 @@
 
     fn start_duties(self: &Arc<Self>, wiring: &Wiring) {
         let lease = LeaseLoop {
-            store: Arc::clone(&wiring.product_store),
+            store: Arc::clone(&wiring.product_store) as _,
             clock: Arc::clone(&self.clock),
             membership: Arc::clone(&self.membership),
             view: Arc::clone(&self.lease),
@@ -124,7 +124,7 @@
         let usage = UsageDuty {
             counter: Arc::clone(&wiring.usage),
             book: Arc::clone(&wiring.book),
-            store: Arc::clone(&wiring.product_store),
+            store: Arc::clone(&wiring.product_store) as _,
             duties: Arc::clone(&wiring.platform.duties),
             lease: Arc::clone(&self.lease),
             clock: Arc::clone(&self.clock),
@@ -141,8 +141,8 @@
         );
         task::spawn(weights.run());
         let upkeep = Upkeep {
-            store: Arc::clone(&wiring.product_store),
-            platform_store: Arc::clone(&wiring.platform_store),
+            store: Arc::clone(&wiring.product_store) as _,
+            platform_store: Arc::clone(&wiring.platform_store) as _,
             objects: Arc::clone(&wiring.platform.objects),
             duties: Arc::clone(&wiring.platform.duties),
             membership: Arc::clone(&self.membership),
--- a/crates/jm-host/src/peer/handler.rs
+++ b/crates/jm-host/src/peer/handler.rs
@@ -11,10 +11,10 @@
 
 use super::{
     ObjectSpace, PEER_PATH, PeerReply, PeerRequest,
-    message::{WireObject, wire_change, wire_object},
+    message::{WireCondition, WireObject, wire_change, wire_object},
 };
 use crate::{
-    Mirror, MirrorChanges,
+    Mirror, MirrorChanges, RelayedStore,
     duty::{LeaseView, UsageBook},
     membership::Membership,
     status::HostStatus,
@@ -29,9 +29,8 @@
     pub(crate) usage: Arc<UsageBook>,
     pub(crate) mirror: Arc<Mirror>,
     pub(crate) lease: Arc<LeaseView>,
-    /// The stores without a relay, so that no call goes round.
-    pub(crate) product_store: Arc<dyn ObjectStore>,
-    pub(crate) platform_store: Arc<dyn ObjectStore>,
+    pub(crate) product_store: Arc<RelayedStore>,
+    pub(crate) platform_store: Arc<RelayedStore>,
 }
 
 impl PeerHandler {
@@ -90,43 +89,70 @@
                     .await;
                 copy_changes(changes)
             }
-            PeerRequest::GetObject { space, key } => match self.store(space).get(&key).await {
-                Ok(object) => PeerReply::Object(object.map(|object| WireObject {
-                    key,
-                    value: object.value,
-                    version: object.version,
-                })),
-                Err(_) => PeerReply::StoreUnavailable,
+            PeerRequest::GetObject { space, key } => match self.store(space) {
+                Some(store) => get_for_other(store, key).await,
+                None => PeerReply::StoreUnavailable,
             },
             PeerRequest::PutObject {
                 space,
                 key,
                 value,
                 condition,
-            } => match self.store(space).put(&key, value, condition.into()).await {
-                Ok(version) => PeerReply::Put(version),
-                Err(ObjectError::Conflict { current }) => PeerReply::Conflict(current),
-                Err(error) if error.may_be_applied() => PeerReply::StoreAnswerLost,
-                Err(_) => PeerReply::StoreUnavailable,
+            } => match self.store(space) {
+                Some(store) => put_for_other(store, &key, value, condition).await,
+                None => PeerReply::StoreUnavailable,
             },
-            PeerRequest::ListObjects { space, prefix } => match self.store(space).list(&prefix).await {
-                Ok(listing) => PeerReply::Objects {
-                    version: listing.version,
-                    objects: listing.objects.into_iter().map(wire_object).collect(),
-                },
-                Err(_) => PeerReply::StoreUnavailable,
+            PeerRequest::ListObjects { space, prefix } => match self.store(space) {
+                Some(store) => list_for_other(store, &prefix).await,
+                None => PeerReply::StoreUnavailable,
             },
         }
     }
 
-    fn store(&self, space: ObjectSpace) -> &dyn ObjectStore {
+    /// The store itself, so that no call goes round.
+    fn store(&self, space: ObjectSpace) -> Option<&dyn ObjectStore> {
         match space {
-            ObjectSpace::Product => &*self.product_store,
-            ObjectSpace::Platform => &*self.platform_store,
+            ObjectSpace::Product => self.product_store.for_others(),
+            ObjectSpace::Platform => self.platform_store.for_others(),
         }
     }
 }
 
+async fn get_for_other(store: &dyn ObjectStore, key: String) -> PeerReply {
+    match store.get(&key).await {
+        Ok(object) => PeerReply::Object(object.map(|object| WireObject {
+            key,
+            value: object.value,
+            version: object.version,
+        })),
+        Err(_) => PeerReply::StoreUnavailable,
+    }
+}
+
+async fn put_for_other(
+    store: &dyn ObjectStore,
+    key: &str,
+    value: Vec<u8>,
+    condition: WireCondition,
+) -> PeerReply {
+    match store.put(key, value, condition.into()).await {
+        Ok(version) => PeerReply::Put(version),
+        Err(ObjectError::Conflict { current }) => PeerReply::Conflict(current),
+        Err(error) if error.may_be_applied() => PeerReply::StoreAnswerLost,
+        Err(_) => PeerReply::StoreUnavailable,
+    }
+}
+
+async fn list_for_other(store: &dyn ObjectStore, prefix: &str) -> PeerReply {
+    match store.list(prefix).await {
+        Ok(listing) => PeerReply::Objects {
+            version: listing.version,
+            objects: listing.objects.into_iter().map(wire_object).collect(),
+        },
+        Err(_) => PeerReply::StoreUnavailable,
+    }
+}
+
 fn copy_changes(changes: MirrorChanges) -> PeerReply {
     match changes {
         MirrorChanges::Changes { changes, age_ms } => PeerReply::CopyChanges {
--- a/crates/jm-host/src/relay.rs
+++ b/crates/jm-host/src/relay.rs
@@ -54,6 +54,12 @@
         }
     }
 
+    /// The store for a call that another host asks for; none while it does not answer this host either, so that an
+    /// outage does not multiply the calls.
+    pub fn for_others(&self) -> Option<&dyn ObjectStore> {
+        (!self.is_detoured()).then_some(&*self.direct)
+    }
+
     fn is_detoured(&self) -> bool {
         self.clock.now() < Timestamp::new(self.detour_until_ms.load(Ordering::Relaxed))
     }
--- a/crates/jm-host/tests/relayed_store.rs
+++ b/crates/jm-host/tests/relayed_store.rs
@@ -153,3 +153,13 @@
     assert!(matches!(result, Err(ObjectError::Conflict { .. })), "{result:?}");
     assert_eq!(store.list("kind/").await.unwrap().objects.len(), 1);
 }
+
+/// In an outage for all, hosts do not make one another's calls on top of their own.
+#[async_std::test]
+async fn no_calls_for_others_in_an_outage() {
+    let (store, own, _neighbour) = stores();
+    assert!(store.for_others().is_some());
+    own.is_cut.store(true, Ordering::SeqCst);
+    let _ = store.get("kind/a").await;
+    assert!(store.for_others().is_none());
+}
