--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -74,9 +74,8 @@
                 let Some(target) = choose_target(owned, item, routing, catalog, loads, &shares, now) else {
                     break;
                 };
-                *next_serial += 1;
-                starts.push(start(owned, item, *next_serial, target, now, unix_ms));
                 loads.began(&target.run, owned.spec.items[item].work_tokens());
+                starts.push(start(owned, item, next_serial, target, now, unix_ms));
             }
         }
         starts
@@ -112,9 +111,8 @@
                 };
                 loads.ended(&run.target, run.tokens);
                 left.push(run.target);
-                *next_serial += 1;
-                starts.push(start(owned, item, *next_serial, target, now, unix_ms));
                 loads.began(&target.run, owned.spec.items[item].work_tokens());
+                starts.push(start(owned, item, next_serial, target, now, unix_ms));
             }
         }
         drop(guard);
@@ -268,11 +266,13 @@
 fn start(
     owned: &mut OwnedBatch,
     item: usize,
-    serial: u64,
+    next_serial: &mut u64,
     target: &Target,
     now: Timestamp,
     unix_ms: u64,
 ) -> Start {
+    let serial = *next_serial;
+    *next_serial += 1;
     let (abort, registration) = AbortHandle::new_pair();
     let request = GenerationRequest {
         spec: Arc::clone(&owned.spec),
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -28,8 +28,8 @@
 pub use observer::HostObserver;
 pub use peer::{ObjectSpace, UsageCounts};
 pub use platform::{
-    CapacityOrder, DecodeError, DutyCallError, DutyCalls, EngineReport, LoadOrder, LoadOutcome,
-    PlatformObjects, PlatformParts,
+    DecodeError, DutyCallError, DutyCalls, EngineReport, LoadOrder, LoadOutcome, PlatformObjects,
+    PlatformParts,
 };
 pub use relay::{RelayPeer, RelayedStore};
 pub use settings::{BoundSettings, HostSettings, ListenSettings, SettingsError};
--- a/crates/jm-host/src/platform.rs
+++ b/crates/jm-host/src/platform.rs
@@ -8,7 +8,7 @@
 use jm_forward::{RoutingTable, Target, TargetClient};
 use jm_lease::LeaseGuard;
 use jm_platform::ObjectStore;
-use jm_types::{MemberId, ModelId, OrganisationId, ServiceId, WeightVersion, ZoneId};
+use jm_types::{ModelId, OrganisationId, WeightVersion};
 use jm_usage::WindowId;
 use snafu::Snafu;
 
@@ -102,19 +102,6 @@
     },
 }
 
-/// How many targets of a service run in a zone.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct CapacityOrder {
-    /// The service.
-    pub service: ServiceId,
-    /// The zone.
-    pub zone: ZoneId,
-    /// The number.
-    pub count: usize,
-    /// Whether the targets may be reclaimed.
-    pub is_reclaimable: bool,
-}
-
 /// What became of a call to the platform.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum DutyCallError {
@@ -171,6 +158,4 @@
     pub targets: Arc<dyn TargetClient>,
     /// Runs items on engines.
     pub generator: Arc<dyn Generator>,
-    /// This host, as calls name it.
-    pub holder: MemberId,
 }
