A slow answer is read while no second target is free; usage counts a request once, also at the host's stop

Cause: a request whose second attempt was not possible slept without reading the first answer, for up to as long as it had waited already; a request that ran at two targets counted twice in usage; a host that stopped lost up to a second of counts. Ruled out: the budget of second attempts, which only decides whether one starts. Change: the wait for a second attempt goes on beside the first one; a request is counted once; the last counts are sent to the lease's holder before the host exits.

--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -29,6 +29,8 @@
     pub attempts: AttemptsOptions,
 }
 
+/// Least time between two tries to start a second attempt.
+const LEAST_HEDGE_PAUSE_MS: DurationMs = DurationMs::new(20);
 /// Second attempts beside slow ones, per thousand requests.
 const HEDGES_PER_THOUSAND: u64 = 300;
 /// Second attempts that may be made at once after a quiet time.
@@ -134,6 +136,8 @@
             tried: Vec::new(),
             open: FuturesUnordered::new(),
             open_runs: Vec::new(),
+            no_hedge_before: Timestamp::new(0),
+            is_counted: false,
         };
         let left = deadline.since(self.clock.now()).as_std();
         let result = async_std::future::timeout(left, forwarding.run()).await;
@@ -155,6 +159,10 @@
     tried: Vec<RunKey>,
     open: FuturesUnordered<BoxFuture<'a, Ended>>,
     open_runs: Vec<(RunKey, Timestamp)>,
+    /// A second attempt was not possible; it is not tried again before.
+    no_hedge_before: Timestamp,
+    /// Whether the request was counted as begun; it counts once however often it runs.
+    is_counted: bool,
 }
 
 impl<'a> Forwarding<'a> {
@@ -168,7 +176,7 @@
             match ended.outcome {
                 AttemptOutcome::Answered(answer) => {
                     self.loads().answered(&ended.target.run, self.since(ended.begun));
-                    self.forwarder.observer.began(self.access.organisation());
+                    self.count();
                     let attempts = self.tried.len();
                     return Ok(ForwardAnswer { answer, attempts });
                 }
@@ -185,17 +193,18 @@
         let Some(hedge_at) = self.attempts.hedge_at(begun) else {
             return self.open.next().await;
         };
+        let hedge_at = hedge_at.max(self.no_hedge_before);
         let wait = hedge_at.since(self.forwarder.clock.now()).as_std();
         let either = select(self.open.next(), task::sleep(wait).boxed()).await;
         if let Either::Left((ended, _)) = either {
             return ended;
         }
         drop(either);
-        self.hedge(begun).await;
+        self.hedge(begun);
         None
     }
 
-    async fn hedge(&mut self, begun: Timestamp) {
+    fn hedge(&mut self, begun: Timestamp) {
         let is_allowed = lock(&self.forwarder.hedges).withdraw();
         let slow = self.open_runs.last().map(|(run, _)| run.clone());
         if is_allowed && self.start().is_ok() {
@@ -206,8 +215,11 @@
             }
             return;
         }
-        // No second attempt is possible; wait as long again before the next look.
-        task::sleep(self.since(begun).as_std()).await;
+        self.no_hedge_before = self
+            .forwarder
+            .clock
+            .now()
+            .after(self.since(begun).max(LEAST_HEDGE_PAUSE_MS));
     }
 
     /// Starts an attempt at the best target that was not tried.
@@ -264,8 +276,8 @@
         self.forwarder
             .observer
             .attempt_failed(self.request, &target, &outcome, took);
-        if matches!(outcome, AttemptOutcome::Lost { .. }) && self.attempts.runs() == 1 {
-            self.forwarder.observer.began(self.access.organisation());
+        if matches!(outcome, AttemptOutcome::Lost { .. }) {
+            self.count();
         }
         match self.attempts.after_failure(&outcome, now, self.open_runs.len()) {
             NextStep::Wait => Ok(()),
@@ -279,6 +291,13 @@
         }
     }
 
+    /// Counts the request as begun.
+    fn count(&mut self) {
+        if !std::mem::replace(&mut self.is_counted, true) {
+            self.forwarder.observer.began(self.access.organisation());
+        }
+    }
+
     /// Like [`Self::start`], but a target that rejected the request may be asked again when all were.
     fn start_again(&mut self) -> Result<(), ForwardRefusal> {
         if self.start().is_ok() {
--- a/crates/jm-forward/tests/forwarded_request.rs
+++ b/crates/jm-forward/tests/forwarded_request.rs
@@ -4,7 +4,7 @@
 
 use common::{Does, TestForwarder, forwarder, request, route, table};
 use jm_forward::{Access, Forwarded, RouteKind};
-use jm_types::{Execution, ResultCode};
+use jm_types::{DurationMs, Execution, ResultCode};
 
 async fn forward(test: &TestForwarder, kind: RouteKind) -> Forwarded {
     let route = route(kind);
@@ -82,6 +82,33 @@
     assert!(served >= 4, "{served} of 8 requests were served");
 }
 
+/// The only target is slow: its answer is passed on when it comes, although no second target could be found meanwhile.
+#[async_std::test]
+async fn slow_answer_of_the_only_target() {
+    let test = forwarder(&["t1"], vec![("t1", Does::AnswerAfter(1_000))]);
+    let mut slow = route(RouteKind::Idempotent);
+    slow.timeout_ms = DurationMs::new(1_800);
+    let mut request = request("/orders/1", Some("key-1"));
+    request.patience_ms = None;
+    let access = Access::Organisation("parish".parse().unwrap());
+    let forwarded = test
+        .forwarder
+        .forward(&request, &slow, &access, &test.catalog)
+        .await;
+    assert!(forwarded.is_ok(), "{forwarded:?}");
+}
+
+/// A request that ran at two targets is one request in usage.
+#[async_std::test]
+async fn counted_once() {
+    let test = forwarder(&["t1", "t2"], vec![("t1", Does::Lose)]);
+    for _ in 0..4 {
+        forward(&test, RouteKind::Idempotent).await.unwrap();
+    }
+    assert!(attempts(&test) > 4, "a request was repeated");
+    assert_eq!(test.counted.began.lock().unwrap().len(), 4);
+}
+
 /// A request that must not be repeated is not hedged either.
 #[async_std::test]
 async fn no_second_target_for_orders() {
--- a/crates/jm-host/src/duty/mod.rs
+++ b/crates/jm-host/src/duty/mod.rs
@@ -18,7 +18,7 @@
 
 pub(crate) use upkeep::Upkeep;
 pub use usage::{UsageBook, UsageCounter};
-pub(crate) use usage::{UsageDuty, push_usage};
+pub(crate) use usage::{UsageDuty, UsagePush};
 pub(crate) use weights::WeightDuty;
 
 use crate::{
--- a/crates/jm-host/src/duty/usage.rs
+++ b/crates/jm-host/src/duty/usage.rs
@@ -14,7 +14,7 @@
 use super::LeaseView;
 use crate::{
     membership::Membership,
-    peer::{PeerClient, PeerRequest, UsageCounts},
+    peer::{PeerClient, PeerReply, PeerRequest, UsageCounts},
     platform::DutyCalls,
 };
 
@@ -105,40 +105,88 @@
     }
 }
 
-/// Tells the holder of the lease what this host counted, until the future is dropped.
-pub(crate) async fn push_usage(
-    counter: Arc<UsageCounter>,
-    book: Arc<UsageBook>,
-    membership: Arc<Membership>,
-    peers: Arc<PeerClient>,
-    lease: Arc<LeaseView>,
-) {
-    let mut sent = UsageCounts::default();
-    let mut sent_to = None;
-    loop {
-        task::sleep(PUSH_INTERVAL_MS.as_std()).await;
-        let counts = counter.recent();
-        let Some(holder) = lease.holder() else { continue };
-        if counts.windows.is_empty() || (sent == counts && sent_to.as_ref() == Some(&holder)) {
-            continue;
+/// Tells the holder of the lease what this host counted.
+pub(crate) struct UsagePush {
+    pub(crate) counter: Arc<UsageCounter>,
+    pub(crate) book: Arc<UsageBook>,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) peers: Arc<PeerClient>,
+    pub(crate) lease: Arc<LeaseView>,
+}
+
+impl UsagePush {
+    /// Runs until the future is dropped.
+    pub(crate) async fn run(&self) {
+        let mut sent = None;
+        loop {
+            task::sleep(PUSH_INTERVAL_MS.as_std()).await;
+            let counts = self.counter.recent();
+            let Some(holder) = self.lease.holder() else {
+                continue;
+            };
+            let message = Some((holder, counts));
+            if message != sent
+                && let Some((holder, counts)) = &message
+                && self.send(holder, counts).await
+            {
+                sent = message;
+            }
         }
-        if holder == *membership.own() {
-            book.take(holder, membership.incarnation(), counts);
-            continue;
+    }
+
+    /// Sends what was counted last, before the host exits.
+    pub(crate) async fn send_last(&self) {
+        let known = self
+            .lease
+            .holder()
+            .filter(|holder| holder != self.membership.own());
+        let holder = match known {
+            Some(holder) => holder,
+            None => match self.next_holder().await {
+                Some(holder) => holder,
+                None => return,
+            },
+        };
+        if !self.send(&holder, &self.counter.recent()).await {
+            LogEvent::WindowDelayed.write(format_args!(
+                "the last counts did not reach {holder} and are lost"
+            ));
+        }
+    }
+
+    /// The holder after this host, which released the lease.
+    async fn next_holder(&self) -> Option<MemberId> {
+        for (member, _) in self.membership.others() {
+            let request = PeerRequest::LeaseHolder;
+            let reply = self
+                .peers
+                .call_member(&member, &request, DurationMs::new(0))
+                .await;
+            if let Some(PeerReply::LeaseHolder(Some(holder))) = reply
+                && holder != *self.membership.own()
+            {
+                return Some(holder);
+            }
+        }
+        None
+    }
+
+    async fn send(&self, holder: &MemberId, counts: &UsageCounts) -> bool {
+        let (own, incarnation) = (self.membership.own(), self.membership.incarnation());
+        if counts.windows.is_empty() {
+            return true;
+        }
+        if holder == own {
+            self.book.take(own.clone(), incarnation, counts.clone());
+            return true;
         }
         let request = PeerRequest::Usage {
-            host: membership.own().clone(),
-            incarnation: membership.incarnation(),
+            host: own.clone(),
+            incarnation,
             counts: counts.clone(),
         };
-        if peers
-            .call_member(&holder, &request, DurationMs::new(0))
-            .await
-            .is_some()
-        {
-            sent = counts;
-            sent_to = Some(holder);
-        }
+        let reply = self.peers.call_member(holder, &request, DurationMs::new(0)).await;
+        reply.is_some()
     }
 }
 
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -26,7 +26,7 @@
 
 use crate::{
     HostObserver, HostSettings, Membership, Mirror, PlatformParts, RelayedStore,
-    duty::{LeaseView, UsageBook, UsageCounter},
+    duty::{LeaseView, UsageBook, UsageCounter, UsagePush},
     peer::{ObjectSpace, PeerClient, PeerHandler, Relay},
     world::World,
 };
@@ -56,6 +56,8 @@
 const LINGER_MS: DurationMs = DurationMs::new(4_500);
 /// Part of the grace time that is left unused.
 const GRACE_MARGIN_MS: DurationMs = DurationMs::new(700);
+/// Time for the last counts of a host that exits; part of the margin.
+const LAST_PUSH_MS: DurationMs = DurationMs::new(300);
 /// Time after which a batch's objects can go, beyond the time for which it can be read.
 const BATCH_KEEP_MARGIN_MS: DurationMs = DurationMs::new(60_000);
 /// Most callers connected at once.
@@ -81,6 +83,7 @@
     observer: Arc<HostObserver>,
     lease: Arc<LeaseView>,
     peers: Arc<PeerClient>,
+    usage_push: Arc<UsagePush>,
     caller_limits: SharedLimits,
     changes: (Sender<()>, Receiver<()>),
     stop: Stop,
@@ -190,6 +193,14 @@
             Arc::clone(&wiring.platform.targets),
             Arc::clone(&observer) as _,
         );
+        let lease: Arc<LeaseView> = Arc::default();
+        let usage_push = Arc::new(UsagePush {
+            counter: Arc::clone(&wiring.usage),
+            book: Arc::clone(&wiring.book),
+            membership: Arc::clone(&membership),
+            peers: Arc::clone(&peers),
+            lease: Arc::clone(&lease),
+        });
         let (trigger, stop) = Stop::new();
         let host = Arc::new(Self {
             settings,
@@ -200,8 +211,9 @@
             batches,
             forwarder,
             observer,
-            lease: Arc::default(),
+            lease,
             peers,
+            usage_push,
             caller_limits: first_limits().into(),
             changes,
             stop,
@@ -358,6 +370,13 @@
         let left = usable_ms.saturating_sub(self.clock.now().since(begun));
         let all = futures::future::join_all(callers);
         let finished = async_std::future::timeout(left.as_std(), all).await.is_ok();
+        let last_push = self.usage_push.send_last();
+        if async_std::future::timeout(LAST_PUSH_MS.as_std(), last_push)
+            .await
+            .is_err()
+        {
+            LogEvent::WindowDelayed.write("the last counts were not taken in time and are lost");
+        }
         LogEvent::DaemonStopped.write_fields(
             "the host exits",
             &[("finished_all_requests", &finished.to_string().as_str())],
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -10,7 +10,7 @@
 use super::{Host, Wiring};
 use crate::{
     FollowOptions, FollowTask, Follower,
-    duty::{LeaseLoop, Upkeep, UsageDuty, WeightDuty, push_usage},
+    duty::{LeaseLoop, Upkeep, UsageDuty, WeightDuty},
     membership::MEMBER_PREFIX,
     peer::{ObjectSpace, ReaderCopy},
     world::{RoutingFollower, TargetsFollower, VersionsFollower},
@@ -114,13 +114,8 @@
             lease_ms: self.settings.bounds.lease_ms,
         };
         task::spawn(async move { lease.run().await });
-        task::spawn(push_usage(
-            Arc::clone(&wiring.usage),
-            Arc::clone(&wiring.book),
-            Arc::clone(&self.membership),
-            Arc::clone(&self.peers),
-            Arc::clone(&self.lease),
-        ));
+        let push = Arc::clone(&self.usage_push);
+        task::spawn(async move { push.run().await });
         let usage = UsageDuty {
             counter: Arc::clone(&wiring.usage),
             book: Arc::clone(&wiring.book),
