An owner that took a batch over looks for what the earlier one listed last before it answers readers

Ruled out: pieces under different positions (both owners follow the same chain of pieces), a stale listing, a create through another host. Change: reads at an owner that took the batch over, and reads beyond what an owner knows, first look for the next piece in the store; when the store does not answer and the reader is beyond what is known, the answer is 503.

--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -71,6 +71,8 @@
     pub(crate) unlisted: Vec<BatchResult>,
     pub(crate) is_writing: bool,
     pub(crate) is_ended: bool,
+    /// Another owner ran it before, whose last results may reach the store after this one read it.
+    pub(crate) is_taken_over: bool,
     waiters: Vec<Sender<()>>,
 }
 
@@ -98,6 +100,7 @@
             unlisted: Vec::new(),
             is_writing: false,
             is_ended: false,
+            is_taken_over: false,
             waiters: Vec::new(),
         }
     }
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -154,12 +154,22 @@
         Arc::clone(&self.foreign.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Begins to run a batch; `listed` are its results so far, and `texts` what an earlier owner handed on.
+    /// Begins to run a batch that no host ran before.
+    pub(crate) fn adopt_new(&self, spec: Arc<BatchSpec>) {
+        let owned = OwnedBatch::new(spec, Vec::new(), self.options.plan, self.now());
+        self.insert(owned);
+    }
+
+    /// Begins to run a batch of another owner; `listed` are its results so far, and `texts` what the owner handed on.
     pub(crate) fn adopt(&self, spec: Arc<BatchSpec>, listed: Vec<BatchResult>, texts: Vec<ItemText>) {
-        let batch = spec.id.clone();
-        let now = self.now();
-        let mut owned = OwnedBatch::new(spec, listed, self.options.plan, now);
+        let mut owned = OwnedBatch::new(spec, listed, self.options.plan, self.now());
         owned.continue_texts(texts);
+        owned.is_taken_over = true;
+        self.insert(owned);
+    }
+
+    fn insert(&self, owned: OwnedBatch) {
+        let batch = owned.spec.id.clone();
         self.state().owned.insert(batch, owned);
         self.wake();
     }
@@ -228,6 +238,15 @@
         Some(owned.listed)
     }
 
+    /// From which position on the store may hold results that this host has not seen; none when it has seen all, or does
+    /// not run the batch.
+    pub(crate) fn unseen_from(&self, batch: &BatchId, after: usize) -> Option<usize> {
+        let state = self.state();
+        let owned = state.owned.get(batch).filter(|owned| !owned.is_finished())?;
+        let listed = owned.listed.len();
+        (owned.is_taken_over || after > listed).then_some(listed)
+    }
+
     /// The texts of open items of a batch, for its next owner.
     pub(crate) fn open_texts(&self, batch: &BatchId) -> Vec<ItemText> {
         let state = self.state();
--- a/crates/jm-batch/src/runner/write.rs
+++ b/crates/jm-batch/src/runner/write.rs
@@ -85,7 +85,8 @@
         }
     }
 
-    fn listed(&self, batch: &BatchId, piece: ResultPiece) {
+    /// Takes a piece that is in the store.
+    pub(crate) fn listed(&self, batch: &BatchId, piece: ResultPiece) {
         let mut guard = self.state();
         let RunnerState { owned, loads, .. } = &mut *guard;
         let Some(owned) = owned.get_mut(batch) else { return };
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -28,7 +28,7 @@
         wait: DurationMs,
     ) -> Result<ResultPage, ReadError> {
         let state = self.state_for(batch, organisation).await?;
-        if let Some(page) = self.runner.read(batch, after, wait).await {
+        if let Some(page) = self.read_running(batch, after, wait).await? {
             return Ok(page);
         }
         // The owner keeps its batches in memory after their end as well, which saves a call for each piece.
@@ -41,9 +41,28 @@
         self.read_stored(&state, after, wait).await
     }
 
-    /// Results that this host runs, for other hosts; none when it does not run the batch.
+    /// Results that this host runs, for other hosts; none when it does not run the batch or cannot tell.
     pub async fn read_owned(&self, batch: &BatchId, after: usize, wait: DurationMs) -> Option<ResultPage> {
-        self.runner.read(batch, after, wait).await
+        self.read_running(batch, after, wait).await.ok().flatten()
+    }
+
+    /// Results of a batch that this host runs. What an earlier owner listed last may have reached the store after this
+    /// host took the batch over, and may have been read there, so it is looked for before the answer.
+    async fn read_running(
+        &self,
+        batch: &BatchId,
+        after: usize,
+        wait: DurationMs,
+    ) -> Result<Option<ResultPage>, ReadError> {
+        while let Some(first) = self.runner.unseen_from(batch, after) {
+            match self.parts.store.load_piece(batch, first).await {
+                Ok(Some(piece)) => self.runner.listed(batch, piece),
+                Ok(None) => break,
+                Err(_) if after < first => break,
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(self.runner.read(batch, after, wait).await)
     }
 
     async fn read_stored(
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -43,7 +43,7 @@
                 self.parts.events.accepted(&spec.id, spec.items.len());
                 self.remember(state.clone(), version);
                 if state.is_owned_by(&self.options.own, self.options.incarnation) {
-                    self.runner.adopt(spec, Vec::new(), Vec::new());
+                    self.runner.adopt_new(spec);
                 } else {
                     let service = Arc::clone(self);
                     task::spawn(async move {
--- a/crates/jm-batch/tests/batch_takeover.rs
+++ b/crates/jm-batch/tests/batch_takeover.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 
 use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text};
-use jm_batch::{BatchMembers, BatchPhase, BatchState, GenerationRequest, Takeover, takeover};
+use jm_batch::{
+    BatchMembers, BatchPhase, BatchResult, BatchState, GenerationRequest, ResultPiece, Takeover, takeover,
+};
+use jm_platform::{Condition, ObjectStore};
 use jm_types::{Incarnation, MemberId, WeightVersion};
 
 /// The owner dies with a part of the results listed; the next host lists the rest behind them.
@@ -35,6 +38,41 @@
     assert_eq!(items.len(), 4, "each item stands once");
 }
 
+/// The earlier owner's last piece reaches the store after the takeover, and its readers have seen it: the new owner, which
+/// writes nothing more, has to find it.
+#[async_std::test]
+async fn late_piece_of_the_earlier_owner() {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
+    let half = |_: &_, request: &GenerationRequest| match request.item {
+        0 | 1 => text(request, 3, 1),
+        _ => vec![Step::Silence],
+    };
+    let first = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 8, 1)], Box::new(half));
+    first.service.submit(spec("b1", &[4, 3, 2])).await.unwrap();
+    first.listed("b1", 2).await;
+    hosts.kill("host-a");
+    let second = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 8, 1)], Box::new(half));
+    second.learn(&store).await;
+    common::without_hang(async {
+        while second.engines.runs.lock().unwrap().is_empty() {
+            async_std::task::sleep(std::time::Duration::from_millis(2)).await;
+        }
+    })
+    .await;
+    let late = ResultPiece {
+        first: 2,
+        results: vec![BatchResult::expired("b1-2")],
+    };
+    let value = serde_json::to_vec(&late).unwrap();
+    store
+        .inner
+        .put("batch-result/b1.000002", value, Condition::Absent)
+        .await
+        .unwrap();
+    let page = second.listed("b1", 3).await;
+    assert_eq!(page.results[2].item, "b1-2");
+}
+
 /// Both hosts believe that they own the batch, as after a freeze. What one lists the other takes.
 #[async_std::test]
 async fn two_owners() {
