Report a lost relayed answer when every store attempt fails

Cause: while a host is turned away by the store it sends changes through another host first. When the answer of that first relayed put was lost and the direct put and the second relayed put were both unavailable, the caller was told that nothing was done, although the first put may still take effect. A batch could then be refused as not started and run later.

Ruled out: the other order (direct answer lost, relay unavailable) already kept the lost answer; reads change nothing; a conflict after a lost answer makes the caller read the stored value, as before.

Change: RelayedStore::put keeps a lost answer of any attempt and returns it when no attempt gives a definite result.

Measured: relayed_store::lost_answer_is_remembered fails before (Unavailable) and passes after; the tests of jm-host pass.

--- a/crates/jm-host/src/relay.rs
+++ b/crates/jm-host/src/relay.rs
@@ -94,25 +94,31 @@
     }
 
     /// A change whose answer was lost is repeated through another host: its condition fails when the first one took
-    /// effect, and the caller reads what stands there as after any conflict.
+    /// effect, and the caller reads what stands there as after any conflict. A lost answer is reported when no attempt
+    /// succeeds, because the first change may still take effect.
     async fn put(&self, key: &str, value: Vec<u8>, condition: Condition) -> Result<Version, ObjectError> {
+        let mut lost_answer = None;
         if self.is_detoured()
             && let Some(result) = self.relay.put(key, &value, condition).await
-            && !result.as_ref().is_err_and(is_refused)
         {
-            return result;
-        }
-        let result = self.direct.put(key, value.clone(), condition).await;
-        let Err(error) = &result else { return result };
-        if !is_refused(error) {
-            return result;
+            match result {
+                Err(error) if error.may_be_applied() => lost_answer = Some(error),
+                Err(error) if is_refused(&error) => {}
+                result => return result,
+            }
         }
+        let error = match self.direct.put(key, value.clone(), condition).await {
+            Err(error) if is_refused(&error) => error,
+            result => return result,
+        };
         self.failed();
-        let may_be_applied = error.may_be_applied();
+        if error.may_be_applied() {
+            lost_answer = Some(error.clone());
+        }
         match self.relay.put(key, &value, condition).await {
-            Some(Err(relayed)) if may_be_applied && is_refused(&relayed) => result,
+            Some(Err(relayed)) if is_refused(&relayed) => Err(lost_answer.unwrap_or(relayed)),
             Some(relayed) => relayed,
-            None => result,
+            None => Err(lost_answer.unwrap_or(error)),
         }
     }
 
--- a/crates/jm-host/tests/relayed_store.rs
+++ b/crates/jm-host/tests/relayed_store.rs
@@ -1,8 +1,11 @@
 //! Guards against a host that stands still because the store does not answer it, and against changes made twice.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, AtomicUsize, Ordering},
+use std::{
+    collections::VecDeque,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
 };
 
 use async_trait::async_trait;
@@ -69,6 +72,7 @@
 struct Neighbour {
     store: MemoryPlatform,
     calls: AtomicUsize,
+    failures: Mutex<VecDeque<ObjectError>>,
 }
 
 #[async_trait]
@@ -84,6 +88,9 @@
         condition: Condition,
     ) -> Option<Result<Version, ObjectError>> {
         self.calls.fetch_add(1, Ordering::SeqCst);
+        if let Some(failure) = self.failures.lock().unwrap().pop_front() {
+            return Some(Err(failure));
+        }
         Some(self.store.put(key, value.to_vec(), condition).await)
     }
     async fn list(&self, prefix: &str) -> Option<Result<Listing, ReadError>> {
@@ -97,6 +104,7 @@
     let neighbour = Arc::new(Neighbour {
         store: own.inner.clone(),
         calls: AtomicUsize::new(0),
+        failures: Mutex::default(),
     });
     let relayed = RelayedStore::new(
         Arc::clone(&own) as _,
@@ -163,3 +171,24 @@
     let _ = store.get("kind/a").await;
     assert!(store.for_others().is_none());
 }
+
+/// A relayed change whose answer was lost may take effect, even when every later attempt is turned away.
+#[async_std::test]
+async fn lost_answer_is_remembered() {
+    let (store, own, neighbour) = stores();
+    own.is_cut.store(true, Ordering::SeqCst);
+    store.get("kind/a").await.unwrap();
+    let reason = "neighbour".to_owned();
+    let failures = [
+        ObjectError::AnswerLost {
+            reason: reason.clone(),
+        },
+        ObjectError::Unavailable { reason },
+    ];
+    neighbour.failures.lock().unwrap().extend(failures);
+    let error = store
+        .put("kind/a", b"1".to_vec(), Condition::Absent)
+        .await
+        .unwrap_err();
+    assert!(error.may_be_applied(), "{error:?}");
+}
