--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -15,7 +15,8 @@
 use jm_forward::RunKey;
 use jm_platform::Version;
 use jm_types::{
-    BatchId, Clock, DurationMs, Incarnation, MemberId, ModelId, OrganisationId, WallClock, WeightVersion,
+    BatchId, Clock, DurationMs, Incarnation, MemberId, ModelId, OrganisationId, Timestamp, WallClock,
+    WeightVersion,
 };
 use snafu::Snafu;
 
@@ -133,6 +134,8 @@
 struct Known {
     state: BatchState,
     version: Version,
+    /// When another host took the batch from this one, last time.
+    displaced_at: Option<Timestamp>,
 }
 
 #[derive(Default)]
@@ -333,14 +336,24 @@
     /// Takes note of a state unless a newer one is known; returns whether it was new.
     fn remember(&self, state: BatchState, version: Version) -> bool {
         let mut own = self.state();
-        let is_new = own
-            .known
-            .get(&state.batch)
-            .is_none_or(|known| version > known.version);
-        if is_new {
-            own.known.insert(state.batch.clone(), Known { state, version });
+        let known = own.known.get(&state.batch);
+        if known.is_some_and(|known| version <= known.version) {
+            return false;
         }
-        is_new
+        let is_own = |state: &BatchState| state.is_owned_by(&self.options.own, self.options.incarnation);
+        let was_own = known.is_some_and(|known| is_own(&known.state));
+        let displaced_at = match was_own && !is_own(&state) {
+            true => Some(self.parts.clock.now()),
+            false => known.and_then(|known| known.displaced_at),
+        };
+        let batch = state.batch.clone();
+        let known = Known {
+            state,
+            version,
+            displaced_at,
+        };
+        own.known.insert(batch, known);
+        true
     }
 
     fn state(&self) -> MutexGuard<'_, ServiceState> {
--- a/crates/jm-batch/src/service/own.rs
+++ b/crates/jm-batch/src/service/own.rs
@@ -17,13 +17,20 @@
     pub fn review(self: &Arc<Self>) {
         let known: Vec<Known> = self.state().known.values().cloned().collect();
         let mut foreign = Vec::new();
-        for Known { state, version } in known {
+        let now = self.parts.clock.now();
+        for Known {
+            state,
+            version,
+            displaced_at,
+        } in known
+        {
             let owns = self.runner.owns(&state.batch);
             match takeover(
                 &state,
                 &self.options.own,
                 self.options.incarnation,
                 &*self.parts.members,
+                displaced_at.map(|displaced_at| now.since(displaced_at)),
             ) {
                 Takeover::Own if !owns => self.begin(state, None),
                 Takeover::Claim => self.begin(state, Some(version)),
--- a/crates/jm-batch/tests/batch_takeover.rs
+++ b/crates/jm-batch/tests/batch_takeover.rs
@@ -2,14 +2,14 @@
 
 mod common;
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text};
 use jm_batch::{
     BatchMembers, BatchPhase, BatchResult, BatchState, GenerationRequest, ResultPiece, Takeover, takeover,
 };
 use jm_platform::{Condition, ObjectStore};
-use jm_types::{Incarnation, MemberId, WeightVersion};
+use jm_types::{DurationMs, Incarnation, MemberId, WeightVersion};
 
 /// The owner dies with a part of the results listed; the next host lists the rest behind them.
 #[async_std::test]
@@ -132,10 +132,15 @@
 
 struct Known {
     running: bool,
+    isolated: bool,
     live: Vec<MemberId>,
 }
 
 impl BatchMembers for Known {
+    fn is_isolated(&self) -> bool {
+        self.isolated
+    }
+
     fn is_running(&self, _member: &MemberId, _incarnation: Incarnation) -> bool {
         self.running
     }
@@ -172,9 +177,11 @@
     let claims = |state: &BatchState, running: bool| {
         let known = Known {
             running,
+            isolated: false,
             live: live.clone(),
         };
-        let decide = |own: &&MemberId| takeover(state, own, Incarnation::new(9), &known) == Takeover::Claim;
+        let decide =
+            |own: &&MemberId| takeover(state, own, Incarnation::new(9), &known, None) == Takeover::Claim;
         live.iter().filter(decide).count()
     };
     assert_eq!(claims(&state("gone", BatchPhase::Running), false), 1);
@@ -182,3 +189,71 @@
     assert_eq!(claims(&state("gone", BatchPhase::Ended), false), 0);
     assert_eq!(claims(&state("gone", BatchPhase::Finished), false), 0);
 }
+
+/// Two hosts take each other for dead, as when no datagram passes between them: each claim shows that the other one is
+/// alive. They took a batch from one another with every message of the store, and none of its items got anywhere.
+#[test]
+fn hosts_that_do_not_see_each_other() {
+    let own: MemberId = "host-a".parse().unwrap();
+    let decide = |isolated: bool, displaced_ms: u64| {
+        let known = Known {
+            running: false,
+            isolated,
+            live: vec![own.clone()],
+        };
+        let displaced = Some(DurationMs::new(displaced_ms));
+        takeover(
+            &state("host-b", BatchPhase::Running),
+            &own,
+            Incarnation::new(1),
+            &known,
+            displaced,
+        )
+    };
+    assert_eq!(
+        decide(false, 100),
+        Takeover::None,
+        "the batch was taken a moment ago"
+    );
+    assert_eq!(decide(false, 3_000), Takeover::Claim);
+    assert_eq!(
+        decide(true, 3_000),
+        Takeover::None,
+        "a host that is cut off waits longer"
+    );
+    assert_eq!(decide(true, 11_000), Takeover::Claim);
+}
+
+/// The same on whole hosts: a short batch is listed although each of two hosts believes that the other one is dead.
+#[async_std::test]
+async fn no_endless_takeovers() {
+    let store = FaultyStore::new();
+    let (of_first, of_second) = (Arc::new(Hosts::default()), Arc::new(Hosts::default()));
+    let slow = || {
+        Box::new(|_: &_, request: &GenerationRequest| {
+            let mut steps = text(request, 3, 1);
+            steps.insert(1, Step::Wait(std::time::Duration::from_millis(100)));
+            steps
+        })
+    };
+    let first = TestHost::start("host-a", &of_first, &store, vec![engine("e1", 8, 1)], slow());
+    let second = TestHost::start("host-b", &of_second, &store, vec![engine("e1", 8, 1)], slow());
+    first.service.submit(spec("b1", &[1; 4])).await.unwrap();
+    let passing_states = async {
+        loop {
+            first.learn(&store).await;
+            second.learn(&store).await;
+            async_std::task::sleep(std::time::Duration::from_millis(5)).await;
+        }
+    };
+    let listed = second.listed("b1", 4);
+    futures::pin_mut!(passing_states, listed);
+    let page = match futures::future::select(passing_states, listed).await {
+        futures::future::Either::Left(((), _)) => unreachable!("the states pass for ever"),
+        futures::future::Either::Right((page, _)) => page,
+    };
+    assert_eq!(page.results.len(), 4);
+    let taken_over = |host: &TestHost| host.events.taken_over.load(Ordering::SeqCst);
+    let takeovers = taken_over(&first) + taken_over(&second);
+    assert!(takeovers <= 4, "{takeovers} takeovers");
+}
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -215,6 +215,10 @@
 }
 
 impl BatchMembers for Hosts {
+    fn is_isolated(&self) -> bool {
+        false
+    }
+
     fn is_running(&self, member: &MemberId, incarnation: Incarnation) -> bool {
         self.live.lock().unwrap().contains(&(member.clone(), incarnation))
     }
@@ -252,11 +256,14 @@
     pub(crate) failed_runs: Mutex<Vec<GenerationEnd>>,
     pub(crate) expired: AtomicU64,
     pub(crate) moved: AtomicU64,
+    pub(crate) taken_over: AtomicU64,
 }
 
 impl BatchEvents for SeenEvents {
     fn accepted(&self, _batch: &BatchId, _items: usize) {}
-    fn taken_over(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {}
+    fn taken_over(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {
+        self.taken_over.fetch_add(1, Ordering::SeqCst);
+    }
     fn given_up(&self, _batch: &BatchId, _to: &MemberId) {}
     fn progress(&self, _batch: &BatchId, _progress: &BatchProgress) {}
     fn finished(&self, _batch: &BatchId, _took: DurationMs) {}
--- a/crates/jm-host/src/membership.rs
+++ b/crates/jm-host/src/membership.rs
@@ -102,7 +102,7 @@
         };
         let detector = Detector::new(detector_options(), own.record.clone(), Revision::new(0));
         // The platform hands out no secret. This one keeps datagrams of other deployments apart.
-        let secret = FleetSecret::new(settings.store.to_string());
+        let secret = FleetSecret::new(settings.fleet.clone());
         let agent = MemberAgent::bind(settings.listen.members, detector, secret, Arc::clone(&clock)).await?;
         let registrations = IndexMap::from([(settings.id.clone(), own.clone())]);
         Ok(Arc::new(Self {
@@ -326,6 +326,10 @@
 }
 
 impl BatchMembers for Membership {
+    fn is_isolated(&self) -> bool {
+        !self.sees_most(&self.agent.view())
+    }
+
     /// A host that has just started knows nobody yet, and a host that is cut off from the others takes all of them for
     /// dead. Neither may take work over.
     fn is_running(&self, member: &MemberId, incarnation: Incarnation) -> bool {
--- a/crates/jm-host/src/settings.rs
+++ b/crates/jm-host/src/settings.rs
@@ -49,6 +49,8 @@
     pub listen: ListenSettings,
     /// Hosts to ask for the others when the store does not answer.
     pub seeds: Vec<SocketAddr>,
+    /// Name of the deployment; hosts ignore datagrams of other deployments.
+    pub fleet: String,
     /// The platform's store.
     pub store: SocketAddr,
     /// The platform's interface for usage reports and target orders.
@@ -132,6 +134,11 @@
                 metrics: listen.value("metrics")?,
             },
             seeds: platform.list("seeds")?,
+            fleet: match platform.text("fleet") {
+                Ok(name) => name.to_owned(),
+                // Hosts of one deployment usually reach the store by the same address.
+                Err(_) => platform.text("store")?.to_owned(),
+            },
             store: platform.value("store")?,
             duties: platform.value("duties")?,
             bounds: BoundSettings {
--- a/crates/jm-host/tests/host_settings.rs
+++ b/crates/jm-host/tests/host_settings.rs
@@ -38,6 +38,14 @@
     assert_eq!(settings.seeds.len(), 2);
 }
 
+/// Hosts that reach the store by different addresses did not see one another.
+#[test]
+fn name_of_the_deployment() {
+    assert_eq!(HostSettings::parse(SETTINGS).unwrap().fleet, "127.0.0.1:9000");
+    let named = SETTINGS.replace("[platform]", "[platform]\nfleet = riga");
+    assert_eq!(HostSettings::parse(&named).unwrap().fleet, "riga");
+}
+
 #[test]
 fn no_seeds() {
     let settings = HostSettings::parse(&SETTINGS.replace("127.0.0.1:8003, 127.0.0.2:8003", "")).unwrap();
--- a/crates/jm-standins/src/relay.rs
+++ b/crates/jm-standins/src/relay.rs
@@ -13,6 +13,7 @@
     task::{self, JoinHandle},
 };
 use futures::{FutureExt, channel::oneshot, select};
+use jm_types::DurationMs;
 
 use crate::{
     notify::{Notify, lock},
@@ -36,6 +37,8 @@
     /// They pass.
     #[default]
     Open,
+    /// Each piece of them passes after this time.
+    Delay(DurationMs),
     /// They wait until the flow is open again.
     Hold,
     /// They are dropped, and the receiver sees the end of the stream.
@@ -271,7 +274,11 @@
             if let Some(record) = &mut record {
                 record.append(&buffer[..length]);
             }
-            if self.opened(direction).await == Flow::Cut || to.write_all(&buffer[..length]).await.is_err() {
+            let flow = self.opened(direction).await;
+            if let Flow::Delay(delay_ms) = flow {
+                task::sleep(delay_ms.as_std()).await;
+            }
+            if flow == Flow::Cut || to.write_all(&buffer[..length]).await.is_err() {
                 // The sender must learn that nobody receives its bytes.
                 let _ = from.shutdown(Shutdown::Both);
                 break;
