Owners of batches: first version of gathered writes, owners counted, ends told to the owner

Change: gather.rs decides when results are written; BatchState counts earlier owners; failures are handed on; the host that takes an end tells the owner.

--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod engine_load;
 mod events;
+mod gather;
 mod generator;
 mod owned;
 mod ownership;
@@ -20,6 +21,7 @@
 
 pub use engine_load::{EngineLoads, LoadOptions};
 pub use events::{BatchEvents, BatchProgress, RunEnd};
+pub use gather::{GatherOptions, Unwritten, write_at};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
 pub use owned::ItemText;
 pub use ownership::{BatchMembers, Takeover, takeover};
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -9,7 +9,10 @@
 use jm_types::{DurationMs, Timestamp, WeightVersion};
 use serde::{Deserialize, Serialize};
 
-use crate::{BatchPlan, BatchResult, BatchSpec, GenerationEvent, ItemState, PlanOptions, ResultState};
+use crate::{
+    BatchPlan, BatchResult, BatchSpec, GenerationEvent, ItemState, PlanOptions, ResultState,
+    gather::Unwritten,
+};
 
 /// The text of an item so far. A host that leaves hands it on, so that the next owner continues it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -22,6 +25,9 @@
     pub last_event: Option<u64>,
     /// The weight versions that generated an event of the text.
     pub versions: Vec<WeightVersion>,
+    /// Runs that an engine failed.
+    #[serde(default)]
+    pub failures: usize,
 }
 
 /// A run of an item.
@@ -70,6 +76,8 @@
     /// Results that are not in the store yet.
     pub(crate) unlisted: Vec<BatchResult>,
     pub(crate) is_writing: bool,
+    /// When a piece of results was written last, or when this host took the batch over.
+    pub(crate) written_at: Timestamp,
     pub(crate) is_ended: bool,
     /// Another owner ran it before, whose last results may reach the store after this one read it.
     pub(crate) is_taken_over: bool,
@@ -99,6 +107,7 @@
             listed,
             unlisted: Vec::new(),
             is_writing: false,
+            written_at: now,
             is_ended: false,
             is_taken_over: false,
             waiters: Vec::new(),
@@ -111,39 +120,62 @@
             let is_open = self.texts.len() > text.item && self.plan.state(text.item) != ItemState::Done;
             if is_open {
                 let item = text.item;
+                self.plan.set_failures(item, text.failures);
                 self.texts[item] = text;
             }
         }
     }
 
-    /// The texts of open items.
+    /// What is known of open items.
     pub(crate) fn open_texts(&self) -> Vec<ItemText> {
-        let begun =
-            self.texts.iter().enumerate().filter(|(item, text)| {
-                text.last_event.is_some() && self.plan.state(*item) != ItemState::Done
-            });
-        begun
-            .map(|(item, text)| ItemText { item, ..text.clone() })
-            .collect()
+        let items = self.texts.iter().enumerate().map(|(item, text)| ItemText {
+            item,
+            failures: self.plan.failures(item),
+            ..text.clone()
+        });
+        let is_open = |text: &ItemText| self.plan.state(text.item) != ItemState::Done;
+        let is_known = |text: &ItemText| text.last_event.is_some() || text.failures > 0;
+        items.filter(|text| is_open(text) && is_known(text)).collect()
     }
 
     pub(crate) fn is_finished(&self) -> bool {
         self.listed.len() >= self.spec.items.len()
     }
 
-    /// Whether the submitter has what it waits for once the finished results are listed.
-    pub(crate) fn has_enough(&self) -> bool {
-        let done = |index: &usize| self.plan.state(*index) == ItemState::Done;
+    /// What decides when the results that are not in the store yet are written.
+    pub(crate) fn unwritten(&self, unix_ms: u64) -> Unwritten {
+        let listed = self.listed.iter().map(|result| result.item.as_str());
+        let listed: HashSet<&str> = listed.collect();
+        let is_listed = |index: usize| listed.contains(self.spec.items[index].id.as_str());
+        let is_done = |index: usize| self.plan.state(index) == ItemState::Done;
+        let listed_groups = self.complete_groups(is_listed);
+        let done_groups = self.complete_groups(is_done);
+        let due_unix_ms = self.spec.submitted_unix_ms + self.spec.due_ms.get();
+        Unwritten {
+            results: self.unlisted.len(),
+            has_expired: self
+                .unlisted
+                .iter()
+                .any(|result| result.state == ResultState::Expired),
+            has_enough: done_groups >= self.spec.wanted_groups.max(1),
+            completes_group: done_groups > listed_groups,
+            is_whole: self.listed.len() + self.unlisted.len() >= self.spec.items.len(),
+            until_due: DurationMs::new(due_unix_ms.saturating_sub(unix_ms)),
+        }
+    }
+
+    /// Number of groups that are complete when the items that `has` names count.
+    fn complete_groups(&self, has: impl Fn(usize) -> bool) -> usize {
         let mut open: HashSet<&str> = HashSet::new();
         let mut groups: HashSet<&str> = HashSet::new();
         for (index, item) in self.spec.items.iter().enumerate() {
             let group = item.group.as_deref().unwrap_or(&item.id);
             groups.insert(group);
-            if !done(&index) {
+            if !has(index) {
                 open.insert(group);
             }
         }
-        open.is_empty() || groups.len() - open.len() >= self.spec.wanted_groups.max(1)
+        groups.len() - open.len()
     }
 
     /// Number of the event after which a new run of an item continues.
--- a/crates/jm-batch/src/plan.rs
+++ b/crates/jm-batch/src/plan.rs
@@ -120,6 +120,16 @@
         self.failures[index] >= self.max_failures
     }
 
+    /// Failed runs of an item so far.
+    pub fn failures(&self, index: usize) -> usize {
+        self.failures[index]
+    }
+
+    /// An earlier owner saw failed runs of an item.
+    pub fn set_failures(&mut self, index: usize, failures: usize) {
+        self.failures[index] = failures;
+    }
+
     fn set(&mut self, index: usize, state: ItemState) {
         let is_waiting = |state: ItemState| matches!(state, ItemState::Waiting { .. });
         self.waiting -= usize::from(is_waiting(self.states[index]));
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -19,8 +19,8 @@
 use jm_types::{BatchId, Clock, DurationMs, ModelId, Timestamp, WallClock, WeightVersion};
 
 use crate::{
-    BatchEvents, BatchResult, BatchSpec, BatchStore, EngineLoads, GenerationEnd, Generator, LoadOptions,
-    PlanOptions, ResultPage, RunEnd,
+    BatchEvents, BatchResult, BatchSpec, BatchStore, EngineLoads, GatherOptions, GenerationEnd, Generator,
+    LoadOptions, PlanOptions, ResultPage, RunEnd,
     engine_load::ForeignWork,
     owned::{ItemText, OwnedBatch, Run},
 };
@@ -49,8 +49,8 @@
     pub first_event_stall_ms: DurationMs,
     /// Factor on both while no other engine has room.
     pub patience_factor: u64,
-    /// Time between two writes of results, so that one write carries several. The last results are not held back.
-    pub write_interval_ms: DurationMs,
+    /// When finished results are written.
+    pub gather: GatherOptions,
     /// Wait before a write that the store did not take is repeated.
     pub write_retry_ms: DurationMs,
     /// Time between two reports on items that wait.
@@ -68,7 +68,7 @@
             stall_ms: DurationMs::new(400),
             first_event_stall_ms: DurationMs::new(700),
             patience_factor: 4,
-            write_interval_ms: DurationMs::new(300),
+            gather: GatherOptions::default(),
             write_retry_ms: DurationMs::new(150),
             report_ms: DurationMs::new(1_000),
             route_gone_ms: DurationMs::new(5_000),
@@ -94,6 +94,17 @@
     reported_at: Timestamp,
 }
 
+/// What a new owner finds of a batch.
+pub(crate) struct Adopted {
+    /// Results in the store.
+    pub(crate) listed: Vec<BatchResult>,
+    /// What the owner before handed on.
+    pub(crate) texts: Vec<ItemText>,
+    /// Owners before this one. Failures that an owner saw are lost with it unless it handed them on, so later owners
+    /// allow fewer.
+    pub(crate) earlier_owners: u32,
+}
+
 /// Runs the batches that this host owns.
 pub(crate) struct Runner {
     options: RunnerOptions,
@@ -160,11 +171,16 @@
         self.insert(owned);
     }
 
-    /// Begins to run a batch of another owner; `listed` are its results so far, and `texts` what the owner handed on.
-    pub(crate) fn adopt(&self, spec: Arc<BatchSpec>, listed: Vec<BatchResult>, texts: Vec<ItemText>) {
-        let mut owned = OwnedBatch::new(spec, listed, self.options.plan, self.now());
-        owned.continue_texts(texts);
-        owned.is_taken_over = true;
+    /// Begins to run a batch that the store names this host the owner of.
+    pub(crate) fn adopt(&self, spec: Arc<BatchSpec>, adopted: Adopted) {
+        let is_taken_over = adopted.earlier_owners > 0;
+        let mut plan = self.options.plan;
+        if is_taken_over {
+            plan.failure_factor = 1;
+        }
+        let mut owned = OwnedBatch::new(spec, adopted.listed, plan, self.now());
+        owned.continue_texts(adopted.texts);
+        owned.is_taken_over = is_taken_over;
         self.insert(owned);
     }
 
--- a/crates/jm-batch/src/runner/write.rs
+++ b/crates/jm-batch/src/runner/write.rs
@@ -6,7 +6,7 @@
 use jm_types::{BatchId, DurationMs, Timestamp};
 
 use super::{Runner, RunnerState, end_runs};
-use crate::{ResultPiece, owned::OwnedBatch, result::fitting, store::Changed};
+use crate::{ResultPiece, gather::write_at, owned::OwnedBatch, result::fitting, store::Changed};
 
 /// Time between two looks whether results have to be written before their interval is over.
 const GATHER_STEP_MS: DurationMs = DurationMs::new(40);
@@ -17,35 +17,34 @@
 impl Runner {
     /// Writes results to the store until none is left.
     pub(super) async fn write_results(self: Arc<Self>, batch: BatchId) {
-        let mut written_at = None;
         loop {
-            self.gather_results(&batch, written_at).await;
+            self.gather_results(&batch).await;
             let Some(piece) = self.next_piece(&batch) else {
                 return;
             };
             if !self.write_piece(&batch, piece).await {
                 task::sleep(self.options.write_retry_ms.as_std()).await;
             }
-            written_at = Some(self.now());
         }
     }
 
-    /// Waits so that one write carries several results, unless the submitter waits for just these.
-    async fn gather_results(&self, batch: &BatchId, written_at: Option<Timestamp>) {
-        let Some(written_at) = written_at else { return };
-        let due = written_at.after(self.options.write_interval_ms);
-        while self.now() < due && self.may_gather(batch) {
+    /// Waits so that one write carries several results.
+    async fn gather_results(&self, batch: &BatchId) {
+        while let Some(due) = self.write_at(batch)
+            && self.now() < due
+        {
             let step = GATHER_STEP_MS.min(due.since(self.now()));
             task::sleep(step.as_std()).await;
         }
     }
 
-    fn may_gather(&self, batch: &BatchId) -> bool {
+    /// When the next results have to be written; none when there is nothing to write.
+    fn write_at(&self, batch: &BatchId) -> Option<Timestamp> {
         let state = self.state();
-        let Some(owned) = state.owned.get(batch) else {
-            return false;
-        };
-        !owned.unlisted.is_empty() && !owned.is_ended && !owned.has_enough()
+        let owned = state.owned.get(batch)?;
+        let unwritten = owned.unwritten(self.parts.wall.unix_ms());
+        let is_open = unwritten.results > 0 && !owned.is_ended;
+        is_open.then(|| write_at(&unwritten, &self.options.gather, owned.written_at))
     }
 
     /// The next results to write; none ends the writing.
@@ -57,6 +56,7 @@
             owned.is_writing = false;
             return None;
         }
+        owned.written_at = self.parts.clock.now();
         Some(ResultPiece {
             first: owned.listed.len(),
             results: owned.unlisted[..count].to_vec(),
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -271,8 +271,9 @@
         };
         match self.parts.store.update_state(&ended, known.version).await {
             Ok(Changed::Made(version)) => {
-                self.remember(ended, version);
+                self.remember(ended.clone(), version);
                 self.runner.end(batch);
+                self.tell_owner(ended, version);
                 Ok(true)
             }
             Ok(Changed::Conflict) | Err(StoreError::Unknown { .. }) => {
@@ -283,6 +284,16 @@
         }
     }
 
+    /// Tells the owner of the end of a batch. It would hear of it from the store too, but a watch may be silent for
+    /// seconds, in which more items would start.
+    fn tell_owner(&self, ended: BatchState, version: Version) {
+        if ended.owner == self.options.own {
+            return;
+        }
+        let peers = Arc::clone(&self.parts.peers);
+        task::spawn(async move { peers.announce(&ended, version, Vec::new()).await });
+    }
+
     /// Another host hands a batch on.
     pub fn take_handed(self: &Arc<Self>, state: BatchState, version: Version, texts: Vec<ItemText>) {
         if !texts.is_empty() {
--- a/crates/jm-batch/src/service/own.rs
+++ b/crates/jm-batch/src/service/own.rs
@@ -9,7 +9,8 @@
 
 use super::{BatchService, KEPT_RESULTS, Known, keep};
 use crate::{
-    BatchPhase, BatchState, StoreError, Takeover, engine_load::ForeignWork, store::Changed, takeover,
+    BatchPhase, BatchState, StoreError, Takeover, engine_load::ForeignWork, runner::Adopted, store::Changed,
+    takeover,
 };
 
 impl BatchService {
@@ -91,10 +92,12 @@
 
     async fn take_over(&self, state: BatchState, claim: Option<Version>) -> Result<(), StoreError> {
         let from = state.owner.clone();
-        if let Some(version) = claim
-            && !self.claim(state.clone(), version).await?
-        {
-            return Ok(());
+        let mut earlier_owners = state.earlier_owners;
+        if let Some(version) = claim {
+            if !self.claim(state.clone(), version).await? {
+                return Ok(());
+            }
+            earlier_owners += 1;
         }
         let Some(spec) = self.parts.store.load_spec(&state.batch).await? else {
             return Err(StoreError::Corrupt {
@@ -103,20 +106,23 @@
             });
         };
         let mut listed = Vec::new();
-        self.parts.store.load_results(&state.batch, &mut listed).await?;
+        if earlier_owners > 0 {
+            self.parts.store.load_results(&state.batch, &mut listed).await?;
+        }
         let count = listed.len();
         let texts = self.state().handed.swap_remove(&state.batch).unwrap_or_default();
-        self.runner.adopt(Arc::new(spec), listed, texts);
+        let adopted = Adopted {
+            listed,
+            texts,
+            earlier_owners,
+        };
+        self.runner.adopt(Arc::new(spec), adopted);
         self.parts.events.taken_over(&state.batch, &from, count);
         Ok(())
     }
 
     async fn claim(&self, state: BatchState, version: Version) -> Result<bool, StoreError> {
-        let claimed = BatchState {
-            owner: self.options.own.clone(),
-            owner_incarnation: self.options.incarnation,
-            ..state
-        };
+        let claimed = state.with_owner(self.options.own.clone(), self.options.incarnation);
         match self.parts.store.update_state(&claimed, version).await {
             Ok(Changed::Made(version)) => {
                 self.remember(claimed, version);
@@ -197,11 +203,7 @@
             let Some((owner, owner_incarnation)) = self.next_owner(&batch) else {
                 continue;
             };
-            let handed = BatchState {
-                owner,
-                owner_incarnation,
-                ..known.state
-            };
+            let handed = known.state.with_owner(owner, owner_incarnation);
             match self.parts.store.update_state(&handed, known.version).await {
                 Ok(Changed::Made(version)) => {
                     let texts = self.runner.open_texts(&batch);
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -11,6 +11,9 @@
 /// Interval at which a reader looks for results in the store when the owner does not answer.
 const STORE_POLL_MS: DurationMs = DurationMs::new(300);
 
+/// Interval at which a reader looks whether this host runs a batch that it is taking over.
+const TAKEOVER_POLL_MS: DurationMs = DurationMs::new(20);
+
 /// Specifications of other hosts' batches that are kept in memory.
 const KEPT_SPECS: usize = 3;
 
@@ -41,9 +44,35 @@
         self.read_stored(&state, after, wait).await
     }
 
-    /// Results that this host runs, for other hosts; none when it does not run the batch or cannot tell.
+    /// Results that this host runs, for other hosts; none when it does not run the batch or cannot tell. Waits for a batch
+    /// that this host is about to run, because the asking host would look into the store again and again meanwhile.
     pub async fn read_owned(&self, batch: &BatchId, after: usize, wait: DurationMs) -> Option<ResultPage> {
-        self.read_running(batch, after, wait).await.ok().flatten()
+        let clock = &self.parts.clock;
+        let deadline = clock.now().after(wait);
+        loop {
+            let left = deadline.since(clock.now());
+            match self.read_running(batch, after, left).await {
+                Ok(None) if left.get() > 0 && self.is_about_to_run(batch) => {
+                    task::sleep(TAKEOVER_POLL_MS.min(left).as_std()).await;
+                }
+                Ok(page) => return page,
+                Err(error) => {
+                    let reason = error.to_string();
+                    self.parts.events.store_failed(batch, "read results", &reason);
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// Whether the store names this host the owner of a batch that it does not run yet.
+    fn is_about_to_run(&self, batch: &BatchId) -> bool {
+        self.known(batch).is_some_and(|known| {
+            known.state.phase == BatchPhase::Running
+                && known
+                    .state
+                    .is_owned_by(&self.options.own, self.options.incarnation)
+        })
     }
 
     /// Results of a batch that this host runs. What an earlier owner listed last may have reached the store after this
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -30,6 +30,7 @@
             organisation: spec.organisation.clone(),
             owner,
             owner_incarnation,
+            earlier_owners: 0,
             phase: BatchPhase::Running,
             items: spec.items.len(),
             model: spec.model.clone(),
--- a/crates/jm-batch/src/state.rs
+++ b/crates/jm-batch/src/state.rs
@@ -26,6 +26,9 @@
     pub owner: MemberId,
     /// The run of the owner; after a restart the owner has to take the batch over again.
     pub owner_incarnation: Incarnation,
+    /// Owners that ran it before this one.
+    #[serde(default)]
+    pub earlier_owners: u32,
     /// How far it is.
     pub phase: BatchPhase,
     /// Number of items.
@@ -47,6 +50,16 @@
         owner_key(self.model.as_ref(), &self.batch)
     }
 
+    /// The same batch with its next owner.
+    pub(crate) fn with_owner(self, owner: MemberId, owner_incarnation: Incarnation) -> Self {
+        Self {
+            owner,
+            owner_incarnation,
+            earlier_owners: self.earlier_owners + 1,
+            ..self
+        }
+    }
+
     /// Whether this run of this host owns the batch.
     pub fn is_owned_by(&self, member: &MemberId, incarnation: Incarnation) -> bool {
         self.owner == *member && self.owner_incarnation == incarnation
--- a/crates/jm-batch/tests/batch_takeover.rs
+++ b/crates/jm-batch/tests/batch_takeover.rs
@@ -2,11 +2,15 @@
 
 mod common;
 
-use std::sync::{Arc, atomic::Ordering};
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
 
 use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text};
 use jm_batch::{
-    BatchMembers, BatchPhase, BatchResult, BatchState, GenerationRequest, ResultPiece, Takeover, takeover,
+    BatchMembers, BatchPhase, BatchResult, BatchState, GenerationEnd, GenerationRequest, ResultPiece,
+    Takeover, takeover,
 };
 use jm_platform::{Condition, ObjectStore};
 use jm_types::{DurationMs, Incarnation, MemberId, WeightVersion};
@@ -159,6 +163,7 @@
         organisation: None,
         owner: owner.parse().unwrap(),
         owner_incarnation: Incarnation::new(1),
+        earlier_owners: 0,
         phase,
         items: 4,
         model: None,
@@ -257,3 +262,74 @@
     let takeovers = taken_over(&first) + taken_over(&second);
     assert!(takeovers <= 4, "{takeovers} takeovers");
 }
+
+/// An engine fails an item at each run. A host that leaves hands on how often it saw that, so that the item is not tried
+/// as often again at each host of a restart in turn.
+#[async_std::test]
+async fn handed_on_failures() {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
+    let fail = |count: usize| {
+        let failed = AtomicUsize::new(0);
+        Box::new(move |_: &_, request: &GenerationRequest| {
+            let fails = request.item == 0 && failed.fetch_add(1, Ordering::SeqCst) < count;
+            match fails {
+                true => vec![Step::End(GenerationEnd::Failed {
+                    reason: "status 500".to_owned(),
+                })],
+                false => vec![Step::Silence],
+            }
+        })
+    };
+    let runs = |host: &TestHost| {
+        let runs = host.engines.runs.lock().unwrap();
+        runs.iter().filter(|(_, item)| item == "b1-0").count()
+    };
+    let mut batch = spec("b1", &[9, 2]);
+    batch.max_attempts = 4;
+    let first = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 8, 1)], fail(2));
+    first.service.submit(batch).await.unwrap();
+    common::without_hang(async {
+        while runs(&first) < 3 {
+            async_std::task::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+    let second = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 8, 1)], fail(100));
+    first.service.leave().await;
+    hosts.kill("host-a");
+    let handed = std::mem::take(&mut *first.peers.handed.lock().unwrap());
+    for (state, version, texts) in handed {
+        second.service.take_handed(state, version, texts);
+    }
+    let page = second.listed("b1", 1).await;
+    assert_eq!(page.results[0], BatchResult::expired("b1-0"));
+    assert_eq!(runs(&second), 2, "the two failures at the first host count");
+}
+
+/// The owner of a batch hears of its end from the host that took the end, and not only from a watch that may be silent.
+#[async_std::test]
+async fn end_at_another_host() {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
+    let silent = || Box::new(|_: &_, _: &GenerationRequest| vec![Step::Silence]);
+    let owner = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 8, 1)], silent());
+    owner.service.submit(spec("b1", &[1; 4])).await.unwrap();
+    let other = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 8, 1)], silent());
+    other.learn(&store).await;
+    let parish = "parish".parse().unwrap();
+    let batch = "b1".parse().unwrap();
+    other.service.end(&batch, Some(&parish)).await.unwrap();
+    let told = common::without_hang(async {
+        loop {
+            let told = other.peers.handed.lock().unwrap().pop();
+            if let Some(told) = told {
+                return told;
+            }
+            async_std::task::sleep(std::time::Duration::from_millis(1)).await;
+        }
+    })
+    .await;
+    assert_eq!(
+        (told.0.owner.as_str(), told.0.phase),
+        ("host-a", BatchPhase::Ended)
+    );
+}
