--- a/crates/jm-batch/src/gather.rs
+++ b/crates/jm-batch/src/gather.rs
@@ -20,7 +20,7 @@
 impl Default for GatherOptions {
     fn default() -> Self {
         Self {
-            interval_ms: DurationMs::new(1_000),
+            interval_ms: DurationMs::new(300),
             due_lead_ms: DurationMs::new(1_500),
         }
     }
