Long texts are saved each second; results are shown when they complete what is waited for

The logs also show 0.42 to 0.45 s between the last result and the end of a step (21 steps): results came in portions, and the trainer pauses half a second after each answer, just when the last group is complete. Ruled out: handing texts to another host's memory (it dies as well when all are killed); saving every text (1.3 MB a second for a step of 64 items). Change: checkpoint.rs decides which texts are saved: those of 40 events or more, the longest first up to 400 KB, each second and more rarely while the store takes none; each owner writes its own object, the next one takes the longest text of each item. gather.rs shows results at once only when they complete what is waited for, else each second, and once half a second before and after the due time. States of batches are listed every 2.4 s.

--- a/crates/jm-batch/src/gather.rs
+++ b/crates/jm-batch/src/gather.rs
@@ -1,9 +1,11 @@
-//! When the finished results of a batch are written to the store.
+//! When the finished results of a batch are written to the store, and so shown to readers.
 //!
 //! Load pattern: results of a step come one after another over seconds, several each 100 ms, while its trainer waits for a
-//! number of complete groups. Each write is a call that is charged and counted against the store's rate, so results are
-//! gathered; but the write that gives the trainer what it waits for must not wait, nor one that completes a group shortly before the
-//! due time.
+//! number of complete groups. It asks again and again, and each answer with some results makes it pause for a moment; a
+//! request that finds nothing new is kept open and answered as soon as there is something. Results that come in small
+//! portions therefore meet a trainer that pauses, just when the last group is complete. Each write is also a call that is
+//! charged and counted against the store's rate. So results are gathered, but for the write that gives the trainer what it
+//! waits for, and those that bring complete groups about the due time.
 
 use jm_types::{DurationMs, Timestamp};
 
@@ -12,16 +14,16 @@
 pub struct GatherOptions {
     /// Time between two writes.
     pub interval_ms: DurationMs,
-    /// How long before the due time, and ever after, results that complete a group are written at once: the submitter has
-    /// little time left to read them.
-    pub due_lead_ms: DurationMs,
+    /// Time before the due time and after it at which complete groups are written; no others are written in between. The
+    /// first lets the submitter read them in time, the second is for a submitter that waits a little longer.
+    pub due_margin_ms: DurationMs,
 }
 
 impl Default for GatherOptions {
     fn default() -> Self {
         Self {
-            interval_ms: DurationMs::new(300),
-            due_lead_ms: DurationMs::new(1_500),
+            interval_ms: DurationMs::new(1_000),
+            due_margin_ms: DurationMs::new(500),
         }
     }
 }
@@ -39,17 +41,25 @@
     pub completes_group: bool,
     /// Whether no other results are to come.
     pub is_whole: bool,
-    /// Time until the results are due; zero afterwards.
-    pub until_due: DurationMs,
+    /// When the results are due.
+    pub due_at: Timestamp,
 }
 
 /// When the results are to be written; `written_at` is the time of the last write.
 pub fn write_at(unwritten: &Unwritten, options: &GatherOptions, written_at: Timestamp) -> Timestamp {
     // A submitter that has as many groups as it asked for and does not end the batch waits for particular ones, which it
     // carried over from an earlier batch.
-    let is_needed = unwritten.has_enough || unwritten.until_due <= options.due_lead_ms;
-    if (is_needed && unwritten.completes_group) || unwritten.is_whole || unwritten.has_expired {
+    let is_awaited = unwritten.has_enough && unwritten.completes_group;
+    if is_awaited || unwritten.is_whole || unwritten.has_expired {
         return written_at;
     }
-    written_at.after(options.interval_ms)
+    let next = written_at.after(options.interval_ms);
+    let margin = options.due_margin_ms;
+    let before_due = Timestamp::new(unwritten.due_at.get().saturating_sub(margin.get()));
+    let after_due = unwritten.due_at.after(margin);
+    match unwritten.completes_group {
+        true if written_at < before_due => next.min(before_due),
+        true if written_at < after_due => after_due,
+        _ => next,
+    }
 }
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod checkpoint;
 mod engine_load;
 mod events;
 mod gather;
@@ -19,6 +20,7 @@
 mod state;
 mod store;
 
+pub use checkpoint::{CheckpointOptions, CheckpointState, longest_texts, texts_to_save};
 pub use engine_load::{EngineLoads, LoadOptions};
 pub use events::{BatchEvents, BatchProgress, RunEnd};
 pub use gather::{GatherOptions, Unwritten, write_at};
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    BatchPlan, BatchResult, BatchSpec, GenerationEvent, ItemState, PlanOptions, ResultState,
+    BatchPlan, BatchResult, BatchSpec, CheckpointState, GenerationEvent, ItemState, PlanOptions, ResultState,
     gather::Unwritten,
 };
 
@@ -79,8 +79,9 @@
     /// When a piece of results was written last, or when this host took the batch over.
     pub(crate) written_at: Timestamp,
     pub(crate) is_ended: bool,
-    /// Another owner ran it before, whose last results may reach the store after this one read it.
-    pub(crate) is_taken_over: bool,
+    /// Owners before this one, whose last results may reach the store after this one read it.
+    pub(crate) earlier_owners: u32,
+    pub(crate) checkpoint: CheckpointState,
     waiters: Vec<Sender<()>>,
 }
 
@@ -109,7 +110,11 @@
             is_writing: false,
             written_at: now,
             is_ended: false,
-            is_taken_over: false,
+            earlier_owners: 0,
+            checkpoint: CheckpointState {
+                begun_at: now,
+                ..CheckpointState::default()
+            },
             waiters: Vec::new(),
         }
     }
@@ -143,7 +148,7 @@
     }
 
     /// What decides when the results that are not in the store yet are written.
-    pub(crate) fn unwritten(&self, unix_ms: u64) -> Unwritten {
+    pub(crate) fn unwritten(&self, now: Timestamp, unix_ms: u64) -> Unwritten {
         let listed = self.listed.iter().map(|result| result.item.as_str());
         let listed: HashSet<&str> = listed.collect();
         let is_listed = |index: usize| listed.contains(self.spec.items[index].id.as_str());
@@ -160,7 +165,7 @@
             has_enough: done_groups >= self.spec.wanted_groups.max(1),
             completes_group: done_groups > listed_groups,
             is_whole: self.listed.len() + self.unlisted.len() >= self.spec.items.len(),
-            until_due: DurationMs::new(due_unix_ms.saturating_sub(unix_ms)),
+            due_at: Timestamp::new((now.get() + due_unix_ms).saturating_sub(unix_ms)),
         }
     }
 
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -19,8 +19,8 @@
 use jm_types::{BatchId, Clock, DurationMs, ModelId, Timestamp, WallClock, WeightVersion};
 
 use crate::{
-    BatchEvents, BatchResult, BatchSpec, BatchStore, EngineLoads, GatherOptions, GenerationEnd, Generator,
-    LoadOptions, PlanOptions, ResultPage, RunEnd,
+    BatchEvents, BatchResult, BatchSpec, BatchStore, CheckpointOptions, EngineLoads, GatherOptions,
+    GenerationEnd, Generator, LoadOptions, PlanOptions, ResultPage, RunEnd,
     engine_load::ForeignWork,
     owned::{ItemText, OwnedBatch, Run},
 };
@@ -51,6 +51,8 @@
     pub patience_factor: u64,
     /// When finished results are written.
     pub gather: GatherOptions,
+    /// When unfinished texts are saved.
+    pub checkpoint: CheckpointOptions,
     /// Wait before a write that the store did not take is repeated.
     pub write_retry_ms: DurationMs,
     /// Time between two reports on items that wait.
@@ -69,6 +71,7 @@
             first_event_stall_ms: DurationMs::new(700),
             patience_factor: 4,
             gather: GatherOptions::default(),
+            checkpoint: CheckpointOptions::default(),
             write_retry_ms: DurationMs::new(150),
             report_ms: DurationMs::new(1_000),
             route_gone_ms: DurationMs::new(5_000),
@@ -98,7 +101,7 @@
 pub(crate) struct Adopted {
     /// Results in the store.
     pub(crate) listed: Vec<BatchResult>,
-    /// What the owner before handed on.
+    /// What earlier owners handed on or saved.
     pub(crate) texts: Vec<ItemText>,
     /// Owners before this one. Failures that an owner saw are lost with it unless it handed them on, so later owners
     /// allow fewer.
@@ -142,6 +145,7 @@
             self.stop_stalled();
             self.give_up_late();
             self.start_ready();
+            self.save_texts();
             self.report_progress();
         }
     }
@@ -180,7 +184,7 @@
         }
         let mut owned = OwnedBatch::new(spec, adopted.listed, plan, self.now());
         owned.continue_texts(adopted.texts);
-        owned.is_taken_over = is_taken_over;
+        owned.earlier_owners = adopted.earlier_owners;
         self.insert(owned);
     }
 
@@ -260,7 +264,7 @@
         let state = self.state();
         let owned = state.owned.get(batch).filter(|owned| !owned.is_finished())?;
         let listed = owned.listed.len();
-        (owned.is_taken_over || after > listed).then_some(listed)
+        (owned.earlier_owners > 0 || after > listed).then_some(listed)
     }
 
     /// The texts of open items of a batch, for its next owner.
--- a/crates/jm-batch/src/runner/write.rs
+++ b/crates/jm-batch/src/runner/write.rs
@@ -1,4 +1,5 @@
-//! Writes results to the store, several at a time, each piece under the position of its first result.
+//! Writes results to the store, several at a time, each piece under the position of its first result, and saves texts that
+//! are not finished.
 
 use std::sync::Arc;
 
@@ -6,7 +7,10 @@
 use jm_types::{BatchId, DurationMs, Timestamp};
 
 use super::{Runner, RunnerState, end_runs};
-use crate::{ResultPiece, gather::write_at, owned::OwnedBatch, result::fitting, store::Changed};
+use crate::{
+    ResultPiece, StoreError, checkpoint::texts_to_save, gather::write_at, owned::OwnedBatch, result::fitting,
+    store::Changed,
+};
 
 /// Time between two looks whether results have to be written before their interval is over.
 const GATHER_STEP_MS: DurationMs = DurationMs::new(40);
@@ -42,7 +46,7 @@
     fn write_at(&self, batch: &BatchId) -> Option<Timestamp> {
         let state = self.state();
         let owned = state.owned.get(batch)?;
-        let unwritten = owned.unwritten(self.parts.wall.unix_ms());
+        let unwritten = owned.unwritten(self.now(), self.parts.wall.unix_ms());
         let is_open = unwritten.results > 0 && !owned.is_ended;
         is_open.then(|| write_at(&unwritten, &self.options.gather, owned.written_at))
     }
@@ -104,6 +108,54 @@
     }
 }
 
+impl Runner {
+    /// Saves the long unfinished texts of each batch for which that is due.
+    pub(super) fn save_texts(self: &Arc<Self>) {
+        let now = self.now();
+        let options = &self.options.checkpoint;
+        let mut guard = self.state();
+        let open = guard.owned.values_mut().filter(|owned| {
+            !owned.is_ended && !owned.runs.is_empty() && owned.checkpoint.is_due(options, now)
+        });
+        let mut saves = Vec::new();
+        for owned in open {
+            let texts = texts_to_save(owned.open_texts(), options);
+            owned.checkpoint.begun_at = now;
+            if !texts.is_empty() {
+                owned.checkpoint.is_writing = true;
+                saves.push((owned.spec.id.clone(), owned.earlier_owners, texts));
+            }
+        }
+        drop(guard);
+        for (batch, earlier_owners, texts) in saves {
+            let runner = Arc::clone(self);
+            task::spawn(async move {
+                let saved = runner
+                    .parts
+                    .store
+                    .save_texts(&batch, earlier_owners, &texts)
+                    .await;
+                runner.saved(&batch, saved);
+            });
+        }
+    }
+
+    fn saved(&self, batch: &BatchId, saved: Result<(), StoreError>) {
+        if let Some(owned) = self.state().owned.get_mut(batch) {
+            let checkpoint = &mut owned.checkpoint;
+            checkpoint.is_writing = false;
+            checkpoint.failures = match saved {
+                Ok(()) => 0,
+                Err(_) => checkpoint.failures + 1,
+            };
+        }
+        if let Err(error) = saved {
+            let reason = error.to_string();
+            self.parts.events.store_failed(batch, "save texts", &reason);
+        }
+    }
+}
+
 /// Whether a writer has to be started for new results.
 pub(super) fn begin_writing(owned: &mut OwnedBatch) -> bool {
     let must_start = !owned.is_writing && !owned.is_ended && !owned.unlisted.is_empty();
--- a/crates/jm-batch/src/service/own.rs
+++ b/crates/jm-batch/src/service/own.rs
@@ -9,8 +9,8 @@
 
 use super::{BatchService, KEPT_RESULTS, Known, keep};
 use crate::{
-    BatchPhase, BatchState, StoreError, Takeover, engine_load::ForeignWork, runner::Adopted, store::Changed,
-    takeover,
+    BatchPhase, BatchState, StoreError, Takeover, checkpoint::longest_texts, engine_load::ForeignWork,
+    runner::Adopted, store::Changed, takeover,
 };
 
 impl BatchService {
@@ -106,11 +106,13 @@
             });
         };
         let mut listed = Vec::new();
+        let mut texts = self.state().handed.swap_remove(&state.batch).unwrap_or_default();
         if earlier_owners > 0 {
             self.parts.store.load_results(&state.batch, &mut listed).await?;
+            texts.extend(self.parts.store.load_texts(&state.batch).await?);
         }
         let count = listed.len();
-        let texts = self.state().handed.swap_remove(&state.batch).unwrap_or_default();
+        let texts = longest_texts(texts);
         let adopted = Adopted {
             listed,
             texts,
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -10,7 +10,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::Snafu;
 
-use crate::{BatchResult, BatchSpec, BatchState, ResultPiece};
+use crate::{BatchResult, BatchSpec, BatchState, ItemText, ResultPiece};
 
 /// Prefix of the keys of batch states.
 pub const BATCH_STATE_PREFIX: &str = "batch-state/";
@@ -194,6 +194,32 @@
         Ok(results)
     }
 
+    /// Saves unfinished texts; each owner overwrites its own ones only.
+    pub(crate) async fn save_texts(
+        &self,
+        batch: &BatchId,
+        earlier_owners: u32,
+        texts: &[ItemText],
+    ) -> Result<(), StoreError> {
+        let key = texts_key(batch, earlier_owners);
+        let result = self
+            .objects
+            .put(&key, encode(&texts).into_bytes(), Condition::Any)
+            .await;
+        changed(result).map(|_| ())
+    }
+
+    /// The unfinished texts that all owners saved.
+    pub(crate) async fn load_texts(&self, batch: &BatchId) -> Result<Vec<ItemText>, StoreError> {
+        let listing = self.objects.list(&texts_prefix(batch)).await;
+        let listing = listing.map_err(StoreError::unavailable)?;
+        let mut texts = Vec::new();
+        for object in listing.objects {
+            texts.extend(decode::<Vec<ItemText>>(&object.key, &object.object.value)?);
+        }
+        Ok(texts)
+    }
+
     /// Removes everything of a batch that nobody can ask for any more.
     pub(crate) async fn remove(&self, batch: &BatchId) -> Result<(), StoreError> {
         let mut first = 0;
@@ -201,6 +227,10 @@
             self.delete(&piece_key(batch, first)).await?;
             first += piece.results.len().max(1);
         }
+        let saved = self.objects.list(&texts_prefix(batch)).await;
+        for object in saved.map_err(StoreError::unavailable)?.objects {
+            self.delete(&object.key).await?;
+        }
         if let Some((head, _)) = self.read::<SpecHead>(&spec_key(batch)).await? {
             for index in 1..head.parts {
                 self.delete(&part_key(batch, index)).await?;
@@ -281,6 +311,14 @@
     format!("{BATCH_STATE_PREFIX}{batch}")
 }
 
+fn texts_prefix(batch: &BatchId) -> String {
+    format!("batch-texts/{batch}.")
+}
+
+fn texts_key(batch: &BatchId, earlier_owners: u32) -> String {
+    format!("{}{earlier_owners:04}", texts_prefix(batch))
+}
+
 fn piece_prefix(batch: &BatchId) -> String {
     format!("batch-result/{batch}.")
 }
--- /dev/null
+++ b/crates/jm-batch/tests/saved_texts.rs
@@ -0,0 +1,137 @@
+//! Guards against steps that start again from nothing when their owner is killed.
+
+mod common;
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use async_std::task;
+use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text, without_hang};
+use jm_batch::{
+    CheckpointOptions, CheckpointState, GenerationRequest, ItemText, longest_texts, texts_to_save,
+};
+use jm_platform::ObjectStore;
+use jm_types::{DurationMs, Timestamp};
+
+fn item_text(item: usize, events: u64, bytes: usize) -> ItemText {
+    ItemText {
+        item,
+        text: "x".repeat(bytes),
+        last_event: Some(events),
+        ..ItemText::default()
+    }
+}
+
+/// A kill of all hosts in the middle of a step: the long text goes on where the last checkpoint left it.
+#[async_std::test]
+async fn killed_owner() {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
+    let slow = Box::new(|_: &_, request: &GenerationRequest| match request.item {
+        0 => {
+            let mut steps: Vec<Step> = (1..=60).map(data).collect();
+            steps.push(Step::Silence);
+            steps
+        }
+        _ => text(request, 3, 1),
+    });
+    let first = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 8, 1)], slow);
+    first.service.submit(spec("b1", &[9, 2])).await.unwrap();
+    without_hang(async {
+        while store
+            .inner
+            .list("batch-texts/b1.")
+            .await
+            .unwrap()
+            .objects
+            .is_empty()
+        {
+            task::sleep(Duration::from_millis(2)).await;
+        }
+    })
+    .await;
+    hosts.kill("host-a");
+    let rest = Box::new(|_: &_, request: &GenerationRequest| {
+        assert_eq!(request.resume_after, Some(60), "the text goes on where it was");
+        text(request, 70, 1)
+    });
+    let second = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 8, 1)], rest);
+    second.learn(&store).await;
+    let page = second.listed("b1", 2).await;
+    let long = page.results.iter().find(|result| result.item == "b1-0").unwrap();
+    assert_eq!(long.text, whole_text(70));
+}
+
+/// A batch whose texts are short costs no call.
+#[async_std::test]
+async fn short_texts() {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
+    let slow = Box::new(|_: &_, request: &GenerationRequest| {
+        let mut steps = text(request, 3, 1);
+        steps.insert(2, Step::Wait(Duration::from_millis(50)));
+        steps
+    });
+    let host = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 2, 1)], slow);
+    host.service.submit(spec("b1", &[1; 12])).await.unwrap();
+    host.listed("b1", 12).await;
+    let saved = store.inner.list("batch-texts/b1.").await.unwrap();
+    assert!(saved.objects.is_empty());
+    assert_eq!(store.reads.load(Ordering::SeqCst), 0);
+}
+
+#[test]
+fn longest_within_the_limit() {
+    let options = CheckpointOptions {
+        min_events: 40,
+        max_bytes: 1_000,
+        ..CheckpointOptions::default()
+    };
+    let texts = vec![
+        item_text(0, 39, 10),
+        item_text(1, 50, 600),
+        item_text(2, 90, 400),
+        item_text(3, 60, 500),
+    ];
+    let saved: Vec<usize> = texts_to_save(texts, &options)
+        .iter()
+        .map(|text| text.item)
+        .collect();
+    assert_eq!(saved, [2, 3]);
+}
+
+/// What a host handed on may be older or newer than the last checkpoint of another one.
+#[test]
+fn longest_of_each_item() {
+    let found = vec![
+        item_text(0, 50, 1),
+        item_text(1, 40, 1),
+        item_text(0, 45, 1),
+        ItemText {
+            failures: 2,
+            ..item_text(1, 60, 1)
+        },
+    ];
+    let longest = longest_texts(found);
+    let events: Vec<_> = longest.iter().map(|text| (text.item, text.last_event)).collect();
+    assert_eq!(events, [(0, Some(50)), (1, Some(60))]);
+    assert_eq!(longest[1].failures, 2);
+}
+
+/// While the store is away, checkpoints come less and less often: their calls are charged and take its time.
+#[test]
+fn store_is_away() {
+    let options = CheckpointOptions::default();
+    let waits = [0, 1, 2, 9].map(|failures| {
+        let state = CheckpointState {
+            failures,
+            ..CheckpointState::default()
+        };
+        let mut wait_ms = 0;
+        while !state.is_due(&options, Timestamp::new(wait_ms)) {
+            wait_ms += 100;
+        }
+        DurationMs::new(wait_ms).get()
+    });
+    assert_eq!(waits, [1_000, 2_000, 4_000, 8_000]);
+}
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -34,6 +34,13 @@
     max_retry_ms: DurationMs::new(800),
 };
 
+/// States of batches: nothing of an ended batch may start 3 s later, whatever happens to watches.
+const BATCH_STATES: FollowOptions = FollowOptions {
+    relist_ms: DurationMs::new(2_400),
+    max_age_ms: DurationMs::new(2_000),
+    ..WATCHED
+};
+
 impl Host {
     pub(super) fn start_tasks(self: &Arc<Self>, wiring: Wiring) {
         let membership = Arc::clone(&self.membership);
@@ -75,7 +82,7 @@
             WATCHED,
             Arc::clone(&self.membership) as _,
         );
-        self.follow(wiring, product, BATCH_STATE_PREFIX, WATCHED, states);
+        self.follow(wiring, product, BATCH_STATE_PREFIX, BATCH_STATES, states);
     }
 
     fn follow(
