One host reads the store for all; bodies come from the owner; fewer polls while an owner is away

Ruled out: one reader for 80 hosts without others that pass its copy on (its host has 0.12 cores and already uses half).

--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -39,6 +39,9 @@
         wait: DurationMs,
     ) -> Option<ResultPage>;
 
+    /// The body of an item of a batch that `owner` runs; none when it does not answer or does not run the batch.
+    async fn body(&self, owner: &MemberId, batch: &BatchId, item: &str) -> Option<Vec<u8>>;
+
     /// Tells the owner that a state names that it owns the batch now, and hands on the texts so far. It hears of the
     /// batch from the store as well.
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>);
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -8,8 +8,9 @@
 use super::{BatchService, KEPT_RESULTS, ReadError, keep};
 use crate::{BatchPhase, BatchResult, BatchSpec, BatchState, ResultPage};
 
-/// Interval at which a reader looks for results in the store when the owner does not answer.
-const STORE_POLL_MS: DurationMs = DurationMs::new(300);
+/// Interval at which a reader looks for results in the store when the owner does not answer. Nobody adds results until
+/// another host has taken the batch over, which takes longer.
+const STORE_POLL_MS: DurationMs = DurationMs::new(900);
 
 /// Interval at which a reader looks whether this host runs a batch that it is taking over.
 const TAKEOVER_POLL_MS: DurationMs = DurationMs::new(20);
@@ -146,16 +147,27 @@
         organisation: Option<&OrganisationId>,
         item: &str,
     ) -> Result<Vec<u8>, ReadError> {
-        self.state_for(batch, organisation).await?;
+        let state = self.state_for(batch, organisation).await?;
+        if let Some(body) = self.owned_body(batch, item) {
+            return Ok(body);
+        }
+        // A specification is far larger than one body, and the owner has it in memory.
+        let members = &self.parts.members;
+        if members.is_running(&state.owner, state.owner_incarnation)
+            && let Some(body) = self.parts.peers.body(&state.owner, batch, item).await
+        {
+            return Ok(body);
+        }
         let spec = self.spec(batch).await?;
-        let found = spec.items.iter().find(|candidate| candidate.id == item);
-        found.map(|item| item.body.clone()).ok_or(ReadError::NotFound)
+        spec.body(item).ok_or(ReadError::NotFound)
+    }
+
+    /// The body of an item of a batch that this host runs, for other hosts.
+    pub fn owned_body(&self, batch: &BatchId, item: &str) -> Option<Vec<u8>> {
+        self.runner.spec(batch)?.body(item)
     }
 
     async fn spec(&self, batch: &BatchId) -> Result<Arc<BatchSpec>, ReadError> {
-        if let Some(spec) = self.runner.spec(batch) {
-            return Ok(spec);
-        }
         let kept = self.state().specs.get(batch).cloned();
         if let Some(spec) = kept {
             return Ok(spec);
--- a/crates/jm-batch/src/spec.rs
+++ b/crates/jm-batch/src/spec.rs
@@ -84,6 +84,12 @@
 }
 
 impl BatchSpec {
+    /// The body of an item; none when the batch has no such item.
+    pub(crate) fn body(&self, item: &str) -> Option<Vec<u8>> {
+        let found = self.items.iter().find(|candidate| candidate.id == item);
+        found.map(|item| item.body.clone())
+    }
+
     /// Tokens that all items are expected to take.
     pub fn work_tokens(&self) -> u64 {
         self.items.iter().map(BatchItem::work_tokens).sum()
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -166,8 +166,9 @@
         batch: &BatchId,
         listed: &mut Vec<BatchResult>,
     ) -> Result<(), StoreError> {
-        if listed.is_empty() {
-            *listed = self.list_results(batch).await?;
+        let is_whole = listed.is_empty() && self.list_results(batch, listed).await?;
+        if is_whole {
+            return Ok(());
         }
         while let Some(piece) = self.load_piece(batch, listed.len()).await? {
             if piece.results.is_empty() {
@@ -178,20 +179,20 @@
         Ok(())
     }
 
-    /// Reads all pieces in one listing, which costs far fewer calls than reading one after another.
-    async fn list_results(&self, batch: &BatchId) -> Result<Vec<BatchResult>, StoreError> {
+    /// Reads all pieces in one listing, which costs far fewer calls than reading one after another. Returns whether no
+    /// piece is missing between them.
+    async fn list_results(&self, batch: &BatchId, listed: &mut Vec<BatchResult>) -> Result<bool, StoreError> {
         let listing = self.objects.list(&piece_prefix(batch)).await;
         let listing = listing.map_err(StoreError::unavailable)?;
-        let mut results: Vec<BatchResult> = Vec::new();
         for object in listing.objects {
             let piece: ResultPiece = decode(&object.key, &object.object.value)?;
-            if piece.first != results.len() {
+            if piece.first != listed.len() {
                 // A page that was read before a piece was created can lack it; the rest is read one by one.
-                break;
+                return Ok(false);
             }
-            results.extend(piece.results);
+            listed.extend(piece.results);
         }
-        Ok(results)
+        Ok(true)
     }
 
     /// Saves unfinished texts; each owner overwrites its own ones only.
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -247,6 +247,10 @@
         None
     }
 
+    async fn body(&self, _owner: &MemberId, _batch: &BatchId, _item: &str) -> Option<Vec<u8>> {
+        None
+    }
+
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
         self.handed.lock().unwrap().push((state.clone(), version, texts));
     }
--- a/crates/jm-host/src/duty/mod.rs
+++ b/crates/jm-host/src/duty/mod.rs
@@ -34,6 +34,9 @@
 const SEARCH_INTERVAL_MS: DurationMs = DurationMs::new(1_500);
 /// Interval at which a resting host looks at what it knows.
 const REST_STEP_MS: DurationMs = DurationMs::new(300);
+/// Longest wait of a new run for the list of hosts, and the time between two looks.
+const HOSTS_KNOWN_MS: DurationMs = DurationMs::new(1_000);
+const HOSTS_STEP_MS: DurationMs = DurationMs::new(20);
 /// Hosts that try to get the lease.
 const CANDIDATES: usize = 2;
 /// Time for which others leave the lease alone after they saw its last update. Weights are not loaded meanwhile, and a
@@ -127,6 +130,7 @@
                 return;
             }
         };
+        self.wait_for_hosts().await;
         while !self.membership.is_leaving() {
             let interval = self.look(&mut keeper).await;
             self.rest(interval, keeper.guard().is_some()).await;
@@ -138,6 +142,15 @@
         self.view.set(None, self.view.holder());
     }
 
+    /// Waits until the other hosts are known. A host that knows nobody takes itself for the first candidate, and each start
+    /// of a fleet would read the lease once for each host.
+    async fn wait_for_hosts(&self) {
+        let until = self.clock.now().after(HOSTS_KNOWN_MS);
+        while self.clock.now() < until && !self.membership.is_listed() {
+            task::sleep(HOSTS_STEP_MS.as_std()).await;
+        }
+    }
+
     /// Waits; ends early when the host leaves, or when the holder that was seen is no longer alive.
     async fn rest(&self, interval: DurationMs, holds: bool) {
         let until = self.clock.now().after(interval);
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -26,7 +26,7 @@
 pub use membership::{Membership, Registration};
 pub use mirror::{Mirror, MirrorChanges};
 pub use observer::HostObserver;
-pub use peer::{ObjectSpace, UsageCounts};
+pub use peer::{ObjectSpace, StoreSource, UsageCounts, store_source};
 pub use platform::{
     DecodeError, DutyCallError, DutyCalls, EngineReport, LoadOrder, LoadOutcome, PlatformObjects,
     PlatformParts,
--- a/crates/jm-host/src/membership.rs
+++ b/crates/jm-host/src/membership.rs
@@ -238,6 +238,11 @@
         self.agent.view()
     }
 
+    /// Whether the list of hosts was read.
+    pub fn is_listed(&self) -> bool {
+        self.listed_at_ms.load(Ordering::Relaxed) > 0
+    }
+
     /// Whether the list of hosts was read, long enough ago for the detector to have reached them.
     fn is_settled(&self) -> bool {
         let listed_at_ms = self.listed_at_ms.load(Ordering::Relaxed);
--- a/crates/jm-host/src/peer/copy.rs
+++ b/crates/jm-host/src/peer/copy.rs
@@ -14,30 +14,54 @@
 /// Hosts for one that reads the store for the others.
 const HOSTS_PER_READER: usize = 40;
 
+/// Longest wait of a host that passes its copy on. What it passes on is older than the first reader's copy by up to this
+/// time, and other hosts turn to the store when a copy is too old.
+const READER_WAIT_MS: DurationMs = DurationMs::new(300);
+
+/// Where a host reads the objects of the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreSource {
+    /// In the store itself.
+    Store,
+    /// In the copy of the one host that reads the store; this host passes its own copy on.
+    FirstReader(MemberId),
+    /// In the copy of one of the readers.
+    Reader(MemberId),
+}
+
+/// Where `own` reads the objects of the store, among the hosts `live`. One host reads the store, so that store calls do not
+/// grow with the number of hosts; further readers pass its copy on, so that its load does not either.
+pub fn store_source(own: &MemberId, live: &[MemberId]) -> StoreSource {
+    let readers = live.len().div_ceil(HOSTS_PER_READER).max(1);
+    let chosen: Vec<&MemberId> = (0..readers)
+        .filter_map(|index| owner_by_key(&format!("store-reader/{index}"), live))
+        .collect();
+    let slot = stable_hash(own.as_str().as_bytes()) as usize % readers;
+    match (chosen.first(), chosen.get(slot)) {
+        (Some(first), _) if *first == own => StoreSource::Store,
+        (Some(first), _) if chosen.contains(&own) => StoreSource::FirstReader((*first).clone()),
+        (_, Some(reader)) => StoreSource::Reader((*reader).clone()),
+        _ => StoreSource::Store,
+    }
+}
+
 /// The copy of the host that reads the store for this one.
 pub(crate) struct ReaderCopy {
     pub(crate) client: Arc<PeerClient>,
 }
 
 impl ReaderCopy {
-    /// The host that reads the store for this one; none when this one reads for itself or is not known to the others.
-    fn reader(&self) -> Option<MemberId> {
+    fn source(&self) -> StoreSource {
         let membership = &self.client.membership;
         let live: Vec<MemberId> = membership.live().into_iter().map(|(member, _)| member).collect();
-        let readers = live.len().div_ceil(HOSTS_PER_READER).max(1);
-        let own = membership.own();
-        let slot = stable_hash(own.as_str().as_bytes()) % readers as u64;
-        let chosen: Vec<&MemberId> = (0..readers)
-            .filter_map(|index| owner_by_key(&format!("store-reader/{index}"), &live))
-            .collect();
-        if chosen.contains(&own) {
-            return None;
-        }
-        chosen.get(slot as usize).map(|reader| (*reader).clone())
+        store_source(membership.own(), &live)
     }
 
     async fn call(&self, request: PeerRequest, wait: DurationMs) -> Option<PeerReply> {
-        let reader = self.reader()?;
+        let reader = match self.source() {
+            StoreSource::Store => return None,
+            StoreSource::FirstReader(reader) | StoreSource::Reader(reader) => reader,
+        };
         let address = self.client.membership.peer_address(&reader)?;
         self.client
             .call_within(address, &request, wait.saturating_add(COPY_CALL_MS))
@@ -82,6 +106,10 @@
         wait: DurationMs,
         max_age: DurationMs,
     ) -> MirrorChanges {
+        let wait = match self.source() {
+            StoreSource::FirstReader(_) => wait.min(READER_WAIT_MS),
+            StoreSource::Store | StoreSource::Reader(_) => wait,
+        };
         let request = PeerRequest::WatchCopy {
             space,
             prefix: prefix.to_owned(),
--- a/crates/jm-host/src/peer/handler.rs
+++ b/crates/jm-host/src/peer/handler.rs
@@ -8,6 +8,7 @@
 use jm_node::{decode, encode};
 use jm_platform::{ObjectError, ObjectStore};
 use jm_types::LogEvent;
+use serde_bytes::ByteBuf;
 
 use super::{
     ObjectSpace, PEER_PATH, PeerReply, PeerRequest,
@@ -41,6 +42,9 @@
                 after,
                 wait_ms,
             } => PeerReply::Page(self.batches.read_owned(&batch, after, wait_ms).await),
+            PeerRequest::ItemBody { batch, item } => {
+                PeerReply::ItemBody(self.batches.owned_body(&batch, &item).map(ByteBuf::from))
+            }
             PeerRequest::Members => PeerReply::Members(self.membership.registrations()),
             PeerRequest::Configuration => PeerReply::Configuration(self.world.routing_value()),
             PeerRequest::Status => {
--- a/crates/jm-host/src/peer/message.rs
+++ b/crates/jm-host/src/peer/message.rs
@@ -6,6 +6,7 @@
 use jm_types::{BatchId, DurationMs, Incarnation, MemberId, OrganisationId};
 use jm_usage::WindowId;
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 
 use crate::{membership::Registration, status::HostStatus};
 
@@ -33,6 +34,10 @@
         after: usize,
         wait_ms: DurationMs,
     },
+    ItemBody {
+        batch: BatchId,
+        item: String,
+    },
     Members,
     Configuration,
     LeaseHolder,
@@ -126,6 +131,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) enum PeerReply {
     Page(Option<ResultPage>),
+    ItemBody(Option<ByteBuf>),
     Members(Vec<Registration>),
     Configuration(#[serde(with = "serde_bytes")] Vec<u8>),
     /// None when the host does not know it.
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -20,10 +20,12 @@
 use jm_platform::Version;
 use jm_types::{BatchId, ByteSize, DurationMs, LogEvent, MemberId};
 use rand::seq::IndexedRandom;
+use serde_bytes::ByteBuf;
 
 use crate::{membership::Membership, world::World};
 
 pub(crate) use copy::ReaderCopy;
+pub use copy::{StoreSource, store_source};
 pub(crate) use handler::PeerHandler;
 pub use message::{ObjectSpace, UsageCounts};
 pub(crate) use message::{PeerReply, PeerRequest};
@@ -152,6 +154,17 @@
         }
     }
 
+    async fn body(&self, owner: &MemberId, batch: &BatchId, item: &str) -> Option<Vec<u8>> {
+        let request = PeerRequest::ItemBody {
+            batch: batch.clone(),
+            item: item.to_owned(),
+        };
+        match self.call_member(owner, &request, DurationMs::new(0)).await? {
+            PeerReply::ItemBody(body) => body.map(ByteBuf::into_vec),
+            _ => None,
+        }
+    }
+
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
         let request = PeerRequest::BatchState {
             state: state.clone(),
--- /dev/null
+++ b/crates/jm-host/tests/store_source.rs
@@ -0,0 +1,48 @@
+//! Guards against store calls that grow with the number of hosts, and against one host that serves its copy to all others.
+
+use std::collections::HashMap;
+
+use jm_host::{StoreSource, store_source};
+use jm_types::MemberId;
+
+fn hosts(count: usize) -> Vec<MemberId> {
+    (0..count)
+        .map(|index| format!("host-{index}").parse().unwrap())
+        .collect()
+}
+
+/// Every host of fleets up to the target size, with the host in whose copy it reads.
+#[test]
+fn one_host_reads_the_store() {
+    for count in [1, 2, 40, 41, 66, 120, 350] {
+        let live = hosts(count);
+        let sources: Vec<StoreSource> = live.iter().map(|own| store_source(own, &live)).collect();
+        let reads_store = |source: &&StoreSource| **source == StoreSource::Store;
+        assert_eq!(sources.iter().filter(reads_store).count(), 1, "{count} hosts");
+        let mut served: HashMap<&MemberId, usize> = HashMap::new();
+        for source in &sources {
+            if let StoreSource::FirstReader(reader) | StoreSource::Reader(reader) = source {
+                *served.entry(reader).or_default() += 1;
+            }
+        }
+        let most = served.values().max().copied().unwrap_or(0);
+        assert!(most <= 80, "{count} hosts, {most} of them read one copy");
+    }
+}
+
+/// A copy passes at most one other host, or its age would grow over the limit.
+#[test]
+fn readers_read_the_first_copy() {
+    let live = hosts(350);
+    let first = live
+        .iter()
+        .find(|own| store_source(own, &live) == StoreSource::Store);
+    let first = first.unwrap();
+    for own in &live {
+        let StoreSource::Reader(reader) = store_source(own, &live) else {
+            continue;
+        };
+        let of_reader = store_source(&reader, &live);
+        assert!(reader == *first || of_reader == StoreSource::FirstReader(first.clone()));
+    }
+}
