--- /dev/null
+++ b/crates/jm-host/src/counted.rs
@@ -0,0 +1,84 @@
+//! Counts the calls on the store by what was called and how it ended.
+
+use std::sync::Arc;
+
+use async_trait::async_trait;
+use jm_platform::{
+    Changes, Condition, Listing, Object, ObjectError, ObjectStore, ReadError, Version, WatchError,
+};
+use jm_types::DurationMs;
+use prometheus::IntCounterVec;
+
+/// A store whose calls are counted. Labels are the call, the kind of object (the key up to its first slash), and the
+/// outcome; there are few kinds, so that the number of series stays bounded.
+pub struct CountedStore {
+    inner: Arc<dyn ObjectStore>,
+    calls: IntCounterVec,
+}
+
+/// Names of the labels of the counter, in their order.
+pub const STORE_CALL_LABELS: [&str; 3] = ["call", "kind", "outcome"];
+
+impl CountedStore {
+    /// Counts the calls on `inner` in `calls`, whose labels are [`STORE_CALL_LABELS`].
+    pub fn new(inner: Arc<dyn ObjectStore>, calls: IntCounterVec) -> Self {
+        Self { inner, calls }
+    }
+
+    fn count(&self, call: &str, key: &str, outcome: &str) {
+        let kind = key.split('/').next().unwrap_or(key);
+        self.calls.with_label_values(&[call, kind, outcome]).inc();
+    }
+
+    fn count_change<T>(&self, call: &str, key: &str, result: &Result<T, ObjectError>) {
+        let outcome = match result {
+            Ok(_) => "ok",
+            Err(ObjectError::Conflict { .. }) => "conflict",
+            Err(error) if error.may_be_applied() => "unknown",
+            Err(_) => "failed",
+        };
+        self.count(call, key, outcome);
+    }
+
+    fn count_read<T>(&self, call: &str, key: &str, result: &Result<T, ReadError>) {
+        self.count(call, key, if result.is_ok() { "ok" } else { "failed" });
+    }
+}
+
+#[async_trait]
+impl ObjectStore for CountedStore {
+    async fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
+        let result = self.inner.get(key).await;
+        self.count_read("get", key, &result);
+        result
+    }
+
+    async fn put(&self, key: &str, value: Vec<u8>, condition: Condition) -> Result<Version, ObjectError> {
+        let result = self.inner.put(key, value, condition).await;
+        self.count_change("put", key, &result);
+        result
+    }
+
+    async fn delete(&self, key: &str, condition: Condition) -> Result<(), ObjectError> {
+        let result = self.inner.delete(key, condition).await;
+        self.count_change("delete", key, &result);
+        result
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, ReadError> {
+        let result = self.inner.list(prefix).await;
+        self.count_read("list", prefix, &result);
+        result
+    }
+
+    async fn watch(&self, prefix: &str, after: Version, wait: DurationMs) -> Result<Changes, WatchError> {
+        let result = self.inner.watch(prefix, after, wait).await;
+        let outcome = match &result {
+            Ok(_) => "ok",
+            Err(WatchError::Relist { .. }) => "relist",
+            Err(_) => "failed",
+        };
+        self.count("watch", prefix, outcome);
+        result
+    }
+}
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     HostObserver, HostSettings, Membership, Mirror, PlatformParts, RelayedStore,
+    counted::CountedStore,
     duty::{LeaseView, UsageBook, UsageCounter, UsagePush},
     peer::{ObjectSpace, PeerClient, PeerHandler, Relay},
     world::World,
@@ -147,16 +148,17 @@
         let objects = Arc::clone(&platform.objects);
         let world = Arc::new(World::new(objects, Arc::clone(&clock), on_change(&changes.0)));
         let peers = Arc::new(PeerClient::new(Arc::clone(&membership)));
-        let relayed = |direct: &Arc<dyn ObjectStore>, space| -> Arc<RelayedStore> {
-            let client = Arc::clone(&peers);
-            let relay = Arc::new(Relay { client, space });
-            Arc::new(RelayedStore::new(Arc::clone(direct), relay, Arc::clone(&clock)))
-        };
         let usage = Arc::new(UsageCounter::new(
             Arc::clone(&wall),
             settings.bounds.usage_window_ms,
         ));
         let observer = Arc::new(HostObserver::new(Arc::clone(&usage)));
+        let relayed = |direct: &Arc<dyn ObjectStore>, space| -> Arc<RelayedStore> {
+            let client = Arc::clone(&peers);
+            let relay = Arc::new(Relay { client, space });
+            let counted = CountedStore::new(Arc::clone(direct), observer.store_calls.clone());
+            Arc::new(RelayedStore::new(Arc::new(counted), relay, Arc::clone(&clock)))
+        };
         let wiring = Wiring {
             product_store: relayed(&platform.store, ObjectSpace::Product),
             platform_store: relayed(&platform.platform_store, ObjectSpace::Platform),
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod counted;
 mod duty;
 mod follow;
 mod host;
@@ -19,6 +20,7 @@
 mod status;
 mod world;
 
+pub use counted::{CountedStore, STORE_CALL_LABELS};
 pub use duty::{LONGEST_CALL_MS, UsageBook, UsageCounter};
 pub use follow::{CopySource, FollowOptions, FollowTask, Follower};
 pub use host::{Host, HostError, HostParts, connection_limits};
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -9,7 +9,7 @@
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
-use crate::duty::UsageCounter;
+use crate::{counted::STORE_CALL_LABELS, duty::UsageCounter};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5];
@@ -24,6 +24,8 @@
     item_runs: IntCounterVec,
     batches: IntCounterVec,
     store_failures: IntCounterVec,
+    /// Calls of this host on the store, those for other hosts included.
+    pub store_calls: IntCounterVec,
     /// Revision of the configuration in force.
     pub config_revision: IntGauge,
     /// Targets that are listed.
@@ -76,6 +78,12 @@
                 "Store calls of batches that failed.",
                 &["action"],
             ),
+            store_calls: counter(
+                &registry,
+                "jm_store_calls_total",
+                "Calls on the store by call, kind of object and outcome.",
+                &STORE_CALL_LABELS,
+            ),
             config_revision: gauge(
                 &registry,
                 "jm_config_revision",
