Hosts list sooner when their reader stops; listings of configuration and targets stay at 750 ms

A host whose reader stops waited up to a whole interval from the reader's last word on, whatever the age of the copy: 2.0 + 1.1 s. Ruled out: the chain of readers alone. The age of a copy is passed on, so it stays under the same limit. Change: interval and age are 750 ms and 1.3 s again, and the setting config_apply is gone; a host without a new copy counts from when the store last confirmed what it knows, with 150 ms for the others to agree on the next reader. Test: store_source.rs, reader_stops.

--- a/crates/jm-host/src/follow.rs
+++ b/crates/jm-host/src/follow.rs
@@ -205,7 +205,10 @@
                     (changes, age_ms)
                 }
                 MirrorChanges::Relist => return position.confirmed_at,
-                MirrorChanges::Stale => match self.watch_store(position.version, until_listing).await {
+                MirrorChanges::Stale => match self
+                    .watch_store(position.version, self.until_stale(&position))
+                    .await
+                {
                     Some(changes) => (changes, DurationMs::new(0)),
                     None => return position.confirmed_at,
                 },
@@ -219,6 +222,14 @@
         }
     }
 
+    /// Time until the next listing when no copy is new enough.
+    fn until_stale(&self, position: &Position) -> DurationMs {
+        let now = self.clock.now();
+        let listed_ms = now.since(position.listed_at);
+        let confirmed_ms = now.since(position.confirmed_at);
+        until_listing(&self.options, listed_ms, confirmed_ms)
+    }
+
     /// Changes from the store itself; none when a listing is needed.
     async fn watch_store(&self, after: Version, until_listing: DurationMs) -> Option<Changes> {
         let wait = self.options.watch_ms.min(until_listing);
@@ -239,5 +250,17 @@
     }
 }
 
+/// Time until the next listing of a host whose source has no new copy. `listed` is the time since it last heard of its source,
+/// `confirmed` the time since the store last confirmed what it knows. What a copy said may have been old already when its
+/// host stopped, so the second one counts; a moment is left for the other hosts to agree on the next reader.
+pub fn until_listing(options: &FollowOptions, listed: DurationMs, confirmed: DurationMs) -> DurationMs {
+    let by_listing = options.relist_ms.saturating_sub(listed);
+    let by_age = options.relist_ms.saturating_sub(confirmed).max(NEXT_READER_MS);
+    by_listing.min(by_age)
+}
+
+/// Time in which the hosts agree on the next reader.
+const NEXT_READER_MS: DurationMs = DurationMs::new(150);
+
 /// Time without a confirmation that followers hear of even when nothing changed.
 const NOTABLE_GAP_MS: DurationMs = DurationMs::new(1_000);
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -16,17 +16,14 @@
     world::{RoutingFollower, TargetsFollower, VersionsFollower},
 };
 
-/// How configuration and targets are followed. They have to take effect within a bound whatever happens to watches, so they
-/// are listed, a little less than three times within it, and a copy may be as old as two thirds of it.
-fn polled(config_apply: DurationMs) -> FollowOptions {
-    FollowOptions {
-        watch_ms: DurationMs::new(0),
-        relist_ms: DurationMs::new(config_apply.get() * 3 / 8),
-        max_age_ms: DurationMs::new(config_apply.get() * 2 / 3),
-        retry_ms: DurationMs::new(150),
-        max_retry_ms: DurationMs::new(600),
-    }
-}
+/// Configuration and targets have to take effect within two seconds whatever happens to watches, so they are listed.
+const POLLED: FollowOptions = FollowOptions {
+    watch_ms: DurationMs::new(0),
+    relist_ms: DurationMs::new(750),
+    max_age_ms: DurationMs::new(1_300),
+    retry_ms: DurationMs::new(150),
+    max_retry_ms: DurationMs::new(600),
+};
 
 /// Versions, hosts and batches: an event is passed on at once, and a lost one is found by the next listing.
 const WATCHED: FollowOptions = FollowOptions {
@@ -69,15 +66,14 @@
         let versions = Arc::new(VersionsFollower(Arc::clone(world)));
         let states = Arc::new(StatesFollower(Arc::clone(&self.batches)));
         let (product, platform) = (ObjectSpace::Product, ObjectSpace::Platform);
-        let polled = polled(self.settings.bounds.config_apply_ms);
         self.follow(
             wiring,
             platform,
             prefix_of(objects.routing_key()),
-            polled,
+            POLLED,
             routing,
         );
-        self.follow(wiring, platform, objects.targets_prefix(), polled, targets);
+        self.follow(wiring, platform, objects.targets_prefix(), POLLED, targets);
         self.follow(wiring, platform, objects.versions_prefix(), WATCHED, versions);
         self.follow(
             wiring,
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -22,7 +22,7 @@
 
 pub use counted::{CountedStore, STORE_CALL_LABELS};
 pub use duty::{LONGEST_CALL_MS, UsageBook, UsageCounter};
-pub use follow::{CopySource, FollowOptions, FollowTask, Follower};
+pub use follow::{CopySource, FollowOptions, FollowTask, Follower, until_listing};
 pub use host::{Host, HostError, HostParts, connection_limits};
 pub use log_lines::{LineBudget, LineVerdict, SetUpLogError, set_up_log_lines};
 pub use membership::{Membership, Registration};
--- a/crates/jm-host/src/settings.rs
+++ b/crates/jm-host/src/settings.rs
@@ -34,8 +34,6 @@
     pub usage_window_ms: DurationMs,
     /// How long a batch can be read after its submission.
     pub batch_keep_ms: DurationMs,
-    /// Time from the acknowledgement of a configuration until it is in force everywhere.
-    pub config_apply_ms: DurationMs,
 }
 
 /// Settings of one host.
@@ -148,7 +146,6 @@
                 lease_ms: bounds.duration("lease")?,
                 usage_window_ms: bounds.duration("usage_window")?,
                 batch_keep_ms: bounds.duration("batch_keep")?,
-                config_apply_ms: bounds.duration("config_apply")?,
             },
         })
     }
--- a/crates/jm-host/tests/host_settings.rs
+++ b/crates/jm-host/tests/host_settings.rs
@@ -28,7 +28,6 @@
 lease = 3000ms
 usage_window = 5s
 batch_keep = 120s
-config_apply = 2000ms
 ";
 
 #[test]
--- a/crates/jm-host/tests/store_source.rs
+++ b/crates/jm-host/tests/store_source.rs
@@ -1,9 +1,10 @@
-//! Guards against store calls that grow with the number of hosts, and against one host that serves its copy to all others.
+//! Guards against store calls that grow with the number of hosts, against one host that serves its copy to all others, and
+//! against copies that grow old when the host that reads the store stops.
 
 use std::collections::HashMap;
 
-use jm_host::{StoreSource, store_source};
-use jm_types::MemberId;
+use jm_host::{FollowOptions, StoreSource, store_source, until_listing};
+use jm_types::{DurationMs, MemberId};
 
 fn hosts(count: usize) -> Vec<MemberId> {
     (0..count)
@@ -46,3 +47,23 @@
         assert!(reader == *first || of_reader == StoreSource::FirstReader(first.clone()));
     }
 }
+
+/// The host that reads the store is stopped. A leaving target got requests 3.0 s later, because hosts waited for a whole
+/// interval from the last word of their reader on, whose copy was old by then.
+#[test]
+fn reader_stops() {
+    let ms = DurationMs::new;
+    let options = FollowOptions {
+        watch_ms: ms(0),
+        relist_ms: ms(750),
+        max_age_ms: ms(1_300),
+        retry_ms: ms(150),
+        max_retry_ms: ms(600),
+    };
+    let wait = |listed, confirmed| until_listing(&options, ms(listed), ms(confirmed)).get();
+    assert_eq!(wait(0, 0), 750, "a reader lists at its interval");
+    assert_eq!(wait(0, 700), 150, "the copy was 0.7 s old");
+    assert_eq!(wait(0, 1_300), 150);
+    assert_eq!(wait(700, 1_300), 50);
+    assert_eq!(wait(900, 1_300), 0);
+}
