--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the batches that this host owns.
 
 mod attend;
+mod save;
 mod share;
 mod start;
 mod write;
--- /dev/null
+++ b/crates/jm-batch/src/runner/save.rs
@@ -0,0 +1,57 @@
+//! Saves texts that are not finished, so that the next owner continues them.
+
+use std::sync::Arc;
+
+use async_std::task;
+use jm_types::BatchId;
+
+use super::Runner;
+use crate::{StoreError, checkpoint::texts_to_save};
+
+impl Runner {
+    /// Saves the long unfinished texts of each batch for which that is due.
+    pub(super) fn save_texts(self: &Arc<Self>) {
+        let now = self.now();
+        let options = &self.options.checkpoint;
+        let mut guard = self.state();
+        let open = guard.owned.values_mut().filter(|owned| {
+            !owned.is_ended && !owned.runs.is_empty() && owned.checkpoint.is_due(options, now)
+        });
+        let mut saves = Vec::new();
+        for owned in open {
+            let texts = texts_to_save(owned.open_texts(), options);
+            owned.checkpoint.begun_at = now;
+            if !texts.is_empty() {
+                owned.checkpoint.is_writing = true;
+                saves.push((owned.spec.id.clone(), owned.earlier_owners, texts));
+            }
+        }
+        drop(guard);
+        for (batch, earlier_owners, texts) in saves {
+            let runner = Arc::clone(self);
+            task::spawn(async move {
+                let saved = runner
+                    .parts
+                    .store
+                    .save_texts(&batch, earlier_owners, &texts)
+                    .await;
+                runner.saved(&batch, saved);
+            });
+        }
+    }
+
+    fn saved(&self, batch: &BatchId, saved: Result<(), StoreError>) {
+        if let Some(owned) = self.state().owned.get_mut(batch) {
+            let checkpoint = &mut owned.checkpoint;
+            checkpoint.is_writing = false;
+            checkpoint.failures = match saved {
+                Ok(()) => 0,
+                Err(_) => checkpoint.failures + 1,
+            };
+        }
+        if let Err(error) = saved {
+            let reason = error.to_string();
+            self.parts.events.store_failed(batch, "save texts", &reason);
+        }
+    }
+}
