One item at a time asks whether an engine that rejected items takes them again

Change: a rejected item makes the engine get one item at a time until one of them brings an event, as after a failure. Test one_question_to_a_rejecting_engine: 41 items in 6 pauses before, at most 15 after.

--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -1,7 +1,7 @@
 //! Which engine gets the next item.
 //!
 //! Load pattern: a step brings more items than the engines have slots, all at once; some engines are several times
-//! slower than others, some are loading weights, and some have stopped. Work goes to the engine that would finish it
+//! slower than others, some are loading weights and reject all, and some have stopped. Work goes to the engine that would finish it
 //! first, and never beyond its slots, so that the order of the items is decided here and not in the engines' queues.
 
 use indexmap::IndexMap;
@@ -45,7 +45,8 @@
     tokens: u64,
     gap_ms: f64,
     avoid_until: Timestamp,
-    /// A run broke or stood still, and no event has come since. Such an engine gets one item at a time.
+    /// It rejected an item, or a run broke or stood still, and no event has come since. Such an engine gets one item at a
+    /// time.
     is_suspect: bool,
     /// Weights that its answers named; newer than what the platform lists.
     versions: IndexMap<ModelId, WeightVersion>,
@@ -232,11 +233,12 @@
         self.load(run).versions.insert(model.clone(), version);
     }
 
-    /// The engine rejected an item.
+    /// The engine rejected an item. While it loads weights it rejects all, so the next item to it is a question.
     pub(crate) fn rejected(&mut self, run: &RunKey, now: Timestamp) {
         let until = now.after(self.options.avoid_rejecting_ms);
         let load = self.load(run);
         load.avoid_until = load.avoid_until.max(until);
+        load.is_suspect = true;
     }
 
     /// A run broke or stood still.
--- a/crates/jm-batch/tests/engine_faults.rs
+++ b/crates/jm-batch/tests/engine_faults.rs
@@ -7,11 +7,11 @@
         Arc,
         atomic::{AtomicUsize, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use common::{FaultyStore, Step, TestHost, data, engine, spec, text, whole_text};
-use jm_batch::{GenerationEnd, GenerationEvent, GenerationRequest, ResultState};
+use jm_batch::{GenerationEnd, GenerationEvent, GenerationRequest, LoadOptions, ResultState};
 use jm_types::WeightVersion;
 
 fn start(targets: Vec<jm_forward::Target>, script: common::Script) -> (TestHost, Arc<FaultyStore>) {
@@ -85,6 +85,37 @@
     assert!(at_dark <= 4 + 8, "{at_dark} runs went to the dark engine");
 }
 
+/// An engine that loads weights rejects all. It is asked with one item at a time, not with as many as it has slots.
+#[async_std::test]
+async fn one_question_to_a_rejecting_engine() {
+    const SLOTS: usize = 8;
+    let script =
+        Box::new(
+            |target: &jm_forward::Target, request: &GenerationRequest| match target.run.id.as_str() {
+                "loading" => vec![Step::End(GenerationEnd::NotRun {
+                    reason: "status 503".to_owned(),
+                })],
+                _ => {
+                    let mut steps = text(request, 2, 1);
+                    steps.insert(0, Step::Wait(Duration::from_millis(30)));
+                    steps
+                }
+            },
+        );
+    let (host, _store) = start(vec![engine("loading", SLOTS, 1), engine("e2", 1, 1)], script);
+    let begun = Instant::now();
+    host.service.submit(spec("b1", &[1; 20])).await.unwrap();
+    host.listed("b1", 20).await;
+    let pauses = begun.elapsed().as_millis() as u64 / LoadOptions::default().avoid_rejecting_ms.get();
+    let runs = host.engines.runs.lock().unwrap();
+    let questions = runs.iter().filter(|(engine, _)| engine == "loading").count();
+    let most = SLOTS + pauses as usize + 1;
+    assert!(
+        questions <= most,
+        "{questions} items went to the engine in {pauses} pauses"
+    );
+}
+
 /// Weights below the batch's bound never make a text; the item waits for an engine with newer ones.
 #[async_std::test]
 async fn too_old_weights() {
