Items that an earlier step had too go on with their texts and start first

Cause: a trainer ends a step when enough groups are complete, and the other groups come again in the next step, which waits for each of them. They hold the longest texts, and were made again from the start. Change: the owner of a batch looks for its items in the newest batches of the same submitter and uses results and texts whose weights are new enough. New event E5113. Failures are carried too.

--- /dev/null
+++ b/crates/jm-batch/src/carry.rs
@@ -0,0 +1,101 @@
+//! What a batch takes over from earlier batches of its submitter.
+//!
+//! Load pattern: a trainer ends a step as soon as enough groups are complete. The other groups come again in its next
+//! step under the same ids, and that step cannot end without them. They are the groups with the longest texts, so a step
+//! that generates them from the start ends late again, with work that an engine has done before.
+
+use std::collections::HashMap;
+
+use jm_types::WeightVersion;
+
+use crate::{
+    BatchItem, BatchSpec, ItemText,
+    owned::OwnedBatch,
+    result::{BatchResult, ResultState},
+};
+
+/// An item that an earlier batch of the same submitter had too.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct CarriedItem {
+    /// What of its text can be used, which may be nothing; its index is the one in the new batch.
+    pub(crate) text: ItemText,
+    /// Whether the text is whole.
+    pub(crate) is_complete: bool,
+}
+
+/// The items of a batch that an earlier one had too. A text is used when all its weight versions fit the new batch.
+pub(crate) fn carried_items(spec: &BatchSpec, earlier: &OwnedBatch) -> Vec<CarriedItem> {
+    let indexes: HashMap<&str, usize> = spec
+        .items
+        .iter()
+        .enumerate()
+        .map(|(index, item)| (item.id.as_str(), index))
+        .collect();
+    let results: HashMap<&str, &BatchResult> = earlier
+        .listed
+        .iter()
+        .chain(&earlier.unlisted)
+        .map(|result| (result.item.as_str(), result))
+        .collect();
+    let items = earlier.spec.items.iter().enumerate();
+    let carried = items.filter_map(|(earlier_index, item)| {
+        let index = *indexes.get(item.id.as_str())?;
+        if !is_same_request(item, &spec.items[index]) {
+            return None;
+        }
+        let result = results.get(item.id.as_str()).copied();
+        Some(carry(spec, index, earlier, earlier_index, result))
+    });
+    carried.collect()
+}
+
+fn carry(
+    spec: &BatchSpec,
+    index: usize,
+    earlier: &OwnedBatch,
+    earlier_index: usize,
+    result: Option<&BatchResult>,
+) -> CarriedItem {
+    let failures = earlier.plan.failures(earlier_index);
+    let nothing = ItemText {
+        item: index,
+        failures,
+        ..ItemText::default()
+    };
+    let whole = result.filter(|result| result.state == ResultState::Completed);
+    if let Some(result) = whole.filter(|result| fits(spec, &result.versions)) {
+        let text = ItemText {
+            text: result.text.clone(),
+            versions: result.versions.clone(),
+            ..nothing
+        };
+        return CarriedItem {
+            text,
+            is_complete: true,
+        };
+    }
+    let open = earlier.text(earlier_index);
+    let text = match fits(spec, &open.versions) {
+        true => ItemText {
+            item: index,
+            failures,
+            ..open.clone()
+        },
+        false => nothing,
+    };
+    CarriedItem {
+        text,
+        is_complete: false,
+    }
+}
+
+/// Whether a text with these versions may be a result of the batch. Nothing is known of a text without versions.
+fn fits(spec: &BatchSpec, versions: &[WeightVersion]) -> bool {
+    let is_new_enough = versions.iter().all(|version| *version >= spec.min_version);
+    let is_mixed = spec.is_single_version && versions.len() > 1;
+    !versions.is_empty() && is_new_enough && !is_mixed
+}
+
+fn is_same_request(earlier: &BatchItem, new: &BatchItem) -> bool {
+    earlier.path == new.path && earlier.headers == new.headers && earlier.body == new.body
+}
--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -39,6 +39,17 @@
     pub with_room: usize,
 }
 
+/// What a batch takes over from earlier batches of its submitter.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CarriedOver {
+    /// Items that an earlier batch had too.
+    pub items: usize,
+    /// Those whose text continues.
+    pub continued: usize,
+    /// Those whose text is whole already.
+    pub complete: usize,
+}
+
 /// Told about every decision that touches a batch.
 pub trait BatchEvents: Send + Sync {
     /// A batch is in the store and this host runs it.
@@ -47,6 +58,9 @@
     /// This host runs a batch that another run of a host began.
     fn taken_over(&self, batch: &BatchId, from: &MemberId, listed: usize);
 
+    /// A batch has items of earlier batches.
+    fn carried_over(&self, batch: &BatchId, carried: &CarriedOver);
+
     /// Another host runs the batch now.
     fn given_up(&self, batch: &BatchId, to: &MemberId);
 
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod carry;
 mod checkpoint;
 mod engine_load;
 mod events;
@@ -22,7 +23,7 @@
 
 pub use checkpoint::{CheckpointOptions, CheckpointState, longest_texts, texts_to_save};
 pub use engine_load::{EngineLoads, LoadOptions};
-pub use events::{BatchEvents, BatchProgress, RunEnd};
+pub use events::{BatchEvents, BatchProgress, CarriedOver, RunEnd};
 pub use gather::{GatherOptions, Unwritten, write_at};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
 pub use owned::ItemText;
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     BatchPlan, BatchResult, BatchSpec, CheckpointState, GenerationEvent, ItemState, PlanOptions, ResultState,
-    gather::Unwritten,
+    carry::CarriedItem, gather::Unwritten,
 };
 
 /// The text of an item so far. A host that leaves hands it on, so that the next owner continues it.
@@ -131,6 +131,30 @@
         }
     }
 
+    /// Continues items that an earlier batch of the submitter had too, and starts them first.
+    pub(crate) fn continue_carried(&mut self, carried: Vec<CarriedItem>) {
+        let indexes: Vec<usize> = carried.iter().map(|carried| carried.text.item).collect();
+        for CarriedItem { text, is_complete } in carried {
+            let index = text.item;
+            if self.plan.state(index) == ItemState::Done {
+                continue;
+            }
+            self.plan.carry_failures(index, text.failures);
+            if is_complete {
+                self.texts[index] = text;
+                self.complete(index);
+            } else if text.last_event > self.texts[index].last_event {
+                self.texts[index] = text;
+            }
+        }
+        self.plan.start_first(&indexes);
+    }
+
+    /// The text of an item so far; empty once the item has its result.
+    pub(crate) fn text(&self, index: usize) -> &ItemText {
+        &self.texts[index]
+    }
+
     /// What is known of open items.
     pub(crate) fn open_texts(&self) -> Vec<ItemText> {
         let items = self.texts.iter().enumerate().map(|(item, text)| ItemText {
--- a/crates/jm-batch/src/plan.rs
+++ b/crates/jm-batch/src/plan.rs
@@ -1,9 +1,10 @@
 //! In which order the items of a batch run.
 //!
 //! Load pattern: more items than slots, and a few texts many times longer than the rest. The batch ends with its
-//! longest text, so the texts that are expected to be long start first.
+//! longest text, so the texts that are expected to be long start first. Before them start the items that the submitter
+//! carried over from an earlier batch, because it waits for each of them.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, collections::HashSet};
 
 use jm_types::{DurationMs, Timestamp};
 
@@ -47,6 +48,7 @@
 pub struct BatchPlan {
     options: PlanOptions,
     max_failures: usize,
+    max_attempts: usize,
     states: Vec<ItemState>,
     failures: Vec<usize>,
     /// Indexes of the items, the first to start first.
@@ -66,8 +68,10 @@
             )
         });
         let not_before = Timestamp::new(0);
+        let max_attempts = spec.max_attempts.max(1);
         Self {
-            max_failures: spec.max_attempts.max(1) * options.failure_factor.max(1),
+            max_attempts,
+            max_failures: max_attempts * options.failure_factor.max(1),
             options,
             states: vec![ItemState::Waiting { not_before }; spec.items.len()],
             failures: vec![0; spec.items.len()],
@@ -130,6 +134,18 @@
         self.failures[index] = failures;
     }
 
+    /// Takes the failures of an item in an earlier batch into account, but leaves it the attempts of its route in this one.
+    pub fn carry_failures(&mut self, index: usize, failures: usize) {
+        let most = self.max_failures.saturating_sub(self.max_attempts);
+        self.failures[index] = self.failures[index].max(failures.min(most));
+    }
+
+    /// Starts some items before all others; their order among themselves stays.
+    pub fn start_first(&mut self, indexes: &[usize]) {
+        let first: HashSet<usize> = indexes.iter().copied().collect();
+        self.order.sort_by_key(|index| !first.contains(index));
+    }
+
     fn set(&mut self, index: usize, state: ItemState) {
         let is_waiting = |state: ItemState| matches!(state, ItemState::Waiting { .. });
         self.waiting -= usize::from(is_waiting(self.states[index]));
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -7,6 +7,8 @@
 mod write;
 
 use std::{
+    cmp::Reverse,
+    collections::HashSet,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -14,18 +16,24 @@
 use async_std::{
     channel::{Receiver, Sender, bounded},
     future::timeout,
+    task,
 };
 use indexmap::IndexMap;
 use jm_forward::{Catalog, RoutingTable, RunKey};
 use jm_types::{BatchId, Clock, DurationMs, ModelId, Timestamp, WallClock, WeightVersion};
 
 use crate::{
-    BatchEvents, BatchResult, BatchSpec, BatchStore, CheckpointOptions, EngineLoads, GatherOptions,
-    GenerationEnd, Generator, LoadOptions, PlanOptions, ResultPage, RunEnd,
+    BatchEvents, BatchResult, BatchSpec, BatchStore, CarriedOver, CheckpointOptions, EngineLoads,
+    GatherOptions, GenerationEnd, Generator, ItemState, LoadOptions, PlanOptions, ResultPage, RunEnd,
+    carry::carried_items,
     engine_load::ForeignWork,
     owned::{ItemText, OwnedBatch, Run},
+    runner::write::begin_writing,
 };
 
+/// Batches of a submitter among which a new one looks for its items.
+const EARLIER_BATCHES: usize = 4;
+
 /// What a runner knows of the world around it.
 pub trait BatchWorld: Send + Sync {
     /// The configuration in force; none before the first one is known.
@@ -171,13 +179,13 @@
     }
 
     /// Begins to run a batch that no host ran before.
-    pub(crate) fn adopt_new(&self, spec: Arc<BatchSpec>) {
+    pub(crate) fn adopt_new(self: &Arc<Self>, spec: Arc<BatchSpec>) {
         let owned = OwnedBatch::new(spec, Vec::new(), self.options.plan, self.now());
         self.insert(owned);
     }
 
     /// Begins to run a batch that the store names this host the owner of.
-    pub(crate) fn adopt(&self, spec: Arc<BatchSpec>, adopted: Adopted) {
+    pub(crate) fn adopt(self: &Arc<Self>, spec: Arc<BatchSpec>, adopted: Adopted) {
         let is_taken_over = adopted.earlier_owners > 0;
         let mut plan = self.options.plan;
         if is_taken_over {
@@ -189,9 +197,19 @@
         self.insert(owned);
     }
 
-    fn insert(&self, owned: OwnedBatch) {
+    fn insert(self: &Arc<Self>, mut owned: OwnedBatch) {
         let batch = owned.spec.id.clone();
-        self.state().owned.insert(batch, owned);
+        let mut state = self.state();
+        let carried = carry_over(&mut owned, &state.owned);
+        let must_write = begin_writing(&mut owned);
+        state.owned.insert(batch.clone(), owned);
+        drop(state);
+        if carried.items > 0 {
+            self.parts.events.carried_over(&batch, &carried);
+        }
+        if must_write {
+            task::spawn(Arc::clone(self).write_results(batch));
+        }
         self.wake();
     }
 
@@ -351,6 +369,33 @@
     }
 }
 
+/// Continues what the newest earlier batches of the same submitter have of the batch's items.
+fn carry_over(owned: &mut OwnedBatch, others: &IndexMap<BatchId, OwnedBatch>) -> CarriedOver {
+    let spec = Arc::clone(&owned.spec);
+    let mut earlier: Vec<&OwnedBatch> = others
+        .values()
+        .filter(|other| spec.model.is_some() && is_earlier(&other.spec, &spec))
+        .collect();
+    earlier.sort_by_key(|other| Reverse(other.spec.submitted_unix_ms));
+    let mut items = HashSet::new();
+    for other in earlier.into_iter().take(EARLIER_BATCHES) {
+        let carried = carried_items(&spec, other);
+        items.extend(carried.iter().map(|carried| carried.text.item));
+        owned.continue_carried(carried);
+    }
+    let count = |is_meant: &dyn Fn(usize) -> bool| items.iter().filter(|item| is_meant(**item)).count();
+    CarriedOver {
+        items: items.len(),
+        continued: count(&|item| owned.events(item) > 0),
+        complete: count(&|item| owned.plan.state(item) == ItemState::Done),
+    }
+}
+
+fn is_earlier(other: &BatchSpec, spec: &BatchSpec) -> bool {
+    let is_same_submitter = other.organisation == spec.organisation && other.model == spec.model;
+    is_same_submitter && other.id != spec.id && other.submitted_unix_ms <= spec.submitted_unix_ms
+}
+
 fn end_runs(loads: &mut EngineLoads, runs: &[Run]) {
     for run in runs {
         loads.ended(&run.target, run.tokens);
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -14,9 +14,9 @@
 use indexmap::IndexMap;
 use jm_batch::{
     BatchEvents, BatchItem, BatchMembers, BatchPeers, BatchProgress, BatchService, BatchServiceOptions,
-    BatchServiceParts, BatchSpec, BatchState, BatchStore, BatchWorld, CheckpointOptions, EventSink,
-    GatherOptions, GenerationEnd, GenerationEvent, GenerationRequest, Generator, ItemText, ResultPage,
-    RunEnd, RunnerOptions,
+    BatchServiceParts, BatchSpec, BatchState, BatchStore, BatchWorld, CarriedOver, CheckpointOptions,
+    EventSink, GatherOptions, GenerationEnd, GenerationEvent, GenerationRequest, Generator, ItemText,
+    ResultPage, RunEnd, RunnerOptions,
 };
 use jm_forward::{
     BatchTerms, CallerLimits, Catalog, EngineTerms, Route, RouteKind, RoutingTable, RunKey, Service,
@@ -153,6 +153,10 @@
     script: Script,
     /// Engine and item of each run, in the order of their starts.
     pub(crate) runs: Mutex<Vec<(String, String)>>,
+    /// Batch, item and event to continue after of each run, in the same order.
+    pub(crate) starts: Mutex<Vec<(String, String, Option<u64>)>>,
+    /// Waits that scripts have come to.
+    pub(crate) waits: AtomicU64,
 }
 
 #[async_trait]
@@ -164,6 +168,8 @@
         sink: EventSink<'_>,
     ) -> GenerationEnd {
         let item = request.spec.items[request.item].id.clone();
+        let start = (request.spec.id.to_string(), item.clone(), request.resume_after);
+        self.starts.lock().unwrap().push(start);
         self.runs.lock().unwrap().push((target.run.id.to_string(), item));
         for step in (self.script)(target, request) {
             match step {
@@ -172,7 +178,10 @@
                         return GenerationEnd::Stopped;
                     }
                 }
-                Step::Wait(time) => task::sleep(time).await,
+                Step::Wait(time) => {
+                    self.waits.fetch_add(1, Ordering::SeqCst);
+                    task::sleep(time).await;
+                }
                 Step::End(end) => return end,
                 Step::Silence => std::future::pending().await,
             }
@@ -262,6 +271,7 @@
     pub(crate) expired: AtomicU64,
     pub(crate) moved: AtomicU64,
     pub(crate) taken_over: AtomicU64,
+    pub(crate) carried: Mutex<CarriedOver>,
 }
 
 impl BatchEvents for SeenEvents {
@@ -269,6 +279,9 @@
     fn taken_over(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {
         self.taken_over.fetch_add(1, Ordering::SeqCst);
     }
+    fn carried_over(&self, _batch: &BatchId, carried: &CarriedOver) {
+        *self.carried.lock().unwrap() = *carried;
+    }
     fn given_up(&self, _batch: &BatchId, _to: &MemberId) {}
     fn progress(&self, _batch: &BatchId, _progress: &BatchProgress) {}
     fn finished(&self, _batch: &BatchId, _took: DurationMs) {}
@@ -373,6 +386,8 @@
         let engines = Arc::new(ScriptedEngines {
             script,
             runs: Mutex::default(),
+            starts: Mutex::default(),
+            waits: AtomicU64::new(0),
         });
         let events = Arc::new(SeenEvents::default());
         let world = Arc::new(TestWorld {
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jm_batch::{BatchEvents, BatchProgress, GenerationEnd, RunEnd};
+use jm_batch::{BatchEvents, BatchProgress, CarriedOver, GenerationEnd, RunEnd};
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, Forwarded, Route, RunKey, Target};
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
 use prometheus::{
@@ -355,6 +355,18 @@
         );
     }
 
+    fn carried_over(&self, batch: &BatchId, carried: &CarriedOver) {
+        LogEvent::BatchCarriedOver.write_fields(
+            "the batch has items of earlier batches",
+            &[
+                ("batch", &batch.as_str()),
+                ("items", &carried.items),
+                ("continued", &carried.continued),
+                ("complete", &carried.complete),
+            ],
+        );
+    }
+
     fn moved(&self, batch: &BatchId, item: &str, from: &RunKey, to: &RunKey) {
         self.item_runs.with_label_values(&["moved"]).inc();
         LogEvent::ItemMoved.write_fields(
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -147,6 +147,8 @@
     BatchWaits = 5111, Info;
     /// An item goes on at a faster engine.
     ItemMoved = 5112, Info;
+    /// A batch has items of earlier batches.
+    BatchCarriedOver = 5113, Info;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
