--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -26,6 +26,7 @@
     BatchEvents, BatchResult, BatchSpec, BatchStore, CarriedOver, CheckpointOptions, EngineLoads,
     GatherOptions, GenerationEnd, Generator, ItemState, LoadOptions, PlanOptions, ResultPage, RunEnd,
     carry::carried_items,
+    checkpoint::longest_texts,
     engine_load::ForeignWork,
     owned::{ItemText, OwnedBatch, Run},
     runner::write::begin_writing,
@@ -115,6 +116,17 @@
     /// Owners before this one. Failures that an owner saw are lost with it unless it handed them on, so later owners
     /// allow fewer.
     pub(crate) earlier_owners: u32,
+    /// The submitter's batch before, if another host ran it.
+    pub(crate) earlier_batch: Option<EarlierBatch>,
+}
+
+/// A batch that another host ran and that its submitter ended.
+pub(crate) struct EarlierBatch {
+    pub(crate) spec: BatchSpec,
+    /// Results in the store.
+    pub(crate) listed: Vec<BatchResult>,
+    /// Texts in the store.
+    pub(crate) texts: Vec<ItemText>,
 }
 
 /// Runs the batches that this host owns.
@@ -181,7 +193,7 @@
     /// Begins to run a batch that no host ran before.
     pub(crate) fn adopt_new(self: &Arc<Self>, spec: Arc<BatchSpec>) {
         let owned = OwnedBatch::new(spec, Vec::new(), self.options.plan, self.now());
-        self.insert(owned);
+        self.insert(owned, None);
     }
 
     /// Begins to run a batch that the store names this host the owner of.
@@ -194,13 +206,23 @@
         let mut owned = OwnedBatch::new(spec, adopted.listed, plan, self.now());
         owned.continue_texts(adopted.texts);
         owned.earlier_owners = adopted.earlier_owners;
-        self.insert(owned);
+        let earlier = adopted.earlier_batch.map(|earlier| self.recalled(earlier));
+        self.insert(owned, earlier);
+    }
+
+    fn recalled(&self, earlier: EarlierBatch) -> OwnedBatch {
+        let spec = Arc::new(earlier.spec);
+        let mut owned = OwnedBatch::new(spec, earlier.listed, self.options.plan, self.now());
+        owned.continue_texts(longest_texts(earlier.texts));
+        owned
     }
 
-    fn insert(self: &Arc<Self>, mut owned: OwnedBatch) {
+    /// Runs a batch from now on. `recalled` is the submitter's batch before, if this host did not run it.
+    fn insert(self: &Arc<Self>, mut owned: OwnedBatch, recalled: Option<OwnedBatch>) {
         let batch = owned.spec.id.clone();
         let mut state = self.state();
-        let carried = carry_over(&mut owned, &state.owned);
+        let earlier = state.owned.values().chain(&recalled);
+        let carried = carry_over(&mut owned, earlier);
         let must_write = begin_writing(&mut owned);
         state.owned.insert(batch.clone(), owned);
         drop(state);
@@ -370,10 +392,9 @@
 }
 
 /// Continues what the newest earlier batches of the same submitter have of the batch's items.
-fn carry_over(owned: &mut OwnedBatch, others: &IndexMap<BatchId, OwnedBatch>) -> CarriedOver {
+fn carry_over<'a>(owned: &mut OwnedBatch, others: impl Iterator<Item = &'a OwnedBatch>) -> CarriedOver {
     let spec = Arc::clone(&owned.spec);
     let mut earlier: Vec<&OwnedBatch> = others
-        .values()
         .filter(|other| spec.model.is_some() && is_earlier(&other.spec, &spec))
         .collect();
     earlier.sort_by_key(|other| Reverse(other.spec.submitted_unix_ms));
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -2,6 +2,7 @@
 
 mod own;
 mod read;
+mod recall;
 mod submit;
 
 use std::{
@@ -290,11 +291,15 @@
     /// Tells the owner of the end of a batch. It would hear of it from the store too, but a watch may be silent for
     /// seconds, in which more items would start.
     fn tell_owner(&self, ended: BatchState, version: Version) {
-        if ended.owner == self.options.own {
-            return;
+        if ended.owner != self.options.own {
+            self.tell(ended, version);
         }
+    }
+
+    /// Tells the owner that a state names what the state is, without a wait for its answer.
+    fn tell(&self, state: BatchState, version: Version) {
         let peers = Arc::clone(&self.parts.peers);
-        task::spawn(async move { peers.announce(&ended, version, Vec::new()).await });
+        task::spawn(async move { peers.announce(&state, version, Vec::new()).await });
     }
 
     /// Another host hands a batch on.
--- a/crates/jm-batch/src/service/own.rs
+++ b/crates/jm-batch/src/service/own.rs
@@ -3,16 +3,24 @@
 use std::sync::Arc;
 
 use async_std::task;
+use futures::future::try_join;
 use jm_platform::Version;
 use jm_route::owner_by_key;
 use jm_types::{BatchId, Incarnation, MemberId};
 
 use super::{BatchService, KEPT_RESULTS, Known, keep};
 use crate::{
-    BatchPhase, BatchState, StoreError, Takeover, checkpoint::longest_texts, engine_load::ForeignWork,
-    runner::Adopted, store::Changed, takeover,
+    BatchPhase, BatchResult, BatchState, ItemText, StoreError, Takeover, checkpoint::longest_texts,
+    engine_load::ForeignWork, runner::Adopted, store::Changed, takeover,
 };
 
+/// What earlier owners of a batch left in the store.
+#[derive(Default)]
+pub(super) struct Progress {
+    pub(super) listed: Vec<BatchResult>,
+    pub(super) texts: Vec<ItemText>,
+}
+
 impl BatchService {
     /// Looks at every batch: whether this host has to run it, or to stop running it.
     pub fn review(self: &Arc<Self>) {
@@ -69,7 +77,7 @@
     }
 
     /// Takes a batch over, after a claim when another host owned it.
-    fn begin(self: &Arc<Self>, state: BatchState, claim: Option<Version>) {
+    pub(super) fn begin(self: &Arc<Self>, state: BatchState, claim: Option<Version>) {
         let may_begin = {
             let mut own = self.state();
             !own.is_leaving && own.claiming.insert(state.batch.clone())
@@ -99,30 +107,44 @@
             }
             earlier_owners += 1;
         }
-        let Some(spec) = self.parts.store.load_spec(&state.batch).await? else {
+        let store = &self.parts.store;
+        let (spec, progress) = match earlier_owners {
+            0 => (store.load_spec(&state.batch).await?, Progress::default()),
+            // A step is due within seconds, so the parts are read at the same time.
+            _ => try_join(store.load_spec(&state.batch), self.load_progress(&state.batch)).await?,
+        };
+        let Some(spec) = spec else {
             return Err(StoreError::Corrupt {
                 key: state.batch.to_string(),
                 reason: "the state exists without a specification".to_owned(),
             });
         };
-        let mut listed = Vec::new();
         let mut texts = self.state().handed.swap_remove(&state.batch).unwrap_or_default();
-        if earlier_owners > 0 {
-            self.parts.store.load_results(&state.batch, &mut listed).await?;
-            texts.extend(self.parts.store.load_texts(&state.batch).await?);
-        }
-        let count = listed.len();
-        let texts = longest_texts(texts);
+        texts.extend(progress.texts);
+        // What an earlier owner carried over is among its texts and results.
+        let earlier_batch = match earlier_owners {
+            0 => self.recall_earlier(&spec).await,
+            _ => None,
+        };
+        let count = progress.listed.len();
         let adopted = Adopted {
-            listed,
-            texts,
+            listed: progress.listed,
+            texts: longest_texts(texts),
             earlier_owners,
+            earlier_batch,
         };
         self.runner.adopt(Arc::new(spec), adopted);
         self.parts.events.taken_over(&state.batch, &from, count);
         Ok(())
     }
 
+    /// What the store holds of a batch that another host ran.
+    pub(super) async fn load_progress(&self, batch: &BatchId) -> Result<Progress, StoreError> {
+        let store = &self.parts.store;
+        let (listed, texts) = try_join(store.load_results(batch), store.load_texts(batch)).await?;
+        Ok(Progress { listed, texts })
+    }
+
     async fn claim(&self, state: BatchState, version: Version) -> Result<bool, StoreError> {
         let claimed = state.with_owner(self.options.own.clone(), self.options.incarnation);
         match self.parts.store.update_state(&claimed, version).await {
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -125,7 +125,7 @@
             return Ok(kept);
         }
         let mut listed = kept.as_ref().clone();
-        self.parts.store.load_results(batch, &mut listed).await?;
+        self.parts.store.load_new_results(batch, &mut listed).await?;
         let listed = Arc::new(listed);
         keep(
             &mut self.state().results,
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use async_std::task;
 use futures::{FutureExt, future::BoxFuture};
 use jm_route::owner_by_key;
 use jm_types::{Incarnation, MemberId};
@@ -43,13 +42,12 @@
             Changed::Made(version) => {
                 self.parts.events.accepted(&spec.id, spec.items.len());
                 self.remember(state.clone(), version);
-                if state.is_owned_by(&self.options.own, self.options.incarnation) {
-                    self.runner.adopt_new(spec);
+                if !state.is_owned_by(&self.options.own, self.options.incarnation) {
+                    self.tell(state, version);
+                } else if self.must_recall(&spec) {
+                    self.begin(state, None);
                 } else {
-                    let service = Arc::clone(self);
-                    task::spawn(async move {
-                        service.parts.peers.announce(&state, version, Vec::new()).await;
-                    });
+                    self.runner.adopt_new(spec);
                 }
                 Ok(())
             }
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -160,8 +160,15 @@
         Ok(piece.map(|(piece, _)| piece))
     }
 
+    /// Reads all results.
+    pub(crate) async fn load_results(&self, batch: &BatchId) -> Result<Vec<BatchResult>, StoreError> {
+        let mut listed = Vec::new();
+        self.load_new_results(batch, &mut listed).await?;
+        Ok(listed)
+    }
+
     /// Reads the pieces that follow `listed` and appends their results.
-    pub(crate) async fn load_results(
+    pub(crate) async fn load_new_results(
         &self,
         batch: &BatchId,
         listed: &mut Vec<BatchResult>,
--- a/crates/jm-batch/tests/carried_items.rs
+++ b/crates/jm-batch/tests/carried_items.rs
@@ -3,21 +3,18 @@
 
 mod common;
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use async_std::task;
-use common::{FaultyStore, Step, TestHost, data, engine, spec, text, whole_text, without_hang};
-use jm_batch::{
-    BatchPlan, BatchSpec, CarriedOver, GenerationEvent, GenerationRequest, PlanOptions, ResultState,
-};
+use common::{FaultyStore, Hosts, Step, TestHost, engine, spec, text, whole_text, without_hang};
+use jm_batch::{BatchPlan, BatchSpec, CarriedOver, GenerationRequest, PlanOptions, ResultState};
+use jm_platform::ObjectStore;
 use jm_types::{Timestamp, WeightVersion};
 
-/// Events of a long text, which stands still after the second one in the first batch.
-const LONG: u64 = 5;
+/// Events of a whole text.
+const WHOLE: u64 = 50;
+/// Event after which the long text stands still in the first step; enough for a checkpoint.
+const BEGUN: u64 = 45;
 
 /// The next step of the same trainer: the items of `earlier` come again under their ids, and a new one after them.
 fn next_step(earlier: &BatchSpec, min_version: u64) -> BatchSpec {
@@ -27,39 +24,56 @@
     next
 }
 
-/// Item 0 of the first batch stops after two events, item 1 is whole at once; both were made under `version`.
+/// In the first step, item 0 stands still after some events and item 1 is whole at once; both are made under `version`.
 fn script(version: u64) -> common::Script {
     Box::new(move |_: &_, request: &GenerationRequest| {
-        let item = request.spec.items[request.item].id.clone();
-        match (item.as_str(), request.spec.id.as_str(), request.resume_after) {
-            ("b1-0", "b1", None) => vec![
-                Step::Send(GenerationEvent::Version(WeightVersion::new(version))),
-                data(1),
-                data(2),
-                Step::Wait(Duration::from_secs(30)),
-            ],
-            _ => text(request, LONG, version),
+        let item = request.spec.items[request.item].id.as_str();
+        if (item, request.spec.id.as_str()) != ("b1-0", "b1") {
+            return text(request, WHOLE, version);
         }
+        let mut steps = text(request, BEGUN, version);
+        steps.pop();
+        steps.push(Step::Silence);
+        steps
     })
 }
 
-/// Runs the first step until its short text is listed and its long one has two events, and ends it.
-async fn ended_step(version: u64) -> (TestHost, BatchSpec) {
-    let store = FaultyStore::new();
+struct EndedStep {
+    host: TestHost,
+    first: BatchSpec,
+    store: Arc<FaultyStore>,
+    hosts: Arc<Hosts>,
+}
+
+/// Runs the first step until its short text is listed and its long one is saved as far as it came, and ends it.
+async fn ended_step(version: u64) -> EndedStep {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
     let targets = vec![engine("e1", 4, version)];
-    let host = TestHost::start("host-a", &Arc::default(), &store, targets, script(version));
+    let host = TestHost::start("host-a", &hosts, &store, targets, script(version));
     let first = spec("b1", &[500, 1]);
     host.service.submit(first.clone()).await.unwrap();
     host.listed("b1", 1).await;
     without_hang(async {
-        while host.engines.waits.load(Ordering::SeqCst) == 0 {
-            task::sleep(Duration::from_millis(5)).await;
+        while store
+            .inner
+            .list("batch-texts/b1.")
+            .await
+            .unwrap()
+            .objects
+            .is_empty()
+        {
+            task::sleep(Duration::from_millis(2)).await;
         }
     })
     .await;
     let organisation = "parish".parse().unwrap();
     host.service.end(&first.id, Some(&organisation)).await.unwrap();
-    (host, first)
+    EndedStep {
+        host,
+        first,
+        store,
+        hosts,
+    }
 }
 
 /// Items of the second step that ran, and the event after which each went on.
@@ -76,26 +90,48 @@
     BTreeMap::from(owned)
 }
 
-/// The long text goes on after its second event and the short one does not run again.
+/// The long text goes on where the first step left it and the short one does not run again.
 #[async_std::test]
 async fn texts_go_on() {
-    let (host, first) = ended_step(3).await;
+    let EndedStep { host, first, .. } = ended_step(3).await;
     host.service.submit(next_step(&first, 3)).await.unwrap();
     let page = host.listed("b2", 3).await;
-    assert!(page.results.iter().all(|result| result.text == whole_text(LONG)));
+    assert!(page.results.iter().all(|result| result.text == whole_text(WHOLE)));
     let expected = CarriedOver {
         items: 2,
         continued: 1,
         complete: 1,
     };
     assert_eq!(*host.events.carried.lock().unwrap(), expected);
-    assert_eq!(second_starts(&host), starts([("b1-0", Some(2)), ("b2-0", None)]));
+    assert_eq!(
+        second_starts(&host),
+        starts([("b1-0", Some(BEGUN)), ("b2-0", None)])
+    );
+}
+
+/// The host that ran the first step is killed before the second one. Its successor finds the results in the store, and the
+/// long text as far as it was saved there.
+#[async_std::test]
+async fn owner_dies_between_steps() {
+    let EndedStep {
+        first, store, hosts, ..
+    } = ended_step(3).await;
+    hosts.kill("host-a");
+    let host = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 4, 3)], script(3));
+    host.learn(&store).await;
+    host.service.submit(next_step(&first, 3)).await.unwrap();
+    let page = host.listed("b2", 3).await;
+    assert!(page.results.iter().all(|result| result.text == whole_text(WHOLE)));
+    assert_eq!(
+        second_starts(&host),
+        starts([("b1-0", Some(BEGUN)), ("b2-0", None)])
+    );
 }
 
 /// Texts of weights that the next step does not accept are made again from the start.
 #[async_std::test]
 async fn old_texts_start_anew() {
-    let (host, first) = ended_step(3).await;
+    let EndedStep { host, first, .. } = ended_step(3).await;
     *host.world.catalog.lock().unwrap() = Arc::new([engine("e2", 4, 4)].into_iter().collect());
     host.service.submit(next_step(&first, 4)).await.unwrap();
     without_hang(async {
@@ -111,7 +147,7 @@
 /// An item with the same id and another body is another request; nothing of the earlier one is used.
 #[async_std::test]
 async fn other_requests() {
-    let (host, mut first) = ended_step(3).await;
+    let EndedStep { host, mut first, .. } = ended_step(3).await;
     for item in &mut first.items {
         item.body = b"another body".to_vec();
     }
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -155,8 +155,6 @@
     pub(crate) runs: Mutex<Vec<(String, String)>>,
     /// Batch, item and event to continue after of each run, in the same order.
     pub(crate) starts: Mutex<Vec<(String, String, Option<u64>)>>,
-    /// Waits that scripts have come to.
-    pub(crate) waits: AtomicU64,
 }
 
 #[async_trait]
@@ -178,10 +176,7 @@
                         return GenerationEnd::Stopped;
                     }
                 }
-                Step::Wait(time) => {
-                    self.waits.fetch_add(1, Ordering::SeqCst);
-                    task::sleep(time).await;
-                }
+                Step::Wait(time) => task::sleep(time).await,
                 Step::End(end) => return end,
                 Step::Silence => std::future::pending().await,
             }
@@ -387,7 +382,6 @@
             script,
             runs: Mutex::default(),
             starts: Mutex::default(),
-            waits: AtomicU64::new(0),
         });
         let events = Arc::new(SeenEvents::default());
         let world = Arc::new(TestWorld {
