Engines that are lost for good are ordered again

Ruled out: that the platform replaces them itself (E4004 of no new engine in 34 s). Change: the holder of the lease keeps the number of targets of each service and zone that the platform lets it order; the decision stands in jm-plan (replacement.rs), the numbers in the store, so that a new holder orders what it never saw.

--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -97,6 +97,7 @@
             memory_tokens: None,
             models: vec![model("m")],
         }),
+        capacity: None,
     });
     table.add_route(Route {
         name: "drafts".to_owned(),
--- a/crates/jm-forward/src/lib.rs
+++ b/crates/jm-forward/src/lib.rs
@@ -20,7 +20,7 @@
 pub use client::{AnswerBody, AttemptOptions, AttemptOutcome, TargetAnswer, TargetClient};
 pub use forwarder::{ForwardObserver, Forwarder, ForwarderOptions};
 pub use routing::{
-    Access, AccessRefusal, BatchTerms, CallerLimits, EngineTerms, Organisation, Route, RouteKind,
-    RoutingTable, Service, ServiceWeight,
+    Access, AccessRefusal, BatchTerms, CallerLimits, CapacityTerms, EngineTerms, Organisation, Route,
+    RouteKind, RoutingTable, Service, ServiceWeight,
 };
 pub use target::{Catalog, RunKey, Target, TargetState};
--- a/crates/jm-forward/src/routing.rs
+++ b/crates/jm-forward/src/routing.rs
@@ -94,6 +94,15 @@
     pub models: Vec<ModelId>,
 }
 
+/// How many targets of a service may be ordered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CapacityTerms {
+    /// Largest number in one availability zone.
+    pub max_per_zone: usize,
+    /// Time that a new target takes until it serves.
+    pub start_ms: DurationMs,
+}
+
 /// One service.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Service {
@@ -101,6 +110,8 @@
     pub id: ServiceId,
     /// Set when its targets are inference engines.
     pub engine: Option<EngineTerms>,
+    /// Set when its targets can be ordered.
+    pub capacity: Option<CapacityTerms>,
 }
 
 /// An organisation that may send requests.
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -64,6 +64,7 @@
     table.add_service(Service {
         id: "desk".parse().unwrap(),
         engine: None,
+        capacity: None,
     });
     let parish = Organisation {
         id: "parish".parse().unwrap(),
--- /dev/null
+++ b/crates/jm-host/src/duty/capacity.rs
@@ -0,0 +1,157 @@
+//! Orders targets in place of lost ones while this host holds the lease.
+//!
+//! What is to be kept is saved in the store, so that a new holder knows what there was before a loss.
+
+use std::sync::Arc;
+
+use async_std::task;
+use indexmap::IndexMap;
+use jm_batch::BatchWorld;
+use jm_forward::RoutingTable;
+use jm_lease::LeaseGuard;
+use jm_plan::{Place, Replacement, ReplacementOptions, Seen, WantedTargets};
+use jm_platform::{Condition, ObjectStore};
+use jm_types::{Clock, DurationMs, LogEvent, ServiceId, ZoneId};
+use log::kv::ToValue;
+
+use super::LeaseView;
+use crate::{platform::DutyCalls, world::World};
+
+/// Key of the numbers of targets that are to be kept.
+const WANTED_KEY: &str = "capacity/wanted";
+
+/// Time between two looks.
+const LOOK_INTERVAL_MS: DurationMs = DurationMs::new(1_000);
+
+/// Keeps the number of targets of the services that may be ordered.
+pub(crate) struct CapacityDuty {
+    pub(crate) world: Arc<World>,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) duties: Arc<dyn DutyCalls>,
+    pub(crate) lease: Arc<LeaseView>,
+    pub(crate) clock: Arc<dyn Clock>,
+}
+
+/// What a holder knows during one term.
+struct Term {
+    replacement: Replacement,
+    saved: Vec<WantedTargets>,
+}
+
+impl CapacityDuty {
+    /// Runs until the future is dropped.
+    pub(crate) async fn run(&self) {
+        let mut term = None;
+        loop {
+            task::sleep(LOOK_INTERVAL_MS.as_std()).await;
+            let Some(guard) = self.lease.guard(&*self.clock) else {
+                term = None;
+                continue;
+            };
+            if term.is_none() {
+                term = self.begin().await;
+            }
+            if let Some(term) = &mut term {
+                self.look(term, &guard).await;
+            }
+        }
+    }
+
+    /// Reads what an earlier holder saved; none when the store does not answer.
+    async fn begin(&self) -> Option<Term> {
+        let saved = match self.store.get(WANTED_KEY).await {
+            Ok(Some(object)) => match serde_json::from_slice(&object.value) {
+                Ok(saved) => saved,
+                Err(error) => {
+                    LogEvent::ConfigUnreadable.write(format_args!(
+                        "{WANTED_KEY} cannot be read and starts anew: {error}"
+                    ));
+                    Vec::new()
+                }
+            },
+            Ok(None) => Vec::new(),
+            Err(error) => {
+                LogEvent::StoreUnavailable.write(format_args!("{WANTED_KEY} cannot be read: {error}"));
+                return None;
+            }
+        };
+        let replacement = Replacement::new(ReplacementOptions::default(), saved.clone());
+        Some(Term { replacement, saved })
+    }
+
+    async fn look(&self, term: &mut Term, guard: &LeaseGuard) {
+        let seen = self.seen(&term.replacement.wanted());
+        let orders = term.replacement.next(&seen, self.clock.now());
+        for order in orders {
+            self.order(&order, guard).await;
+        }
+        let wanted = term.replacement.wanted();
+        if wanted != term.saved && self.save(&wanted).await {
+            term.saved = wanted;
+        }
+    }
+
+    /// The serving targets of each service that may be ordered, by availability zone. Places of which no target is listed
+    /// any more are among them.
+    fn seen(&self, wanted: &[WantedTargets]) -> IndexMap<Place, Seen> {
+        let mut seen = IndexMap::new();
+        let Some(routing) = self.world.routing() else {
+            return seen;
+        };
+        for wanted in wanted {
+            count(&mut seen, &routing, &wanted.service, &wanted.zone, 0);
+        }
+        for target in self.world.catalog().iter() {
+            let serving = usize::from(target.is_serving());
+            count(&mut seen, &routing, &target.service, &target.zone, serving);
+        }
+        seen
+    }
+
+    async fn order(&self, order: &WantedTargets, guard: &LeaseGuard) {
+        let ordered = self.duties.order_targets(order, guard).await;
+        let (service, zone) = (order.service.as_str(), order.zone.as_str());
+        let fields: [(&str, &dyn ToValue); 3] =
+            [("service", &service), ("zone", &zone), ("count", &order.count)];
+        match ordered {
+            Ok(()) => {
+                LogEvent::TargetsOrdered.write_fields("targets were ordered in place of lost ones", &fields)
+            }
+            Err(error) => LogEvent::OrderFailed.write_fields(error, &fields),
+        }
+    }
+
+    async fn save(&self, wanted: &[WantedTargets]) -> bool {
+        let value = serde_json::to_vec(wanted).expect("numbers and names can be encoded");
+        match self.store.put(WANTED_KEY, value, Condition::Any).await {
+            Ok(_) => true,
+            Err(error) => {
+                LogEvent::StoreUnavailable.write(format_args!("{WANTED_KEY} cannot be saved: {error}"));
+                false
+            }
+        }
+    }
+}
+
+/// Adds serving targets to those of a place, if its service may be ordered.
+fn count(
+    seen: &mut IndexMap<Place, Seen>,
+    routing: &RoutingTable,
+    service: &ServiceId,
+    zone: &ZoneId,
+    serving: usize,
+) {
+    let Some(terms) = routing.service(service).and_then(|service| service.capacity) else {
+        return;
+    };
+    let place = Place {
+        service: service.clone(),
+        zone: zone.clone(),
+    };
+    let entry = seen.entry(place).or_insert(Seen {
+        serving: 0,
+        max: terms.max_per_zone,
+        start_ms: terms.start_ms,
+    });
+    entry.serving += serving;
+}
--- a/crates/jm-host/src/duty/mod.rs
+++ b/crates/jm-host/src/duty/mod.rs
@@ -3,6 +3,7 @@
 //! One lease stands for all duties because they cost little and a lease costs store calls. `docs/platform.md` weighs
 //! the alternatives.
 
+mod capacity;
 mod upkeep;
 mod usage;
 mod weights;
@@ -16,6 +17,7 @@
 use jm_route::owner_by_key;
 use jm_types::{Clock, DurationMs, LogEvent, MemberId};
 
+pub(crate) use capacity::CapacityDuty;
 pub(crate) use upkeep::Upkeep;
 pub use usage::{UsageBook, UsageCounter};
 pub(crate) use usage::{UsageDuty, UsagePush};
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -10,7 +10,7 @@
 use super::{Host, Wiring};
 use crate::{
     FollowOptions, FollowTask, Follower,
-    duty::{LeaseLoop, Upkeep, UsageDuty, WeightDuty},
+    duty::{CapacityDuty, LeaseLoop, Upkeep, UsageDuty, WeightDuty},
     membership::MEMBER_PREFIX,
     peer::{ObjectSpace, ReaderCopy},
     world::{RoutingFollower, TargetsFollower, VersionsFollower},
@@ -142,6 +142,14 @@
             Arc::clone(&self.clock),
         );
         task::spawn(weights.run());
+        let capacity = CapacityDuty {
+            world: Arc::clone(&self.world),
+            store: Arc::clone(&wiring.product_store) as _,
+            duties: Arc::clone(&wiring.platform.duties),
+            lease: Arc::clone(&self.lease),
+            clock: Arc::clone(&self.clock),
+        };
+        task::spawn(async move { capacity.run().await });
         let upkeep = Upkeep {
             store: Arc::clone(&wiring.product_store) as _,
             platform_store: Arc::clone(&wiring.platform_store) as _,
--- a/crates/jm-plan/src/lib.rs
+++ b/crates/jm-plan/src/lib.rs
@@ -11,6 +11,7 @@
 mod demand;
 mod loads;
 mod offer;
+mod replacement;
 mod rollout;
 
 pub use assign::Assignment;
@@ -18,4 +19,5 @@
 pub use demand::{DemandMemory, ServiceDemand};
 pub use loads::{Load, LoadEngine, LoadPlan, LoadsOptions};
 pub use offer::{Counts, Offer, PlanMemory, PlanOptions, Tier, ZoneOffer};
+pub use replacement::{Place, Replacement, ReplacementOptions, Seen, WantedTargets};
 pub use rollout::{Rollout, RolloutEngine, RolloutOptions, RolloutStatus, SwapResult, WeightOrder};
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -111,6 +111,8 @@
     VersionNamed = 4105, Info;
     /// One engine has new weights.
     EngineLoaded = 4106, Info;
+    /// Targets were ordered in place of lost ones.
+    TargetsOrdered = 4107, Info;
     /// A step was created.
     StepCreated = 5001, Info;
     /// A step's samples are all delivered and acknowledged.
