--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use futures::future::{AbortHandle, AbortRegistration, Abortable};
-use jm_forward::{Catalog, RoutingTable, Target};
+use jm_forward::{Catalog, RoutingTable, RunKey, Target};
 use jm_types::{BatchId, DurationMs, ModelId, Timestamp};
 
 use super::{
@@ -30,99 +30,49 @@
     registration: AbortRegistration,
 }
 
+/// An item that leaves an engine for a faster one.
+struct Move {
+    from: RunKey,
+    start: Start,
+}
+
+/// What is known at one look at all batches.
+struct Look<'a> {
+    routing: &'a RoutingTable,
+    catalog: &'a Catalog,
+    shares: Shares,
+    now: Timestamp,
+    unix_ms: u64,
+}
+
 impl Runner {
     pub(super) fn start_ready(self: &Arc<Self>) {
         let Some(routing) = self.parts.world.routing() else {
             return;
         };
         let catalog = self.parts.world.catalog();
-        let mut starts = self.choose_moves(&routing, &catalog);
-        starts.extend(self.choose_starts(&routing, &catalog));
-        for start in starts {
-            let runner = Arc::clone(self);
-            task::spawn(async move { runner.run_item(start).await });
-        }
-    }
-
-    fn choose_starts(&self, routing: &RoutingTable, catalog: &Catalog) -> Vec<Start> {
-        let now = self.now();
-        let unix_ms = self.parts.wall.unix_ms();
-        let mut guard = self.state();
-        let RunnerState {
-            owned,
-            loads,
-            next_serial,
-            ..
-        } = &mut *guard;
-        loads.retain(|run| catalog.get(&run.id).is_some_and(|target| target.run == *run));
-        let shares = Shares::new(owned, self.foreign());
-        let mut batches: Vec<&mut OwnedBatch> = owned
-            .values_mut()
-            .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0)
-            .collect();
-        batches.sort_by_key(|owned| {
-            (
-                owned.spec.priority,
-                owned.spec.submitted_unix_ms,
-                owned.spec.id.clone(),
-            )
-        });
-        let mut starts = Vec::new();
-        for owned in batches {
-            let ready: Vec<usize> = owned.plan.ready(now).collect();
-            for item in ready {
-                let Some(target) = choose_target(owned, item, routing, catalog, loads, &shares, now) else {
-                    break;
-                };
-                loads.began(&target.run, owned.spec.items[item].work_tokens());
-                starts.push(start(owned, item, next_serial, target, now, unix_ms));
-            }
-        }
-        starts
-    }
-
-    /// Moves items off engines that are much slower than one with room. The longest text decides when a step ends, and
-    /// a text goes on at another engine after a few milliseconds.
-    fn choose_moves(&self, routing: &RoutingTable, catalog: &Catalog) -> Vec<Start> {
-        let now = self.now();
-        let unix_ms = self.parts.wall.unix_ms();
-        let mut guard = self.state();
-        let RunnerState {
-            owned,
-            loads,
-            next_serial,
-            ..
-        } = &mut *guard;
-        let shares = Shares::new(owned, self.foreign());
-        let mut starts: Vec<Start> = Vec::new();
-        let mut left = Vec::new();
-        for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
-            let settled = owned
-                .runs
-                .iter()
-                .filter(|(_, run)| run.events >= EVENTS_BEFORE_MOVE);
-            let items: Vec<usize> = settled.map(|(item, _)| *item).collect();
-            for item in items {
-                let Some(target) = faster_target(owned, item, routing, catalog, loads, &shares, now) else {
-                    continue;
-                };
-                let Some(run) = owned.stop_run(item, now) else {
-                    continue;
-                };
-                loads.ended(&run.target, run.tokens);
-                left.push(run.target);
-                loads.began(&target.run, owned.spec.items[item].work_tokens());
-                starts.push(start(owned, item, next_serial, target, now, unix_ms));
-            }
-        }
-        drop(guard);
-        for (start, from) in starts.iter().zip(&left) {
+        let mut state = self.state();
+        let look = Look {
+            routing: &routing,
+            catalog: &catalog,
+            shares: Shares::new(&state.owned, self.foreign()),
+            now: self.now(),
+            unix_ms: self.parts.wall.unix_ms(),
+        };
+        let moves = choose_moves(&mut state, &look);
+        let mut starts = choose_starts(&mut state, &look);
+        drop(state);
+        for Move { from, start } in moves {
             let item = &start.request.spec.items[start.item].id;
             self.parts
                 .events
-                .moved(&start.batch, item, from, &start.target.run);
+                .moved(&start.batch, item, &from, &start.target.run);
+            starts.push(start);
+        }
+        for start in starts {
+            let runner = Arc::clone(self);
+            task::spawn(async move { runner.run_item(start).await });
         }
-        starts
     }
 
     async fn run_item(self: Arc<Self>, start: Start) {
@@ -236,31 +186,97 @@
     }
 }
 
+fn choose_starts(state: &mut RunnerState, look: &Look<'_>) -> Vec<Start> {
+    let RunnerState {
+        owned,
+        loads,
+        next_serial,
+        ..
+    } = state;
+    loads.retain(|run| {
+        let listed = look.catalog.get(&run.id);
+        listed.is_some_and(|target| target.run == *run)
+    });
+    let mut batches: Vec<&mut OwnedBatch> = owned
+        .values_mut()
+        .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0)
+        .collect();
+    batches.sort_by_key(|owned| {
+        (
+            owned.spec.priority,
+            owned.spec.submitted_unix_ms,
+            owned.spec.id.clone(),
+        )
+    });
+    let mut starts = Vec::new();
+    for owned in batches {
+        let ready: Vec<usize> = owned.plan.ready(look.now).collect();
+        for item in ready {
+            let Some(target) = choose_target(owned, item, loads, look) else {
+                break;
+            };
+            loads.began(&target.run, owned.spec.items[item].work_tokens());
+            starts.push(start(owned, item, next_serial, target, look));
+        }
+    }
+    starts
+}
+
+/// Moves items off engines that are much slower than one with room. The longest text decides when a step ends, and a text
+/// goes on at another engine after a few milliseconds.
+fn choose_moves(state: &mut RunnerState, look: &Look<'_>) -> Vec<Move> {
+    let RunnerState {
+        owned,
+        loads,
+        next_serial,
+        ..
+    } = state;
+    let mut moves = Vec::new();
+    for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
+        let settled = owned
+            .runs
+            .iter()
+            .filter(|(_, run)| run.events >= EVENTS_BEFORE_MOVE);
+        let items: Vec<usize> = settled.map(|(item, _)| *item).collect();
+        for item in items {
+            let Some(target) = faster_target(owned, item, loads, look) else {
+                continue;
+            };
+            let Some(run) = owned.stop_run(item, look.now) else {
+                continue;
+            };
+            loads.ended(&run.target, run.tokens);
+            loads.began(&target.run, owned.spec.items[item].work_tokens());
+            moves.push(Move {
+                from: run.target,
+                start: start(owned, item, next_serial, target, look),
+            });
+        }
+    }
+    moves
+}
+
 fn faster_target<'a>(
     owned: &OwnedBatch,
     item: usize,
-    routing: &'a RoutingTable,
-    catalog: &'a Catalog,
     loads: &EngineLoads,
-    shares: &Shares,
-    now: Timestamp,
+    look: &Look<'a>,
 ) -> Option<&'a Target> {
     let current = &owned.runs.get(&item)?.target;
-    let targets = service_targets(owned, item, routing, catalog)?;
-    loads.pick_faster(current, targets, need(&owned.spec, item, routing, shares), now)
+    let targets = service_targets(owned, item, look.routing, look.catalog)?;
+    let need = need(&owned.spec, item, look.routing, &look.shares);
+    loads.pick_faster(current, targets, need, look.now)
 }
 
 fn choose_target<'a>(
     owned: &OwnedBatch,
     item: usize,
-    routing: &'a RoutingTable,
-    catalog: &'a Catalog,
     loads: &EngineLoads,
-    shares: &Shares,
-    now: Timestamp,
+    look: &Look<'a>,
 ) -> Option<&'a Target> {
-    let targets = service_targets(owned, item, routing, catalog)?;
-    loads.pick(targets, need(&owned.spec, item, routing, shares), now)
+    let targets = service_targets(owned, item, look.routing, look.catalog)?;
+    let need = need(&owned.spec, item, look.routing, &look.shares);
+    loads.pick(targets, need, look.now)
 }
 
 fn start(
@@ -268,8 +284,7 @@
     item: usize,
     next_serial: &mut u64,
     target: &Target,
-    now: Timestamp,
-    unix_ms: u64,
+    look: &Look<'_>,
 ) -> Start {
     let serial = *next_serial;
     *next_serial += 1;
@@ -278,9 +293,9 @@
         spec: Arc::clone(&owned.spec),
         item,
         resume_after: owned.resume_after(item),
-        time_left_ms: time_left(&owned.spec, unix_ms),
+        time_left_ms: time_left(&owned.spec, look.unix_ms),
     };
-    owned.start(item, serial, target.run.clone(), now, abort);
+    owned.start(item, serial, target.run.clone(), look.now, abort);
     Start {
         batch: owned.spec.id.clone(),
         item,
--- a/crates/jm-batch/tests/carried_items.rs
+++ b/crates/jm-batch/tests/carried_items.rs
@@ -8,7 +8,6 @@
 use async_std::task;
 use common::{FaultyStore, Hosts, Step, TestHost, engine, spec, text, whole_text, without_hang};
 use jm_batch::{BatchPlan, BatchSpec, CarriedOver, GenerationRequest, PlanOptions, ResultState};
-use jm_platform::ObjectStore;
 use jm_types::{Timestamp, WeightVersion};
 
 /// Events of a whole text.
@@ -53,19 +52,7 @@
     let first = spec("b1", &[500, 1]);
     host.service.submit(first.clone()).await.unwrap();
     host.listed("b1", 1).await;
-    without_hang(async {
-        while store
-            .inner
-            .list("batch-texts/b1.")
-            .await
-            .unwrap()
-            .objects
-            .is_empty()
-        {
-            task::sleep(Duration::from_millis(2)).await;
-        }
-    })
-    .await;
+    store.until_texts_saved("b1").await;
     let organisation = "parish".parse().unwrap();
     host.service.end(&first.id, Some(&organisation)).await.unwrap();
     EndedStep {
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -314,6 +314,17 @@
         })
     }
 
+    /// Waits until unfinished texts of a batch are saved.
+    pub(crate) async fn until_texts_saved(&self, batch: &str) {
+        let prefix = format!("batch-texts/{batch}.");
+        without_hang(async {
+            while self.inner.list(&prefix).await.unwrap().objects.is_empty() {
+                task::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+
     fn check(&self) -> Result<(), ReadError> {
         self.reads.fetch_add(1, Ordering::SeqCst);
         match self.is_down.load(Ordering::SeqCst) {
--- a/crates/jm-batch/tests/saved_texts.rs
+++ b/crates/jm-batch/tests/saved_texts.rs
@@ -7,8 +7,7 @@
     time::Duration,
 };
 
-use async_std::task;
-use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text, without_hang};
+use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text};
 use jm_batch::{
     CheckpointOptions, CheckpointState, GenerationRequest, ItemText, longest_texts, texts_to_save,
 };
@@ -38,19 +37,7 @@
     });
     let first = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 8, 1)], slow);
     first.service.submit(spec("b1", &[9, 2])).await.unwrap();
-    without_hang(async {
-        while store
-            .inner
-            .list("batch-texts/b1.")
-            .await
-            .unwrap()
-            .objects
-            .is_empty()
-        {
-            task::sleep(Duration::from_millis(2)).await;
-        }
-    })
-    .await;
+    store.until_texts_saved("b1").await;
     hosts.kill("host-a");
     let rest = Box::new(|_: &_, request: &GenerationRequest| {
         assert_eq!(request.resume_after, Some(60), "the text goes on where it was");
