Reverted: loads of several models in turn, and of the model named first

In turn, engines of the step that just begins load while its items start. The order of the list stays.

--- a/crates/jm-plan/src/loads.rs
+++ b/crates/jm-plan/src/loads.rs
@@ -1,9 +1,8 @@
 //! Which engines load which weights next.
 //!
 //! Load pattern: a trainer names a version every few seconds, faster than all engines can load it a few at a time, and
-//! its next step accepts the version before as well; several trainers do so at the same time. Engines that running steps
-//! cannot use load first, then those of the model that has the fewest engines up to date, and each goes straight to the
-//! newest version, so that it is useful for as long as possible.
+//! its next step accepts the version before as well. Engines that lag most load first and go straight to the newest
+//! version, so that each of them is useful for as long as possible.
 
 use std::cmp::Reverse;
 
@@ -109,23 +108,19 @@
             .clone()
             .filter_map(|engine| most_behind(engine, newest, is_own_model));
         let mut behind: Vec<(u64, Load<K>)> = own.collect();
-        let mut current = self.current_engines(engines, newest);
-        let mut loads = Vec::new();
-        while loads.len() < room
-            && let Some(next) = most_urgent(&behind, engines, needed, &current)
-        {
-            let (_, load) = behind.remove(next);
-            if let Some((current, _)) = current.get_mut(&load.model) {
-                *current += 1;
-            }
-            loads.push(load);
-        }
-        if loads.is_empty() && loading == 0 {
+        // Engines that running steps cannot use come first.
+        let is_needed = |load: &Load<K>| {
+            let engine = engines.iter().find(|engine| engine.run == load.run);
+            let version = engine.and_then(|engine| engine.versions.get(&load.model));
+            needed.get(&load.model) > version
+        };
+        behind.sort_by_key(|(lag, load)| Reverse((is_needed(load), *lag)));
+        if behind.is_empty() && loading == 0 {
             // One at a time, so that a version that is named now finds room.
             let other = free.filter_map(|engine| most_behind(engine, newest, is_other_model));
-            let first = other.max_by_key(|(lag, _)| *lag);
-            loads.extend(first.map(|(_, load)| load));
+            behind.extend(other.max_by_key(|(lag, _)| *lag));
         }
+        let loads: Vec<Load<K>> = behind.into_iter().take(room).map(|(_, load)| load).collect();
         for load in &loads {
             self.states
                 .insert(load.run.clone(), LoadState::Loading { since: now });
@@ -133,29 +128,6 @@
         loads
     }
 
-    /// By model: the engines that keep up with it and have its newest version or load, and all that keep up with it.
-    fn current_engines(
-        &self,
-        engines: &[LoadEngine<K>],
-        newest: &IndexMap<ModelId, WeightVersion>,
-    ) -> IndexMap<ModelId, (usize, usize)> {
-        let mut counts: IndexMap<ModelId, (usize, usize)> = IndexMap::new();
-        for engine in engines {
-            let is_loading = matches!(self.states.get(&engine.run), Some(LoadState::Loading { .. }));
-            let own = engine
-                .versions
-                .iter()
-                .filter(|(model, _)| is_own_model(engine, model));
-            for (model, version) in own {
-                let is_newest = newest.get(model).is_none_or(|newest| version >= newest);
-                let (current, all) = counts.entry(model.clone()).or_default();
-                *current += usize::from(is_newest || is_loading);
-                *all += 1;
-            }
-        }
-        counts
-    }
-
     /// A load ended well; it was seen to be over after `took`.
     pub fn loaded(&mut self, run: &K, took: DurationMs) {
         self.states.swap_remove(run);
@@ -194,31 +166,6 @@
     }
 }
 
-/// The load that comes first: one of an engine that running steps cannot use, then one of the model with the smallest part
-/// of its engines up to date, then one that lags most. Without the second rule the engines of one model follow one another
-/// while the next step of another model finds none.
-fn most_urgent<K: Clone + Eq>(
-    behind: &[(u64, Load<K>)],
-    engines: &[LoadEngine<K>],
-    needed: &IndexMap<ModelId, WeightVersion>,
-    current: &IndexMap<ModelId, (usize, usize)>,
-) -> Option<usize> {
-    let is_useless = |load: &Load<K>| {
-        let engine = engines.iter().find(|engine| engine.run == load.run);
-        let version = engine.and_then(|engine| engine.versions.get(&load.model));
-        needed.get(&load.model) > version
-    };
-    let current_per_thousand = |load: &Load<K>| {
-        let (current, all) = current.get(&load.model).copied().unwrap_or_default();
-        1_000 * current / all.max(1)
-    };
-    let urgency =
-        |(lag, load): &(u64, Load<K>)| (is_useless(load), Reverse(current_per_thousand(load)), *lag);
-    // The first of equals, so that the order of the list decides.
-    let indexes = (0..behind.len()).rev();
-    indexes.max_by_key(|index| urgency(&behind[*index]))
-}
-
 fn is_own_model<K>(engine: &LoadEngine<K>, model: &ModelId) -> bool {
     engine.model.as_ref().is_none_or(|own| own == model)
 }
--- a/crates/jm-plan/tests/weight_loads.rs
+++ b/crates/jm-plan/tests/weight_loads.rs
@@ -81,39 +81,3 @@
         "an engine is ahead of the list"
     );
 }
-
-/// Two trainers named a version at the same time. The loads go to their engines in turn; one after the other, the next step
-/// of the second trainer would wait until all engines of the first one are done.
-#[test]
-fn models_in_turn() {
-    let (a, b): (ModelId, ModelId) = ("a".parse().unwrap(), "b".parse().unwrap());
-    let versions = |version| {
-        IndexMap::from([
-            (a.clone(), WeightVersion::new(version)),
-            (b.clone(), WeightVersion::new(version)),
-        ])
-    };
-    let mut engines: Vec<LoadEngine<usize>> = (0..8)
-        .map(|run| LoadEngine {
-            run,
-            versions: versions(1),
-            model: Some(if run < 4 { a.clone() } else { b.clone() }),
-        })
-        .collect();
-    let mut plan = LoadPlan::new(LoadsOptions {
-        engines_per_load: 4,
-        ..LoadsOptions::default()
-    });
-    let mut order = Vec::new();
-    for round in 0..4 {
-        let now = Timestamp::new(2_000 * round);
-        for load in plan.next(&engines, &versions(2), &versions(1), now) {
-            engines[load.run].versions = versions(2);
-            plan.loaded(&load.run, DurationMs::new(1_000));
-            order.push(load.model);
-        }
-    }
-    let of_b: Vec<usize> = (0..order.len()).filter(|index| order[*index] == b).collect();
-    assert_eq!(order.len(), 8);
-    assert_eq!(of_b, [1, 3, 5, 7], "every second load is one of the second model");
-}
