--- a/crates/jm-batch/src/service/own.rs
+++ b/crates/jm-batch/src/service/own.rs
@@ -111,7 +111,13 @@
         let (spec, progress) = match earlier_owners {
             0 => (store.load_spec(&state.batch).await?, Progress::default()),
             // A step is due within seconds, so the parts are read at the same time.
-            _ => try_join(store.load_spec(&state.batch), self.load_progress(&state.batch)).await?,
+            _ => {
+                try_join(
+                    store.load_spec(&state.batch),
+                    self.load_progress(&state.batch, earlier_owners),
+                )
+                .await?
+            }
         };
         let Some(spec) = spec else {
             return Err(StoreError::Corrupt {
@@ -138,10 +144,10 @@
         Ok(())
     }
 
-    /// What the store holds of a batch that another host ran.
-    pub(super) async fn load_progress(&self, batch: &BatchId) -> Result<Progress, StoreError> {
+    /// What the store holds of a batch that this many hosts, or runs of them, ran.
+    pub(super) async fn load_progress(&self, batch: &BatchId, owners: u32) -> Result<Progress, StoreError> {
         let store = &self.parts.store;
-        let (listed, texts) = try_join(store.load_results(batch), store.load_texts(batch)).await?;
+        let (listed, texts) = try_join(store.load_results(batch), store.load_texts(batch, owners)).await?;
         Ok(Progress { listed, texts })
     }
 
--- a/crates/jm-batch/src/service/recall.rs
+++ b/crates/jm-batch/src/service/recall.rs
@@ -57,7 +57,8 @@
 
     async fn load_earlier(&self, state: &BatchState) -> Result<Option<EarlierBatch>, StoreError> {
         let spec = self.parts.store.load_spec(&state.batch);
-        let (spec, progress) = try_join(spec, self.load_progress(&state.batch)).await?;
+        let (spec, progress) =
+            try_join(spec, self.load_progress(&state.batch, state.earlier_owners + 1)).await?;
         Ok(spec.map(|spec| EarlierBatch {
             spec,
             listed: progress.listed,
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -5,6 +5,7 @@
 
 use std::sync::Arc;
 
+use futures::future::try_join_all;
 use jm_platform::{Condition, ObjectError, ObjectStore, Version};
 use jm_types::BatchId;
 use serde::{Serialize, de::DeserializeOwned};
@@ -15,6 +16,9 @@
 /// Prefix of the keys of batch states.
 pub const BATCH_STATE_PREFIX: &str = "batch-state/";
 
+/// Owners of a batch whose saved texts are read.
+const SAVING_OWNERS: u32 = 6;
+
 /// Largest part of a specification in one object; leaves room for what the store's encoding adds.
 const PART_BYTES: usize = 700_000;
 
@@ -160,10 +164,11 @@
         Ok(piece.map(|(piece, _)| piece))
     }
 
-    /// Reads all results.
+    /// Reads all results for a host that takes the batch over. One piece after the other, because a listing also brings up to
+    /// a page of what other batches have, and the step waits meanwhile.
     pub(crate) async fn load_results(&self, batch: &BatchId) -> Result<Vec<BatchResult>, StoreError> {
         let mut listed = Vec::new();
-        self.load_new_results(batch, &mut listed).await?;
+        self.append_pieces(batch, &mut listed).await?;
         Ok(listed)
     }
 
@@ -177,6 +182,10 @@
         if is_whole {
             return Ok(());
         }
+        self.append_pieces(batch, listed).await
+    }
+
+    async fn append_pieces(&self, batch: &BatchId, listed: &mut Vec<BatchResult>) -> Result<(), StoreError> {
         while let Some(piece) = self.load_piece(batch, listed.len()).await? {
             if piece.results.is_empty() {
                 return Err(corrupt(&piece_key(batch, piece.first), "it is empty"));
@@ -217,15 +226,17 @@
         changed(result).map(|_| ())
     }
 
-    /// The unfinished texts that all owners saved.
-    pub(crate) async fn load_texts(&self, batch: &BatchId) -> Result<Vec<ItemText>, StoreError> {
-        let listing = self.objects.list(&texts_prefix(batch)).await;
-        let listing = listing.map_err(StoreError::unavailable)?;
-        let mut texts = Vec::new();
-        for object in listing.objects {
-            texts.extend(decode::<Vec<ItemText>>(&object.key, &object.object.value)?);
-        }
-        Ok(texts)
+    /// The unfinished texts that the last of its owners saved; each continues what those before it saved.
+    pub(crate) async fn load_texts(&self, batch: &BatchId, owners: u32) -> Result<Vec<ItemText>, StoreError> {
+        let saved = (owners.saturating_sub(SAVING_OWNERS)..owners)
+            .map(|earlier_owners| self.saved_texts(batch, earlier_owners));
+        let saved = try_join_all(saved).await?;
+        Ok(saved.into_iter().flatten().collect())
+    }
+
+    async fn saved_texts(&self, batch: &BatchId, earlier_owners: u32) -> Result<Vec<ItemText>, StoreError> {
+        let texts = self.read(&texts_key(batch, earlier_owners)).await?;
+        Ok(texts.map_or(Vec::new(), |(texts, _)| texts))
     }
 
     /// Removes everything of a batch that nobody can ask for any more.
