--- a/crates/jm-host/src/membership.rs
+++ b/crates/jm-host/src/membership.rs
@@ -98,7 +98,7 @@
                 incarnation,
             },
             callers: settings.listen.callers,
-            peers: settings.listen.peers,
+            peers: settings.announced_peers,
         };
         let detector = Detector::new(detector_options(), own.record.clone(), Revision::new(0));
         // The platform hands out no secret. This one keeps datagrams of other deployments apart.
--- a/crates/jm-host/src/settings.rs
+++ b/crates/jm-host/src/settings.rs
@@ -47,6 +47,8 @@
     pub region: RegionId,
     /// Where it listens.
     pub listen: ListenSettings,
+    /// Where other hosts connect; differs from where this one listens behind a forwarded port.
+    pub announced_peers: SocketAddr,
     /// Hosts to ask for the others when the store does not answer.
     pub seeds: Vec<SocketAddr>,
     /// Name of the deployment; hosts ignore datagrams of other deployments.
@@ -121,6 +123,7 @@
         let listen = Section::of(&ini, "listen");
         let platform = Section::of(&ini, "platform");
         let bounds = Section::of(&ini, "bounds");
+        let announce = Section::of(&ini, "announce");
         Ok(Self {
             id: host.value("id")?,
             zone: host.value("zone")?,
@@ -133,6 +136,7 @@
                 members: listen.value("members")?,
                 metrics: listen.value("metrics")?,
             },
+            announced_peers: announce.value_or(&listen, "peers")?,
             seeds: platform.list("seeds")?,
             fleet: match platform.text("fleet") {
                 Ok(name) => name.to_owned(),
@@ -181,6 +185,18 @@
         self.parse(key, text)
     }
 
+    /// The value of a key that may be missing here; it is the one of another section then.
+    fn value_or<T: FromStr<Err: fmt::Display>>(
+        &self,
+        other: &Section<'_>,
+        key: &str,
+    ) -> Result<T, SettingsError> {
+        match self.text(key) {
+            Ok(text) => self.parse(key, text),
+            Err(_) => other.value(key),
+        }
+    }
+
     fn parse<T: FromStr<Err: fmt::Display>>(&self, key: &str, text: &str) -> Result<T, SettingsError> {
         text.trim()
             .parse()
--- a/crates/jm-host/tests/host_settings.rs
+++ b/crates/jm-host/tests/host_settings.rs
@@ -46,6 +46,22 @@
     assert_eq!(HostSettings::parse(&named).unwrap().fleet, "riga");
 }
 
+/// Hosts behind a forwarded port registered an address at which nobody reached them.
+#[test]
+fn announced_address() {
+    let settings = HostSettings::parse(SETTINGS).unwrap();
+    assert_eq!(settings.announced_peers, settings.listen.peers);
+    let forwarded =
+        HostSettings::parse(&format!("{SETTINGS}\n[announce]\npeers = 127.0.0.9:9003\n")).unwrap();
+    assert_eq!(forwarded.announced_peers, "127.0.0.9:9003".parse().unwrap());
+    assert_eq!(forwarded.listen.peers, settings.listen.peers);
+    let error = HostSettings::parse(&format!("{SETTINGS}\n[announce]\npeers = here\n")).unwrap_err();
+    assert!(
+        error.to_string().starts_with("[announce] peers = \"here\""),
+        "{error}"
+    );
+}
+
 #[test]
 fn no_seeds() {
     let settings = HostSettings::parse(&SETTINGS.replace("127.0.0.1:8003, 127.0.0.2:8003", "")).unwrap();
