Reverted: more engines while steps are late

Likely cause, not shown by a log: few engines may load at a time, so more engines mean that fewer of them have the newest weights when a step begins. Lost engines are ordered again as before; takeovers by key and the tests' shared wait stay.

--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -12,7 +12,7 @@
 
 use async_std::task;
 use async_trait::async_trait;
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexMap;
 use jm_forward::RunKey;
 use jm_platform::Version;
 use jm_types::{
@@ -125,8 +125,6 @@
     }
 }
 
-/// Part of the time until a batch is due after which it counts as late. An engine that is ordered then serves the next one.
-const LATE_PERCENT: u64 = 80;
 /// Tries of a change of a state object.
 const STATE_TRIES: usize = 8;
 /// Wait between them.
@@ -214,15 +212,6 @@
             .collect()
     }
 
-    /// Models whose batches, of all hosts, run close to the time at which they are due or beyond it.
-    pub fn late_models(&self) -> IndexSet<ModelId> {
-        let unix_ms = self.parts.wall.unix_ms();
-        let state = self.state();
-        let states = state.known.values().map(|known| &known.state);
-        let late = states.filter(|state| state.is_late(unix_ms, LATE_PERCENT));
-        late.filter_map(|state| state.model.clone()).collect()
-    }
-
     /// The states of all batches that are known.
     pub fn known_states(&self) -> Vec<BatchState> {
         let state = self.state();
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -36,7 +36,6 @@
             min_version: spec.min_version,
             work_tokens: spec.work_tokens(),
             submitted_unix_ms: spec.submitted_unix_ms,
-            due_ms: spec.due_ms,
         };
         let store = &self.parts.store;
         match self.create(|| store.create_state(&state).boxed()).await? {
--- a/crates/jm-batch/src/state.rs
+++ b/crates/jm-batch/src/state.rs
@@ -1,6 +1,6 @@
 //! The small object beside each batch that every host watches.
 
-use jm_types::{BatchId, DurationMs, Incarnation, MemberId, ModelId, OrganisationId, WeightVersion};
+use jm_types::{BatchId, Incarnation, MemberId, ModelId, OrganisationId, WeightVersion};
 use serde::{Deserialize, Serialize};
 
 /// How far a batch is.
@@ -41,9 +41,6 @@
     pub work_tokens: u64,
     /// When it was submitted, in milliseconds since the Unix epoch.
     pub submitted_unix_ms: u64,
-    /// Time after the submission at which all results are due; zero when it is not known.
-    #[serde(default)]
-    pub due_ms: DurationMs,
 }
 
 impl BatchState {
@@ -63,13 +60,6 @@
         }
     }
 
-    /// Whether it runs although a part of the time until it is due is over.
-    pub(crate) fn is_late(&self, unix_ms: u64, percent: u64) -> bool {
-        let age_ms = unix_ms.saturating_sub(self.submitted_unix_ms);
-        let limit_ms = self.due_ms.get() * percent / 100;
-        self.phase == BatchPhase::Running && limit_ms > 0 && age_ms >= limit_ms
-    }
-
     /// Whether this run of this host owns the batch.
     pub fn is_owned_by(&self, member: &MemberId, incarnation: Incarnation) -> bool {
         self.owner == *member && self.owner_incarnation == incarnation
--- a/crates/jm-batch/tests/batch_takeover.rs
+++ b/crates/jm-batch/tests/batch_takeover.rs
@@ -170,7 +170,6 @@
         min_version: WeightVersion::new(0),
         work_tokens: 0,
         submitted_unix_ms: 0,
-        due_ms: DurationMs::new(0),
     }
 }
 
--- a/crates/jm-host/src/duty/capacity.rs
+++ b/crates/jm-host/src/duty/capacity.rs
@@ -1,17 +1,17 @@
-//! Orders targets in place of lost ones, and more while steps are late, while this host holds the lease.
+//! Orders targets in place of lost ones while this host holds the lease.
 //!
 //! What is to be kept is saved in the store, so that a new holder knows what there was before a loss.
 
 use std::sync::Arc;
 
 use async_std::task;
-use indexmap::{IndexMap, IndexSet};
-use jm_batch::{BatchService, BatchWorld};
-use jm_forward::Service;
+use indexmap::IndexMap;
+use jm_batch::BatchWorld;
+use jm_forward::RoutingTable;
 use jm_lease::LeaseGuard;
 use jm_plan::{Place, Replacement, ReplacementOptions, Seen, WantedTargets};
 use jm_platform::{Condition, ObjectStore};
-use jm_types::{Clock, DurationMs, LogEvent, ModelId, ServiceId, ZoneId};
+use jm_types::{Clock, DurationMs, LogEvent, ServiceId, ZoneId};
 use log::kv::ToValue;
 
 use super::LeaseView;
@@ -26,7 +26,6 @@
 /// Keeps the number of targets of the services that may be ordered.
 pub(crate) struct CapacityDuty {
     pub(crate) world: Arc<World>,
-    pub(crate) batches: Arc<BatchService>,
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) duties: Arc<dyn DutyCalls>,
     pub(crate) lease: Arc<LeaseView>,
@@ -99,23 +98,12 @@
         let Some(routing) = self.world.routing() else {
             return seen;
         };
-        let late_models = self.batches.late_models();
-        for service in routing.services() {
-            let Some(terms) = service.capacity else { continue };
-            let nothing = Seen {
-                serving: 0,
-                is_pressed: serves(service, &late_models),
-                max: terms.max_per_zone,
-                start_ms: terms.start_ms,
-            };
-            let places = wanted.iter().filter(|wanted| wanted.service == service.id);
-            for wanted in places {
-                seen.insert(place(&service.id, &wanted.zone), nothing);
-            }
-            for target in self.world.catalog().serving(&service.id) {
-                let entry = seen.entry(place(&service.id, &target.zone)).or_insert(nothing);
-                entry.serving += 1;
-            }
+        for wanted in wanted {
+            count(&mut seen, &routing, &wanted.service, &wanted.zone, 0);
+        }
+        for target in self.world.catalog().iter() {
+            let serving = usize::from(target.is_serving());
+            count(&mut seen, &routing, &target.service, &target.zone, serving);
         }
         seen
     }
@@ -126,7 +114,9 @@
         let fields: [(&str, &dyn ToValue); 3] =
             [("service", &service), ("zone", &zone), ("count", &order.count)];
         match ordered {
-            Ok(()) => LogEvent::TargetsOrdered.write_fields("a number of targets was ordered", &fields),
+            Ok(()) => {
+                LogEvent::TargetsOrdered.write_fields("targets were ordered in place of lost ones", &fields)
+            }
             Err(error) => LogEvent::OrderFailed.write_fields(error, &fields),
         }
     }
@@ -143,15 +133,25 @@
     }
 }
 
-fn place(service: &ServiceId, zone: &ZoneId) -> Place {
-    Place {
+/// Adds serving targets to those of a place, if its service may be ordered.
+fn count(
+    seen: &mut IndexMap<Place, Seen>,
+    routing: &RoutingTable,
+    service: &ServiceId,
+    zone: &ZoneId,
+    serving: usize,
+) {
+    let Some(terms) = routing.service(service).and_then(|service| service.capacity) else {
+        return;
+    };
+    let place = Place {
         service: service.clone(),
         zone: zone.clone(),
-    }
-}
-
-/// Whether the engines of a service can serve one of the models.
-fn serves(service: &Service, models: &IndexSet<ModelId>) -> bool {
-    let engine = service.engine.as_ref();
-    engine.is_some_and(|engine| engine.models.iter().any(|model| models.contains(model)))
+    };
+    let entry = seen.entry(place).or_insert(Seen {
+        serving: 0,
+        max: terms.max_per_zone,
+        start_ms: terms.start_ms,
+    });
+    entry.serving += serving;
 }
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -144,7 +144,6 @@
         task::spawn(weights.run());
         let capacity = CapacityDuty {
             world: Arc::clone(&self.world),
-            batches: Arc::clone(&self.batches),
             store: Arc::clone(&wiring.product_store) as _,
             duties: Arc::clone(&wiring.platform.duties),
             lease: Arc::clone(&self.lease),
--- a/crates/jm-plan/src/replacement.rs
+++ b/crates/jm-plan/src/replacement.rs
@@ -1,12 +1,9 @@
-//! How many targets of a service are kept: lost ones are ordered again, and more are ordered while steps are late.
+//! Which lost targets are ordered again.
 //!
-//! Load patterns:
-//!
-//! * Targets crash for good or are taken away, one or a whole availability zone, and nothing brings others. Each loss makes
-//!   every later step slower. Targets that crash and return, and lists with gaps after an outage, look the same for some
-//!   seconds, and each order costs a target's price until it is given back; so only what stays missing is ordered.
-//! * Steps come close to the time at which they are due, again and again, because their items share too few engines. Each
-//!   engine generates more slowly the more text it holds, so the longest texts of a step end sooner on more engines.
+//! Load pattern: targets crash for good or are taken away, one or a whole availability zone, and nothing brings others.
+//! Each loss makes every later step slower. Targets that crash and return, and lists with gaps after an outage, look the
+//! same for some seconds, and each order costs a target's price until it is given back; so only what stays missing is
+//! ordered, and no more than there was before.
 
 use indexmap::IndexMap;
 use jm_types::{DurationMs, ServiceId, Timestamp, ZoneId};
@@ -22,14 +19,6 @@
     pub settle_ms: DurationMs,
     /// Time after an order before the next one for the same place, beside the time that a target takes to start.
     pub repeat_ms: DurationMs,
-    /// Part of the usual number that is added while steps are late, in percent.
-    pub growth_percent: usize,
-    /// Largest number, as a part of the usual one in percent.
-    pub most_percent: usize,
-    /// Time after a growth before the next one. The steps that showed the need run on for some seconds.
-    pub growth_pause_ms: DurationMs,
-    /// Time without a late step after which what was added is given back.
-    pub give_back_ms: DurationMs,
 }
 
 impl Default for ReplacementOptions {
@@ -38,10 +27,6 @@
             missing_ms: DurationMs::new(4_000),
             settle_ms: DurationMs::new(10_000),
             repeat_ms: DurationMs::new(4_000),
-            growth_percent: 50,
-            most_percent: 200,
-            growth_pause_ms: DurationMs::new(20_000),
-            give_back_ms: DurationMs::new(600_000),
         }
     }
 }
@@ -64,8 +49,6 @@
     pub zone: ZoneId,
     /// Their number.
     pub count: usize,
-    /// The usual number, without what was added for late steps.
-    pub usual: usize,
 }
 
 /// What is seen of one place.
@@ -73,8 +56,6 @@
 pub struct Seen {
     /// Targets that are listed as serving.
     pub serving: usize,
-    /// Whether a step that needs the service is late or nearly so.
-    pub is_pressed: bool,
     /// Largest number that may be ordered.
     pub max: usize,
     /// Time that a new target takes until it serves.
@@ -83,18 +64,11 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct PlaceState {
-    usual: usize,
     wanted: usize,
     missing_since: Option<Timestamp>,
     more_since: Option<Timestamp>,
-    /// When a late step was last seen, or what was added first.
-    pressed_at: Timestamp,
-    /// No growth before.
-    grows_after: Timestamp,
-    /// No repeated order before.
+    /// No order before.
     rests_until: Timestamp,
-    /// The wanted number changed and was not ordered yet.
-    is_changed: bool,
 }
 
 /// The places of all services that may be ordered.
@@ -113,7 +87,6 @@
                 zone: saved.zone,
             };
             let state = PlaceState {
-                usual: saved.usual,
                 wanted: saved.count,
                 ..PlaceState::default()
             };
@@ -133,7 +106,6 @@
                 service: place.service.clone(),
                 zone: place.zone.clone(),
                 count: state.wanted,
-                usual: state.usual,
             })
             .collect()
     }
@@ -146,12 +118,10 @@
             state.look(seen, &self.options, now);
             if state.is_due(seen, &self.options, now) {
                 state.rests_until = now.after(seen.start_ms).after(self.options.repeat_ms);
-                state.is_changed = false;
                 orders.push(WantedTargets {
                     service: place.service.clone(),
                     zone: place.zone.clone(),
                     count: state.wanted.min(seen.max),
-                    usual: state.usual,
                 });
             }
         }
@@ -172,34 +142,14 @@
         let has_settled = |since: Timestamp| now.since(since) >= options.settle_ms;
         if self.more_since.is_some_and(has_settled) {
             self.wanted = seen.serving.min(seen.max);
-            self.usual = self.wanted;
             self.more_since = None;
         }
-        if seen.is_pressed {
-            self.pressed_at = now;
-            self.grow(seen, options, now);
-        } else if self.wanted > self.usual && now.since(self.pressed_at) >= options.give_back_ms {
-            self.wanted = self.usual;
-            self.is_changed = true;
-        }
-    }
-
-    fn grow(&mut self, seen: &Seen, options: &ReplacementOptions, now: Timestamp) {
-        let part = |percent: usize| (self.usual * percent).div_ceil(100);
-        let most = part(options.most_percent).min(seen.max);
-        if now < self.grows_after || self.wanted >= most {
-            return;
-        }
-        self.wanted = most.min(self.wanted + part(options.growth_percent));
-        self.grows_after = now.after(options.growth_pause_ms);
-        self.is_changed = true;
     }
 
     fn is_due(&self, seen: &Seen, options: &ReplacementOptions, now: Timestamp) -> bool {
         let is_missing = self
             .missing_since
             .is_some_and(|since| now.since(since) >= options.missing_ms);
-        let is_short = is_missing && seen.serving < seen.max && now >= self.rests_until;
-        self.is_changed || is_short
+        is_missing && seen.serving < seen.max && now >= self.rests_until
     }
 }
--- a/crates/jm-plan/tests/lost_targets.rs
+++ b/crates/jm-plan/tests/lost_targets.rs
@@ -16,7 +16,6 @@
         service: "engines".parse().unwrap(),
         zone: zone.parse().unwrap(),
         count,
-        usual: count,
     }
 }
 
@@ -30,7 +29,6 @@
 ) -> Vec<(u64, usize)> {
     let seen = Seen {
         serving,
-        is_pressed: false,
         max,
         start_ms: DurationMs::new(4_000),
     };
@@ -95,47 +93,3 @@
     let mut replacement = kept(3);
     assert_eq!(looks(&mut replacement, 0, 8, 0, 6), [(4, 3)]);
 }
-
-/// Looks once a second while the steps are late or not, and returns the orders with their seconds.
-fn pressed_looks(
-    replacement: &mut Replacement,
-    serving: usize,
-    is_pressed: bool,
-    from_s: u64,
-    to_s: u64,
-) -> Vec<(u64, usize)> {
-    let seen = Seen {
-        serving,
-        is_pressed,
-        max: 8,
-        start_ms: DurationMs::new(4_000),
-    };
-    let seen = IndexMap::from([(place("a"), seen)]);
-    let mut orders = Vec::new();
-    for second in from_s..to_s {
-        let found = replacement.next(&seen, Timestamp::new(second * 1_000));
-        orders.extend(found.into_iter().map(|order| (second, order.count)));
-    }
-    orders
-}
-
-/// Steps are late all the time: the number grows at once and again after a pause, to twice the usual one and no further.
-#[test]
-fn late_steps() {
-    let mut replacement = kept(3);
-    assert_eq!(pressed_looks(&mut replacement, 3, true, 10, 14), [(10, 5)]);
-    assert_eq!(pressed_looks(&mut replacement, 5, true, 14, 31), [(30, 6)]);
-    assert!(pressed_looks(&mut replacement, 6, true, 31, 300).is_empty());
-}
-
-/// One late step after the other adds engines; ten minutes without one give them back, and a rolling replacement of all
-/// engines meanwhile changes nothing.
-#[test]
-fn given_back() {
-    let mut replacement = kept(3);
-    assert_eq!(pressed_looks(&mut replacement, 3, true, 10, 11), [(10, 5)]);
-    assert!(pressed_looks(&mut replacement, 6, false, 11, 15).is_empty());
-    assert!(pressed_looks(&mut replacement, 5, false, 15, 610).is_empty());
-    assert_eq!(pressed_looks(&mut replacement, 5, false, 610, 615), [(610, 3)]);
-    assert_eq!(replacement.wanted(), [wanted("a", 3)]);
-}
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -111,7 +111,7 @@
     VersionNamed = 4105, Info;
     /// One engine has new weights.
     EngineLoaded = 4106, Info;
-    /// A number of targets was ordered.
+    /// Targets were ordered in place of lost ones.
     TargetsOrdered = 4107, Info;
     /// A step was created.
     StepCreated = 5001, Info;
