--- a/crates/jm-batch/src/carry.rs
+++ b/crates/jm-batch/src/carry.rs
@@ -4,16 +4,23 @@
 //! step under the same ids, and that step cannot end without them. They are the groups with the longest texts, so a step
 //! that generates them from the start ends late again, with work that an engine has done before.
 
-use std::collections::HashMap;
+use std::{
+    cmp::Reverse,
+    collections::{HashMap, HashSet},
+    sync::Arc,
+};
 
 use jm_types::WeightVersion;
 
 use crate::{
-    BatchItem, BatchSpec, ItemText,
+    BatchItem, BatchSpec, CarriedOver, ItemState, ItemText,
     owned::OwnedBatch,
     result::{BatchResult, ResultState},
 };
 
+/// Batches of a submitter among which a new one looks for its items.
+const EARLIER_BATCHES: usize = 4;
+
 /// An item that an earlier batch of the same submitter had too.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct CarriedItem {
@@ -23,8 +30,37 @@
     pub(crate) is_complete: bool,
 }
 
+/// Continues what the newest earlier batches of the same submitter have of the batch's items.
+pub(crate) fn carry_over<'a>(
+    owned: &mut OwnedBatch,
+    others: impl Iterator<Item = &'a OwnedBatch>,
+) -> CarriedOver {
+    let spec = Arc::clone(&owned.spec);
+    let mut earlier: Vec<&OwnedBatch> = others
+        .filter(|other| spec.model.is_some() && is_earlier(&other.spec, &spec))
+        .collect();
+    earlier.sort_by_key(|other| Reverse(other.spec.submitted_unix_ms));
+    let mut items = HashSet::new();
+    for other in earlier.into_iter().take(EARLIER_BATCHES) {
+        let carried = carried_items(&spec, other);
+        items.extend(carried.iter().map(|carried| carried.text.item));
+        owned.continue_carried(carried);
+    }
+    let count = |is_meant: &dyn Fn(usize) -> bool| items.iter().filter(|item| is_meant(**item)).count();
+    CarriedOver {
+        items: items.len(),
+        continued: count(&|item| owned.events(item) > 0),
+        complete: count(&|item| owned.plan.state(item) == ItemState::Done),
+    }
+}
+
+fn is_earlier(other: &BatchSpec, spec: &BatchSpec) -> bool {
+    let is_same_submitter = other.organisation == spec.organisation && other.model == spec.model;
+    is_same_submitter && other.id != spec.id && other.submitted_unix_ms <= spec.submitted_unix_ms
+}
+
 /// The items of a batch that an earlier one had too. A text is used when all its weight versions fit the new batch.
-pub(crate) fn carried_items(spec: &BatchSpec, earlier: &OwnedBatch) -> Vec<CarriedItem> {
+fn carried_items(spec: &BatchSpec, earlier: &OwnedBatch) -> Vec<CarriedItem> {
     let indexes: HashMap<&str, usize> = spec
         .items
         .iter()
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -7,8 +7,6 @@
 mod write;
 
 use std::{
-    cmp::Reverse,
-    collections::HashSet,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -23,18 +21,15 @@
 use jm_types::{BatchId, Clock, DurationMs, ModelId, Timestamp, WallClock, WeightVersion};
 
 use crate::{
-    BatchEvents, BatchResult, BatchSpec, BatchStore, CarriedOver, CheckpointOptions, EngineLoads,
-    GatherOptions, GenerationEnd, Generator, ItemState, LoadOptions, PlanOptions, ResultPage, RunEnd,
-    carry::carried_items,
+    BatchEvents, BatchResult, BatchSpec, BatchStore, CheckpointOptions, EngineLoads, GatherOptions,
+    GenerationEnd, Generator, LoadOptions, PlanOptions, ResultPage, RunEnd,
+    carry::carry_over,
     checkpoint::longest_texts,
     engine_load::ForeignWork,
     owned::{ItemText, OwnedBatch, Run},
     runner::write::begin_writing,
 };
 
-/// Batches of a submitter among which a new one looks for its items.
-const EARLIER_BATCHES: usize = 4;
-
 /// What a runner knows of the world around it.
 pub trait BatchWorld: Send + Sync {
     /// The configuration in force; none before the first one is known.
@@ -391,32 +386,6 @@
     }
 }
 
-/// Continues what the newest earlier batches of the same submitter have of the batch's items.
-fn carry_over<'a>(owned: &mut OwnedBatch, others: impl Iterator<Item = &'a OwnedBatch>) -> CarriedOver {
-    let spec = Arc::clone(&owned.spec);
-    let mut earlier: Vec<&OwnedBatch> = others
-        .filter(|other| spec.model.is_some() && is_earlier(&other.spec, &spec))
-        .collect();
-    earlier.sort_by_key(|other| Reverse(other.spec.submitted_unix_ms));
-    let mut items = HashSet::new();
-    for other in earlier.into_iter().take(EARLIER_BATCHES) {
-        let carried = carried_items(&spec, other);
-        items.extend(carried.iter().map(|carried| carried.text.item));
-        owned.continue_carried(carried);
-    }
-    let count = |is_meant: &dyn Fn(usize) -> bool| items.iter().filter(|item| is_meant(**item)).count();
-    CarriedOver {
-        items: items.len(),
-        continued: count(&|item| owned.events(item) > 0),
-        complete: count(&|item| owned.plan.state(item) == ItemState::Done),
-    }
-}
-
-fn is_earlier(other: &BatchSpec, spec: &BatchSpec) -> bool {
-    let is_same_submitter = other.organisation == spec.organisation && other.model == spec.model;
-    is_same_submitter && other.id != spec.id && other.submitted_unix_ms <= spec.submitted_unix_ms
-}
-
 fn end_runs(loads: &mut EngineLoads, runs: &[Run]) {
     for run in runs {
         loads.ended(&run.target, run.tokens);
