A text that is carried over goes on at one engine only

Cause, found on reading: an item of a new step goes on with the text of the step before. If the owner had not heard of the end of that step yet, its run would go on beside the new one. Change: the new batch stops the runs of its items in earlier batches of the submitter; there they rest for 5 s, by which time the end is known. Test end_not_heard_of: the first step's run starts again and again, before; it ran once, after.

--- a/crates/jm-batch/src/carry.rs
+++ b/crates/jm-batch/src/carry.rs
@@ -10,17 +10,20 @@
     sync::Arc,
 };
 
-use jm_types::WeightVersion;
+use jm_types::{DurationMs, Timestamp, WeightVersion};
 
 use crate::{
     BatchItem, BatchSpec, CarriedOver, ItemState, ItemText,
-    owned::OwnedBatch,
+    owned::{OwnedBatch, Run},
     result::{BatchResult, ResultState},
 };
 
 /// Batches of a submitter among which a new one looks for its items.
 const EARLIER_BATCHES: usize = 4;
 
+/// Time after which this host has heard of the end of a batch, from the store at the latest.
+const END_KNOWN_MS: DurationMs = DurationMs::new(5_000);
+
 /// An item that an earlier batch of the same submitter had too.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct CarriedItem {
@@ -54,6 +57,25 @@
     }
 }
 
+/// Stops the runs of an earlier batch whose items come again in `spec`. Its submitter has ended it, which this host may not
+/// have heard; a text must not go on at two engines. The items rest until the end is known.
+pub(crate) fn stop_repeated(earlier: &mut OwnedBatch, spec: &BatchSpec, now: Timestamp) -> Vec<Run> {
+    if earlier.is_ended || !is_earlier(&earlier.spec, spec) {
+        return Vec::new();
+    }
+    let repeated: HashSet<&str> = spec.items.iter().map(|item| item.id.as_str()).collect();
+    let items = earlier.runs.keys().copied();
+    let items: Vec<usize> = items
+        .filter(|index| repeated.contains(earlier.spec.items[*index].id.as_str()))
+        .collect();
+    let stopped = items.into_iter().filter_map(|index| {
+        let run = earlier.stop_run(index, now)?;
+        earlier.plan.again(index, now.after(END_KNOWN_MS));
+        Some(run)
+    });
+    stopped.collect()
+}
+
 fn is_earlier(other: &BatchSpec, spec: &BatchSpec) -> bool {
     let is_same_submitter = other.organisation == spec.organisation && other.model == spec.model;
     is_same_submitter && other.id != spec.id && other.submitted_unix_ms <= spec.submitted_unix_ms
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -23,7 +23,7 @@
 use crate::{
     BatchEvents, BatchResult, BatchSpec, BatchStore, CheckpointOptions, EngineLoads, GatherOptions,
     GenerationEnd, Generator, LoadOptions, PlanOptions, ResultPage, RunEnd,
-    carry::carry_over,
+    carry::{carry_over, stop_repeated},
     checkpoint::longest_texts,
     engine_load::ForeignWork,
     owned::{ItemText, OwnedBatch, Run},
@@ -215,12 +215,18 @@
     /// Runs a batch from now on. `recalled` is the submitter's batch before, if this host did not run it.
     fn insert(self: &Arc<Self>, mut owned: OwnedBatch, recalled: Option<OwnedBatch>) {
         let batch = owned.spec.id.clone();
-        let mut state = self.state();
+        let now = self.now();
+        let mut guard = self.state();
+        let state = &mut *guard;
+        for other in state.owned.values_mut() {
+            let stopped = stop_repeated(other, &owned.spec, now);
+            end_runs(&mut state.loads, &stopped);
+        }
         let earlier = state.owned.values().chain(&recalled);
         let carried = carry_over(&mut owned, earlier);
         let must_write = begin_writing(&mut owned);
         state.owned.insert(batch.clone(), owned);
-        drop(state);
+        drop(guard);
         if carried.items > 0 {
             self.parts.events.carried_over(&batch, &carried);
         }
--- a/crates/jm-batch/tests/carried_items.rs
+++ b/crates/jm-batch/tests/carried_items.rs
@@ -3,7 +3,11 @@
 
 mod common;
 
-use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use async_std::task;
 use common::{FaultyStore, Hosts, Step, TestHost, engine, spec, text, whole_text, without_hang};
@@ -46,6 +50,15 @@
 
 /// Runs the first step until its short text is listed and its long one is saved as far as it came, and ends it.
 async fn ended_step(version: u64) -> EndedStep {
+    let step = open_step(version).await;
+    let organisation = "parish".parse().unwrap();
+    let ended = step.host.service.end(&step.first.id, Some(&organisation));
+    ended.await.unwrap();
+    step
+}
+
+/// The same without the end.
+async fn open_step(version: u64) -> EndedStep {
     let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
     let targets = vec![engine("e1", 4, version)];
     let host = TestHost::start("host-a", &hosts, &store, targets, script(version));
@@ -53,8 +66,6 @@
     host.service.submit(first.clone()).await.unwrap();
     host.listed("b1", 1).await;
     store.until_texts_saved("b1").await;
-    let organisation = "parish".parse().unwrap();
-    host.service.end(&first.id, Some(&organisation)).await.unwrap();
     EndedStep {
         host,
         first,
@@ -115,6 +126,29 @@
     );
 }
 
+/// The owner has not heard of the end of the first step when the second one comes. Its text goes on at one engine only.
+#[async_std::test]
+async fn end_not_heard_of() {
+    let EndedStep { host, first, .. } = open_step(3).await;
+    host.service.submit(next_step(&first, 3)).await.unwrap();
+    host.listed("b2", 3).await;
+    without_hang(async {
+        while host.engines.open.load(Ordering::SeqCst) > 0 {
+            task::sleep(Duration::from_millis(2)).await;
+        }
+    })
+    .await;
+    let starts = host.engines.starts.lock().unwrap();
+    let of_first = starts
+        .iter()
+        .filter(|(batch, item, _)| (batch.as_str(), item.as_str()) == ("b1", "b1-0"));
+    assert_eq!(
+        of_first.count(),
+        1,
+        "the first step's run was stopped and not started again"
+    );
+}
+
 /// Texts of weights that the next step does not accept are made again from the start.
 #[async_std::test]
 async fn old_texts_start_anew() {
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -156,6 +156,8 @@
     pub(crate) runs: Mutex<Vec<(String, String)>>,
     /// Batch, item and event to continue after of each run, in the same order.
     pub(crate) starts: Mutex<Vec<(String, String, Option<u64>)>>,
+    /// Runs that have not ended.
+    pub(crate) open: AtomicU64,
 }
 
 #[async_trait]
@@ -170,6 +172,7 @@
         let start = (request.spec.id.to_string(), item.clone(), request.resume_after);
         self.starts.lock().unwrap().push(start);
         self.runs.lock().unwrap().push((target.run.id.to_string(), item));
+        let _open = OpenRun::new(&self.open);
         for step in (self.script)(target, request) {
             match step {
                 Step::Send(event) => {
@@ -186,6 +189,22 @@
     }
 }
 
+/// Counts as open until it is dropped, also when the run is aborted.
+struct OpenRun<'a>(&'a AtomicU64);
+
+impl<'a> OpenRun<'a> {
+    fn new(open: &'a AtomicU64) -> Self {
+        open.fetch_add(1, Ordering::SeqCst);
+        Self(open)
+    }
+}
+
+impl Drop for OpenRun<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 pub(crate) struct TestWorld {
     pub(crate) catalog: Mutex<Arc<Catalog>>,
 }
@@ -394,6 +413,7 @@
             script,
             runs: Mutex::default(),
             starts: Mutex::default(),
+            open: AtomicU64::new(0),
         });
         let events = Arc::new(SeenEvents::default());
         let world = Arc::new(TestWorld {
