The test of a text at one engine fails without what it guards

The run of the first step stood still, was stopped for that, and the test looked in between. It goes on and on now; with stop_repeated switched off the test does not end (hang limit), with it the run ends.

--- a/crates/jm-batch/tests/carried_items.rs
+++ b/crates/jm-batch/tests/carried_items.rs
@@ -10,7 +10,7 @@
 };
 
 use async_std::task;
-use common::{FaultyStore, Hosts, Step, TestHost, engine, spec, text, whole_text, without_hang};
+use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text, without_hang};
 use jm_batch::{BatchPlan, BatchSpec, CarriedOver, GenerationRequest, PlanOptions, ResultState};
 use jm_types::{Timestamp, WeightVersion};
 
@@ -18,6 +18,8 @@
 const WHOLE: u64 = 50;
 /// Event after which the long text stands still in the first step; enough for a checkpoint.
 const BEGUN: u64 = 45;
+/// Events of a text that does not end within a test.
+const ENDLESS: u64 = 5_000;
 
 /// The next step of the same trainer: the items of `earlier` come again under their ids, and a new one after them.
 fn next_step(earlier: &BatchSpec, min_version: u64) -> BatchSpec {
@@ -41,6 +43,23 @@
     })
 }
 
+/// In the first step, item 0 goes on and on; everything else is whole at once.
+fn endless_script() -> common::Script {
+    Box::new(|_: &_, request: &GenerationRequest| {
+        let item = request.spec.items[request.item].id.as_str();
+        if (item, request.spec.id.as_str()) != ("b1-0", "b1") {
+            return text(request, WHOLE, 3);
+        }
+        let mut steps = text(request, BEGUN, 3);
+        steps.pop();
+        for event in BEGUN + 1..ENDLESS {
+            steps.push(Step::Wait(Duration::from_millis(20)));
+            steps.push(data(event));
+        }
+        steps
+    })
+}
+
 struct EndedStep {
     host: TestHost,
     first: BatchSpec,
@@ -50,7 +69,7 @@
 
 /// Runs the first step until its short text is listed and its long one is saved as far as it came, and ends it.
 async fn ended_step(version: u64) -> EndedStep {
-    let step = open_step(version).await;
+    let step = open_step(version, script(version)).await;
     let organisation = "parish".parse().unwrap();
     let ended = step.host.service.end(&step.first.id, Some(&organisation));
     ended.await.unwrap();
@@ -58,10 +77,10 @@
 }
 
 /// The same without the end.
-async fn open_step(version: u64) -> EndedStep {
+async fn open_step(version: u64, script: common::Script) -> EndedStep {
     let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
     let targets = vec![engine("e1", 4, version)];
-    let host = TestHost::start("host-a", &hosts, &store, targets, script(version));
+    let host = TestHost::start("host-a", &hosts, &store, targets, script);
     let first = spec("b1", &[500, 1]);
     host.service.submit(first.clone()).await.unwrap();
     host.listed("b1", 1).await;
@@ -129,7 +148,7 @@
 /// The owner has not heard of the end of the first step when the second one comes. Its text goes on at one engine only.
 #[async_std::test]
 async fn end_not_heard_of() {
-    let EndedStep { host, first, .. } = open_step(3).await;
+    let EndedStep { host, first, .. } = open_step(3, endless_script()).await;
     host.service.submit(next_step(&first, 3)).await.unwrap();
     host.listed("b2", 3).await;
     without_hang(async {
