--- a/crates/jm-batch/src/carry_over.rs
+++ b/crates/jm-batch/src/carry_over.rs
@@ -13,7 +13,7 @@
 use jm_types::{DurationMs, Timestamp, WeightVersion};
 
 use crate::{
-    BatchItem, BatchSpec, CarriedOver, ItemState, ItemText,
+    BatchItem, BatchSpec, CarriedOver, ItemState, ItemText, RewardScore,
     owned::{OwnedBatch, Run},
     result::{BatchResult, ResultState},
 };
@@ -29,8 +29,8 @@
 pub(crate) struct CarriedItem {
     /// The reusable text, empty if there is none. Its index refers to the new batch.
     pub(crate) text: ItemText,
-    /// Whether the text is complete.
-    pub(crate) is_complete: bool,
+    /// Score of a complete text; `None` if both batches do not score it with the same call.
+    pub(crate) score: Option<RewardScore>,
 }
 
 /// Reuses the texts and results that the newest earlier batches of the same submitter have for items of this batch.
@@ -54,7 +54,7 @@
     CarriedOver {
         items: items.len(),
         continued: count(&|item| owned.events(item) > 0),
-        complete: count(&|item| owned.plan.state(item) == ItemState::Done),
+        complete: count(&|item| matches!(owned.plan.state(item), ItemState::Scoring | ItemState::Done)),
     }
 }
 
@@ -117,6 +117,7 @@
     result: Option<&BatchResult>,
 ) -> CarriedItem {
     let failures = earlier.plan.failures(earlier_index);
+    let has_same_reward = earlier.spec.items[earlier_index].reward == spec.items[index].reward;
     let empty_text = ItemText {
         item: index,
         failures,
@@ -127,26 +128,23 @@
         let text = ItemText {
             text: result.text.clone(),
             versions: result.versions.clone(),
-            ..empty_text
-        };
-        return CarriedItem {
-            text,
             is_complete: true,
+            ..empty_text
         };
+        let score = result.score.clone().filter(|_| has_same_reward);
+        return CarriedItem { text, score };
     }
     let unfinished = earlier.text(earlier_index);
     let text = match has_acceptable_versions(spec, &unfinished.versions) {
         true => ItemText {
             item: index,
             failures,
+            reward_failures: unfinished.reward_failures * usize::from(has_same_reward),
             ..unfinished.clone()
         },
         false => empty_text,
     };
-    CarriedItem {
-        text,
-        is_complete: false,
-    }
+    CarriedItem { text, score: None }
 }
 
 /// Whether the batch accepts a text that these weight versions generated. A text without versions is rejected because
--- a/crates/jm-batch/src/checkpoint.rs
+++ b/crates/jm-batch/src/checkpoint.rs
@@ -3,7 +3,8 @@
 //! Load pattern: a step has a few texts that take seconds, longer than all others, and its owner is killed in the
 //! middle, alone or together with all hosts. If these texts restart from the beginning, they end after the submitter
 //! has given up. Saving costs a store call and its bytes. Only texts that would take long to generate again are saved,
-//! and only the longest ones when there are many.
+//! and only the longest ones when there are many. A complete text whose score is overdue is saved first, so that it is
+//! never generated again because the service that scores it was away.
 
 use jm_types::{DurationMs, Timestamp};
 
@@ -18,6 +19,9 @@
     pub max_doublings: u32,
     /// Minimum number of events of a saved text. Shorter texts are generated again within one or two seconds.
     pub min_events: u64,
+    /// Time for which a complete text waits for its score before it is saved. A service that scores texts usually answers
+    /// sooner, and each checkpoint costs a store call.
+    pub min_unscored_ms: DurationMs,
     /// Maximum total size of the texts in one checkpoint, with a margin for the overhead of the store's encoding.
     pub max_bytes: usize,
 }
@@ -28,6 +32,7 @@
             interval_ms: DurationMs::new(1_000),
             max_doublings: 3,
             min_events: 40,
+            min_unscored_ms: DurationMs::new(250),
             max_bytes: 400_000,
         }
     }
@@ -53,11 +58,11 @@
     }
 }
 
-/// Selects the texts to save, the longest first.
+/// Selects the texts to save, complete ones first and then the longest.
 pub fn texts_to_save(mut texts: Vec<ItemText>, options: &CheckpointOptions) -> Vec<ItemText> {
     let events = |text: &ItemText| text.last_event.unwrap_or(0);
-    texts.retain(|text| events(text) >= options.min_events);
-    texts.sort_by_key(|text| std::cmp::Reverse(events(text)));
+    texts.retain(|text| text.is_complete || events(text) >= options.min_events);
+    texts.sort_by_key(|text| std::cmp::Reverse((text.is_complete, events(text))));
     let mut bytes = 0;
     let fits = texts.iter().take_while(|text| {
         bytes += text.text.len();
@@ -68,23 +73,23 @@
     texts
 }
 
-/// The longest text of each item with its highest failure count, among all texts that earlier owners handed over or
+/// The longest text of each item with its highest failure counts, among all texts that earlier owners handed over or
 /// saved.
 pub fn longest_texts(texts: impl IntoIterator<Item = ItemText>) -> Vec<ItemText> {
     let mut longest: indexmap::IndexMap<usize, ItemText> = indexmap::IndexMap::new();
+    let length = |text: &ItemText| (text.is_complete, text.last_event);
     for text in texts {
-        match longest.get_mut(&text.item) {
-            Some(current) if current.last_event >= text.last_event => {
-                current.failures = current.failures.max(text.failures);
-            }
-            Some(current) => {
-                let failures = current.failures.max(text.failures);
-                *current = ItemText { failures, ..text };
-            }
-            None => {
-                longest.insert(text.item, text);
-            }
+        let Some(current) = longest.get_mut(&text.item) else {
+            longest.insert(text.item, text);
+            continue;
+        };
+        let failures = current.failures.max(text.failures);
+        let reward_failures = current.reward_failures.max(text.reward_failures);
+        if length(current) < length(&text) {
+            *current = text;
         }
+        current.failures = failures;
+        current.reward_failures = reward_failures;
     }
     longest.into_values().collect()
 }
--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -18,6 +18,8 @@
     pub avoid_rejecting_ms: DurationMs,
     /// How long no item is sent to an engine after one of its runs failed.
     pub avoid_failed_ms: DurationMs,
+    /// Slots of each engine that this host leaves to others.
+    pub reserved_slots: usize,
 }
 
 impl Default for LoadOptions {
@@ -26,6 +28,7 @@
             initial_gap_ms: 45,
             avoid_rejecting_ms: DurationMs::new(100),
             avoid_failed_ms: DurationMs::new(1_500),
+            reserved_slots: 0,
         }
     }
 }
@@ -63,10 +66,13 @@
 
 /// A batch that another host runs, as a competitor for engines.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct RemoteWork {
-    pub(crate) model: Option<ModelId>,
-    pub(crate) min_version: WeightVersion,
-    pub(crate) tokens: u64,
+pub struct RemoteWork {
+    /// Model of the batch; `None` if any engine of the service may generate its texts.
+    pub model: Option<ModelId>,
+    /// Minimum version of the weights.
+    pub min_version: WeightVersion,
+    /// Expected size of all its items, in tokens.
+    pub tokens: u64,
 }
 
 /// Requirements of an item for an engine.
@@ -123,7 +129,7 @@
         let running = load.map_or(0, |load| load.running);
         let window = match load.is_some_and(|load| load.is_suspect) {
             true => 1,
-            false => (target.slots as f64 * self.share(target, requirements))
+            false => (self.usable_slots(target) as f64 * self.share(target, requirements))
                 .ceil()
                 .max(1.0) as usize,
         };
@@ -134,6 +140,10 @@
             && self.has_weights(target, requirements)
     }
 
+    fn usable_slots(&self, target: &Target) -> usize {
+        target.slots.saturating_sub(self.options.reserved_slots)
+    }
+
     /// Whether the engine can hold the item without preempting another one. An idle engine accepts any item.
     fn has_memory(&self, target: &Target, requirements: ItemRequirements<'_>) -> bool {
         let Some(memory) = requirements.memory_tokens else {
@@ -181,13 +191,14 @@
     }
 
     fn cost(&self, target: &Target) -> f64 {
+        let utilization = self.running(&target.run) as f64 / target.slots.max(1) as f64;
+        self.gap_ms(&target.run) * (1.0 + utilization)
+    }
+
+    /// Average time between events of an engine.
+    pub(crate) fn gap_ms(&self, run: &RunKey) -> f64 {
         let initial_ms = self.options.initial_gap_ms as f64;
-        let (running, gap_ms) = match self.loads.get(&target.run) {
-            Some(load) => (load.running, load.gap_ms),
-            None => (0, initial_ms),
-        };
-        let utilization = running as f64 / target.slots.max(1) as f64;
-        gap_ms * (1.0 + utilization)
+        self.loads.get(run).map_or(initial_ms, |load| load.gap_ms)
     }
 
     /// Number of items that this host runs on an engine.
@@ -214,6 +225,11 @@
         load.gap_ms += GAP_SMOOTHING_FACTOR * (gap.get() as f64 - load.gap_ms);
     }
 
+    /// Whether the engine failed or rejected the last item that it ended.
+    pub(crate) fn is_suspect(&self, run: &RunKey) -> bool {
+        self.loads.get(run).is_some_and(|load| load.is_suspect)
+    }
+
     /// Ends the restriction of the engine to one item at a time, because it sent an event.
     pub(crate) fn clear_suspicion(&mut self, run: &RunKey) {
         self.load(run).is_suspect = false;
--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -3,7 +3,7 @@
 use jm_forward::RunKey;
 use jm_types::{BatchId, DurationMs, MemberId};
 
-use crate::GenerationEnd;
+use crate::{GenerationEnd, RewardEnd};
 
 /// A run that ended before its text was complete.
 #[derive(Debug)]
@@ -29,6 +29,8 @@
     pub waiting: usize,
     /// Items that are running.
     pub running: usize,
+    /// Items whose texts are complete and wait for their scores.
+    pub scoring: usize,
     /// Results that are stored and visible to readers.
     pub listed: usize,
     /// Serving engines of the service.
@@ -39,6 +41,27 @@
     pub with_capacity: usize,
 }
 
+/// An attempt of a reward call that ended.
+#[derive(Debug)]
+pub struct RewardAttempt<'a> {
+    /// Batch of the item.
+    pub batch: &'a BatchId,
+    /// Id of the item.
+    pub item: &'a str,
+    /// Id of the call.
+    pub call: &'a str,
+    /// Target that was called.
+    pub target: &'a RunKey,
+    /// Outcome of the attempt.
+    pub end: &'a RewardEnd,
+    /// Time from the completion of the text to the start of the attempt.
+    pub waited: DurationMs,
+    /// Duration of the attempt.
+    pub took: DurationMs,
+    /// Number of attempts of the call so far.
+    pub attempts: usize,
+}
+
 /// Number of items that a batch shares with earlier batches of its submitter.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CarriedOver {
@@ -80,6 +103,12 @@
     /// A running item was moved to a faster engine.
     fn moved(&self, batch: &BatchId, item: &str, from: &RunKey, to: &RunKey);
 
+    /// An attempt of a reward call ended.
+    fn reward_attempt_ended(&self, attempt: &RewardAttempt<'_>);
+
+    /// A reward call was also sent to `second`, because `first` had not answered within `waited`.
+    fn reward_hedged(&self, batch: &BatchId, item: &str, first: &RunKey, second: &RunKey, waited: DurationMs);
+
     /// An item was given up.
     fn expired(&self, batch: &BatchId, item: &str, reason: &str);
 
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -10,10 +10,13 @@
 mod engine_load;
 mod events;
 mod generator;
+mod groups;
 mod owned;
 mod ownership;
 mod plan;
 mod result;
+mod reward;
+mod reward_queue;
 mod runner;
 mod service;
 mod spec;
@@ -22,13 +25,17 @@
 mod write_schedule;
 
 pub use checkpoint::{CheckpointOptions, CheckpointState, longest_texts, texts_to_save};
-pub use engine_load::{EngineLoads, LoadOptions};
-pub use events::{BatchEvents, BatchProgress, CarriedOver, RunEnd};
+pub use engine_load::{EngineLoads, LoadOptions, RemoteWork};
+pub use events::{BatchEvents, BatchProgress, CarriedOver, RewardAttempt, RunEnd};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
 pub use owned::ItemText;
 pub use ownership::{MembershipView, Takeover, takeover};
 pub use plan::{BatchPlan, ItemState, PlanOptions};
 pub use result::{BatchResult, ResultPage, ResultPiece, ResultState};
+pub use reward::{InvalidScore, RewardCall, RewardClient, RewardEnd, RewardScore};
+pub use reward_queue::{
+    EndedAttempt, RewardKey, RewardOptions, RewardPass, RewardQueue, RewardStart, RewardUrgency,
+};
 pub use runner::{RoutingSource, RunnerOptions};
 pub use service::{
     BatchPeers, BatchService, BatchServiceDependencies, BatchServiceOptions, ReadError, SubmitError,
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -1,6 +1,6 @@
 //! State of a batch that this host runs: its plan, partial texts, runs and results.
 
-use std::{collections::HashSet, ops::ControlFlow, sync::Arc};
+use std::{cmp::Reverse, collections::HashSet, ops::ControlFlow, sync::Arc};
 
 use async_std::channel::{Receiver, Sender, bounded};
 use futures::future::AbortHandle;
@@ -11,7 +11,7 @@
 
 use crate::{
     BatchPlan, BatchResult, BatchSpec, CheckpointState, GenerationEvent, ItemState, PlanOptions, ResultState,
-    carry_over::CarriedItem, write_schedule::UnwrittenResults,
+    RewardScore, RewardUrgency, carry_over::CarriedItem, groups::Groups, write_schedule::UnwrittenResults,
 };
 
 /// The partial text of an item. It is saved in checkpoints and handed over to the next owner, which resumes it.
@@ -28,6 +28,12 @@
     /// Number of failed runs of the item.
     #[serde(default)]
     pub failures: usize,
+    /// Whether the text has all its events. Its score may still be missing.
+    #[serde(default)]
+    pub is_complete: bool,
+    /// Number of attempts of the item's reward call that the service failed.
+    #[serde(default)]
+    pub reward_failures: usize,
 }
 
 pub(crate) struct Run {
@@ -68,6 +74,9 @@
     pub(crate) plan: BatchPlan,
     pub(crate) owned_since: Timestamp,
     texts: Vec<ItemText>,
+    groups: Groups,
+    /// Items that the submitter carried over from an earlier batch.
+    carried: HashSet<usize>,
     pub(crate) runs: IndexMap<usize, Run>,
     /// Results that are in the store.
     pub(crate) listed: Vec<BatchResult>,
@@ -99,6 +108,8 @@
         }
         Self {
             texts: vec![ItemText::default(); spec.items.len()],
+            groups: Groups::new(&spec),
+            carried: HashSet::new(),
             plan,
             owned_since: now,
             spec,
@@ -123,8 +134,12 @@
             let is_open = self.texts.len() > text.item && self.plan.state(text.item) != ItemState::Done;
             if is_open {
                 let item = text.item;
+                let is_complete = text.is_complete;
                 self.plan.set_failures(item, text.failures);
                 self.texts[item] = text;
+                if is_complete {
+                    self.complete(item);
+                }
             }
         }
     }
@@ -132,20 +147,24 @@
     /// Reuses items of an earlier batch of the submitter and starts them before all others.
     pub(crate) fn continue_carried(&mut self, carried: Vec<CarriedItem>) {
         let indexes: Vec<usize> = carried.iter().map(|carried| carried.text.item).collect();
-        for CarriedItem { text, is_complete } in carried {
+        for CarriedItem { text, score } in carried {
             let index = text.item;
-            if self.plan.state(index) == ItemState::Done {
+            if matches!(self.plan.state(index), ItemState::Scoring | ItemState::Done) {
                 continue;
             }
             self.plan.carry_failures(index, text.failures);
-            if is_complete {
+            if text.is_complete {
                 self.texts[index] = text;
-                self.complete(index);
+                match score {
+                    Some(score) => self.finish(index, Some(score)),
+                    None => drop(self.complete(index)),
+                }
             } else if text.last_event > self.texts[index].last_event {
                 self.texts[index] = text;
             }
         }
         self.plan.prioritize(&indexes);
+        self.carried.extend(indexes);
     }
 
     /// The partial text of an item; empty once the item has its result.
@@ -161,7 +180,8 @@
             ..text.clone()
         });
         let is_open = |text: &ItemText| self.plan.state(text.item) != ItemState::Done;
-        let has_progress = |text: &ItemText| text.last_event.is_some() || text.failures > 0;
+        let has_progress =
+            |text: &ItemText| text.is_complete || text.last_event.is_some() || text.failures > 0;
         items.filter(|text| is_open(text) && has_progress(text)).collect()
     }
 
@@ -175,9 +195,8 @@
         let listed: HashSet<&str> = listed.collect();
         let is_listed = |index: usize| listed.contains(self.spec.items[index].id.as_str());
         let is_done = |index: usize| self.plan.state(index) == ItemState::Done;
-        let listed_groups = self.complete_groups(is_listed);
-        let done_groups = self.complete_groups(is_done);
-        let due_unix_ms = self.spec.submitted_unix_ms + self.spec.due_ms.get();
+        let listed_groups = self.groups.complete(is_listed);
+        let done_groups = self.groups.complete(is_done);
         UnwrittenResults {
             results: self.unlisted.len(),
             has_expired: self
@@ -187,22 +206,34 @@
             has_wanted_groups: done_groups >= self.spec.wanted_groups.max(1),
             completes_group: done_groups > listed_groups,
             is_final: self.listed.len() + self.unlisted.len() >= self.spec.items.len(),
-            due_at: Timestamp::new((now.get() + due_unix_ms).saturating_sub(unix_ms)),
+            due_at: self.due_at(now, unix_ms),
         }
     }
 
-    /// Number of groups whose items all satisfy `is_counted`.
-    fn complete_groups(&self, is_counted: impl Fn(usize) -> bool) -> usize {
-        let mut open: HashSet<&str> = HashSet::new();
-        let mut groups: HashSet<&str> = HashSet::new();
-        for (index, item) in self.spec.items.iter().enumerate() {
-            let group = item.group.as_deref().unwrap_or(&item.id);
-            groups.insert(group);
-            if !is_counted(index) {
-                open.insert(group);
-            }
-        }
-        groups.len() - open.len()
+    /// When the results are due.
+    pub(crate) fn due_at(&self, now: Timestamp, unix_ms: u64) -> Timestamp {
+        let due_unix_ms = self.spec.submitted_unix_ms + self.spec.due_ms.get();
+        Timestamp::new((now.get() + due_unix_ms).saturating_sub(unix_ms))
+    }
+
+    /// Urgency of the reward call of each item.
+    pub(crate) fn reward_urgencies(&self, now: Timestamp, unix_ms: u64) -> Vec<RewardUrgency> {
+        let due_at = self.due_at(now, unix_ms);
+        let has_open_text = |item: usize| {
+            matches!(
+                self.plan.state(item),
+                ItemState::Waiting { .. } | ItemState::Running
+            )
+        };
+        let open_texts = self.groups.count_items(has_open_text);
+        let carried = self.groups.count_items(|item| self.carried.contains(&item));
+        let items = (0..self.spec.items.len()).map(|item| self.groups.of(item));
+        let urgency = |group: usize| RewardUrgency {
+            due_at,
+            is_awaited: Reverse(carried[group] > 0),
+            open_texts: open_texts[group],
+        };
+        items.map(urgency).collect()
     }
 
     /// Number of the event after which a new run of the item continues.
@@ -304,8 +335,40 @@
         runs
     }
 
-    /// Records that the text of an item is complete.
-    pub(crate) fn complete(&mut self, index: usize) {
+    /// Records that the text of an item is complete. Returns whether it now waits for its score; otherwise it has its
+    /// result.
+    pub(crate) fn complete(&mut self, index: usize) -> bool {
+        let is_scored = self.spec.items[index].reward.is_some();
+        if is_scored {
+            self.texts[index].is_complete = true;
+            self.plan.mark_scoring(index);
+        } else {
+            self.finish(index, None);
+        }
+        is_scored
+    }
+
+    /// Whether the text of an item is complete and waits for its score.
+    pub(crate) fn is_scoring(&self, index: usize) -> bool {
+        self.plan.state(index) == ItemState::Scoring
+    }
+
+    /// Items whose texts wait for their scores.
+    pub(crate) fn scoring_items(&self) -> Vec<usize> {
+        (0..self.spec.items.len())
+            .filter(|index| self.is_scoring(*index))
+            .collect()
+    }
+
+    /// Counts an attempt of the item's reward call that the service failed, and returns their number.
+    pub(crate) fn record_reward_failure(&mut self, index: usize) -> usize {
+        let text = &mut self.texts[index];
+        text.reward_failures += 1;
+        text.reward_failures
+    }
+
+    /// Creates the result of an item whose text is complete. `score` is `None` if the item has no reward call.
+    pub(crate) fn finish(&mut self, index: usize, score: Option<RewardScore>) {
         let text = std::mem::take(&mut self.texts[index]);
         self.plan.mark_done(index);
         self.unlisted.push(BatchResult {
@@ -313,6 +376,7 @@
             state: ResultState::Completed,
             text: text.text,
             versions: text.versions,
+            score,
         });
     }
 
--- a/crates/jm-batch/src/plan.rs
+++ b/crates/jm-batch/src/plan.rs
@@ -39,6 +39,8 @@
     },
     /// The item runs on an engine.
     Running,
+    /// The text is complete and waits for its score.
+    Scoring,
     /// The item has its result.
     Done,
 }
@@ -106,6 +108,11 @@
         self.set(index, ItemState::Running);
     }
 
+    /// Records that the text of the item is complete and waits for its score.
+    pub fn mark_scoring(&mut self, index: usize) {
+        self.set(index, ItemState::Scoring);
+    }
+
     /// Records that the item has its result.
     pub fn mark_done(&mut self, index: usize) {
         self.set(index, ItemState::Done);
--- a/crates/jm-batch/src/result.rs
+++ b/crates/jm-batch/src/result.rs
@@ -3,11 +3,13 @@
 use jm_types::WeightVersion;
 use serde::{Deserialize, Serialize};
 
+use crate::RewardScore;
+
 /// Outcome of an item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ResultState {
-    /// The text is complete.
+    /// The text is complete, and scored if its item has a reward call.
     Completed,
     /// The item was given up.
     Expired,
@@ -24,6 +26,9 @@
     pub text: String,
     /// The weight versions that generated an event of the text.
     pub versions: Vec<WeightVersion>,
+    /// Score of the text; `None` if the item has no reward call.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub score: Option<RewardScore>,
 }
 
 impl BatchResult {
@@ -34,12 +39,14 @@
             state: ResultState::Expired,
             text: String::new(),
             versions: Vec::new(),
+            score: None,
         }
     }
 
     /// Approximate size of the encoded result.
     pub(crate) fn size_bytes(&self) -> usize {
-        self.item.len() + self.text.len() + RESULT_OVERHEAD_BYTES
+        let score_bytes = self.score.as_ref().map_or(0, |score| score.as_str().len());
+        self.item.len() + self.text.len() + score_bytes + RESULT_OVERHEAD_BYTES
     }
 }
 
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the batches that this host owns.
 
 mod monitor;
+mod rewards;
 mod save;
 mod share;
 mod start;
@@ -22,10 +23,10 @@
 
 use crate::{
     BatchEvents, BatchResult, BatchSpec, BatchStore, CheckpointOptions, EngineLoads, GenerationEnd,
-    Generator, LoadOptions, PlanOptions, ResultPage, RunEnd, WriteScheduleOptions,
+    Generator, LoadOptions, PlanOptions, RemoteWork, ResultPage, RewardClient, RewardKey, RewardOptions,
+    RewardQueue, RunEnd, WriteScheduleOptions,
     carry_over::{carry_over, stop_repeated_items},
     checkpoint::longest_texts,
-    engine_load::RemoteWork,
     owned::{ItemText, OwnedBatch, Run},
     runner::write::mark_writing,
 };
@@ -46,6 +47,8 @@
     pub plan: PlanOptions,
     /// Parameters of the engine selection.
     pub load: LoadOptions,
+    /// Parameters of the reward calls.
+    pub rewards: RewardOptions,
     /// Interval between checks for stalled runs while any item waits or runs.
     pub check_interval_ms: DurationMs,
     /// Time without an event after which a run counts as stalled, if another engine can accept its item.
@@ -71,6 +74,7 @@
         Self {
             plan: PlanOptions::default(),
             load: LoadOptions::default(),
+            rewards: RewardOptions::default(),
             check_interval_ms: DurationMs::new(100),
             stall_ms: DurationMs::new(400),
             first_event_stall_ms: DurationMs::new(700),
@@ -89,14 +93,15 @@
     pub(crate) wall_clock: Arc<dyn WallClock>,
     pub(crate) store: BatchStore,
     pub(crate) generator: Arc<dyn Generator>,
+    pub(crate) rewards: Arc<dyn RewardClient>,
     pub(crate) routing_source: Arc<dyn RoutingSource>,
     pub(crate) events: Arc<dyn BatchEvents>,
 }
 
-#[derive(Default)]
 struct RunnerState {
     owned: IndexMap<BatchId, OwnedBatch>,
     loads: EngineLoads,
+    rewards: RewardQueue,
     next_serial: u64,
     reported_at: Timestamp,
 }
@@ -135,8 +140,11 @@
 impl Runner {
     pub(crate) fn new(options: RunnerOptions, deps: RunnerDependencies) -> Arc<Self> {
         let state = RunnerState {
+            owned: IndexMap::new(),
             loads: EngineLoads::new(options.load),
-            ..RunnerState::default()
+            rewards: RewardQueue::new(options.rewards),
+            next_serial: 0,
+            reported_at: Timestamp::default(),
         };
         Arc::new(Self {
             options,
@@ -159,6 +167,7 @@
             self.stop_stalled();
             self.expire_overdue();
             self.start_ready();
+            self.start_rewards();
             self.save_texts();
             self.report_progress();
         }
@@ -225,6 +234,10 @@
         let earlier = state.owned.values().chain(&previous);
         let carried = carry_over(&mut owned, earlier);
         let must_write = mark_writing(&mut owned);
+        for item in owned.scoring_items() {
+            let batch = batch.clone();
+            state.rewards.push(RewardKey { batch, item }, now);
+        }
         state.owned.insert(batch.clone(), owned);
         drop(guard);
         if carried.items > 0 {
@@ -286,6 +299,7 @@
         let runs = owned.stop_all();
         owned.notify();
         end_runs(&mut state.loads, &runs);
+        state.rewards.retain(|key| key.batch != *batch);
         drop(state);
         self.deps.events.ended(batch, listed);
         self.wake();
@@ -299,6 +313,7 @@
         let runs = owned.stop_all();
         owned.notify();
         end_runs(&mut state.loads, &runs);
+        state.rewards.retain(|key| key.batch != *batch);
         Some(owned.listed)
     }
 
@@ -351,19 +366,18 @@
 
     /// Removes batches that were submitted before a time of day.
     pub(crate) fn evict(&self, submitted_before_unix_ms: u64) {
-        let mut state = self.state();
-        state
-            .owned
-            .retain(|_, owned| owned.spec.submitted_unix_ms >= submitted_before_unix_ms);
+        let mut guard = self.state();
+        let RunnerState { owned, rewards, .. } = &mut *guard;
+        owned.retain(|_, owned| owned.spec.submitted_unix_ms >= submitted_before_unix_ms);
+        rewards.retain(|key| owned.contains_key(&key.batch));
     }
 
-    /// Whether no item waits or runs.
+    /// Whether no item waits, runs or is scored.
     pub(crate) fn is_idle(&self) -> bool {
         let state = self.state();
-        state
-            .owned
-            .values()
-            .all(|owned| owned.is_ended || (owned.plan.waiting() == 0 && owned.runs.is_empty()))
+        let mut owned = state.owned.values();
+        state.rewards.is_empty()
+            && owned.all(|owned| owned.is_ended || (owned.plan.waiting() == 0 && owned.runs.is_empty()))
     }
 
     fn report_failed_run(
--- a/crates/jm-batch/src/runner/monitor.rs
+++ b/crates/jm-batch/src/runner/monitor.rs
@@ -12,7 +12,7 @@
     write::mark_writing,
 };
 use crate::{
-    BatchProgress, EngineLoads, GenerationEnd,
+    BatchProgress, EngineLoads, GenerationEnd, RewardQueue,
     owned::{OwnedBatch, Run},
 };
 
@@ -34,16 +34,17 @@
         let waiting = guard
             .owned
             .values()
-            .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0);
+            .filter(|owned| !owned.is_ended && has_waiting_items(owned, &guard.rewards));
         let reports: Vec<(BatchId, BatchProgress)> = waiting
             .filter_map(|owned| {
-                let item = owned.plan.ready(now).next()?;
+                let item = owned.plan.ready(now).next().unwrap_or(0);
                 let targets = service_targets(owned, item, &routing, &catalog)?;
                 let requirements = item_requirements(&owned.spec, item, &routing, &shares);
                 let (engines, with_weights, with_capacity) = guard.loads.count(targets, requirements, now);
                 let progress = BatchProgress {
                     waiting: owned.plan.waiting(),
                     running: owned.runs.len(),
+                    scoring: guard.rewards.pending(&owned.spec.id),
                     listed: owned.listed.len(),
                     engines,
                     with_weights,
@@ -126,7 +127,12 @@
         let now = self.now();
         let routing = self.deps.routing_source.routing();
         let mut guard = self.state();
-        let RunnerState { owned, loads, .. } = &mut *guard;
+        let RunnerState {
+            owned,
+            loads,
+            rewards,
+            ..
+        } = &mut *guard;
         let mut writes = Vec::new();
         for owned in owned
             .values_mut()
@@ -147,6 +153,7 @@
             for item in 0..owned.spec.items.len() {
                 owned.expire(item);
             }
+            rewards.retain(|key| key.batch != owned.spec.id);
             if mark_writing(owned) {
                 writes.push(owned.spec.id.clone());
             }
@@ -162,3 +169,8 @@
         }
     }
 }
+
+/// Whether items of the batch wait for an engine or for their scores.
+fn has_waiting_items(owned: &OwnedBatch, rewards: &RewardQueue) -> bool {
+    owned.plan.waiting() > 0 || rewards.pending(&owned.spec.id) > 0
+}
--- a/crates/jm-batch/src/runner/save.rs
+++ b/crates/jm-batch/src/runner/save.rs
@@ -5,21 +5,29 @@
 use async_std::task;
 use jm_types::BatchId;
 
-use super::Runner;
-use crate::{StoreError, checkpoint::texts_to_save};
+use super::{Runner, RunnerState};
+use crate::{RewardKey, RewardQueue, StoreError, checkpoint::texts_to_save, owned::OwnedBatch};
 
 impl Runner {
-    /// Saves the long unfinished texts of each batch whose checkpoint is due.
+    /// Saves the long unfinished texts of each batch whose checkpoint is due, and its texts that wait for their scores.
     pub(super) fn save_texts(self: &Arc<Self>) {
         let now = self.now();
         let options = &self.options.checkpoint;
         let mut guard = self.state();
-        let open = guard.owned.values_mut().filter(|owned| {
-            !owned.is_ended && !owned.runs.is_empty() && owned.checkpoint.is_due(options, now)
-        });
+        let RunnerState { owned, rewards, .. } = &mut *guard;
+        let open = owned
+            .values_mut()
+            .filter(|owned| !owned.is_ended && owned.checkpoint.is_due(options, now));
+        let is_overdue = |owned: &OwnedBatch, item: usize, rewards: &RewardQueue| {
+            let batch = owned.spec.id.clone();
+            let waited = rewards.waited(&RewardKey { batch, item }, now);
+            waited.is_some_and(|waited| waited >= options.min_unscored_ms)
+        };
         let mut saves = Vec::new();
         for owned in open {
-            let texts = texts_to_save(owned.open_texts(), options);
+            let mut texts = owned.open_texts();
+            texts.retain(|text| !text.is_complete || is_overdue(owned, text.item, rewards));
+            let texts = texts_to_save(texts, options);
             owned.checkpoint.begun_at = now;
             if !texts.is_empty() {
                 owned.checkpoint.is_writing = true;
--- a/crates/jm-batch/src/runner/share.rs
+++ b/crates/jm-batch/src/runner/share.rs
@@ -6,11 +6,7 @@
 use jm_forward::{Catalog, RoutingTable, Target};
 use jm_types::{BatchId, ModelId};
 
-use crate::{
-    BatchSpec,
-    engine_load::{ItemRequirements, RemoteWork},
-    owned::OwnedBatch,
-};
+use crate::{BatchSpec, RemoteWork, engine_load::ItemRequirements, owned::OwnedBatch};
 
 /// Work of this host and of other hosts, which determines this host's share of each engine.
 pub(super) struct Shares {
@@ -38,6 +34,10 @@
         }
     }
 
+    pub(super) fn remote_work(&self) -> &[RemoteWork] {
+        &self.remote_work
+    }
+
     pub(super) fn own_work(&self) -> u64 {
         self.own.values().sum()
     }
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -13,7 +13,7 @@
     write::mark_writing,
 };
 use crate::{
-    BatchSpec, EngineLoads, GenerationEnd, GenerationEvent, GenerationRequest,
+    BatchSpec, EngineLoads, GenerationEnd, GenerationEvent, GenerationRequest, RewardKey,
     owned::{EventOutcome, OwnedBatch},
 };
 
@@ -136,7 +136,12 @@
     ) {
         let now = self.now();
         let mut guard = self.state();
-        let RunnerState { owned, loads, .. } = &mut *guard;
+        let RunnerState {
+            owned,
+            loads,
+            rewards,
+            ..
+        } = &mut *guard;
         let Some(owned) = owned.get_mut(batch) else { return };
         let Some(run) = owned.finish_run(item, serial) else {
             return;
@@ -144,7 +149,10 @@
         loads.run_ended(&run.target, run.tokens);
         let expired = match &end {
             GenerationEnd::Complete => {
-                owned.complete(item);
+                if owned.complete(item) {
+                    let batch = batch.clone();
+                    rewards.push(RewardKey { batch, item }, now);
+                }
                 None
             }
             GenerationEnd::Impossible => Some("the engine reported that the item cannot be processed"),
@@ -307,7 +315,7 @@
 }
 
 /// Time until the items of a batch may be given up.
-fn time_left(spec: &BatchSpec, unix_ms: u64) -> DurationMs {
+pub(super) fn time_left(spec: &BatchSpec, unix_ms: u64) -> DurationMs {
     let end_unix_ms = spec.submitted_unix_ms.saturating_add(spec.give_up_ms.get());
     DurationMs::new(end_unix_ms.saturating_sub(unix_ms).max(1))
 }
--- a/crates/jm-batch/src/runner/write.rs
+++ b/crates/jm-batch/src/runner/write.rs
@@ -91,13 +91,19 @@
     /// Adds a stored piece to the batch if it directly follows the results that this host has.
     pub(crate) fn add_listed_piece(&self, batch: &BatchId, piece: ResultPiece) {
         let mut guard = self.state();
-        let RunnerState { owned, loads, .. } = &mut *guard;
+        let RunnerState {
+            owned,
+            loads,
+            rewards,
+            ..
+        } = &mut *guard;
         let Some(owned) = owned.get_mut(batch) else { return };
         if owned.listed.len() != piece.first {
             return;
         }
         let stopped = owned.add_listed(piece.results);
         end_runs(loads, &stopped);
+        rewards.retain(|key| key.batch != *batch || owned.is_scoring(key.item));
         owned.notify();
         let finished = owned.is_finished().then_some(owned.owned_since);
         drop(guard);
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -23,7 +23,7 @@
 
 use crate::{
     BatchEvents, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, Generator, ItemText,
-    MembershipView, ResultPage, RoutingSource, RunnerOptions, StoreError,
+    MembershipView, ResultPage, RewardClient, RoutingSource, RunnerOptions, StoreError,
     runner::{Runner, RunnerDependencies},
     store::WriteOutcome,
 };
@@ -71,6 +71,8 @@
     pub store: BatchStore,
     /// Client that runs items on engines.
     pub generator: Arc<dyn Generator>,
+    /// Client that sends reward calls.
+    pub rewards: Arc<dyn RewardClient>,
     /// Source of the routing configuration and the engines.
     pub routing_source: Arc<dyn RoutingSource>,
     /// Membership as this host sees it.
@@ -170,6 +172,7 @@
             wall_clock: Arc::clone(&deps.wall_clock),
             store: deps.store.clone(),
             generator: Arc::clone(&deps.generator),
+            rewards: Arc::clone(&deps.rewards),
             routing_source: Arc::clone(&deps.routing_source),
             events: Arc::clone(&deps.events),
         };
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -10,8 +10,8 @@
 
 use super::{BatchService, CachedState, MAX_CACHED_RESULTS, insert_bounded};
 use crate::{
-    BatchPhase, BatchResult, BatchState, ItemText, StoreError, Takeover, checkpoint::longest_texts,
-    engine_load::RemoteWork, runner::RecoveredProgress, store::WriteOutcome, takeover,
+    BatchPhase, BatchResult, BatchState, ItemText, RemoteWork, StoreError, Takeover,
+    checkpoint::longest_texts, runner::RecoveredProgress, store::WriteOutcome, takeover,
 };
 
 /// Results and texts that earlier owners of a batch stored.
--- a/crates/jm-batch/src/spec.rs
+++ b/crates/jm-batch/src/spec.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
 
+use crate::RewardCall;
+
 /// One request of a batch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BatchItem {
@@ -28,6 +30,9 @@
     /// Group of the item. Items of one group share their prompt and are only useful together. An item without a group
     /// forms its own.
     pub group: Option<String>,
+    /// The request that scores the text; `None` if the text is the result.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reward: Option<RewardCall>,
 }
 
 /// A complete batch, as it is stored.
@@ -116,15 +121,15 @@
     }
 }
 
-mod base64_bytes {
+pub(crate) mod base64_bytes {
     use base64::{Engine, engine::general_purpose::STANDARD};
     use serde::{Deserialize, Deserializer, Serializer, de::Error};
 
-    pub(super) fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+    pub(crate) fn serialize<S: Serializer>(bytes: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
         serializer.serialize_str(&STANDARD.encode(bytes))
     }
 
-    pub(super) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<u8>, D::Error> {
         let text = String::deserialize(deserializer)?;
         STANDARD.decode(text).map_err(D::Error::custom)
     }
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -1,10 +1,13 @@
 //! In-memory engines, hosts and store for the batch tests.
 #![allow(dead_code, reason = "each test file uses a part of these helpers")]
 
+mod scorers;
+mod store;
+
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -16,21 +19,22 @@
     BatchEvents, BatchItem, BatchPeers, BatchProgress, BatchService, BatchServiceDependencies,
     BatchServiceOptions, BatchSpec, BatchState, BatchStore, CarriedOver, CheckpointOptions, EventSink,
     GenerationEnd, GenerationEvent, GenerationRequest, Generator, ItemText, MembershipView, ResultPage,
-    RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
+    RewardAttempt, RewardEnd, RewardOptions, RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
 };
 use jm_forward::{
     BatchPolicy, CallerLimits, Catalog, EngineConfig, Route, RouteKind, RoutingTable, RunKey, Service,
     ServiceWeight, Target, TargetState,
 };
-use jm_platform::{
-    Changes, Condition, Listing, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError, Version,
-    WatchError,
-};
+use jm_platform::{ObjectStore, Version};
 use jm_types::{
     BatchId, ByteSize, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, WallClock,
     WeightVersion,
 };
 
+#[allow(unused_imports, reason = "each test file uses a part of these helpers")]
+pub(crate) use scorers::{ScoringScript, ScriptedScorers, scored, scorer, spec_with_rewards};
+pub(crate) use store::FaultyStore;
+
 /// Fails a test that would otherwise hang. No assertion depends on its length.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -49,6 +53,7 @@
         prompt_tokens: 10,
         expected_tokens: Some(*tokens),
         group: Some(format!("g{index}")),
+        reward: None,
     };
     BatchSpec {
         id: id.parse().unwrap(),
@@ -118,6 +123,7 @@
         max_attempts: 2,
         is_public: false,
     });
+    scorers::add_scoring_route(&mut table);
     table
 }
 
@@ -290,6 +296,8 @@
     pub(crate) moved: AtomicU64,
     pub(crate) taken_over: AtomicU64,
     pub(crate) carried: Mutex<CarriedOver>,
+    pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
+    pub(crate) hedged_rewards: AtomicU64,
 }
 
 impl BatchEvents for RecordedEvents {
@@ -310,93 +318,30 @@
     fn moved(&self, _batch: &BatchId, _item: &str, _from: &RunKey, _to: &RunKey) {
         self.moved.fetch_add(1, Ordering::SeqCst);
     }
+    fn reward_attempt_ended(&self, attempt: &RewardAttempt<'_>) {
+        self.reward_ends.lock().unwrap().push(attempt.end.clone());
+    }
+    fn reward_hedged(
+        &self,
+        _batch: &BatchId,
+        _item: &str,
+        _first: &RunKey,
+        _second: &RunKey,
+        _waited: DurationMs,
+    ) {
+        self.hedged_rewards.fetch_add(1, Ordering::SeqCst);
+    }
     fn expired(&self, _batch: &BatchId, _item: &str, _reason: &str) {
         self.expired.fetch_add(1, Ordering::SeqCst);
     }
     fn store_failed(&self, _batch: &BatchId, _action: &str, _reason: &str) {}
 }
 
-/// A store that can lose responses or be unavailable.
-pub(crate) struct FaultyStore {
-    pub(crate) inner: MemoryPlatform,
-    /// Loses the response of the next write after applying it.
-    pub(crate) loses_next_response: AtomicBool,
-    /// Fails all reads and writes without applying them.
-    pub(crate) is_down: AtomicBool,
-    pub(crate) reads: AtomicU64,
-}
-
-impl FaultyStore {
-    pub(crate) fn new() -> Arc<Self> {
-        Arc::new(Self {
-            inner: MemoryPlatform::default(),
-            loses_next_response: AtomicBool::new(false),
-            is_down: AtomicBool::new(false),
-            reads: AtomicU64::new(0),
-        })
-    }
-
-    pub(crate) async fn wait_for_saved_texts(&self, batch: &str) {
-        let prefix = format!("batch-texts/{batch}.");
-        with_timeout(async {
-            while self.inner.list(&prefix).await.unwrap().objects.is_empty() {
-                task::sleep(Duration::from_millis(2)).await;
-            }
-        })
-        .await;
-    }
-
-    fn check(&self) -> Result<(), ReadError> {
-        self.reads.fetch_add(1, Ordering::SeqCst);
-        match self.is_down.load(Ordering::SeqCst) {
-            true => Err(ReadError::ReadUnavailable {
-                reason: "down".to_owned(),
-            }),
-            false => Ok(()),
-        }
-    }
-}
-
-#[async_trait]
-impl ObjectStore for FaultyStore {
-    async fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
-        self.check()?;
-        self.inner.get(key).await
-    }
-
-    async fn put(&self, key: &str, value: Vec<u8>, condition: Condition) -> Result<Version, ObjectError> {
-        if self.is_down.load(Ordering::SeqCst) {
-            return Err(ObjectError::Unavailable {
-                reason: "down".to_owned(),
-            });
-        }
-        let result = self.inner.put(key, value, condition).await;
-        if self.loses_next_response.swap(false, Ordering::SeqCst) {
-            return Err(ObjectError::AnswerLost {
-                reason: "lost".to_owned(),
-            });
-        }
-        result
-    }
-
-    async fn delete(&self, key: &str, condition: Condition) -> Result<(), ObjectError> {
-        self.inner.delete(key, condition).await
-    }
-
-    async fn list(&self, prefix: &str) -> Result<Listing, ReadError> {
-        self.check()?;
-        self.inner.list(prefix).await
-    }
-
-    async fn watch(&self, prefix: &str, after: Version, wait: DurationMs) -> Result<Changes, WatchError> {
-        self.inner.watch(prefix, after, wait).await
-    }
-}
-
 /// One host with its engines.
 pub(crate) struct TestHost {
     pub(crate) service: Arc<BatchService>,
     pub(crate) engines: Arc<ScriptedEngines>,
+    pub(crate) scorers: Arc<ScriptedScorers>,
     pub(crate) events: Arc<RecordedEvents>,
     pub(crate) routing: Arc<TestRouting>,
     pub(crate) peers: Arc<SilentPeers>,
@@ -409,8 +354,21 @@
         store: &Arc<FaultyStore>,
         targets: Vec<Target>,
         script: Script,
+    ) -> Self {
+        Self::start_scored(name, hosts, store, targets, script, Box::new(|_, _| scored()))
+    }
+
+    /// Starts a host whose reward calls are answered by `scoring`.
+    pub(crate) fn start_scored(
+        name: &str,
+        hosts: &Arc<Hosts>,
+        store: &Arc<FaultyStore>,
+        targets: Vec<Target>,
+        script: Script,
+        scoring: ScoringScript,
     ) -> Self {
         hosts.start(name);
+        let scorers = Arc::new(ScriptedScorers::new(scoring));
         let engines = Arc::new(ScriptedEngines {
             script,
             runs: Mutex::default(),
@@ -428,12 +386,18 @@
             runner: RunnerOptions {
                 checkpoint: CheckpointOptions {
                     interval_ms: DurationMs::new(5),
+                    min_unscored_ms: DurationMs::new(5),
                     ..CheckpointOptions::default()
                 },
                 write_schedule: WriteScheduleOptions {
                     interval_ms: DurationMs::new(1),
                     ..WriteScheduleOptions::default()
                 },
+                rewards: RewardOptions {
+                    min_hedge_ms: DurationMs::new(20),
+                    retry_delay_ms: DurationMs::new(5),
+                    ..RewardOptions::default()
+                },
                 write_retry_delay_ms: DurationMs::new(5),
                 check_interval_ms: DurationMs::new(10),
                 stall_ms: DurationMs::new(60),
@@ -447,6 +411,7 @@
             wall_clock: Arc::new(SystemClock),
             store: BatchStore::new(Arc::clone(store) as _),
             generator: Arc::clone(&engines) as _,
+            rewards: Arc::clone(&scorers) as _,
             routing_source: Arc::clone(&routing) as _,
             members: Arc::clone(hosts) as _,
             peers: Arc::clone(&peers) as _,
@@ -458,6 +423,7 @@
         Self {
             service,
             engines,
+            scorers,
             events,
             routing,
             peers,
--- /dev/null
+++ b/crates/jm-batch/tests/common/store.rs
@@ -0,0 +1,96 @@
+//! A store with faults.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use async_std::task;
+use async_trait::async_trait;
+use jm_platform::{
+    Changes, Condition, Listing, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError, Version,
+    WatchError,
+};
+use jm_types::DurationMs;
+
+use super::with_timeout;
+
+/// A store that can lose responses or be unavailable.
+pub(crate) struct FaultyStore {
+    pub(crate) inner: MemoryPlatform,
+    /// Loses the response of the next write after applying it.
+    pub(crate) loses_next_response: AtomicBool,
+    /// Fails all reads and writes without applying them.
+    pub(crate) is_down: AtomicBool,
+    pub(crate) reads: AtomicU64,
+}
+
+impl FaultyStore {
+    pub(crate) fn new() -> Arc<Self> {
+        Arc::new(Self {
+            inner: MemoryPlatform::default(),
+            loses_next_response: AtomicBool::new(false),
+            is_down: AtomicBool::new(false),
+            reads: AtomicU64::new(0),
+        })
+    }
+
+    pub(crate) async fn wait_for_saved_texts(&self, batch: &str) {
+        let prefix = format!("batch-texts/{batch}.");
+        with_timeout(async {
+            while self.inner.list(&prefix).await.unwrap().objects.is_empty() {
+                task::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+
+    fn check(&self) -> Result<(), ReadError> {
+        self.reads.fetch_add(1, Ordering::SeqCst);
+        match self.is_down.load(Ordering::SeqCst) {
+            true => Err(ReadError::ReadUnavailable {
+                reason: "down".to_owned(),
+            }),
+            false => Ok(()),
+        }
+    }
+}
+
+#[async_trait]
+impl ObjectStore for FaultyStore {
+    async fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
+        self.check()?;
+        self.inner.get(key).await
+    }
+
+    async fn put(&self, key: &str, value: Vec<u8>, condition: Condition) -> Result<Version, ObjectError> {
+        if self.is_down.load(Ordering::SeqCst) {
+            return Err(ObjectError::Unavailable {
+                reason: "down".to_owned(),
+            });
+        }
+        let result = self.inner.put(key, value, condition).await;
+        if self.loses_next_response.swap(false, Ordering::SeqCst) {
+            return Err(ObjectError::AnswerLost {
+                reason: "lost".to_owned(),
+            });
+        }
+        result
+    }
+
+    async fn delete(&self, key: &str, condition: Condition) -> Result<(), ObjectError> {
+        self.inner.delete(key, condition).await
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Listing, ReadError> {
+        self.check()?;
+        self.inner.list(prefix).await
+    }
+
+    async fn watch(&self, prefix: &str, after: Version, wait: DurationMs) -> Result<Changes, WatchError> {
+        self.inner.watch(prefix, after, wait).await
+    }
+}
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -188,6 +188,7 @@
                 wall_clock: Arc::clone(&wall),
                 store: BatchStore::new(Arc::clone(&components.product_store) as _),
                 generator: Arc::clone(&components.platform.generator),
+                rewards: Arc::clone(&components.platform.rewards),
                 routing_source: Arc::clone(&cluster) as _,
                 members: Arc::clone(&membership) as _,
                 peers: Arc::clone(&peers) as _,
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use jm_batch::{BatchEvents, BatchProgress, CarriedOver, GenerationEnd, RunEnd};
+use jm_batch::{BatchEvents, BatchProgress, CarriedOver, GenerationEnd, RewardAttempt, RewardEnd, RunEnd};
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
 use prometheus::{
@@ -23,6 +23,9 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     item_runs: IntCounterVec,
+    reward_attempts: IntCounterVec,
+    reward_wait: HistogramVec,
+    reward_time: HistogramVec,
     batches: IntCounterVec,
     store_failures: IntCounterVec,
     /// Store calls of this host, including those relayed for other hosts.
@@ -67,6 +70,24 @@
                 "Runs of batch items that ended early, by outcome.",
                 &["outcome"],
             ),
+            reward_attempts: counter(
+                &registry,
+                "jm_reward_attempts_total",
+                "Attempts of reward calls by outcome.",
+                &["outcome"],
+            ),
+            reward_wait: histogram(
+                &registry,
+                "jm_reward_wait_seconds",
+                "Time from a complete text to the attempt that scored it.",
+                &[],
+            ),
+            reward_time: histogram(
+                &registry,
+                "jm_reward_seconds",
+                "Time of the attempts that brought a score.",
+                &[],
+            ),
             batches: counter(
                 &registry,
                 "jm_batches_total",
@@ -280,6 +301,16 @@
     }
 }
 
+fn reward_end_name(end: &RewardEnd) -> (&'static str, &str) {
+    match end {
+        RewardEnd::Scored(_) => ("scored", "the text was scored"),
+        RewardEnd::Failed { reason } => ("failed", reason),
+        RewardEnd::NotRun { reason } => ("not_run", reason),
+        RewardEnd::Unsent { reason } => ("unsent", reason),
+        RewardEnd::Lost { reason } => ("lost", reason),
+    }
+}
+
 impl BatchEvents for HostObserver {
     fn accepted(&self, batch: &BatchId, items: usize) {
         self.batches.with_label_values(&["accepted"]).inc();
@@ -311,11 +342,12 @@
 
     fn progress(&self, batch: &BatchId, progress: &BatchProgress) {
         LogEvent::BatchWaits.write_fields(
-            "items are waiting for engines",
+            "items are waiting for engines or for their scores",
             &[
                 ("batch", &batch.as_str()),
                 ("waiting", &progress.waiting),
                 ("running", &progress.running),
+                ("scoring", &progress.scoring),
                 ("listed", &progress.listed),
                 ("engines", &progress.engines),
                 ("with_weights", &progress.with_weights),
@@ -381,6 +413,53 @@
         );
     }
 
+    fn reward_attempt_ended(&self, attempt: &RewardAttempt<'_>) {
+        let (name, reason) = reward_end_name(attempt.end);
+        self.reward_attempts.with_label_values(&[name]).inc();
+        if matches!(attempt.end, RewardEnd::Scored(_)) {
+            let seconds = |duration: DurationMs| duration.get() as f64 / 1_000.0;
+            let no_labels: [&str; 0] = [];
+            let wait = self.reward_wait.with_label_values(&no_labels);
+            wait.observe(seconds(attempt.waited));
+            let time = self.reward_time.with_label_values(&no_labels);
+            time.observe(seconds(attempt.took));
+        }
+        LogEvent::RewardAttemptEnded.write_fields(
+            reason,
+            &[
+                ("batch", &attempt.batch.as_str()),
+                ("item", &attempt.item),
+                ("request", &attempt.call),
+                ("target", &attempt.target.id.as_str()),
+                ("outcome", &name),
+                ("waited_ms", &attempt.waited.get()),
+                ("took_ms", &attempt.took.get()),
+                ("attempts", &attempt.attempts),
+            ],
+        );
+    }
+
+    fn reward_hedged(
+        &self,
+        batch: &BatchId,
+        item: &str,
+        first: &RunKey,
+        second: &RunKey,
+        waited: DurationMs,
+    ) {
+        self.reward_attempts.with_label_values(&["hedged"]).inc();
+        LogEvent::RewardHedged.write_fields(
+            "the reward call is also sent to a second target",
+            &[
+                ("batch", &batch.as_str()),
+                ("item", &item),
+                ("slow_target", &first.id.as_str()),
+                ("target", &second.id.as_str()),
+                ("waited_ms", &waited.get()),
+            ],
+        );
+    }
+
     fn expired(&self, batch: &BatchId, item: &str, reason: &str) {
         self.item_runs.with_label_values(&["expired"]).inc();
         LogEvent::ItemExpired.write_fields(reason, &[("batch", &batch.as_str()), ("item", &item)]);
--- a/crates/jm-host/src/platform.rs
+++ b/crates/jm-host/src/platform.rs
@@ -4,7 +4,7 @@
 
 use async_trait::async_trait;
 use indexmap::IndexMap;
-use jm_batch::Generator;
+use jm_batch::{Generator, RewardClient};
 use jm_forward::{RoutingTable, Target, TargetClient};
 use jm_lease::LeaseGuard;
 use jm_plan::DesiredTargets;
@@ -164,4 +164,6 @@
     pub targets: Arc<dyn TargetClient>,
     /// Runs batch items on engines.
     pub generator: Arc<dyn Generator>,
+    /// Sends the calls that score complete texts.
+    pub rewards: Arc<dyn RewardClient>,
 }
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -145,12 +145,16 @@
     BatchStoreFailed = 5109, Warn;
     /// A caller's request to read or end a batch failed.
     BatchNotRead = 5110, Info;
-    /// Items of a batch are waiting for engines.
+    /// Items of a batch are waiting for engines or for their scores.
     BatchWaits = 5111, Info;
     /// A batch item was moved to a faster engine.
     ItemMoved = 5112, Info;
     /// A batch includes items carried over from earlier batches.
     BatchCarriedOver = 5113, Info;
+    /// An attempt of a reward call ended, with or without a score.
+    RewardAttemptEnded = 5114, Info;
+    /// A reward call was also sent to a second target because the first one is slow.
+    RewardHedged = 5115, Info;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
