--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -100,7 +100,8 @@
         if response.status() != StatusCode::Ok {
             return Err(format!("status {}", response.status()));
         }
-        let body = response.body_bytes().await.map_err(|error| error.to_string())?;
+        let body = self.client.read_body(&mut response).await;
+        let body = body.map_err(|error| error.to_string())?;
         decode(&body).map_err(|error| error.to_string())
     }
 
--- a/crates/jm-host/src/status.rs
+++ b/crates/jm-host/src/status.rs
@@ -176,7 +176,8 @@
         if response.status() != StatusCode::Ok {
             return Err(format!("status {}", response.status()));
         }
-        let body = response.body_bytes().await.map_err(|error| error.to_string())?;
+        let body = client.read_body(&mut response).await;
+        let body = body.map_err(|error| error.to_string())?;
         decode::<PeerReply>(&body).map_err(|error| error.to_string())
     };
     match timeout(STATUS_TIMEOUT, exchange).await {
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -121,6 +121,15 @@
         self.send_prepared(prepared, pooled).await
     }
 
+    /// Reads the whole body of a response of this client.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body exceeds the size limit of the client, and with the error of the body when it is incomplete.
+    pub async fn read_body(&self, response: &mut Response) -> io::Result<Vec<u8>> {
+        read_body_to_end(response.take_body(), self.limits.body_bytes).await
+    }
+
     /// Sends a request that must run at most once, regardless of its method. It uses a new connection and is never
     /// retried.
     pub async fn send_once(&self, request: Request) -> Result<Response, ClientError> {
--- a/crates/jm-http/src/exchange.rs
+++ b/crates/jm-http/src/exchange.rs
@@ -174,18 +174,20 @@
     bytes
 }
 
-/// Reads response heads and skips interim ones.
+/// Reads response heads and skips interim ones. All heads of a response together are limited in size, because a faulty peer
+/// may send interim ones without end.
 async fn read_head(
     stream: &mut BufferedStream,
     limits: &Limits,
     method: Method,
 ) -> Result<ResponseHead, Cause> {
+    let mut limit_bytes = limits.head_bytes.get() as usize;
     loop {
         if stream.data().is_empty() {
             fill(stream).await?;
         }
         let timed_out = |_| Cause::Timeout("the response head did not arrive within the head timeout");
-        let complete = complete_head(stream, limits.head_bytes.get() as usize, method);
+        let complete = complete_head(stream, limit_bytes, method);
         let head = timeout(limits.head_timeout_ms.as_std(), complete)
             .await
             .map_err(timed_out)??;
@@ -193,6 +195,7 @@
         if !head.is_interim() {
             return Ok(head);
         }
+        limit_bytes = limit_bytes.saturating_sub(head.size_bytes);
     }
 }
 
--- a/crates/jm-platform/src/http/mod.rs
+++ b/crates/jm-platform/src/http/mod.rs
@@ -91,7 +91,7 @@
             may_be_applied: error.request_written(),
             reason: error.to_string(),
         })?;
-        let body = head.body_bytes().await.map_err(|error| Failure {
+        let body = client.read_body(&mut head).await.map_err(|error| Failure {
             may_be_applied: true,
             reason: format!("the response is incomplete: {error}"),
         })?;
