Lease: a restarted holder and late candidates take it at once

When the holder is killed while hosts restart in turn, the lease has no holder for 6.5 s, no weights load, and steps wait. Two reasons: (1) the restarted holder is usually none of the two candidates by rendezvous (it acquired the lease while few hosts were listed), so it only watched; (2) the cooldown of a host started at its first try, so a host that had run for 30 s and became a candidate waited 3.5 s more. Ruled out: loss of the store (stable then); detection (the restarted host saw itself as the holder 0.03 s after its start). Change: lease_role.rs decides without I/O who tries; the last holder is a candidate. The cooldown starts with the process.

--- a/crates/jm-host/src/duty/mod.rs
+++ b/crates/jm-host/src/duty/mod.rs
@@ -5,6 +5,7 @@
 //! compares the alternatives.
 
 mod capacity;
+mod lease_role;
 mod maintenance;
 mod usage;
 mod weights;
@@ -15,15 +16,16 @@
 use jm_batch::MembershipView;
 use jm_lease::{Acquisition, Duty, LeaseError, LeaseGuard, LeaseManager, LeaseOptions, LeaseRecord};
 use jm_platform::ObjectStore;
-use jm_route::owner_by_key;
 use jm_types::{Clock, DurationMs, LogEvent, MemberId};
 
 pub(crate) use capacity::CapacityDuty;
+pub use lease_role::{LeaseRole, lease_role};
 pub(crate) use maintenance::MaintenanceDuty;
 pub use usage::{UsageAggregator, UsageCounter};
 pub(crate) use usage::{UsageDuty, UsagePublisher};
 pub(crate) use weights::WeightDuty;
 
+use self::lease_role::lease_candidates;
 use crate::{
     membership::Membership,
     peer::{PeerClient, PeerReply, PeerRequest},
@@ -41,8 +43,6 @@
 const HOSTS_LISTED_TIMEOUT_MS: DurationMs = DurationMs::new(1_000);
 /// Interval at which a starting host checks whether the hosts are listed.
 const HOSTS_LISTED_POLL_MS: DurationMs = DurationMs::new(20);
-/// Number of hosts that try to acquire the lease.
-const CANDIDATE_COUNT: usize = 2;
 /// Time after the last observed renewal before which other hosts must not acquire the lease. It is short because no
 /// weights are loaded while the lease has no live holder, and a step is due a few seconds after its weight version
 /// was published.
@@ -135,6 +135,7 @@
                 return;
             }
         };
+        manager.start_cooldown(self.clock.now());
         self.wait_for_hosts().await;
         while !self.membership.is_leaving() {
             let interval = self.poll(&mut manager).await;
@@ -172,12 +173,12 @@
 
     async fn poll(&self, manager: &mut LeaseManager) -> DurationMs {
         let holds = manager.guard().is_some();
-        if !holds && !self.is_candidate() {
+        if !holds && self.role() == LeaseRole::Observer {
             self.discover_holder().await;
-            return match self.view.holder().is_some_and(|holder| self.is_live(&holder)) {
-                true => OBSERVER_INTERVAL_MS,
-                false => HOLDER_SEARCH_INTERVAL_MS,
-            };
+            // A host that finds its own earlier run as the holder goes on as a candidate.
+            if self.role() == LeaseRole::Observer {
+                return self.observer_interval();
+            }
         }
         match manager.acquire(&*self.store, &*self.clock).await {
             Ok(Acquisition::Held(guard)) => {
@@ -192,6 +193,13 @@
         CANDIDATE_INTERVAL_MS
     }
 
+    fn observer_interval(&self) -> DurationMs {
+        match self.view.holder().is_some_and(|holder| self.is_live(&holder)) {
+            true => OBSERVER_INTERVAL_MS,
+            false => HOLDER_SEARCH_INTERVAL_MS,
+        }
+    }
+
     /// Asks the candidates for the holder, or reads it from the store when none of them answers.
     async fn discover_holder(&self) {
         for candidate in self.candidates() {
@@ -218,29 +226,20 @@
     }
 
     fn is_live(&self, member: &MemberId) -> bool {
-        self.membership.live().iter().any(|(live, _)| live == member)
+        self.live().contains(member)
     }
 
-    fn is_candidate(&self) -> bool {
-        self.candidates().contains(self.membership.own_id())
+    fn role(&self) -> LeaseRole {
+        let own = self.membership.own_id();
+        lease_role(&Duty::Fleet.key(), own, &self.live(), self.view.holder().as_ref())
     }
 
-    /// The hosts that try to acquire the lease, chosen by rendezvous hashing. The other hosts poll less often.
     fn candidates(&self) -> Vec<MemberId> {
-        let mut live: Vec<MemberId> = self
-            .membership
-            .live()
-            .into_iter()
-            .map(|(member, _)| member)
-            .collect();
-        let mut candidates = Vec::new();
-        while candidates.len() < CANDIDATE_COUNT {
-            let Some(first) = owner_by_key(&Duty::Fleet.key(), &live).cloned() else {
-                break;
-            };
-            live.retain(|member| *member != first);
-            candidates.push(first);
-        }
-        candidates
+        lease_candidates(&Duty::Fleet.key(), &self.live())
+    }
+
+    fn live(&self) -> Vec<MemberId> {
+        let live = self.membership.live().into_iter();
+        live.map(|(member, _)| member).collect()
     }
 }
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -21,7 +21,7 @@
 mod store_cache;
 
 pub use cluster_state::ClusterState;
-pub use duty::{MAX_DUTY_CALL_MS, UsageAggregator, UsageCounter};
+pub use duty::{LeaseRole, MAX_DUTY_CALL_MS, UsageAggregator, UsageCounter, lease_role};
 pub use host::{Host, HostError, HostParts, connection_limits};
 pub use instrumented_store::{InstrumentedStore, STORE_CALL_LABELS};
 pub use logging::{InitLoggingError, LogDecision, LogRateLimiter, init_logging};
--- a/crates/jm-lease/src/manager.rs
+++ b/crates/jm-lease/src/manager.rs
@@ -121,7 +121,8 @@
     pending: Vec<PendingUpdate>,
     observation: Option<Observation>,
     held: Option<Held>,
-    /// End of the cooldown after the start or the last loss. `None` before the first call of `acquire`.
+    /// End of the cooldown after the start or the last loss. `None` before [`LeaseManager::start_cooldown`] or the first
+    /// call of `acquire`.
     cooldown_until: Option<Timestamp>,
 }
 
@@ -144,6 +145,13 @@
         })
     }
 
+    /// Starts the cooldown of a holder that has just started. Without this call it starts at the first call of `acquire`,
+    /// which may be much later on a host that is not a candidate at first.
+    pub fn start_cooldown(&mut self, now: Timestamp) {
+        let cooldown_until = now.after(self.options.cooldown_ms);
+        self.cooldown_until.get_or_insert(cooldown_until);
+    }
+
     /// Guard of the held lease, or `None` if it is not held. The guard may have expired; see [`LeaseGuard::is_valid`].
     pub fn guard(&self) -> Option<&LeaseGuard> {
         self.held.as_ref().map(|held| &held.guard)
@@ -165,8 +173,7 @@
         store: &dyn ObjectStore,
         clock: &dyn Clock,
     ) -> Result<Acquisition, LeaseError> {
-        let cooldown_until = clock.now().after(self.options.cooldown_ms);
-        self.cooldown_until.get_or_insert(cooldown_until);
+        self.start_cooldown(clock.now());
         if self.held.is_none() {
             self.read(store, clock).await?;
         }
--- a/crates/jm-lease/tests/holder_rest.rs
+++ b/crates/jm-lease/tests/holder_rest.rs
@@ -68,6 +68,25 @@
     });
 }
 
+/// Guards against a host that has run for long and waits out a cooldown when it becomes a candidate. While hosts are
+/// restarted in turn, the lease would stay without a holder for that time.
+#[test]
+fn late_candidate() {
+    task::block_on(async {
+        let (store, clock) = (MemoryPlatform::default(), ManualClock::default());
+        let mut other = manager("host-b", 1);
+        other.start_cooldown(clock.now());
+        advance(&clock, COOLDOWN_MS);
+        assert!(is_held(&mut manager("host-a", 1), &store, &clock).await);
+        assert!(
+            !is_held(&mut other, &store, &clock).await,
+            "the term has not ended"
+        );
+        advance(&clock, TERM_MS);
+        assert!(is_held(&mut other, &store, &clock).await);
+    });
+}
+
 /// Guards against a holder that lost the lease and takes it back within its cooldown, even if the lease is released.
 #[test]
 fn no_alternation() {
