--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -77,17 +77,19 @@
 
 /// Requirements of an item for an engine.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct ItemRequirements<'a> {
-    pub(crate) model: Option<&'a ModelId>,
-    pub(crate) min_version: WeightVersion,
+pub struct ItemRequirements<'a> {
+    /// Model that the engine must serve; `None` accepts any engine.
+    pub model: Option<&'a ModelId>,
+    /// Minimum version of the weights.
+    pub min_version: WeightVersion,
     /// Total work of this host's open batches, in tokens.
-    pub(crate) own_work: u64,
+    pub own_work: u64,
     /// Batches of other hosts that may use the same engines.
-    pub(crate) remote_work: &'a [RemoteWork],
+    pub remote_work: &'a [RemoteWork],
     /// Expected size of the item at its end, in tokens.
-    pub(crate) tokens: u64,
+    pub tokens: u64,
     /// Capacity of an engine's memory in tokens; `None` if it is not configured.
-    pub(crate) memory_tokens: Option<u64>,
+    pub memory_tokens: Option<u64>,
 }
 
 impl EngineLoads {
@@ -100,7 +102,7 @@
     }
 
     /// The engine that would finish an item first, among those with a free slot and sufficiently new weights.
-    pub(crate) fn pick<'a>(
+    pub fn pick<'a>(
         &self,
         targets: impl Iterator<Item = &'a Target>,
         requirements: ItemRequirements<'_>,
@@ -125,6 +127,16 @@
     }
 
     fn can_take(&self, target: &Target, requirements: ItemRequirements<'_>, now: Timestamp) -> bool {
+        self.has_slot(target, requirements, now) && self.has_memory(target, requirements)
+    }
+
+    /// Whether the engine has a free slot and sufficiently new weights, and is not avoided.
+    pub(crate) fn has_slot(
+        &self,
+        target: &Target,
+        requirements: ItemRequirements<'_>,
+        now: Timestamp,
+    ) -> bool {
         let load = self.loads.get(&target.run);
         let running = load.map_or(0, |load| load.running);
         let window = match load.is_some_and(|load| load.is_suspect) {
@@ -134,10 +146,7 @@
                 .max(1.0) as usize,
         };
         let is_avoided = load.is_some_and(|load| now < load.avoid_until);
-        running < window
-            && !is_avoided
-            && self.has_memory(target, requirements)
-            && self.has_weights(target, requirements)
+        running < window && !is_avoided && self.has_weights(target, requirements)
     }
 
     fn usable_slots(&self, target: &Target) -> usize {
@@ -145,7 +154,7 @@
     }
 
     /// Whether the engine can hold the item without preempting another one. An idle engine accepts any item.
-    fn has_memory(&self, target: &Target, requirements: ItemRequirements<'_>) -> bool {
+    pub(crate) fn has_memory(&self, target: &Target, requirements: ItemRequirements<'_>) -> bool {
         let Some(memory) = requirements.memory_tokens else {
             return true;
         };
@@ -190,7 +199,8 @@
         listed.max(reported)
     }
 
-    fn cost(&self, target: &Target) -> f64 {
+    /// Time that an item takes on the engine relative to other engines.
+    pub(crate) fn cost(&self, target: &Target) -> f64 {
         let utilization = self.running(&target.run) as f64 / target.slots.max(1) as f64;
         self.gap_ms(&target.run) * (1.0 + utilization)
     }
@@ -206,7 +216,8 @@
         self.loads.get(run).map_or(0, |load| load.running)
     }
 
-    pub(crate) fn run_started(&mut self, run: &RunKey, tokens: u64) {
+    /// Records that an item of the given size started on the engine.
+    pub fn run_started(&mut self, run: &RunKey, tokens: u64) {
         let load = self.load(run);
         load.running += 1;
         load.tokens += tokens;
@@ -235,19 +246,11 @@
         self.load(run).is_suspect = false;
     }
 
-    /// An engine that is faster by enough to make up for processing the item's prompt a second time.
-    pub(crate) fn pick_faster<'a>(
-        &self,
-        current: &RunKey,
-        targets: impl Iterator<Item = &'a Target>,
-        requirements: ItemRequirements<'_>,
-        now: Timestamp,
-    ) -> Option<&'a Target> {
-        let current_gap_ms = self.loads.get(current)?.gap_ms;
-        let others = targets.filter(|target| target.run != *current);
-        let best = self.pick(others, requirements, now)?;
-        let best_gap_ms = self.loads.get(&best.run).map(|load| load.gap_ms);
-        (best_gap_ms? < current_gap_ms * MOVE_GAP_RATIO).then_some(best)
+    /// Whether `other` is faster by enough to make up for processing the item's prompt a second time. An engine that was
+    /// not observed yet is not.
+    pub(crate) fn is_much_faster(&self, other: &RunKey, current: &RunKey) -> bool {
+        let gaps = (self.loads.get(other), self.loads.get(current));
+        matches!(gaps, (Some(other), Some(current)) if other.gap_ms < current.gap_ms * MOVE_GAP_RATIO)
     }
 
     /// Records the version that the engine reported in a response.
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -71,6 +71,8 @@
 
 pub(crate) struct OwnedBatch {
     pub(crate) spec: Arc<BatchSpec>,
+    /// Expected size of all items in tokens.
+    pub(crate) work_tokens: u64,
     pub(crate) plan: BatchPlan,
     pub(crate) owned_since: Timestamp,
     texts: Vec<ItemText>,
@@ -80,6 +82,8 @@
     pub(crate) runs: IndexMap<usize, Run>,
     /// Results that are in the store.
     pub(crate) listed: Vec<BatchResult>,
+    /// For each item, whether its result is in the store.
+    is_listed: Vec<bool>,
     /// Results that are not stored yet.
     pub(crate) unlisted: Vec<BatchResult>,
     pub(crate) is_writing: bool,
@@ -101,10 +105,10 @@
     ) -> Self {
         let mut plan = BatchPlan::new(&spec, options);
         let done: HashSet<&str> = listed.iter().map(|result| result.item.as_str()).collect();
-        for (index, item) in spec.items.iter().enumerate() {
-            if done.contains(item.id.as_str()) {
-                plan.mark_done(index);
-            }
+        let is_listed = spec.items.iter().map(|item| done.contains(item.id.as_str()));
+        let is_listed: Vec<bool> = is_listed.collect();
+        for (index, _) in is_listed.iter().enumerate().filter(|(_, listed)| **listed) {
+            plan.mark_done(index);
         }
         Self {
             texts: vec![ItemText::default(); spec.items.len()],
@@ -112,9 +116,11 @@
             carried: HashSet::new(),
             plan,
             owned_since: now,
+            work_tokens: spec.work_tokens(),
             spec,
             runs: IndexMap::new(),
             listed,
+            is_listed,
             unlisted: Vec::new(),
             is_writing: false,
             written_at: now,
@@ -191,11 +197,8 @@
 
     /// Properties of the unstored results that determine when they are written.
     pub(crate) fn unwritten(&self, now: Timestamp, unix_ms: u64) -> UnwrittenResults {
-        let listed = self.listed.iter().map(|result| result.item.as_str());
-        let listed: HashSet<&str> = listed.collect();
-        let is_listed = |index: usize| listed.contains(self.spec.items[index].id.as_str());
         let is_done = |index: usize| self.plan.state(index) == ItemState::Done;
-        let listed_groups = self.groups.complete(is_listed);
+        let listed_groups = self.groups.complete(|index| self.is_listed[index]);
         let done_groups = self.groups.complete(is_done);
         UnwrittenResults {
             results: self.unlisted.len(),
@@ -407,6 +410,7 @@
                 continue;
             }
             self.plan.mark_done(index);
+            self.is_listed[index] = true;
             if let Some(run) = self.runs.swap_remove(&index) {
                 run.abort.abort();
                 stopped.push(run);
--- a/crates/jm-batch/src/reward_queue.rs
+++ b/crates/jm-batch/src/reward_queue.rs
@@ -14,7 +14,7 @@
 use jm_route::RetryBudget;
 use jm_types::{BatchId, DurationMs, ServiceId, Timestamp, WeightVersion};
 
-use crate::{EngineLoads, LoadOptions, RemoteWork, RewardEnd, engine_load::ItemRequirements};
+use crate::{EngineLoads, ItemRequirements, LoadOptions, RemoteWork, RewardEnd};
 
 /// Parameters of reward calls.
 #[derive(Debug, Clone, Copy)]
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -155,8 +155,9 @@
         })
     }
 
-    /// Schedules items on each change, and periodically handles stalled runs and overdue batches.
+    /// Starts items on each change, and checks runs and batches periodically.
     pub(crate) async fn run(self: Arc<Self>) {
+        let mut next_check_at = self.now();
         loop {
             let wait = match self.is_idle() {
                 true => Duration::from_secs(3600),
@@ -164,15 +165,24 @@
             };
             // A wake-up and the timeout are handled alike.
             let _ = timeout(wait, self.wake.1.recv()).await;
-            self.stop_stalled();
-            self.expire_overdue();
+            if self.now() >= next_check_at {
+                self.check_batches();
+                next_check_at = self.now().after(self.options.check_interval_ms);
+            }
             self.start_ready();
             self.start_rewards();
-            self.save_texts();
-            self.report_progress();
         }
     }
 
+    /// Handles stalled and slow runs, overdue batches, checkpoints and reports.
+    fn check_batches(self: &Arc<Self>) {
+        self.stop_stalled();
+        self.expire_overdue();
+        self.move_to_faster();
+        self.save_texts();
+        self.report_progress();
+    }
+
     /// Triggers scheduling after a change that may let items start.
     pub(crate) fn wake(&self) {
         // A full channel means that a wake-up is already pending.
--- a/crates/jm-batch/src/runner/monitor.rs
+++ b/crates/jm-batch/src/runner/monitor.rs
@@ -38,7 +38,7 @@
         let reports: Vec<(BatchId, BatchProgress)> = waiting
             .filter_map(|owned| {
                 let item = owned.plan.ready(now).next().unwrap_or(0);
-                let targets = service_targets(owned, item, &routing, &catalog)?;
+                let targets = service_targets(&owned.spec, item, &routing, &catalog)?;
                 let requirements = item_requirements(&owned.spec, item, &routing, &shares);
                 let (engines, with_weights, with_capacity) = guard.loads.count(targets, requirements, now);
                 let progress = BatchProgress {
@@ -113,7 +113,7 @@
         let is_stalled = |(item, run): &(&usize, &Run)| {
             let others = |target: &&Target| target.run != run.target;
             let requirements = item_requirements(&owned.spec, **item, routing, &local_only);
-            let has_alternative = service_targets(owned, **item, routing, catalog)
+            let has_alternative = service_targets(&owned.spec, **item, routing, catalog)
                 .is_some_and(|targets| loads.pick(targets.filter(others), requirements, now).is_some());
             let extended_limit = DurationMs::new(limit(run).get() * options.no_alternative_stall_factor);
             has_alternative || now.since(run.last_progress) >= extended_limit
--- a/crates/jm-batch/src/runner/share.rs
+++ b/crates/jm-batch/src/runner/share.rs
@@ -4,32 +4,31 @@
 
 use indexmap::IndexMap;
 use jm_forward::{Catalog, RoutingTable, Target};
-use jm_types::{BatchId, ModelId};
+use jm_types::{BatchId, ServiceId};
 
-use crate::{BatchSpec, RemoteWork, engine_load::ItemRequirements, owned::OwnedBatch};
+use crate::{BatchSpec, ItemRequirements, RemoteWork, owned::OwnedBatch};
 
 /// Work of this host and of other hosts, which determines this host's share of each engine.
 pub(super) struct Shares {
-    own: IndexMap<Option<ModelId>, u64>,
+    own_work: u64,
     remote_work: Arc<Vec<RemoteWork>>,
 }
 
 impl Shares {
     pub(super) fn new(owned: &IndexMap<BatchId, OwnedBatch>, remote_work: Arc<Vec<RemoteWork>>) -> Self {
-        let mut own: IndexMap<Option<ModelId>, u64> = IndexMap::new();
-        for owned in owned
+        let open = owned
             .values()
-            .filter(|owned| !owned.is_ended && !owned.is_finished())
-        {
-            *own.entry(owned.spec.model.clone()).or_default() += owned.spec.work_tokens();
+            .filter(|owned| !owned.is_ended && !owned.is_finished());
+        Self {
+            own_work: open.map(|owned| owned.work_tokens).sum(),
+            remote_work,
         }
-        Self { own, remote_work }
     }
 
     /// Shares under the assumption that no other host has work.
     pub(super) fn without_remote_work() -> Self {
         Self {
-            own: IndexMap::new(),
+            own_work: 0,
             remote_work: Arc::default(),
         }
     }
@@ -39,7 +38,7 @@
     }
 
     pub(super) fn own_work(&self) -> u64 {
-        self.own.values().sum()
+        self.own_work
     }
 }
 
@@ -49,28 +48,35 @@
     routing: &RoutingTable,
     shares: &'a Shares,
 ) -> ItemRequirements<'a> {
-    let item = &spec.items[item];
-    let route = routing.route(&spec.host, &item.path);
-    let service = route.and_then(|route| routing.service(route.service_for(&item.id)?));
+    let service = item_service(spec, item, routing).and_then(|service| routing.service(service));
     let engine = service.and_then(|service| service.engine.as_ref());
     ItemRequirements {
         model: spec.model.as_ref(),
         min_version: spec.min_version,
         own_work: shares.own_work(),
         remote_work: &shares.remote_work,
-        tokens: item.work_tokens(),
+        tokens: spec.items[item].work_tokens(),
         memory_tokens: engine.and_then(|engine| engine.memory_tokens),
     }
 }
 
+/// The service whose engines generate the text of an item. `None` if it has no route.
+pub(super) fn item_service<'a>(
+    spec: &BatchSpec,
+    item: usize,
+    routing: &'a RoutingTable,
+) -> Option<&'a ServiceId> {
+    let item = &spec.items[item];
+    let route = routing.route(&spec.host, &item.path)?;
+    route.service_for(&item.id)
+}
+
 pub(super) fn service_targets<'a>(
-    owned: &OwnedBatch,
+    spec: &BatchSpec,
     item: usize,
     routing: &'a RoutingTable,
     catalog: &'a Catalog,
 ) -> Option<impl Iterator<Item = &'a Target>> {
-    let item = &owned.spec.items[item];
-    let route = routing.route(&owned.spec.host, &item.path)?;
-    let service = route.service_for(&item.id)?;
+    let service = item_service(spec, item, routing)?;
     Some(catalog.serving(service))
 }
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -4,17 +4,19 @@
 
 use async_std::task;
 use futures::future::{AbortHandle, AbortRegistration, Abortable};
+use indexmap::IndexMap;
 use jm_forward::{Catalog, RoutingTable, RunKey, Target};
-use jm_types::{BatchId, DurationMs, ModelId, Timestamp};
+use jm_types::{BatchId, DurationMs, ModelId, ServiceId, Timestamp};
 
 use super::{
     Runner, RunnerState,
-    share::{Shares, item_requirements, service_targets},
+    share::{Shares, item_requirements, item_service, service_targets},
     write::mark_writing,
 };
 use crate::{
-    BatchSpec, EngineLoads, GenerationEnd, GenerationEvent, GenerationRequest, RewardKey,
-    owned::{EventOutcome, OwnedBatch},
+    BatchSpec, GenerationEnd, GenerationEvent, GenerationRequest, RewardKey,
+    owned::{EventOutcome, OwnedBatch, Run},
+    placement::Placement,
 };
 
 /// Minimum number of events of a run before its item may move to a faster engine. It keeps items from moving back and
@@ -59,22 +61,47 @@
             now: self.now(),
             unix_ms: self.deps.wall_clock.unix_ms(),
         };
+        let starts = choose_starts(&mut state, &context);
+        drop(state);
+        for start in starts {
+            self.spawn_run(start);
+        }
+    }
+
+    /// Moves items to faster engines and drops the records of engines that are gone.
+    pub(super) fn move_to_faster(self: &Arc<Self>) {
+        let Some(routing) = self.deps.routing_source.routing() else {
+            return;
+        };
+        let catalog = self.deps.routing_source.catalog();
+        let mut state = self.state();
+        let context = SchedulingContext {
+            routing: &routing,
+            catalog: &catalog,
+            shares: Shares::new(&state.owned, self.remote_work()),
+            now: self.now(),
+            unix_ms: self.deps.wall_clock.unix_ms(),
+        };
+        state.loads.retain(|run| {
+            let listed = catalog.get(&run.id);
+            listed.is_some_and(|target| target.run == *run)
+        });
         let moves = choose_moves(&mut state, &context);
-        let mut starts = choose_starts(&mut state, &context);
         drop(state);
         for Move { from, start } in moves {
             let item = &start.request.spec.items[start.item].id;
             self.deps
                 .events
                 .moved(&start.batch, item, &from, &start.target.run);
-            starts.push(start);
-        }
-        for start in starts {
-            let runner = Arc::clone(self);
-            task::spawn(async move { runner.run_item(start).await });
+            self.spawn_run(start);
         }
     }
 
+    fn spawn_run(self: &Arc<Self>, start: Start) {
+        let runner = Arc::clone(self);
+        task::spawn(async move { runner.run_item(start).await });
+    }
+
     async fn run_item(self: Arc<Self>, start: Start) {
         let Start {
             batch,
@@ -201,10 +228,6 @@
         next_serial,
         ..
     } = state;
-    loads.retain(|run| {
-        let listed = context.catalog.get(&run.id);
-        listed.is_some_and(|target| target.run == *run)
-    });
     let mut batches: Vec<&mut OwnedBatch> = owned
         .values_mut()
         .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0)
@@ -218,12 +241,20 @@
     });
     let mut starts = Vec::new();
     for owned in batches {
+        let spec = Arc::clone(&owned.spec);
+        let mut placements: IndexMap<&ServiceId, Placement<'_>> = IndexMap::new();
         let ready: Vec<usize> = owned.plan.ready(context.now).collect();
         for item in ready {
-            let Some(target) = choose_target(owned, item, loads, context) else {
+            let Some(service) = item_service(&spec, item, context.routing) else {
+                break;
+            };
+            let requirements = item_requirements(&spec, item, context.routing, &context.shares);
+            let placement = placements.entry(service).or_insert_with(|| {
+                Placement::new(loads, context.catalog.serving(service), requirements, context.now)
+            });
+            let Some(target) = placement.start(loads, requirements, context.now) else {
                 break;
             };
-            loads.run_started(&target.run, owned.spec.items[item].work_tokens());
             starts.push(start(owned, item, next_serial, target, context));
         }
     }
@@ -246,15 +277,28 @@
             .iter()
             .filter(|(_, run)| run.events >= EVENTS_BEFORE_MOVE);
         let items: Vec<usize> = movable.map(|(item, _)| *item).collect();
+        let spec = Arc::clone(&owned.spec);
+        let mut best: Option<&Target> = None;
         for item in items {
-            let Some(target) = faster_target(owned, item, loads, context) else {
+            let requirements = item_requirements(&spec, item, context.routing, &context.shares);
+            // The engines are compared again only after a move, which changes their loads.
+            let found = best.or_else(|| {
+                let targets = service_targets(&spec, item, context.routing, context.catalog)?;
+                loads.pick(targets, requirements, context.now)
+            });
+            let Some(target) = found else { break };
+            best = Some(target);
+            let is_faster = |run: &Run| loads.is_much_faster(&target.run, &run.target);
+            let has_room = loads.has_memory(target, requirements);
+            if !has_room || !owned.runs.get(&item).is_some_and(is_faster) {
                 continue;
-            };
+            }
             let Some(run) = owned.stop_run(item, context.now) else {
                 continue;
             };
             loads.run_ended(&run.target, run.tokens);
-            loads.run_started(&target.run, owned.spec.items[item].work_tokens());
+            loads.run_started(&target.run, requirements.tokens);
+            best = None;
             moves.push(Move {
                 from: run.target,
                 start: start(owned, item, next_serial, target, context),
@@ -264,29 +308,6 @@
     moves
 }
 
-fn faster_target<'a>(
-    owned: &OwnedBatch,
-    item: usize,
-    loads: &EngineLoads,
-    context: &SchedulingContext<'a>,
-) -> Option<&'a Target> {
-    let current = &owned.runs.get(&item)?.target;
-    let targets = service_targets(owned, item, context.routing, context.catalog)?;
-    let requirements = item_requirements(&owned.spec, item, context.routing, &context.shares);
-    loads.pick_faster(current, targets, requirements, context.now)
-}
-
-fn choose_target<'a>(
-    owned: &OwnedBatch,
-    item: usize,
-    loads: &EngineLoads,
-    context: &SchedulingContext<'a>,
-) -> Option<&'a Target> {
-    let targets = service_targets(owned, item, context.routing, context.catalog)?;
-    let requirements = item_requirements(&owned.spec, item, context.routing, &context.shares);
-    loads.pick(targets, requirements, context.now)
-}
-
 fn start(
     owned: &mut OwnedBatch,
     item: usize,
--- a/crates/jm-host/src/cluster_state.rs
+++ b/crates/jm-host/src/cluster_state.rs
@@ -168,8 +168,10 @@
         let id = key.strip_prefix(self.objects.targets_prefix()).unwrap_or(key);
         let Ok(id) = id.parse::<TargetId>() else { return };
         let now = self.clock.now();
-        let mut state = self.lock();
-        let mut catalog = Catalog::clone(&state.catalog);
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        // Copies the catalog only while a request still uses it, and not for each change of a series.
+        let catalog = Arc::make_mut(&mut state.catalog);
         match target {
             Some(target) => {
                 Self::log_target(catalog.get(&id), &target);
@@ -191,7 +193,6 @@
                 }
             }
         }
-        state.catalog = Arc::new(catalog);
     }
 
     fn list_targets(&self, objects: &[KeyedObject], gap: DurationMs) {
--- a/crates/jm-host/src/store_cache.rs
+++ b/crates/jm-host/src/store_cache.rs
@@ -6,7 +6,7 @@
 //! old.
 
 use std::{
-    collections::VecDeque,
+    collections::{HashSet, VecDeque},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
@@ -20,8 +20,9 @@
 
 use crate::ObjectSpace;
 
-/// Maximum number of changes kept per prefix. A reader that lags further behind has to list again.
-const MAX_CHANGE_HISTORY: usize = 512;
+/// Minimum number of changes kept per prefix. A reader that lags further behind than the history has to list again. The
+/// history also holds one change of each object, because all of them may change at once.
+const MIN_CHANGE_HISTORY: usize = 512;
 
 /// Result of reading the changes of a prefix from a cache.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,7 +68,8 @@
             }
         }
         self.changes.push_back((observed_at, change));
-        while self.changes.len() > MAX_CHANGE_HISTORY {
+        let limit = self.objects.len().max(MIN_CHANGE_HISTORY);
+        while self.changes.len() > limit {
             if let Some((observed_at, _)) = self.changes.pop_front() {
                 self.history_start = observed_at;
             }
@@ -83,8 +85,10 @@
 
     /// Returns the changes that turn the cached objects into those of `listing`.
     fn differences(&self, listing: &Listing) -> Vec<Change> {
-        let listed = |key: &str| listing.objects.iter().any(|object| object.key == key);
-        let removed = self.objects.keys().filter(|key| !listed(key)).map(|key| Change {
+        let listed = listing.objects.iter().map(|object| object.key.as_str());
+        let listed: HashSet<&str> = listed.collect();
+        let gone = self.objects.keys().filter(|key| !listed.contains(key.as_str()));
+        let removed = gone.map(|key| Change {
             key: key.clone(),
             version: listing.version,
             value: None,
--- a/crates/jm-host/tests/store_cache.rs
+++ b/crates/jm-host/tests/store_cache.rs
@@ -131,3 +131,22 @@
         CachedChanges::Stale
     );
 }
+
+/// Guards against a listing of thousands of objects to each host whenever all of them change at once, as the entries of
+/// all engines do when they load new weights.
+#[test]
+fn all_objects_change() {
+    let (cache, _clock) = cache();
+    let names: Vec<String> = (0..2_000).map(|index| format!("e{index}")).collect();
+    let objects = |version: u64| -> Vec<(&str, u64)> {
+        names
+            .iter()
+            .enumerate()
+            .map(|(index, name)| (name.as_str(), version + index as u64))
+            .collect()
+    };
+    cache.apply_listing(SPACE, PREFIX, &listing(3_000, &objects(1)), NO_AGE);
+    let changed = cache.apply_listing(SPACE, PREFIX, &listing(6_000, &objects(3_001)), NO_AGE);
+    assert_eq!(changed, 2_000);
+    assert_eq!(changed_keys(&watch(&cache, 3_000)).len(), 2_000);
+}
