Pauses, slow engines and trickling streams: silence is judged by whose it is

Change: PauseDetector finds gaps of the runner's loop; nothing is started until the states of the host's batches are read again, for at most 3 s without the store, and the limits of running texts start anew (E5116). The limit for stalled runs doubles with each stalled run of an item, up to 16 times, until its next event.

--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -88,6 +88,9 @@
     /// This host stopped running the batch because `to` owns it now.
     fn released(&self, batch: &BatchId, to: &MemberId);
 
+    /// This process did not run for `pause`. It starts nothing until the owners of its batches are confirmed.
+    fn paused(&self, pause: DurationMs);
+
     /// Periodic report while items of a batch wait.
     fn progress(&self, batch: &BatchId, progress: &BatchProgress);
 
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -13,6 +13,7 @@
 mod groups;
 mod owned;
 mod ownership;
+mod pause;
 mod placement;
 mod plan;
 mod result;
@@ -31,6 +32,7 @@
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
 pub use owned::ItemText;
 pub use ownership::{MembershipView, Takeover, takeover};
+pub use pause::PauseDetector;
 pub use placement::Placement;
 pub use plan::{BatchPlan, ItemState, PlanOptions};
 pub use result::{BatchResult, ResultPage, ResultPiece, ResultState};
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -80,6 +80,8 @@
     /// Items that the submitter carried over from an earlier batch.
     carried: HashSet<usize>,
     pub(crate) runs: IndexMap<usize, Run>,
+    /// Number of runs of an item that were stopped as stalled since its last event.
+    stalls: IndexMap<usize, u32>,
     /// Results that are in the store.
     pub(crate) listed: Vec<BatchResult>,
     /// For each item, whether its result is in the store.
@@ -119,6 +121,7 @@
             work_tokens: spec.work_tokens(),
             spec,
             runs: IndexMap::new(),
+            stalls: IndexMap::new(),
             listed,
             is_listed,
             unlisted: Vec::new(),
@@ -284,6 +287,7 @@
                 let is_first = run.events == 0;
                 run.last_progress = now;
                 run.events += 1;
+                self.stalls.swap_remove(&index);
                 let version = run.version;
                 if self.texts[index].append(event, &data, version) {
                     EventOutcome::Event { gap, is_first }
@@ -321,6 +325,13 @@
         }
     }
 
+    /// Restarts the time limits of all runs, because the host did not read their events for a while.
+    pub(crate) fn restart_time_limits(&mut self, now: Timestamp) {
+        for run in self.runs.values_mut() {
+            run.last_progress = now;
+        }
+    }
+
     /// Stops the run of an item, so that it can start on another engine.
     pub(crate) fn stop_run(&mut self, index: usize, now: Timestamp) -> Option<Run> {
         let run = self.runs.swap_remove(&index)?;
@@ -329,6 +340,16 @@
         Some(run)
     }
 
+    /// Counts a run of the item that was stopped as stalled.
+    pub(crate) fn record_stall(&mut self, index: usize) {
+        *self.stalls.entry(index).or_default() += 1;
+    }
+
+    /// Number of stalled runs of an item since its last event.
+    pub(crate) fn stalls(&self, index: usize) -> u32 {
+        self.stalls.get(&index).copied().unwrap_or(0)
+    }
+
     /// Stops all runs without requeueing their items.
     pub(crate) fn stop_all(&mut self) -> Vec<Run> {
         let runs: Vec<Run> = std::mem::take(&mut self.runs).into_values().collect();
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -7,10 +7,7 @@
 mod start;
 mod write;
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use async_std::{
     channel::{Receiver, Sender, bounded},
@@ -23,8 +20,8 @@
 
 use crate::{
     BatchEvents, BatchResult, BatchSpec, BatchStore, CheckpointOptions, EngineLoads, GenerationEnd,
-    Generator, LoadOptions, PlanOptions, RemoteWork, ResultPage, RewardClient, RewardKey, RewardOptions,
-    RewardQueue, RunEnd, WriteScheduleOptions,
+    Generator, LoadOptions, PauseDetector, PlanOptions, RemoteWork, ResultPage, RewardClient, RewardKey,
+    RewardOptions, RewardQueue, RunEnd, WriteScheduleOptions,
     carry_over::{carry_over, stop_repeated_items},
     checkpoint::longest_texts,
     owned::{ItemText, OwnedBatch, Run},
@@ -55,6 +52,8 @@
     pub stall_ms: DurationMs,
     /// Replaces `stall_ms` before the first event, because a run may wait in the engine's queue.
     pub first_event_stall_ms: DurationMs,
+    /// Maximum number of times that stalled runs of an item double its limit.
+    pub max_stall_doublings: u32,
     /// Factor on both stall limits while no other engine can accept the item.
     pub no_alternative_stall_factor: u64,
     /// When finished results are written to the store.
@@ -65,6 +64,8 @@
     pub write_retry_delay_ms: DurationMs,
     /// Interval between reports on waiting items.
     pub report_interval_ms: DurationMs,
+    /// Time without processor time after which the owners of this host's batches have to be confirmed.
+    pub pause_threshold_ms: DurationMs,
     /// How long a batch waits after its route disappeared from the configuration, before it is given up.
     pub missing_route_timeout_ms: DurationMs,
 }
@@ -78,16 +79,21 @@
             check_interval_ms: DurationMs::new(100),
             stall_ms: DurationMs::new(400),
             first_event_stall_ms: DurationMs::new(700),
+            max_stall_doublings: 4,
             no_alternative_stall_factor: 4,
             write_schedule: WriteScheduleOptions::default(),
             checkpoint: CheckpointOptions::default(),
             write_retry_delay_ms: DurationMs::new(150),
             report_interval_ms: DurationMs::new(1_000),
+            pause_threshold_ms: DurationMs::new(1_000),
             missing_route_timeout_ms: DurationMs::new(5_000),
         }
     }
 }
 
+/// Time between two passes while no item waits or runs.
+const IDLE_WAIT_MS: DurationMs = DurationMs::new(3_600_000);
+
 pub(crate) struct RunnerDependencies {
     pub(crate) clock: Arc<dyn Clock>,
     pub(crate) wall_clock: Arc<dyn WallClock>,
@@ -104,6 +110,8 @@
     rewards: RewardQueue,
     next_serial: u64,
     reported_at: Timestamp,
+    /// Whether the owners of the batches are unknown after a pause. Nothing is started until they are confirmed.
+    is_unconfirmed: bool,
 }
 
 /// State of a batch that a new owner resumes.
@@ -133,6 +141,8 @@
     deps: RunnerDependencies,
     state: Mutex<RunnerState>,
     wake: (Sender<()>, Receiver<()>),
+    /// Holds a message after a pause until the owners are confirmed.
+    pauses: (Sender<()>, Receiver<()>),
     /// Batches of other hosts, which share the engines.
     remote_work: Mutex<Arc<Vec<RemoteWork>>>,
 }
@@ -145,12 +155,14 @@
             rewards: RewardQueue::new(options.rewards),
             next_serial: 0,
             reported_at: Timestamp::default(),
+            is_unconfirmed: false,
         };
         Arc::new(Self {
             options,
             deps,
             state: Mutex::new(state),
             wake: bounded(1),
+            pauses: bounded(1),
             remote_work: Mutex::default(),
         })
     }
@@ -158,13 +170,17 @@
     /// Starts items on each change, and checks runs and batches periodically.
     pub(crate) async fn run(self: Arc<Self>) {
         let mut next_check_at = self.now();
+        let mut pauses = PauseDetector::new(self.options.pause_threshold_ms, self.now());
         loop {
             let wait = match self.is_idle() {
-                true => Duration::from_secs(3600),
-                false => self.options.check_interval_ms.as_std(),
+                true => IDLE_WAIT_MS,
+                false => self.options.check_interval_ms,
             };
             // A wake-up and the timeout are handled alike.
-            let _ = timeout(wait, self.wake.1.recv()).await;
+            let _ = timeout(wait.as_std(), self.wake.1.recv()).await;
+            if let Some(pause) = pauses.observe(wait, self.now()) {
+                self.hold(pause);
+            }
             if self.now() >= next_check_at {
                 self.check_batches();
                 next_check_at = self.now().after(self.options.check_interval_ms);
@@ -174,6 +190,32 @@
         }
     }
 
+    /// Starts nothing until [`Self::resume`], because other hosts may own the batches now.
+    fn hold(&self, pause: DurationMs) {
+        let now = self.now();
+        let mut state = self.state();
+        state.is_unconfirmed = true;
+        for owned in state.owned.values_mut() {
+            owned.restart_time_limits(now);
+        }
+        drop(state);
+        self.deps.events.paused(pause);
+        // A full channel means that the owners are being confirmed already.
+        let _ = self.pauses.0.try_send(());
+    }
+
+    /// Waits for the next pause.
+    pub(crate) async fn next_pause(&self) {
+        // The runner keeps a sender, so receiving cannot fail.
+        let _ = self.pauses.1.recv().await;
+    }
+
+    /// Starts items again after the owners of the batches are confirmed.
+    pub(crate) fn resume(&self) {
+        self.state().is_unconfirmed = false;
+        self.wake();
+    }
+
     /// Handles stalled and slow runs, overdue batches, checkpoints and reports.
     fn check_batches(self: &Arc<Self>) {
         self.stop_stalled();
--- a/crates/jm-batch/src/runner/monitor.rs
+++ b/crates/jm-batch/src/runner/monitor.rs
@@ -74,6 +74,7 @@
                 let Some(run) = owned.stop_run(item, now) else {
                     continue;
                 };
+                owned.record_stall(item);
                 loads.run_ended(&run.target, run.tokens);
                 loads.record_failure(&run.target, now);
                 stopped.push((
@@ -101,21 +102,26 @@
         now: Timestamp,
     ) -> Vec<usize> {
         let options = &self.options;
-        let limit = |run: &Run| match run.events {
-            0 => options.first_event_stall_ms,
-            _ => options.stall_ms,
+        // The limit doubles with each stalled run, so that a text also ends when all engines are slow but sound.
+        let limit = |item: usize, run: &Run| {
+            let base = match run.events {
+                0 => options.first_event_stall_ms,
+                _ => options.stall_ms,
+            };
+            DurationMs::new(base.get() << owned.stalls(item).min(options.max_stall_doublings))
         };
         let late = owned
             .runs
             .iter()
-            .filter(|(_, run)| now.since(run.last_progress) >= limit(run));
+            .filter(|(item, run)| now.since(run.last_progress) >= limit(**item, run));
         let local_only = Shares::without_remote_work();
         let is_stalled = |(item, run): &(&usize, &Run)| {
             let others = |target: &&Target| target.run != run.target;
             let requirements = item_requirements(&owned.spec, **item, routing, &local_only);
             let has_alternative = service_targets(&owned.spec, **item, routing, catalog)
                 .is_some_and(|targets| loads.pick(targets.filter(others), requirements, now).is_some());
-            let extended_limit = DurationMs::new(limit(run).get() * options.no_alternative_stall_factor);
+            let extended_ms = limit(**item, run).get() * options.no_alternative_stall_factor;
+            let extended_limit = DurationMs::new(extended_ms);
             has_alternative || now.since(run.last_progress) >= extended_limit
         };
         late.filter(is_stalled).map(|(item, _)| *item).collect()
--- a/crates/jm-batch/src/runner/rewards.rs
+++ b/crates/jm-batch/src/runner/rewards.rs
@@ -64,7 +64,7 @@
         let unix_ms = self.deps.wall_clock.unix_ms();
         let now = self.now();
         let mut guard = self.state();
-        if !guard.rewards.has_waiting(now) {
+        if guard.is_unconfirmed || !guard.rewards.has_waiting(now) {
             return;
         }
         let RunnerState { owned, rewards, .. } = &mut *guard;
@@ -141,6 +141,9 @@
         };
         let unix_ms = self.deps.wall_clock.unix_ms();
         let mut guard = self.state();
+        if guard.is_unconfirmed {
+            return;
+        }
         let RunnerState { owned, rewards, .. } = &mut *guard;
         let shares = Shares::new(owned, self.remote_work());
         let pass = RewardPass {
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -54,6 +54,9 @@
         };
         let catalog = self.deps.routing_source.catalog();
         let mut state = self.state();
+        if state.is_unconfirmed {
+            return;
+        }
         let context = SchedulingContext {
             routing: &routing,
             catalog: &catalog,
@@ -75,6 +78,9 @@
         };
         let catalog = self.deps.routing_source.catalog();
         let mut state = self.state();
+        if state.is_unconfirmed {
+            return;
+        }
         let context = SchedulingContext {
             routing: &routing,
             catalog: &catalog,
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -12,6 +12,7 @@
 
 use async_std::task;
 use async_trait::async_trait;
+use futures::future::join;
 use indexmap::IndexMap;
 use jm_forward::RunKey;
 use jm_platform::Version;
@@ -185,8 +186,8 @@
     }
 
     /// Runs the batches that this host owns. Never returns.
-    pub async fn run(&self) {
-        Arc::clone(&self.runner).run().await;
+    pub async fn run(self: &Arc<Self>) {
+        join(Arc::clone(&self.runner).run(), self.confirm_after_pauses()).await;
     }
 
     /// Triggers scheduling after a change of the configuration or the engines.
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -6,14 +6,18 @@
 use futures::future::try_join;
 use jm_platform::Version;
 use jm_route::owner_by_key;
-use jm_types::{BatchId, Incarnation, MemberId};
+use jm_types::{BatchId, DurationMs, Incarnation, MemberId};
 
-use super::{BatchService, CachedState, MAX_CACHED_RESULTS, insert_bounded};
+use super::{BatchService, CachedState, MAX_CACHED_RESULTS, STATE_RETRY_DELAY_MS, insert_bounded};
 use crate::{
     BatchPhase, BatchResult, BatchState, ItemText, RemoteWork, StoreError, Takeover,
     checkpoint::longest_texts, runner::RecoveredProgress, store::WriteOutcome, takeover,
 };
 
+/// Maximum time for which an unresponsive store keeps this host from running its batches after a pause. Without the store
+/// no other host can take them over either.
+const MAX_CONFIRMATION_MS: DurationMs = DurationMs::new(3_000);
+
 /// Results and texts that earlier owners of a batch stored.
 #[derive(Default)]
 pub(super) struct StoredProgress {
@@ -64,6 +68,30 @@
         self.runner.set_remote_work(remote_work);
     }
 
+    /// After each pause of this process, reads the states of its batches before anything is started. The watch may
+    /// deliver them seconds later.
+    pub(super) async fn confirm_after_pauses(self: &Arc<Self>) {
+        loop {
+            self.runner.next_pause().await;
+            let clock = &self.deps.clock;
+            let until = clock.now().after(MAX_CONFIRMATION_MS);
+            for batch in self.runner.open_batches() {
+                while let Err(error) = self.load_state(&batch).await {
+                    let reason = error.to_string();
+                    self.deps
+                        .events
+                        .store_failed(&batch, "confirm the owner", &reason);
+                    if clock.now() >= until {
+                        break;
+                    }
+                    task::sleep(STATE_RETRY_DELAY_MS.as_std()).await;
+                }
+            }
+            self.reconcile();
+            self.runner.resume();
+        }
+    }
+
     fn release(&self, state: &BatchState) {
         if let Some(listed) = self.runner.release(&state.batch) {
             insert_bounded(
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -27,8 +27,8 @@
 };
 use jm_platform::{ObjectStore, Version};
 use jm_types::{
-    BatchId, ByteSize, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, WallClock,
-    WeightVersion,
+    BatchId, ByteSize, Clock, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, Timestamp,
+    WallClock, WeightVersion,
 };
 
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
@@ -143,12 +143,16 @@
 /// Sends events 1 to `count`, except those that the run already has, then completes.
 pub(crate) fn text(request: &GenerationRequest, count: u64, version: u64) -> Vec<Step> {
     let first = request.resume_after.unwrap_or(0) + 1;
-    let mut steps = vec![Step::Send(GenerationEvent::Version(WeightVersion::new(version)))];
+    let mut steps = vec![text_version(version)];
     steps.extend((first..=count).map(data));
     steps.push(Step::End(GenerationEnd::Complete));
     steps
 }
 
+pub(crate) fn text_version(version: u64) -> Step {
+    Step::Send(GenerationEvent::Version(WeightVersion::new(version)))
+}
+
 pub(crate) fn data(index: u64) -> Step {
     Step::Send(GenerationEvent::Data {
         index,
@@ -298,6 +302,7 @@
     pub(crate) carried: Mutex<CarriedOver>,
     pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
     pub(crate) hedged_rewards: AtomicU64,
+    pub(crate) pauses: AtomicU64,
 }
 
 impl BatchEvents for RecordedEvents {
@@ -309,6 +314,9 @@
         *self.carried.lock().unwrap() = *carried;
     }
     fn released(&self, _batch: &BatchId, _to: &MemberId) {}
+    fn paused(&self, _pause: DurationMs) {
+        self.pauses.fetch_add(1, Ordering::SeqCst);
+    }
     fn progress(&self, _batch: &BatchId, _progress: &BatchProgress) {}
     fn finished(&self, _batch: &BatchId, _took: DurationMs) {}
     fn ended(&self, _batch: &BatchId, _listed: usize) {}
@@ -345,6 +353,26 @@
     pub(crate) events: Arc<RecordedEvents>,
     pub(crate) routing: Arc<TestRouting>,
     pub(crate) peers: Arc<SilentPeers>,
+    pub(crate) clock: Arc<JumpingClock>,
+}
+
+/// The system's clock, which a test can set forward. The host then counts as paused.
+#[derive(Default)]
+pub(crate) struct JumpingClock {
+    ahead_ms: AtomicU64,
+}
+
+impl JumpingClock {
+    pub(crate) fn jump(&self, ms: u64) {
+        self.ahead_ms.fetch_add(ms, Ordering::SeqCst);
+    }
+}
+
+impl Clock for JumpingClock {
+    fn now(&self) -> Timestamp {
+        let ahead_ms = DurationMs::new(self.ahead_ms.load(Ordering::SeqCst));
+        SystemClock.now().after(ahead_ms)
+    }
 }
 
 impl TestHost {
@@ -380,6 +408,7 @@
             catalog: Mutex::new(Arc::new(targets.into_iter().collect())),
         });
         let peers = Arc::new(SilentPeers::default());
+        let clock = Arc::new(JumpingClock::default());
         let options = BatchServiceOptions {
             local_member: name.parse().unwrap(),
             incarnation: Incarnation::new(1),
@@ -407,7 +436,7 @@
             retention_ms: DurationMs::new(600_000),
         };
         let parts = BatchServiceDependencies {
-            clock: Arc::new(SystemClock),
+            clock: Arc::clone(&clock) as _,
             wall_clock: Arc::new(SystemClock),
             store: BatchStore::new(Arc::clone(store) as _),
             generator: Arc::clone(&engines) as _,
@@ -427,6 +456,7 @@
             events,
             routing,
             peers,
+            clock,
         }
     }
 
--- a/crates/jm-batch/tests/engine_faults.rs
+++ b/crates/jm-batch/tests/engine_faults.rs
@@ -212,3 +212,20 @@
     host.service.submit(spec("b1", &[1])).await.unwrap();
     assert_eq!(host.listed("b1", 1).await.results[0].text, whole_text(3));
 }
+
+/// All engines are so slow that each event takes longer than the limit for stalled runs. Without more patience the item
+/// would move from engine to engine without ever getting an event.
+#[async_std::test]
+async fn slow_but_sound_engines() {
+    let script = Box::new(|_: &_, request: &GenerationRequest| {
+        let mut steps = Vec::new();
+        for step in text(request, 2, 1) {
+            steps.extend([Step::Wait(Duration::from_millis(150)), step]);
+        }
+        steps
+    });
+    let (host, _store) = start(vec![engine("e1", 1, 1), engine("e2", 1, 1)], script);
+    host.service.submit(spec("b1", &[2])).await.unwrap();
+    let page = host.listed("b1", 1).await;
+    assert_eq!(page.results[0].state, ResultState::Completed);
+}
--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -12,9 +12,10 @@
 use jm_types::{Clock, DurationMs, OrganisationId, ResultCode, Timestamp, ZoneId};
 
 use crate::{
-    Access, AccessRefusal, AttemptOptions, AttemptOutcome, CallerRequest, Catalog, ForwardAnswer,
+    Access, AccessRefusal, AnswerBody, AttemptOptions, AttemptOutcome, CallerRequest, Catalog, ForwardAnswer,
     ForwardRefusal, ForwardResult, RetryDecision, RetryOptions, RetryState, Route, RouteKind, RoutingTable,
     RunKey, SelectionOptions, Target, TargetClient, TargetLoads,
+    event_stream::limit_stalls,
     retry::{no_target, refusal},
 };
 
@@ -36,6 +37,11 @@
 /// Hedged attempts that may be started in a burst when none was started for a while.
 const HEDGE_BURST: u64 = 30;
 
+/// Minimum time without a whole event after which a stream is cut. Callers have given up long before.
+const MIN_STREAM_STALL_MS: DurationMs = DurationMs::new(5_000);
+/// Replaces [`MIN_STREAM_STALL_MS`] on routes with a long latency objective, in multiples of it.
+const STREAM_STALL_OBJECTIVES: u64 = 8;
+
 /// Receives events of requests for logs, metrics and usage accounting.
 pub trait ForwardObserver: Send + Sync {
     /// The request ran or may have run on a target. Called at most once for each request. `organisation` is `None` if
@@ -174,7 +180,8 @@
             };
             self.open_runs.retain(|(run, _)| *run != ended.target.run);
             match ended.outcome {
-                AttemptOutcome::Answered(answer) => {
+                AttemptOutcome::Answered(mut answer) => {
+                    answer.body = self.limit_stalls(answer.body);
                     self.loads()
                         .answered(&ended.target.run, self.since(ended.started_at));
                     self.count_execution();
@@ -186,6 +193,16 @@
         }
     }
 
+    fn limit_stalls(&self, body: AnswerBody) -> AnswerBody {
+        let limit = DurationMs::new(self.route.objective_ms.get() * STREAM_STALL_OBJECTIVES);
+        match body {
+            AnswerBody::Stream(body) => {
+                AnswerBody::Stream(limit_stalls(body, limit.max(MIN_STREAM_STALL_MS)))
+            }
+            whole => whole,
+        }
+    }
+
     /// Waits for an attempt to end. Returns `None` after the hedge delay, when it has tried to start a hedged attempt.
     async fn next_ended(&mut self) -> Option<EndedAttempt> {
         let Some(started_at) = self.open_runs.last().map(|(_, started_at)| *started_at) else {
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -340,6 +340,13 @@
         );
     }
 
+    fn paused(&self, pause: DurationMs) {
+        LogEvent::ProcessPaused.write_fields(
+            "this process did not run for a while; the owners of its batches are confirmed before it starts anything",
+            &[("pause_ms", &pause.get())],
+        );
+    }
+
     fn progress(&self, batch: &BatchId, progress: &BatchProgress) {
         LogEvent::BatchWaits.write_fields(
             "items are waiting for engines or for their scores",
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -155,6 +155,8 @@
     RewardAttemptEnded = 5114, Info;
     /// A reward call was also sent to a second target because the first one is slow.
     RewardHedged = 5115, Info;
+    /// This process did not run for a while and confirms the owners of its batches.
+    ProcessPaused = 5116, Warn;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
