Import circles of jm-host and jm-batch are gone; texts of items have a module

Cause: peer, duty and status imported one another, and so did carry_over and owned. Change: the handler of peers' calls is a module above both (peer_server), which also collects the status; status holds data only, and fetching it belongs to peer. Texts and carried items are in item_text. Ruled out: traits between duty and peer, which would only hide the circle.

--- a/crates/jm-batch/src/carry_over.rs
+++ b/crates/jm-batch/src/carry_over.rs
@@ -13,7 +13,8 @@
 use jm_types::{DurationMs, Timestamp, WeightVersion};
 
 use crate::{
-    BatchItem, BatchSpec, CarriedOver, ItemState, ItemText, RewardScore,
+    BatchItem, BatchSpec, CarriedOver, ItemState, ItemText,
+    item_text::CarriedItem,
     owned::{OwnedBatch, Run},
     result::{BatchResult, ResultState},
 };
@@ -24,15 +25,6 @@
 /// Time within which this host receives the end of a batch, at the latest from the store.
 const END_PROPAGATION_MS: DurationMs = DurationMs::new(5_000);
 
-/// An item that an earlier batch of the same submitter also contained.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct CarriedItem {
-    /// The reusable text, empty if there is none. Its index refers to the new batch.
-    pub(crate) text: ItemText,
-    /// Score of a complete text; `None` if both batches do not score it with the same call.
-    pub(crate) score: Option<RewardScore>,
-}
-
 /// Reuses the texts and results that the newest earlier batches of the same submitter have for items of this batch.
 pub(crate) fn carry_over<'a>(
     owned: &mut OwnedBatch,
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod generator;
 mod groups;
+mod item_text;
 mod owned;
 mod ownership;
 mod pause;
@@ -30,7 +31,7 @@
 pub use engine_load::{EngineLoads, ItemRequirements, LoadOptions, RemoteWork};
 pub use events::{BatchEvents, BatchProgress, CarriedOver, RewardAttempt, RunEnd};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
-pub use owned::ItemText;
+pub use item_text::ItemText;
 pub use ownership::{MembershipView, Takeover, takeover};
 pub use pause::PauseDetector;
 pub use placement::Placement;
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -24,7 +24,8 @@
     RewardOptions, RewardQueue, RunEnd, WriteScheduleOptions,
     carry_over::{carry_over, stop_repeated_items},
     checkpoint::longest_texts,
-    owned::{ItemText, OwnedBatch, Run},
+    item_text::ItemText,
+    owned::{OwnedBatch, Run},
     runner::write::mark_writing,
 };
 
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -31,7 +31,8 @@
     cluster_state::ClusterState,
     duty::{LeaseView, UsageAggregator, UsageCounter, UsagePublisher},
     instrumented_store::InstrumentedStore,
-    peer::{ObjectSpace, PeerClient, PeerHandler, PeerRelay},
+    peer::{ObjectSpace, PeerClient, PeerRelay},
+    peer_server::PeerHandler,
 };
 
 /// The host could not start.
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -13,6 +13,7 @@
 mod membership;
 mod observer;
 mod peer;
+mod peer_server;
 mod platform;
 mod prefix_watch;
 mod relay;
@@ -27,7 +28,7 @@
 pub use logging::{InitLoggingError, LogDecision, LogRateLimiter, init_logging};
 pub use membership::{Membership, Registration};
 pub use observer::HostObserver;
-pub use peer::{ObjectSpace, StoreSource, UsageCounts, store_source};
+pub use peer::{ObjectSpace, StatusError, StoreSource, UsageCounts, fetch_status, store_source};
 pub use platform::{
     DecodeError, DutyCallError, DutyCalls, EngineReport, LoadOrder, LoadOutcome, PlatformObjects,
     PlatformParts,
@@ -35,5 +36,5 @@
 pub use prefix_watch::{CacheSource, PrefixWatch, WatchHandler, WatchOptions, time_until_relist};
 pub use relay::{RelayPeer, RelayedStore};
 pub use settings::{BoundSettings, HostSettings, ListenSettings, SettingsError};
-pub use status::{HostStatus, MemberStatus, OpenBatch, StatusError, TargetStatus, fetch_status};
+pub use status::{HostStatus, MemberStatus, OpenBatch, TargetStatus};
 pub use store_cache::{CachedChanges, StoreCache};
--- a/crates/jm-host/src/peer/message.rs
+++ b/crates/jm-host/src/peer/message.rs
@@ -165,7 +165,7 @@
     StoreAnswerLost,
 }
 
-pub(super) fn wire_change(change: Change) -> WireChange {
+pub(crate) fn wire_change(change: Change) -> WireChange {
     WireChange {
         key: change.key,
         version: change.version,
@@ -183,7 +183,7 @@
     }
 }
 
-pub(super) fn wire_object(object: KeyedObject) -> WireObject {
+pub(crate) fn wire_object(object: KeyedObject) -> WireObject {
     WireObject {
         key: object.key,
         value: object.object.value,
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -5,9 +5,9 @@
 //! long-lived connections.
 
 mod cache_source;
-mod handler;
 mod message;
 mod relay;
+mod status_call;
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -27,10 +27,10 @@
 
 pub(crate) use cache_source::PeerCacheSource;
 pub use cache_source::{StoreSource, store_source};
-pub(crate) use handler::PeerHandler;
 pub use message::{ObjectSpace, UsageCounts};
-pub(crate) use message::{PeerReply, PeerRequest};
+pub(crate) use message::{PeerReply, PeerRequest, WireCondition, wire_change, wire_object};
 pub(crate) use relay::PeerRelay;
+pub use status_call::{StatusError, fetch_status};
 
 /// Path of all calls between hosts.
 pub(crate) const PEER_PATH: &str = "/peer";
--- a/crates/jm-host/src/peer/handler.rs
+++ b/crates/jm-host/src/peer_server/mod.rs
@@ -1,25 +1,24 @@
 //! Handles the calls of other hosts.
 
+mod host_status;
+
 use std::sync::Arc;
 
 use async_trait::async_trait;
 use jm_batch::BatchService;
 use jm_http::{Connection, Handler, Request, Response, StatusCode};
 use jm_node::{decode, encode};
-use jm_platform::{ObjectError, ObjectStore};
+use jm_platform::{KeyedObject, ObjectError, ObjectStore};
 use jm_types::LogEvent;
 use serde_bytes::ByteBuf;
 
-use super::{
-    ObjectSpace, PEER_PATH, PeerReply, PeerRequest,
-    message::{WireCondition, WireObject, wire_change, wire_object},
-};
+use self::host_status::host_status;
 use crate::{
     CachedChanges, RelayedStore, StoreCache,
     cluster_state::ClusterState,
     duty::{LeaseView, UsageAggregator},
     membership::Membership,
-    status::HostStatus,
+    peer::{ObjectSpace, PEER_PATH, PeerReply, PeerRequest, WireCondition, wire_change, wire_object},
 };
 
 /// HTTP handler for the calls of other hosts.
@@ -49,12 +48,7 @@
             PeerRequest::Configuration => PeerReply::Configuration(self.cluster.routing_value()),
             PeerRequest::Status => {
                 let (membership, cluster) = (&self.membership, &self.cluster);
-                PeerReply::Status(HostStatus::collect(
-                    membership,
-                    cluster,
-                    &self.batches,
-                    &self.lease,
-                ))
+                PeerReply::Status(host_status(membership, cluster, &self.batches, &self.lease))
             }
             PeerRequest::LeaseHolder => PeerReply::LeaseHolder(self.lease.holder()),
             PeerRequest::Usage {
@@ -126,11 +120,7 @@
 
 async fn relay_get(store: &dyn ObjectStore, key: String) -> PeerReply {
     match store.get(&key).await {
-        Ok(object) => PeerReply::Object(object.map(|object| WireObject {
-            key,
-            value: object.value,
-            version: object.version,
-        })),
+        Ok(object) => PeerReply::Object(object.map(|object| wire_object(KeyedObject { key, object }))),
         Err(_) => PeerReply::StoreUnavailable,
     }
 }
