Checkpoints follow complete texts that wait for their scores

Change: while more complete texts wait than the last checkpoint holds, the next one is due after 0.3 s. Test: more_unscored_texts.

--- a/crates/jm-batch/src/checkpoint.rs
+++ b/crates/jm-batch/src/checkpoint.rs
@@ -22,6 +22,8 @@
     /// Time for which a complete text waits for its score before it is saved. A service that scores texts usually answers
     /// sooner, and each checkpoint costs a store call.
     pub min_unscored_ms: DurationMs,
+    /// Replaces `interval_ms` while more complete texts wait for their scores than the last checkpoint holds.
+    pub unscored_interval_ms: DurationMs,
     /// Maximum total size of the texts in one checkpoint, with a margin for the overhead of the store's encoding.
     pub max_bytes: usize,
 }
@@ -33,6 +35,7 @@
             max_doublings: 3,
             min_events: 40,
             min_unscored_ms: DurationMs::new(250),
+            unscored_interval_ms: DurationMs::new(300),
             max_bytes: 400_000,
         }
     }
@@ -47,13 +50,19 @@
     pub failures: u32,
     /// Whether a checkpoint is being written.
     pub is_writing: bool,
+    /// Number of complete texts in the last checkpoint.
+    pub unscored: usize,
 }
 
 impl CheckpointState {
-    /// Whether the next checkpoint may start at `now`.
-    pub fn is_due(&self, options: &CheckpointOptions, now: Timestamp) -> bool {
+    /// Whether the next checkpoint may start at `now`. `unscored` is the number of complete texts whose score is overdue.
+    pub fn is_due(&self, options: &CheckpointOptions, unscored: usize, now: Timestamp) -> bool {
         let factor = 1 << self.failures.min(options.max_doublings);
-        let interval_ms = options.interval_ms.get() * factor;
+        let interval_ms = match unscored > self.unscored {
+            true => options.interval_ms.min(options.unscored_interval_ms),
+            false => options.interval_ms,
+        };
+        let interval_ms = interval_ms.get() * factor;
         !self.is_writing && now.since(self.begun_at).get() >= interval_ms
     }
 }
--- a/crates/jm-batch/src/runner/save.rs
+++ b/crates/jm-batch/src/runner/save.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use async_std::task;
-use jm_types::BatchId;
+use jm_types::{BatchId, DurationMs, Timestamp};
 
 use super::{Runner, RunnerState};
 use crate::{RewardKey, RewardQueue, StoreError, checkpoint::texts_to_save, owned::OwnedBatch};
@@ -15,20 +15,19 @@
         let options = &self.options.checkpoint;
         let mut guard = self.state();
         let RunnerState { owned, rewards, .. } = &mut *guard;
-        let open = owned
-            .values_mut()
-            .filter(|owned| !owned.is_ended && owned.checkpoint.is_due(options, now));
-        let is_overdue = |owned: &OwnedBatch, item: usize, rewards: &RewardQueue| {
-            let batch = owned.spec.id.clone();
-            let waited = rewards.waited(&RewardKey { batch, item }, now);
-            waited.is_some_and(|waited| waited >= options.min_unscored_ms)
-        };
         let mut saves = Vec::new();
-        for owned in open {
+        for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
+            let overdue = |item: usize| is_overdue(owned, item, rewards, options.min_unscored_ms, now);
+            let unscored = owned.scoring_items().into_iter().filter(|item| overdue(*item));
+            let unscored = unscored.count();
+            if !owned.checkpoint.is_due(options, unscored, now) {
+                continue;
+            }
             let mut texts = owned.open_texts();
-            texts.retain(|text| !text.is_complete || is_overdue(owned, text.item, rewards));
+            texts.retain(|text| !text.is_complete || overdue(text.item));
             let texts = texts_to_save(texts, options);
             owned.checkpoint.begun_at = now;
+            owned.checkpoint.unscored = unscored;
             if !texts.is_empty() {
                 owned.checkpoint.is_writing = true;
                 saves.push((owned.spec.id.clone(), owned.earlier_owners, texts));
@@ -52,6 +51,9 @@
                 Ok(()) => 0,
                 Err(_) => checkpoint.failures + 1,
             };
+            if saved.is_err() {
+                checkpoint.unscored = 0;
+            }
         }
         if let Err(error) = saved {
             let reason = error.to_string();
@@ -59,3 +61,16 @@
         }
     }
 }
+
+/// Whether the complete text of an item has waited for its score for `limit_ms`.
+fn is_overdue(
+    owned: &OwnedBatch,
+    item: usize,
+    rewards: &RewardQueue,
+    limit_ms: DurationMs,
+    now: Timestamp,
+) -> bool {
+    let batch = owned.spec.id.clone();
+    let waited = rewards.waited(&RewardKey { batch, item }, now);
+    waited.is_some_and(|waited| waited >= limit_ms)
+}
--- a/crates/jm-batch/tests/saved_texts.rs
+++ b/crates/jm-batch/tests/saved_texts.rs
@@ -120,10 +120,40 @@
             ..CheckpointState::default()
         };
         let mut wait_ms = 0;
-        while !state.is_due(&options, Timestamp::new(wait_ms)) {
+        while !state.is_due(&options, 0, Timestamp::new(wait_ms)) {
             wait_ms += 100;
         }
         DurationMs::new(wait_ms).get()
     });
     assert_eq!(waits, [1_000, 2_000, 4_000, 8_000]);
 }
+
+/// The service that scores texts is away, and more texts complete every moment. All hosts lose power before the regular
+/// interval has passed, and the texts that are not saved are generated again.
+#[test]
+fn more_unscored_texts() {
+    let options = CheckpointOptions::default();
+    let state = CheckpointState {
+        unscored: 44,
+        ..CheckpointState::default()
+    };
+    let soon = Timestamp::new(options.unscored_interval_ms.get());
+    assert!(state.is_due(&options, 100, soon));
+    assert!(
+        !state.is_due(&options, 44, soon),
+        "the last checkpoint holds them all"
+    );
+    let short = ItemText {
+        is_complete: true,
+        ..item_text(3, 2, 10)
+    };
+    let texts = texts_to_save(
+        vec![item_text(1, 50, 10), short.clone(), item_text(2, 2, 10)],
+        &options,
+    );
+    assert_eq!(
+        texts,
+        [short, item_text(1, 50, 10)],
+        "complete texts come first, however short"
+    );
+}
