Reward runs and scheduling passes without spare parts

Cause: read as a newcomer: an attempt carried a replaced abort registration, and two passes set up the same context. Change: what stops an attempt is passed beside it; schedule() sets up a pass for starts and moves.

--- a/crates/jm-batch/src/runner/rewards.rs
+++ b/crates/jm-batch/src/runner/rewards.rs
@@ -5,21 +5,24 @@
 use async_std::{future::timeout, task};
 use futures::{
     FutureExt,
-    future::{Abortable, Aborted, Either, select},
+    future::{AbortRegistration, Abortable, Aborted, Either, select},
 };
 use indexmap::IndexMap;
-use jm_forward::{Route, RoutingTable};
+use jm_forward::{Route, RoutingTable, Target};
 use jm_types::{BatchId, DurationMs, ServiceId};
 
 use super::{Runner, RunnerState, share::Shares, start::time_left, write::mark_writing};
 use crate::{
-    BatchSpec, RewardAttempt, RewardCall, RewardEnd, RewardPass, RewardStart, RewardUrgency,
+    BatchSpec, RewardAttempt, RewardCall, RewardEnd, RewardKey, RewardPass, RewardStart, RewardUrgency,
     owned::OwnedBatch,
 };
 
 /// One attempt of a reward call.
 struct RewardRun {
-    start: RewardStart,
+    key: RewardKey,
+    serial: u64,
+    target: Target,
+    hedge_after_ms: DurationMs,
     spec: Arc<BatchSpec>,
     /// Deadline that the target is given.
     time_left_ms: DurationMs,
@@ -28,29 +31,33 @@
 }
 
 impl RewardRun {
-    /// The attempt that `start` asks for. `None` if the batch or the route of the call is gone.
+    /// The attempt that `start` asks for, with what stops it. `None` if the batch or the route of the call is gone.
     fn new(
         start: RewardStart,
         owned: &IndexMap<BatchId, OwnedBatch>,
         routing: &RoutingTable,
         unix_ms: u64,
-    ) -> Option<Self> {
+    ) -> Option<(Self, AbortRegistration)> {
         let spec = Arc::clone(&owned.get(&start.key.batch)?.spec);
         let route = reward_route(&spec, start.key.item, routing)?;
-        Some(Self {
+        let run = Self {
+            key: start.key,
+            serial: start.serial,
+            target: start.target,
+            hedge_after_ms: start.hedge_after_ms,
             time_left_ms: time_left(&spec, unix_ms).min(route.timeout_ms),
             max_failures: route.max_attempts.max(spec.max_attempts).max(1),
-            start,
             spec,
-        })
+        };
+        Some((run, start.registration))
     }
 
     fn call(&self) -> Option<&RewardCall> {
-        self.spec.items[self.start.key.item].reward.as_ref()
+        self.spec.items[self.key.item].reward.as_ref()
     }
 
     fn item_id(&self) -> &str {
-        &self.spec.items[self.start.key.item].id
+        &self.spec.items[self.key.item].id
     }
 }
 
@@ -85,27 +92,25 @@
             |key| reward_service(&owned.get(&key.batch)?.spec, key.item, &routing),
         );
         let runs = starts.into_iter();
-        let runs: Vec<RewardRun> = runs
+        let runs: Vec<_> = runs
             .filter_map(|start| RewardRun::new(start, owned, &routing, unix_ms))
             .collect();
         drop(guard);
-        for run in runs {
-            self.spawn_reward(run);
+        for (run, registration) in runs {
+            self.spawn_reward(run, registration);
         }
     }
 
-    fn spawn_reward(self: &Arc<Self>, run: RewardRun) {
+    fn spawn_reward(self: &Arc<Self>, run: RewardRun, registration: AbortRegistration) {
         let runner = Arc::clone(self);
-        task::spawn(async move { runner.run_reward(run).await });
+        task::spawn(async move { runner.run_reward(run, registration).await });
     }
 
     /// Makes one attempt, and asks for a hedged one each time the hedge delay passes without an answer.
-    async fn run_reward(self: Arc<Self>, mut run: RewardRun) {
+    async fn run_reward(self: Arc<Self>, run: RewardRun, registration: AbortRegistration) {
         let Some(call) = run.call().cloned() else { return };
-        let (_, unused) = futures::future::AbortHandle::new_pair();
-        let registration = std::mem::replace(&mut run.start.registration, unused);
         let client = Arc::clone(&self.deps.rewards);
-        let (target, limit_ms) = (run.start.target.clone(), run.time_left_ms);
+        let (target, limit_ms) = (run.target.clone(), run.time_left_ms);
         let attempt = async move {
             let answer = client.score(&target, &call, limit_ms);
             timeout(limit_ms.as_std(), answer)
@@ -116,7 +121,7 @@
         };
         let mut attempt = Abortable::new(attempt, registration).boxed();
         let end: Result<RewardEnd, Aborted> = loop {
-            let hedge_delay = task::sleep(run.start.hedge_after_ms.as_std()).boxed();
+            let hedge_delay = task::sleep(run.hedge_after_ms.as_std()).boxed();
             match select(attempt, hedge_delay).await {
                 Either::Left((end, _)) => break end,
                 Either::Right(((), pending)) => attempt = pending,
@@ -135,7 +140,7 @@
             return;
         };
         let catalog = self.deps.routing_source.catalog();
-        let key = &slow.start.key;
+        let key = &slow.key;
         let Some(service) = reward_service(&slow.spec, key.item, &routing) else {
             return;
         };
@@ -152,25 +157,25 @@
             own_work: shares.own_work(),
             remote_work: shares.remote_work(),
         };
-        let hedged = rewards.hedge(key, slow.start.serial, &pass, &service);
+        let hedged = rewards.hedge(key, slow.serial, &pass, &service);
         let run = hedged.and_then(|start| RewardRun::new(start, owned, &routing, unix_ms));
         drop(guard);
-        if let Some(run) = run {
-            let (first, second) = (&slow.start.target.run, &run.start.target.run);
-            let waited = slow.start.hedge_after_ms;
+        if let Some((run, registration)) = run {
+            let (first, second) = (&slow.target.run, &run.target.run);
+            let waited = slow.hedge_after_ms;
             self.deps
                 .events
                 .reward_hedged(&key.batch, slow.item_id(), first, second, waited);
-            self.spawn_reward(run);
+            self.spawn_reward(run, registration);
         }
     }
 
     fn on_reward_end(self: &Arc<Self>, run: &RewardRun, end: RewardEnd) {
-        let key = &run.start.key;
+        let key = &run.key;
         let now = self.now();
         let mut guard = self.state();
         let RunnerState { owned, rewards, .. } = &mut *guard;
-        let Some(ended) = rewards.attempt_ended(key, run.start.serial, &end, now) else {
+        let Some(ended) = rewards.attempt_ended(key, run.serial, &end, now) else {
             return;
         };
         let Some(owned) = owned.get_mut(&key.batch) else {
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -48,38 +48,33 @@
 }
 
 impl Runner {
+    /// Starts the items that engines have room for.
     pub(super) fn start_ready(self: &Arc<Self>) {
-        let Some(routing) = self.deps.routing_source.routing() else {
-            return;
-        };
-        let catalog = self.deps.routing_source.catalog();
-        let mut state = self.state();
-        if state.is_unconfirmed {
-            return;
-        }
-        let context = SchedulingContext {
-            routing: &routing,
-            catalog: &catalog,
-            shares: Shares::new(&state.owned, self.remote_work()),
-            now: self.now(),
-            unix_ms: self.deps.wall_clock.unix_ms(),
-        };
-        let starts = choose_starts(&mut state, &context);
-        drop(state);
-        for start in starts {
+        for start in self.schedule(choose_starts) {
             self.spawn_run(start);
         }
     }
 
     /// Moves items to faster engines and drops the records of engines that are gone.
     pub(super) fn move_to_faster(self: &Arc<Self>) {
+        for Move { from, start } in self.schedule(choose_moves) {
+            let item = &start.request.spec.items[start.item].id;
+            self.deps
+                .events
+                .moved(&start.batch, item, &from, &start.target.run);
+            self.spawn_run(start);
+        }
+    }
+
+    /// What `choose` decides to do now: nothing without a configuration, or while the owners of the batches are unknown.
+    fn schedule<T>(&self, choose: impl FnOnce(&mut RunnerState, &SchedulingContext<'_>) -> Vec<T>) -> Vec<T> {
         let Some(routing) = self.deps.routing_source.routing() else {
-            return;
+            return Vec::new();
         };
         let catalog = self.deps.routing_source.catalog();
         let mut state = self.state();
         if state.is_unconfirmed {
-            return;
+            return Vec::new();
         }
         let context = SchedulingContext {
             routing: &routing,
@@ -88,19 +83,7 @@
             now: self.now(),
             unix_ms: self.deps.wall_clock.unix_ms(),
         };
-        state.loads.retain(|run| {
-            let listed = catalog.get(&run.id);
-            listed.is_some_and(|target| target.run == *run)
-        });
-        let moves = choose_moves(&mut state, &context);
-        drop(state);
-        for Move { from, start } in moves {
-            let item = &start.request.spec.items[start.item].id;
-            self.deps
-                .events
-                .moved(&start.batch, item, &from, &start.target.run);
-            self.spawn_run(start);
-        }
+        choose(&mut state, &context)
     }
 
     fn spawn_run(self: &Arc<Self>, start: Start) {
@@ -267,7 +250,7 @@
     starts
 }
 
-/// Moves items from engines that are much slower than one with free capacity. The longest text determines when a step
+/// Selects items on engines that are much slower than one with free capacity. The longest text determines when a step
 /// ends, and a moved text continues after a few milliseconds.
 fn choose_moves(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Vec<Move> {
     let RunnerState {
@@ -276,6 +259,10 @@
         next_serial,
         ..
     } = state;
+    loads.retain(|run| {
+        let listed = context.catalog.get(&run.id);
+        listed.is_some_and(|target| target.run == *run)
+    });
     let mut moves = Vec::new();
     for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
         let movable = owned
