Checkpoints: texts that took a second are saved, whatever their number of events

A kill of all hosts restarted every text of the open steps; the trainer fell behind, and its last step did not come. Ruled out: a lower number of events, which would save texts of a few hundred milliseconds on sites with short events. Change: the text keeps how long engines took for it, also across owners; it is saved from 40 events or one second on, the one that took longest first. Test: few_long_events.

--- a/crates/jm-batch/src/checkpoint.rs
+++ b/crates/jm-batch/src/checkpoint.rs
@@ -17,8 +17,11 @@
     pub interval_ms: DurationMs,
     /// Maximum number of times that failed writes double the interval.
     pub max_doublings: u32,
-    /// Minimum number of events of a saved text. Shorter texts are generated again within one or two seconds.
+    /// Minimum number of events of a saved text, unless it took `min_took_ms`.
     pub min_events: u64,
+    /// Minimum generation time of a saved text with fewer events. An event may hold many tokens, so the number of events
+    /// alone says little about how long it takes to generate a text again.
+    pub min_took_ms: DurationMs,
     /// Time for which a complete text waits for its score before it is saved. A service that scores texts usually answers
     /// sooner, and each checkpoint costs a store call.
     pub min_unscored_ms: DurationMs,
@@ -34,6 +37,7 @@
             interval_ms: DurationMs::new(1_000),
             max_doublings: 3,
             min_events: 40,
+            min_took_ms: DurationMs::new(1_000),
             min_unscored_ms: DurationMs::new(250),
             unscored_interval_ms: DurationMs::new(300),
             max_bytes: 400_000,
@@ -70,8 +74,9 @@
 /// Selects the texts to save, complete ones first and then the longest.
 pub fn texts_to_save(mut texts: Vec<ItemText>, options: &CheckpointOptions) -> Vec<ItemText> {
     let events = |text: &ItemText| text.last_event.unwrap_or(0);
-    texts.retain(|text| text.is_complete || events(text) >= options.min_events);
-    texts.sort_by_key(|text| std::cmp::Reverse((text.is_complete, events(text))));
+    let is_long = |text: &ItemText| events(text) >= options.min_events || text.took_ms >= options.min_took_ms;
+    texts.retain(|text| text.is_complete || is_long(text));
+    texts.sort_by_key(|text| std::cmp::Reverse((text.is_complete, text.took_ms, events(text))));
     let mut bytes = 0;
     let fits = texts.iter().take_while(|text| {
         bytes += text.text.len();
--- a/crates/jm-batch/src/item_text.rs
+++ b/crates/jm-batch/src/item_text.rs
@@ -1,6 +1,6 @@
 //! Texts of items as they pass between owners and batches.
 
-use jm_types::WeightVersion;
+use jm_types::{DurationMs, WeightVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::RewardScore;
@@ -19,6 +19,9 @@
     /// Number of failed runs of the item.
     #[serde(default)]
     pub failures: usize,
+    /// Time that engines took to generate the text so far.
+    #[serde(default)]
+    pub took_ms: DurationMs,
     /// Whether the text has all its events. Its score may still be missing.
     #[serde(default)]
     pub is_complete: bool,
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -269,7 +269,9 @@
                 run.events += 1;
                 self.stalls.swap_remove(&index);
                 let version = run.version;
-                if self.texts[index].append(event, &data, version) {
+                let text = &mut self.texts[index];
+                text.took_ms = text.took_ms.saturating_add(gap);
+                if text.append(event, &data, version) {
                     EventOutcome::Event { gap, is_first }
                 } else {
                     EventOutcome::Discarded
--- a/crates/jm-batch/tests/saved_texts.rs
+++ b/crates/jm-batch/tests/saved_texts.rs
@@ -157,3 +157,27 @@
         "complete texts come first, however short"
     );
 }
+
+/// A text of few events with many tokens each takes seconds. A kill of all hosts would cost the step all of that time.
+#[test]
+fn few_long_events() {
+    let slow = ItemText {
+        took_ms: DurationMs::new(3_000),
+        ..item_text(1, 12, 10)
+    };
+    let slower = ItemText {
+        took_ms: DurationMs::new(5_000),
+        ..item_text(2, 20, 10)
+    };
+    let short = ItemText {
+        took_ms: DurationMs::new(500),
+        ..item_text(3, 20, 10)
+    };
+    let options = CheckpointOptions::default();
+    let texts = texts_to_save(vec![slow.clone(), short, slower.clone()], &options);
+    assert_eq!(
+        texts,
+        [slower, slow],
+        "the one that takes longest to generate again comes first"
+    );
+}
