Readiness: a host is ready once it has listed its targets

On reading: a host said that it was ready as soon as it had a configuration; the list of targets came a moment later, and until then each request was refused although targets were free. It was not played again with the refusal's text, so that cause is inferred from the code. Ruled out: a full target (the stand-in has slots), a stop (the host had just started). Change: ready needs the configuration and one list of targets; the first list of a prefix always reaches its handler, also an empty one.

--- a/crates/jm-host/src/cluster_state.rs
+++ b/crates/jm-host/src/cluster_state.rs
@@ -27,6 +27,8 @@
     /// The encoded configuration, sent to hosts that cannot read the store.
     routing_value: Vec<u8>,
     catalog: Arc<Catalog>,
+    /// Whether the targets were listed at least once.
+    has_listed_targets: bool,
     /// Targets that disappeared from the list in an outage, with the time until which they are still treated as
     /// listed.
     missing: IndexMap<TargetId, Timestamp>,
@@ -86,6 +88,13 @@
         (self.on_change)();
     }
 
+    /// Whether requests can be served: a configuration is active and the targets were listed. Before that each request would
+    /// be refused although targets are free.
+    pub fn is_complete(&self) -> bool {
+        let state = self.lock();
+        state.routing.is_some() && state.has_listed_targets
+    }
+
     /// Revision of the active configuration; zero before the first one.
     pub fn revision(&self) -> Revision {
         self.lock()
@@ -225,6 +234,7 @@
             catalog.insert(target);
         }
         state.catalog = Arc::new(catalog);
+        state.has_listed_targets = true;
     }
 
     fn set_version(&self, key: &str, value: &[u8]) {
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -249,9 +249,9 @@
         &self.settings
     }
 
-    /// Whether the host accepts callers: it has a configuration and is not about to stop.
+    /// Whether the host accepts callers: it has a configuration and the targets, and is not about to stop.
     pub fn is_ready(&self) -> bool {
-        !self.membership.is_leaving() && self.cluster.routing().is_some()
+        !self.membership.is_leaving() && self.cluster.is_complete()
     }
 
     /// Returns at most `limit` addresses of hosts for a caller, those in `zone` first, and how long the caller may
--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -116,9 +116,11 @@
         let mut confirmed_at = self.clock.now();
         let mut retry = self.options.retry_ms;
         let mut store_backoff = StoreBackoff::default();
+        let mut is_first = true;
         loop {
-            match self.list(confirmed_at, &mut store_backoff).await {
+            match self.list(confirmed_at, is_first, &mut store_backoff).await {
                 Ok(position) => {
+                    is_first = false;
                     if retry > self.options.retry_ms {
                         LogEvent::StoreAvailable
                             .write_fields("listing the prefix succeeded again", &[("prefix", &self.prefix)]);
@@ -138,10 +140,12 @@
         }
     }
 
-    /// Lists the prefix, and passes the listing to the handler when it contains changes or follows a notable gap.
+    /// Lists the prefix, and passes the listing to the handler when it is the first one, contains changes or follows a
+    /// notable gap.
     async fn list(
         &self,
         confirmed_at: Timestamp,
+        is_first: bool,
         store_backoff: &mut StoreBackoff,
     ) -> Result<Position, String> {
         let cached = self
@@ -160,7 +164,7 @@
             confirmed_at: Timestamp::new(now.get().saturating_sub(age.get())),
         };
         let changed = self.cache.apply_listing(self.space, self.prefix, &listing, age);
-        if changed > 0 || gap >= NOTABLE_GAP_MS {
+        if is_first || changed > 0 || gap >= NOTABLE_GAP_MS {
             self.handler.on_list(listing.objects, gap);
         }
         Ok(position)
--- a/crates/jm-host/tests/lost_targets.rs
+++ b/crates/jm-host/tests/lost_targets.rs
@@ -196,3 +196,14 @@
     test.list(&[("a", "serving")], 1_900);
     assert_eq!(test.serving(), ["a"]);
 }
+
+/// Guards against a host that is ready before it has listed its targets. It would refuse the first requests although
+/// targets are free.
+#[test]
+fn ready_after_targets() {
+    let test = start();
+    test.cluster.apply_routing(b"1");
+    assert!(!test.cluster.is_complete());
+    test.list(&[("t1", "serving")], 0);
+    assert!(test.cluster.is_complete());
+}
