Reward calls: a test that fails when a call is sent before the text's end

Cause: read again: score_after_text learns that the run began, not that it ended, so it would pass with calls sent in the middle of a text. It stays; no_call_before_end lets an engine stop after two events and expects no call.

--- a/crates/jm-batch/tests/reward_calls.rs
+++ b/crates/jm-batch/tests/reward_calls.rs
@@ -71,6 +71,23 @@
     assert!(!was_early.load(Ordering::SeqCst));
 }
 
+/// A call that is sent while the text is still generated would score an incomplete one.
+#[async_std::test]
+async fn no_call_before_end() {
+    let (hosts, store) = (Arc::new(Hosts::default()), FaultyStore::new());
+    let script: Script = Box::new(|_, _| vec![data(1), data(2), common::Step::Stall]);
+    let scoring = Box::new(|_: &_, _: &_| scored());
+    let targets = vec![engine("e1", 2, 1), scorer("d1", 6)];
+    let host = TestHost::start_scored("a", &hosts, &store, targets, script, scoring);
+    host.service.submit(spec_with_rewards("b1", 1)).await.unwrap();
+    wait_until(|| host.engines.open.load(Ordering::SeqCst) == 1).await;
+    for _ in 0..20 {
+        host.service.routing_changed();
+        task::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(host.scorers.call_count(), 0);
+}
+
 /// Lost, rejected and unsent attempts say nothing about the text, so they do not count against it.
 #[async_std::test]
 async fn lost_answers() {
