--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -148,6 +148,7 @@
         self.orders = 0
         self.beats = 0
         self.born = now_ms()
+        self.on_order = lambda: None
         self.server = Server(self.handle)
         self.beating = None
 
@@ -193,6 +194,7 @@
             return Response(200)
         self.orders += 1
         self.models[order["model"]] = order["version"]
+        self.on_order()
         return Response(202)
 
 
--- a/review/lib/web.py
+++ b/review/lib/web.py
@@ -50,7 +50,8 @@
     if "chunked" in headers.get("transfer-encoding", "").lower():
         body = b""
         while True:
-            size = int((await reader.readline()).split(b";")[0], 16)
+            line = await reader.readuntil(b"\r\n")
+            size = int(line.split(b";")[0], 16)
             piece = await reader.readexactly(size)
             await reader.readexactly(2)
             if size == 0:
