--- a/review/lib/web.py
+++ b/review/lib/web.py
@@ -16,6 +16,7 @@
         self.query = dict(parse_qsl(parts.query))
         self.headers = headers
         self.body = body
+        self.is_abandoned = lambda: False  # whether the sender has closed its connection
 
     def json(self):
         return json.loads(self.body)
@@ -89,7 +90,9 @@
         first, headers = await read_head(reader)
         method, target, _ = first.split(" ", 2)
         body = await read_body(reader, headers)
-        response = await self.handler(Request(method, target, headers, body))
+        request = Request(method, target, headers, body)
+        request.is_abandoned = lambda: reader.at_eof() or writer.is_closing()
+        response = await self.handler(request)
         if response is None:
             return False
         lines = ["HTTP/1.1 %d %s" % (response.status, "Status")]
