Review case: a batch job that is started twice fills the engines for good

Cause: the store's event of a new batch job can arrive before the answer to its create; both start it, the second start drops the running one, and the slots of its runs are never given back.

--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -25,9 +25,12 @@
         self.history = []
         self.changed = asyncio.Event()
         self.value_bytes = value_bytes
+        # Time that an answer takes. A change is made when its call arrives. A watch that waits returns its event after
+        # `event_s`.
         self.answer_s = answer_s
+        self.read_s = None  # time that the answer to a read takes, if it differs
+        self.event_s = answer_s
         self.busy = False  # every call is answered 503, and nothing is done
-        self.lose = None  # function of a change: True when it is done and gets no answer
         self.log = lambda text: None
         self.server = Server(self.handle)
 
@@ -53,27 +56,22 @@
         if self.busy:
             await asyncio.sleep(0.004)
             return Response(503)
-        await asyncio.sleep(self.answer_s)
-        if self.busy:
-            return Response(503)
         kind, _, name = request.path.removeprefix("/api/objects/").partition("/")
+        if request.method == "GET" and "watch" in request.query:
+            return await self.watch(kind, int(request.query["watch"]), int(request.query.get("wait_ms", 0)))
         if request.method == "GET":
-            return await self.read(request, kind, name)
+            await asyncio.sleep(self.answer_s if self.read_s is None else self.read_s)
+            return self.read(request, kind, name)
         response = self.change(request, kind, name)
         self.log("store: %s %s/%s -> %d" % (request.method, kind, name or request.json()["metadata"]["name"],
                                             response.status))
-        if self.lose and self.lose(request, kind):
-            self.log("store: that answer is lost")
-            await asyncio.sleep(60)
-            return None
+        await asyncio.sleep(self.answer_s)
         return response
 
-    async def read(self, request, kind, name):
+    def read(self, request, kind, name):
         if name:
             found = self.objects.get((kind, name))
             return Response.json(200, found) if found else Response(404)
-        if "watch" in request.query:
-            return await self.watch(kind, int(request.query["watch"]), int(request.query.get("wait_ms", 0)))
         names = sorted(n for k, n in self.objects if k == kind and n > request.query.get("after", ""))
         items = [self.objects[kind, n] for n in names[:500]]
         return Response.json(200, {"items": items, "has_more": len(names) > 500, "current_rev": self.revision})
@@ -84,6 +82,7 @@
             events = [event for revision, of, event in self.history if revision > after and of == kind]
             left = until - time.monotonic()
             if events or left <= 0:
+                await asyncio.sleep(self.event_s if events else 0)
                 return Response.json(200, {"events": events, "current_rev": self.revision})
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
