--- a/review/lib/platform_standins.py
+++ b/review/lib/platform_standins.py
@@ -60,8 +60,9 @@
         if request.method == "GET" and "watch" in request.query:
             return await self.watch(kind, int(request.query["watch"]), int(request.query.get("wait_ms", 0)))
         if request.method == "GET":
+            response = self.read(request, kind, name)
             await asyncio.sleep(self.answer_s if self.read_s is None else self.read_s)
-            return self.read(request, kind, name)
+            return response
         response = self.change(request, kind, name)
         self.log("store: %s %s/%s -> %d" % (request.method, kind, name or request.json()["metadata"]["name"],
                                             response.status))
@@ -82,8 +83,10 @@
             events = [event for revision, of, event in self.history if revision > after and of == kind]
             left = until - time.monotonic()
             if events or left <= 0:
+                # As of one revision: what changes while the answer is under way comes with the next watch.
+                body = {"events": events, "current_rev": self.revision}
                 await asyncio.sleep(self.event_s if events else 0)
-                return Response.json(200, {"events": events, "current_rev": self.revision})
+                return Response.json(200, body)
             try:
                 await asyncio.wait_for(self.changed.wait(), left)
             except TimeoutError:
