--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -57,7 +57,6 @@
         self.callers, self.ready, self.addresses, self.peers = ("%s:%d" % (self.ip, free_port(self.ip)) for _ in "1234")
         self.internal = free_port(self.ip, socket.SOCK_DGRAM)
         self.process = None
-        self.ended_at = None
         self.settings = None
         self.log = None
 
@@ -70,7 +69,10 @@
                   "bounds.report_window_s": str(WINDOW_S), "bounds.status_s": str(STATUS_S)}
         template = (ROOT / ROLE["template"]).read_text()
         self.settings = Path(folder) / (self.name + ".ini")
-        self.settings.write_text(re.sub(r"{{(.+?)}}", lambda match: values[match.group(1)], template))
+        text = re.sub(r"{{(.+?)}}", lambda match: values[match.group(1)], template)
+        # The template has a fixed port for metrics. A case uses free ports only.
+        text = re.sub(r"(?m)^metrics = .*$", "metrics = %s:%d" % (self.ip, free_port(self.ip)), text)
+        self.settings.write_text(text)
         self.log = open(Path(folder) / (self.name + ".log"), "a")
 
     def start(self):
