A batch starts once, whatever comes first: the store's event or its answer

Cause: the answer to the creation of a batch state (submit, start_new) and the store's event of it (reconcile, start_takeover) both start the batch. Runner::insert replaced the running batch. The runs of the first start were unknown afterwards, and on_end released only the slots of known runs, so the engines of the model stayed full in this host's count for ever.

Evidence: E5101, then E5103 11 ms later for the same batch at one host, then E5111 with running 0, with_room 0 and with_weights 3 while the stand-ins of the engines had no request. Ruled out: slots held at engines, engines avoided as faulty (no E5107), shares of other hosts (no other batch).

Change: insert is idempotent and reports a repeated start as E5117. Each removal of a running batch goes through RunnerState::remove, which releases its capacity; evict did not. After a start the host reconciles with the newest state, so an end or another owner that arrived during the start takes effect at once. A batch that is claimed back while it runs is released first.

--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -82,6 +82,9 @@
     /// already stored.
     fn taken_over(&self, batch: &BatchId, from: &MemberId, listed: usize);
 
+    /// A start of a batch was ignored, because this host already runs the batch.
+    fn start_repeated(&self, batch: &BatchId);
+
     /// A batch reuses items of earlier batches.
     fn carried_over(&self, batch: &BatchId, carried: &CarriedOver);
 
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -115,6 +115,19 @@
     is_unconfirmed: bool,
 }
 
+impl RunnerState {
+    /// Removes a batch, stops its runs and releases their capacity. All removals go through here, because an engine whose
+    /// capacity is not released never receives another item.
+    fn remove(&mut self, batch: &BatchId) -> Option<OwnedBatch> {
+        let mut owned = self.owned.swap_remove(batch)?;
+        let runs = owned.stop_all();
+        owned.notify();
+        end_runs(&mut self.loads, &runs);
+        self.rewards.retain(|key| key.batch != *batch);
+        Some(owned)
+    }
+}
+
 /// State of a batch that a new owner resumes.
 pub(crate) struct RecoveredProgress {
     /// Results in the store.
@@ -245,14 +258,19 @@
         Arc::clone(&self.remote_work.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Starts a batch that no host ran before.
-    pub(crate) fn start_new(self: &Arc<Self>, spec: Arc<BatchSpec>) {
+    /// Starts a batch that no host ran before. Returns whether it was started, see [`Self::insert`].
+    pub(crate) fn start_new(self: &Arc<Self>, spec: Arc<BatchSpec>) -> bool {
         let owned = OwnedBatch::new(spec, Vec::new(), self.options.plan, self.now());
-        self.insert(owned, None);
+        self.insert(owned, None)
     }
 
-    /// Starts a batch whose stored state names this host as the owner.
-    pub(crate) fn start_recovered(self: &Arc<Self>, spec: Arc<BatchSpec>, recovered: RecoveredProgress) {
+    /// Starts a batch whose stored state names this host as the owner. Returns whether it was started, see
+    /// [`Self::insert`].
+    pub(crate) fn start_recovered(
+        self: &Arc<Self>,
+        spec: Arc<BatchSpec>,
+        recovered: RecoveredProgress,
+    ) -> bool {
         let is_taken_over = recovered.earlier_owners > 0;
         let mut plan = self.options.plan;
         if is_taken_over {
@@ -264,7 +282,7 @@
         let earlier = recovered
             .previous_batch
             .map(|earlier| self.restore_previous(earlier));
-        self.insert(owned, earlier);
+        self.insert(owned, earlier)
     }
 
     fn restore_previous(&self, earlier: PreviousBatch) -> OwnedBatch {
@@ -274,12 +292,21 @@
         owned
     }
 
-    /// Starts to run a batch. `previous` is the submitter's previous batch, if this host did not run it.
-    fn insert(self: &Arc<Self>, mut owned: OwnedBatch, previous: Option<OwnedBatch>) {
+    /// Starts to run a batch, unless this host runs it already. Returns whether it was started. `previous` is the
+    /// submitter's previous batch, if this host did not run it.
+    ///
+    /// A batch may be started twice, because the store's event and the answer to the write that caused the event arrive
+    /// in any order. The first start wins, because the runs of a replaced batch would keep their capacity for ever.
+    fn insert(self: &Arc<Self>, mut owned: OwnedBatch, previous: Option<OwnedBatch>) -> bool {
         let batch = owned.spec.id.clone();
         let now = self.now();
         let mut guard = self.state();
         let state = &mut *guard;
+        if state.owned.contains_key(&batch) {
+            drop(guard);
+            self.deps.events.start_repeated(&batch);
+            return false;
+        }
         for other in state.owned.values_mut() {
             let stopped = stop_repeated_items(other, &owned.spec, now);
             end_runs(&mut state.loads, &stopped);
@@ -300,6 +327,7 @@
             task::spawn(Arc::clone(self).write_results(batch));
         }
         self.wake();
+        true
     }
 
     pub(crate) fn owns(&self, batch: &BatchId) -> bool {
@@ -361,13 +389,7 @@
     /// Stops running a batch, because another host runs it or this host shuts down. Returns its results; `None` if this
     /// host does not run it.
     pub(crate) fn release(&self, batch: &BatchId) -> Option<Vec<BatchResult>> {
-        let mut state = self.state();
-        let mut owned = state.owned.swap_remove(batch)?;
-        let runs = owned.stop_all();
-        owned.notify();
-        end_runs(&mut state.loads, &runs);
-        state.rewards.retain(|key| key.batch != *batch);
-        Some(owned.listed)
+        self.state().remove(batch).map(|owned| owned.listed)
     }
 
     /// The position from which the store may hold results that this host has not read. `None` when it has read all of
@@ -419,10 +441,15 @@
 
     /// Removes batches that were submitted before a time of day.
     pub(crate) fn evict(&self, submitted_before_unix_ms: u64) {
-        let mut guard = self.state();
-        let RunnerState { owned, rewards, .. } = &mut *guard;
-        owned.retain(|_, owned| owned.spec.submitted_unix_ms >= submitted_before_unix_ms);
-        rewards.retain(|key| owned.contains_key(&key.batch));
+        let mut state = self.state();
+        let old = state
+            .owned
+            .values()
+            .filter(|owned| owned.spec.submitted_unix_ms < submitted_before_unix_ms);
+        let old: Vec<BatchId> = old.map(|owned| owned.spec.id.clone()).collect();
+        for batch in old {
+            state.remove(&batch);
+        }
     }
 
     /// Whether no item waits, runs or is scored.
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -69,7 +69,7 @@
 
     /// Whether the cached state names this host as the owner of a running batch. The caller has checked that its runner
     /// does not have the batch yet.
-    fn is_about_to_run(&self, batch: &BatchId) -> bool {
+    pub(super) fn is_about_to_run(&self, batch: &BatchId) -> bool {
         self.cached_state(batch).is_some_and(|cached| {
             cached.state.phase == BatchPhase::Running
                 && cached
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -46,8 +46,13 @@
                 displaced_at.map(|displaced_at| now.since(displaced_at)),
             ) {
                 Takeover::Own if !owns => self.start_takeover(state, None),
-                Takeover::Claim => self.start_takeover(state, Some(version)),
                 Takeover::Own => {}
+                Takeover::Claim => {
+                    if owns {
+                        self.release(&state);
+                    }
+                    self.start_takeover(state, Some(version));
+                }
                 Takeover::None if state.phase == BatchPhase::Running => {
                     remote_work.push(RemoteWork {
                         model: state.model.clone(),
@@ -117,22 +122,27 @@
         let service = Arc::clone(self);
         task::spawn(async move {
             let batch = state.batch.clone();
-            if let Err(error) = service.take_over(state, claim).await {
-                service
-                    .deps
-                    .events
-                    .store_failed(&batch, "take over", &error.to_string());
-            }
+            let taken_over = service.take_over(state, claim).await;
             service.state().taking_over.remove(&batch);
+            match taken_over {
+                // The batch may have ended or changed its owner while its objects were read.
+                Ok(true) => service.reconcile(),
+                Ok(false) => {}
+                Err(error) => {
+                    let reason = error.to_string();
+                    service.deps.events.store_failed(&batch, "take over", &reason);
+                }
+            }
         });
     }
 
-    async fn take_over(&self, state: BatchState, claim: Option<Version>) -> Result<(), StoreError> {
+    /// Returns whether the batch was started on this host.
+    async fn take_over(&self, state: BatchState, claim: Option<Version>) -> Result<bool, StoreError> {
         let from = state.owner.clone();
         let mut earlier_owners = state.earlier_owners;
         if let Some(version) = claim {
             if !self.claim(state.clone(), version).await? {
-                return Ok(());
+                return Ok(false);
             }
             earlier_owners += 1;
         }
@@ -172,9 +182,11 @@
             earlier_owners,
             previous_batch,
         };
-        self.runner.start_recovered(Arc::new(spec), recovered);
-        self.deps.events.taken_over(&state.batch, &from, count);
-        Ok(())
+        let is_started = self.runner.start_recovered(Arc::new(spec), recovered);
+        if is_started {
+            self.deps.events.taken_over(&state.batch, &from, count);
+        }
+        Ok(is_started)
     }
 
     /// The stored results and texts of a batch that has had this number of owners, counting each incarnation of a host.
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -43,12 +43,10 @@
             WriteOutcome::Applied(version) => {
                 self.deps.events.accepted(&spec.id, spec.items.len());
                 self.cache_state(state.clone(), version);
-                if !state.is_owned_by(&self.options.local_member, self.options.incarnation) {
-                    self.announce(state, version);
-                } else if self.has_previous_batch_to_load(&spec) {
-                    self.start_takeover(state, None);
+                if state.is_owned_by(&self.options.local_member, self.options.incarnation) {
+                    self.start_accepted(spec);
                 } else {
-                    self.runner.start_new(spec);
+                    self.announce(state, version);
                 }
                 Ok(())
             }
@@ -56,6 +54,16 @@
         }
     }
 
+    /// Starts a batch that was stored with this host as its owner. The store's events of that state, and of its end or
+    /// of another owner, may have arrived before the answer to the write.
+    fn start_accepted(self: &Arc<Self>, spec: Arc<BatchSpec>) {
+        let is_current = self.is_about_to_run(&spec.id);
+        if is_current && !self.has_previous_batch_to_load(&spec) {
+            self.runner.start_new(spec);
+        }
+        self.reconcile();
+    }
+
     /// Selects the owner of a new batch, which is this host if no live one is known.
     fn first_owner(&self, spec: &BatchSpec) -> (MemberId, Incarnation) {
         let live = self.deps.members.live();
@@ -86,9 +94,12 @@
     }
 
     /// Handles a state that already exists, from an earlier submission or from a create whose response was lost.
-    async fn accepted_before(&self, spec: &BatchSpec) -> Result<(), SubmitError> {
+    async fn accepted_before(self: &Arc<Self>, spec: &BatchSpec) -> Result<(), SubmitError> {
         match self.load_state(&spec.id).await {
-            Ok(state) => same_organisation(&state, spec),
+            Ok(state) => {
+                self.reconcile();
+                same_organisation(&state, spec)
+            }
             Err(error) => MayBeStoredSnafu {
                 reason: error.to_string(),
             }
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -33,7 +33,8 @@
 
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
 pub(crate) use scorers::{ScoringScript, ScriptedScorers, scored, scorer, spec_with_rewards};
-pub(crate) use store::FaultyStore;
+#[allow(unused_imports, reason = "each test file uses a part of these helpers")]
+pub(crate) use store::{CallKind, FaultyStore};
 
 /// Fails a test that would otherwise hang. No assertion depends on its length.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
@@ -299,6 +300,7 @@
     pub(crate) expired: AtomicU64,
     pub(crate) moved: AtomicU64,
     pub(crate) taken_over: AtomicU64,
+    pub(crate) repeated_starts: AtomicU64,
     pub(crate) carried: Mutex<CarriedOver>,
     pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
     pub(crate) hedged_rewards: AtomicU64,
@@ -313,6 +315,9 @@
     fn carried_over(&self, _batch: &BatchId, carried: &CarriedOver) {
         *self.carried.lock().unwrap() = *carried;
     }
+    fn start_repeated(&self, _batch: &BatchId) {
+        self.repeated_starts.fetch_add(1, Ordering::SeqCst);
+    }
     fn released(&self, _batch: &BatchId, _to: &MemberId) {}
     fn paused(&self, _pause: DurationMs) {
         self.pauses.fetch_add(1, Ordering::SeqCst);
--- a/crates/jm-batch/tests/common/store.rs
+++ b/crates/jm-batch/tests/common/store.rs
@@ -2,13 +2,16 @@
 
 use std::{
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use async_std::task;
+use async_std::{
+    channel::{Receiver, Sender, bounded},
+    task,
+};
 use async_trait::async_trait;
 use jm_platform::{
     Changes, Condition, Listing, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError, Version,
@@ -26,8 +29,25 @@
     /// Fails all reads and writes without applying them.
     pub(crate) is_down: AtomicBool,
     pub(crate) reads: AtomicU64,
+    held_calls: Mutex<Vec<HeldPrefix>>,
+}
+
+/// Keys whose calls get their answers only after the test dropped the [`Hold`].
+struct HeldPrefix {
+    kind: CallKind,
+    prefix: &'static str,
+    released: Receiver<()>,
 }
 
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallKind {
+    Read,
+    Write,
+}
+
+/// Keeps answers of the store back until it is dropped.
+pub(crate) struct Hold(#[allow(dead_code, reason = "its drop closes the channel")] Sender<()>);
+
 impl FaultyStore {
     pub(crate) fn new() -> Arc<Self> {
         Arc::new(Self {
@@ -35,9 +55,36 @@
             loses_next_response: AtomicBool::new(false),
             is_down: AtomicBool::new(false),
             reads: AtomicU64::new(0),
+            held_calls: Mutex::default(),
         })
     }
 
+    /// Applies calls on keys that begin with `prefix` at once, but keeps their answers back.
+    pub(crate) fn hold_answers(&self, kind: CallKind, prefix: &'static str) -> Hold {
+        let (sender, released) = bounded(1);
+        let held = HeldPrefix {
+            kind,
+            prefix,
+            released,
+        };
+        self.held_calls.lock().unwrap().push(held);
+        Hold(sender)
+    }
+
+    async fn wait_while_held(&self, kind: CallKind, key: &str) {
+        let held: Vec<Receiver<()>> = {
+            let calls = self.held_calls.lock().unwrap();
+            let matching = calls
+                .iter()
+                .filter(|held| held.kind == kind && key.starts_with(held.prefix));
+            matching.map(|held| held.released.clone()).collect()
+        };
+        for released in held {
+            // The error says that the hold was dropped.
+            let _ = released.recv().await;
+        }
+    }
+
     pub(crate) async fn wait_for_saved_texts(&self, batch: &str) {
         let prefix = format!("batch-texts/{batch}.");
         with_timeout(async {
@@ -63,7 +110,9 @@
 impl ObjectStore for FaultyStore {
     async fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
         self.check()?;
-        self.inner.get(key).await
+        let object = self.inner.get(key).await;
+        self.wait_while_held(CallKind::Read, key).await;
+        object
     }
 
     async fn put(&self, key: &str, value: Vec<u8>, condition: Condition) -> Result<Version, ObjectError> {
@@ -73,6 +122,7 @@
             });
         }
         let result = self.inner.put(key, value, condition).await;
+        self.wait_while_held(CallKind::Write, key).await;
         if self.loses_next_response.swap(false, Ordering::SeqCst) {
             return Err(ObjectError::AnswerLost {
                 reason: "lost".to_owned(),
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -332,6 +332,14 @@
         );
     }
 
+    fn start_repeated(&self, batch: &BatchId) {
+        self.batches.with_label_values(&["start_repeated"]).inc();
+        LogEvent::BatchStartRepeated.write_fields(
+            "the batch already runs on this host; the second start has no effect",
+            &[("batch", &batch.as_str())],
+        );
+    }
+
     fn released(&self, batch: &BatchId, to: &MemberId) {
         self.batches.with_label_values(&["given_up"]).inc();
         LogEvent::BatchGivenUp.write_fields(
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -157,6 +157,8 @@
     RewardHedged = 5115, Info;
     /// This process did not run for a while and confirms the owners of its batches.
     ProcessPaused = 5116, Warn;
+    /// A batch was to be started on a host that already runs it. The second start has no effect.
+    BatchStartRepeated = 5117, Info;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
