Planned stop: a host refuses requests that may outlast its process

Cause: a leaving host serves stale callers for 4.5 s and exits at 7.3 s, whatever time its requests have left, and answers nothing that is open then.

E1004 says finished_all_requests false. Ruled out: engines or links that break off, an early close of the listener, SIGKILL.

Change: jm-forward drain decides without I/O. While the host shuts down, a request is accepted only if its limit ends before the exit; else it is refused at once as not run (JM2005, Retry-After 0). Requests that may be repeated are also tried when four objectives of their route fit, since callers repeat them. What is open 0.2 s before the exit is answered: JM3001, or JM2005 if no target has it. Waits for results end in time; submissions of batches that cannot be answered are refused.

Weighed: refusing all from the SIGTERM on costs short requests a reconnect; taking all in the first seconds leaves orders unanswered when they are slow. The product's own daemons wait without a limit and cut nothing.

--- a/crates/jm-forward/src/caller.rs
+++ b/crates/jm-forward/src/caller.rs
@@ -3,7 +3,7 @@
 use jm_http::{Method, RequestTarget, headers::Headers};
 use jm_types::{DurationMs, ResultCode};
 
-use crate::TargetAnswer;
+use crate::{Route, TargetAnswer};
 
 /// A caller's request with its complete head and body.
 #[derive(Debug, Clone)]
@@ -27,6 +27,13 @@
     pub timeout_ms: Option<DurationMs>,
 }
 
+impl CallerRequest {
+    /// Maximum time in which the request is answered on `route`.
+    pub fn time_limit(&self, route: &Route) -> DurationMs {
+        self.timeout_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms)
+    }
+}
+
 /// Why no response of a target is returned to the caller.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ForwardRefusal {
--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -6,6 +6,7 @@
 use futures::{
     FutureExt, StreamExt,
     future::{BoxFuture, Either, select},
+    pin_mut,
     stream::FuturesUnordered,
 };
 use jm_route::RetryBudget;
@@ -117,19 +118,17 @@
         }
     }
 
-    /// Sends an admitted request to targets until one responds, the retry policy refuses it or the deadline passes.
+    /// Sends an admitted request to targets until one responds, the retry policy refuses it, the deadline passes or the
+    /// host shuts down, whose last moment for answers is the end of `shutdown`.
     pub async fn forward(
         &self,
         request: &CallerRequest,
         route: &Route,
         access: &Access,
         catalog: &Catalog,
+        shutdown: impl Future<Output = ()> + Send,
     ) -> ForwardResult {
-        let timeout_ms = request
-            .timeout_ms
-            .unwrap_or(route.timeout_ms)
-            .min(route.timeout_ms);
-        let deadline = self.clock.now().after(timeout_ms);
+        let deadline = self.clock.now().after(request.time_limit(route));
         lock(&self.hedges).deposit();
         let mut active = ActiveRequest {
             forwarder: self,
@@ -145,9 +144,7 @@
             no_hedge_before: Timestamp::new(0),
             is_counted: false,
         };
-        let time_left = deadline.since(self.clock.now()).as_std();
-        let result = async_std::future::timeout(time_left, active.run()).await;
-        let result = result.unwrap_or_else(|_| Err(active.attempts.timeout_refusal()));
+        let result = active.run_until(shutdown).await;
         active.release_open();
         result
     }
@@ -172,6 +169,23 @@
 }
 
 impl<'a> ActiveRequest<'a> {
+    async fn run_until(&mut self, shutdown: impl Future<Output = ()> + Send) -> ForwardResult {
+        let time_left = self.deadline.since(self.forwarder.clock.now()).as_std();
+        let ended = {
+            let run = async_std::future::timeout(time_left, self.run()).boxed();
+            pin_mut!(shutdown);
+            match select(run, shutdown).await {
+                Either::Left((ended, _)) => Some(ended),
+                Either::Right(((), _)) => None,
+            }
+        };
+        match ended {
+            Some(Ok(result)) => result,
+            Some(Err(_)) => Err(self.attempts.timeout_refusal()),
+            None => Err(self.attempts.shutdown_refusal()),
+        }
+    }
+
     async fn run(&mut self) -> ForwardResult {
         self.start()?;
         loop {
--- a/crates/jm-forward/src/lib.rs
+++ b/crates/jm-forward/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod caller;
 mod client;
+mod drain;
 mod event_stream;
 mod forwarder;
 mod retry;
@@ -17,6 +18,7 @@
 
 pub use caller::{CallerRequest, ForwardAnswer, ForwardRefusal, ForwardResult};
 pub use client::{AnswerBody, AttemptOptions, AttemptOutcome, TargetAnswer, TargetClient};
+pub use drain::Drain;
 pub use event_stream::limit_stalls;
 pub use forwarder::{ForwardObserver, Forwarder, ForwarderOptions};
 pub use retry::{RetryDecision, RetryOptions, RetryState};
--- a/crates/jm-forward/src/retry.rs
+++ b/crates/jm-forward/src/retry.rs
@@ -5,7 +5,7 @@
 
 use jm_types::{DurationMs, ResultCode, Timestamp};
 
-use crate::{AttemptOutcome, ForwardRefusal, Route, RouteKind};
+use crate::{AttemptOutcome, ForwardRefusal, Route, RouteKind, drain::stopping};
 
 /// Settings for retries and hedged attempts.
 #[derive(Debug, Clone, Copy)]
@@ -164,6 +164,17 @@
             "no target responded before the deadline".to_owned(),
         )
     }
+
+    /// The refusal to return when this host exits before a target responded. It says whether the request may have run.
+    pub fn shutdown_refusal(&self) -> ForwardRefusal {
+        if self.runs == 0 {
+            return stopping("this host exits before a target accepted the request".to_owned());
+        }
+        refusal(
+            ResultCode::OutcomeUnknown,
+            "this host exits before a target responded".to_owned(),
+        )
+    }
 }
 
 /// The refusal of a request that no target accepted. The request has not run.
--- a/crates/jm-forward/tests/forwarded_request.rs
+++ b/crates/jm-forward/tests/forwarded_request.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use std::future::pending;
+
 use common::{Does, TestForwarder, forwarder, request, route, table};
 use jm_forward::{Access, ForwardResult, RouteKind};
 use jm_types::{DurationMs, Execution, ResultCode};
@@ -12,7 +14,7 @@
     let access = Access::Organisation("parish".parse().unwrap());
     let request = request("/orders/1", Some("key-1"));
     test.forwarder
-        .forward(&request, &route, &access, &test.catalog)
+        .forward(&request, &route, &access, &test.catalog, pending())
         .await
 }
 
@@ -97,7 +99,7 @@
     let access = Access::Organisation("parish".parse().unwrap());
     let forwarded = test
         .forwarder
-        .forward(&request, &slow, &access, &test.catalog)
+        .forward(&request, &slow, &access, &test.catalog, pending())
         .await;
     assert!(forwarded.is_ok(), "{forwarded:?}");
 }
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -3,7 +3,12 @@
 mod reconcile;
 mod tasks;
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use async_std::{
     channel::{Receiver, Sender, bounded},
@@ -14,7 +19,7 @@
     BatchService, BatchServiceDependencies, BatchServiceOptions, BatchStore, RoutingSource, RunnerOptions,
 };
 use jm_forward::{
-    Access, CallerLimits, CallerRequest, ForwardRefusal, ForwardResult, Forwarder, ForwarderOptions,
+    Access, CallerLimits, CallerRequest, Drain, ForwardRefusal, ForwardResult, Forwarder, ForwarderOptions,
     RetryOptions, Route, RoutingTable, SelectionOptions,
 };
 use jm_http::{Connection, Handler, Limits, Request, Response, Server, SharedLimits, listen};
@@ -91,6 +96,10 @@
     caller_limits: SharedLimits,
     changes: (Sender<()>, Receiver<()>),
     stop: Stop,
+    /// Set when a planned stop begins.
+    drain: OnceLock<Drain>,
+    /// Closed when the last answers are due before the exit.
+    last_answers: (Sender<Infallible>, Receiver<Infallible>),
 }
 
 /// Components that only the background tasks and the listeners of the host use.
@@ -230,6 +239,8 @@
             caller_limits: initial_limits().into(),
             changes,
             stop,
+            drain: OnceLock::new(),
+            last_answers: bounded(1),
         });
         host.serve_peers(&components)?;
         host.start_tasks(components);
@@ -297,8 +308,37 @@
 
     /// Forwards an admitted request to targets, with retries, until one answers or the retries are exhausted.
     pub async fn forward(&self, request: &CallerRequest, route: &Route, access: &Access) -> ForwardResult {
+        if let Some(drain) = self.drain.get() {
+            drain.admit(request, route, self.clock.now())?;
+        }
         let catalog = self.cluster.catalog();
-        self.forwarder.forward(request, route, access, &catalog).await
+        let shutdown = async {
+            // No message is ever sent. `recv` fails when the stop closes the channel.
+            let _ = self.last_answers.1.recv().await;
+        };
+        self.forwarder
+            .forward(request, route, access, &catalog, shutdown)
+            .await
+    }
+
+    /// Refuses work that takes up to `limit` if the host may exit before it ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal that says that nothing has run.
+    pub fn admit_while_draining(&self, limit: DurationMs) -> Result<(), ForwardRefusal> {
+        match self.drain.get() {
+            Some(drain) => drain.admit_within(limit, self.clock.now()),
+            None => Ok(()),
+        }
+    }
+
+    /// Shortens a wait to the time in which a host that shuts down still answers.
+    pub fn wait_while_draining(&self, wait: DurationMs) -> DurationMs {
+        match self.drain.get() {
+            Some(drain) => wait.min(drain.time_left(self.clock.now())),
+            None => wait,
+        }
     }
 
     /// Monotonic clock of the host.
@@ -369,9 +409,10 @@
             &[("grace_ms", &self.settings.bounds.grace_ms.get())],
         );
         let begun = self.clock.now();
+        let usable_ms = self.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
+        let drain = *self.drain.get_or_init(|| Drain::new(begun.after(usable_ms)));
         self.membership.start_leaving();
         trigger.leave();
-        let usable_ms = self.settings.bounds.grace_ms.saturating_sub(GRACE_MARGIN_MS);
         let handover = async_std::future::timeout(DRAIN_MS.as_std(), self.batches.hand_over()).await;
         if handover.is_err() {
             LogEvent::BatchStoreFailed
@@ -382,9 +423,16 @@
             .saturating_sub(self.clock.now().since(begun));
         task::sleep(drain_ms.as_std()).await;
         trigger.stop();
-        let remaining = usable_ms.saturating_sub(self.clock.now().since(begun));
-        let all = futures::future::join_all(callers);
-        let finished = async_std::future::timeout(remaining.as_std(), all).await.is_ok();
+        let remaining = || usable_ms.saturating_sub(self.clock.now().since(begun)).as_std();
+        let mut all = futures::future::join_all(callers);
+        let answers_ms = drain.time_left(self.clock.now());
+        let mut finished = async_std::future::timeout(answers_ms.as_std(), &mut all)
+            .await
+            .is_ok();
+        if !finished {
+            self.last_answers.0.close();
+            finished = async_std::future::timeout(remaining(), all).await.is_ok();
+        }
         let flush = self.usage_publisher.flush();
         if async_std::future::timeout(FLUSH_TIMEOUT_MS.as_std(), flush)
             .await
