Specifications in parts: the head names the digest of the items it belongs to

Cause: parts of a large specification were created under the batch's id and a number alone, and an existing part was taken for the own one. A submission that is repeated at another host writes another text: time limits of its configuration and the time of submission come before the items. Head and parts of two hosts formed one text that could not be read. With other bodies under the same id it could be read, with wrong bodies (test other_items).

Evidence: E5109 "Invalid padding" at each host, while each create of the case was answered, repeated parts with 409. Ruled out: lost answers of the store; the split itself (larger_than_one_object).

Reads compare the digest. A host whose head was not stored removes its unused parts. Objects of earlier releases are still read. The code moved from store.rs to store/spec.rs.

--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod carry_over;
 mod checkpoint;
+mod digest;
 mod engine_load;
 mod events;
 mod generator;
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -80,6 +80,12 @@
         match self.create(|| store.create_spec(&spec).boxed()).await? {
             WriteOutcome::Applied(_) => Ok(Arc::new(spec)),
             WriteOutcome::Conflict => {
+                if let Err(error) = store.remove_unused_parts(&spec).await {
+                    let reason = error.to_string();
+                    self.deps
+                        .events
+                        .store_failed(&spec.id, "remove unused parts", &reason);
+                }
                 let stored = store.load_spec(&spec.id).await;
                 let stored = stored.map_err(|error| SubmitError::MayBeStored {
                     reason: error.to_string(),
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -3,6 +3,8 @@
 //! Each piece is created under the position of its first result. Two owners can therefore not store different results
 //! at one position: the second create fails, and its writer reads the existing piece.
 
+mod spec;
+
 use std::sync::Arc;
 
 use futures::future::try_join_all;
@@ -11,7 +13,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::Snafu;
 
-use crate::{BatchResult, BatchSpec, BatchState, ItemText, ResultPiece};
+use crate::{BatchResult, BatchState, ItemText, ResultPiece};
 
 /// Key prefix of the state objects.
 pub const BATCH_STATE_PREFIX: &str = "batch-state/";
@@ -19,9 +21,6 @@
 /// Maximum number of most recent owners whose saved texts are read.
 const MAX_SAVED_TEXT_OWNERS: u32 = 6;
 
-/// Maximum size of a specification part in one object, with a margin for the overhead of the store's encoding.
-const PART_BYTES: usize = 700_000;
-
 /// Why an object could not be written or read.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum StoreError {
@@ -64,13 +63,6 @@
     Conflict,
 }
 
-/// First object of a specification. The rest is in `parts - 1` further objects.
-#[derive(Debug, serde::Serialize, serde::Deserialize)]
-struct SpecHead {
-    parts: usize,
-    text: String,
-}
-
 /// Reads and writes the objects of batches.
 #[derive(Clone)]
 pub struct BatchStore {
@@ -83,44 +75,6 @@
         Self { objects }
     }
 
-    /// Creates the specification unless it exists. The other parts are written before the head, so that a stored head
-    /// always has all its parts.
-    pub(crate) async fn create_spec(&self, spec: &BatchSpec) -> Result<WriteOutcome, StoreError> {
-        let text = encode(spec);
-        let pieces = split(&text, PART_BYTES);
-        for (index, piece) in pieces.iter().enumerate().skip(1) {
-            let key = part_key(&spec.id, index);
-            self.create(&key, piece.as_bytes().to_vec()).await?;
-        }
-        let head = SpecHead {
-            parts: pieces.len(),
-            text: pieces[0].to_owned(),
-        };
-        self.create(&spec_key(&spec.id), encode(&head).into_bytes()).await
-    }
-
-    /// Reads a specification; `None` when it does not exist.
-    pub(crate) async fn load_spec(&self, batch: &BatchId) -> Result<Option<BatchSpec>, StoreError> {
-        let key = spec_key(batch);
-        let Some((head, _)) = self.read::<SpecHead>(&key).await? else {
-            return Ok(None);
-        };
-        let mut text = head.text;
-        for index in 1..head.parts {
-            let part = self.part(&part_key(batch, index)).await?;
-            text.push_str(&part);
-        }
-        decode(&key, text.as_bytes()).map(Some)
-    }
-
-    async fn part(&self, key: &str) -> Result<String, StoreError> {
-        let object = self.objects.get(key).await.map_err(StoreError::unavailable)?;
-        let bytes = object
-            .ok_or_else(|| corrupt(key, "the object does not exist"))?
-            .value;
-        String::from_utf8(bytes).map_err(|error| corrupt(key, error))
-    }
-
     /// Creates the state unless it exists.
     pub(crate) async fn create_state(&self, state: &BatchState) -> Result<WriteOutcome, StoreError> {
         self.create(&state_key(&state.batch), encode(state).into_bytes())
@@ -258,12 +212,7 @@
         for object in saved.map_err(StoreError::unavailable)?.objects {
             self.delete(&object.key).await?;
         }
-        if let Some((head, _)) = self.read::<SpecHead>(&spec_key(batch)).await? {
-            for index in 1..head.parts {
-                self.delete(&part_key(batch, index)).await?;
-            }
-            self.delete(&spec_key(batch)).await?;
-        }
+        self.remove_spec(batch).await?;
         self.delete(&state_key(batch)).await
     }
 
@@ -312,28 +261,6 @@
     serde_json::from_slice(bytes).map_err(|error| corrupt(key, error))
 }
 
-/// Splits a text into parts of at most `limit_bytes` at character boundaries. Returns at least one part.
-fn split(text: &str, limit_bytes: usize) -> Vec<&str> {
-    let mut pieces = Vec::new();
-    let mut rest = text;
-    while rest.len() > limit_bytes {
-        let end = rest.floor_char_boundary(limit_bytes);
-        let (piece, tail) = rest.split_at(end);
-        pieces.push(piece);
-        rest = tail;
-    }
-    pieces.push(rest);
-    pieces
-}
-
-fn spec_key(batch: &BatchId) -> String {
-    format!("batch/{batch}")
-}
-
-fn part_key(batch: &BatchId, index: usize) -> String {
-    format!("batch-part/{batch}.{index}")
-}
-
 fn state_key(batch: &BatchId) -> String {
     format!("{BATCH_STATE_PREFIX}{batch}")
 }
--- a/crates/jm-batch/tests/common/store.rs
+++ b/crates/jm-batch/tests/common/store.rs
@@ -71,6 +71,11 @@
         Hold(sender)
     }
 
+    /// Answers new calls at once. Those that wait already do so until their [`Hold`] is dropped.
+    pub(crate) fn hold_no_more(&self) {
+        self.held_calls.lock().unwrap().clear();
+    }
+
     async fn wait_while_held(&self, kind: CallKind, key: &str) {
         let held: Vec<Receiver<()>> = {
             let calls = self.held_calls.lock().unwrap();
