Bodies and texts without end cannot fill the memory of a host

Shown here: heads are bounded (endless_answer passes as before). Each body was bounded by 4 MB, all of them together by nothing: 50 at once held 200 MB on hosts of 110 MB and more. The text of a batch item whose engine sends whole events without end had no bound.

A text ends at 1 MB, which no object or page of results can hold: it is dropped, the engine counts as failed and the item starts again. A response written at full speed yields to other tasks.

Tests: buffer_budget endless_bodies and engine_faults endless_events failed with the bound switched off and pass with it. every_limit_has_a_setting covers the new limit and compares as strictly as before.

--- a/crates/jm-batch/src/item_text.rs
+++ b/crates/jm-batch/src/item_text.rs
@@ -5,6 +5,19 @@
 
 use crate::RewardScore;
 
+/// Maximum size of the text of an item. A longer one fits neither into an object of the store nor into a page of results,
+/// and only a faulty engine sends it.
+const MAX_TEXT_BYTES: usize = 1_000_000;
+
+/// Why an event was not appended to a text.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum AppendError {
+    /// The preceding event is missing.
+    Gap,
+    /// The text would exceed [`MAX_TEXT_BYTES`].
+    TooLong,
+}
+
 /// The partial text of an item. It is saved in checkpoints and handed over to the next owner, which resumes it.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemText {
@@ -40,10 +53,18 @@
 }
 
 impl ItemText {
-    /// Appends the data of an event; returns `false` when the preceding event is missing.
-    pub(crate) fn append(&mut self, event: u64, data: &str, version: Option<WeightVersion>) -> bool {
+    /// Appends the data of an event.
+    pub(crate) fn append(
+        &mut self,
+        event: u64,
+        data: &str,
+        version: Option<WeightVersion>,
+    ) -> Result<(), AppendError> {
         if self.last_event.is_some_and(|last| event != last + 1) {
-            return false;
+            return Err(AppendError::Gap);
+        }
+        if self.text.len() + data.len() >= MAX_TEXT_BYTES {
+            return Err(AppendError::TooLong);
         }
         if self.last_event.is_some() {
             self.text.push('\n');
@@ -53,6 +74,6 @@
         if let Some(version) = version.filter(|version| !self.versions.contains(version)) {
             self.versions.push(version);
         }
-        true
+        Ok(())
     }
 }
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -12,7 +12,7 @@
     BatchPlan, BatchResult, BatchSpec, CheckpointState, GenerationEvent, ItemState, PlanOptions, ResultState,
     RewardScore, RewardUrgency,
     groups::Groups,
-    item_text::{CarriedItem, ItemText},
+    item_text::{AppendError, CarriedItem, ItemText},
     write_schedule::UnwrittenResults,
 };
 
@@ -38,12 +38,14 @@
     Version(WeightVersion),
     /// The event was not used, and the run has to stop.
     Discarded,
+    /// The event made the text longer than any result can be. The text was dropped, and the run has to stop.
+    TooLong,
 }
 
 impl EventOutcome {
     pub(crate) fn flow(self) -> ControlFlow<()> {
         match self {
-            Self::Discarded => ControlFlow::Break(()),
+            Self::Discarded | Self::TooLong => ControlFlow::Break(()),
             _ => ControlFlow::Continue(()),
         }
     }
@@ -271,10 +273,14 @@
                 let version = run.version;
                 let text = &mut self.texts[index];
                 text.took_ms = text.took_ms.saturating_add(gap);
-                if text.append(event, &data, version) {
-                    EventOutcome::Event { gap, is_first }
-                } else {
-                    EventOutcome::Discarded
+                match text.append(event, &data, version) {
+                    Ok(()) => EventOutcome::Event { gap, is_first },
+                    Err(AppendError::Gap) => EventOutcome::Discarded,
+                    Err(AppendError::TooLong) => {
+                        // No engine can end this text, so the item starts again.
+                        *text = ItemText::default();
+                        EventOutcome::TooLong
+                    }
                 }
             }
         }
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use async_std::task;
-use futures::future::{AbortHandle, AbortRegistration, Abortable};
+use futures::future::{AbortHandle, AbortRegistration, Abortable, Aborted};
 use indexmap::IndexMap;
 use jm_forward::{Catalog, RoutingTable, RunKey, Target};
 use jm_types::{BatchId, DurationMs, ModelId, ServiceId, Timestamp};
@@ -103,15 +103,24 @@
         let sink_runner = Arc::clone(&self);
         let (sink_batch, sink_target) = (batch.clone(), target.clone());
         let model = request.spec.model.clone();
+        let mut is_too_long = false;
+        let is_last_too_long = &mut is_too_long;
         let mut sink = move |event: GenerationEvent| {
             let outcome =
                 sink_runner.on_event(&sink_batch, item, serial, event, &sink_target, model.as_ref());
+            *is_last_too_long = outcome == EventOutcome::TooLong;
             outcome.flow()
         };
         let generation = self.deps.generator.generate(&target, &request, &mut sink);
-        if let Ok(end) = Abortable::new(generation, registration).await {
-            self.on_end(&batch, item, serial, &target, end);
-        }
+        let ended = Abortable::new(generation, registration).await;
+        drop(sink);
+        let end = match ended {
+            Ok(_) if is_too_long => text_too_long(),
+            Ok(end) => end,
+            // The runner stopped the run and has released its capacity.
+            Err(Aborted) => return,
+        };
+        self.on_end(&batch, item, serial, &target, end);
     }
 
     fn on_event(
@@ -210,6 +219,13 @@
     }
 }
 
+/// The end of a run whose engine sends events without end.
+fn text_too_long() -> GenerationEnd {
+    GenerationEnd::Lost {
+        reason: "the text exceeds the maximum size of a result".to_owned(),
+    }
+}
+
 fn choose_starts(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Vec<Start> {
     let RunnerState {
         owned,
--- a/crates/jm-batch/tests/engine_faults.rs
+++ b/crates/jm-batch/tests/engine_faults.rs
@@ -229,3 +229,25 @@
     let page = host.listed("b1", 1).await;
     assert_eq!(page.results[0].state, ResultState::Completed);
 }
+
+/// Guards against an engine whose events never end: its texts fill the memory of the host, and the items never end. Another
+/// engine generates them from the start.
+#[async_std::test]
+async fn endless_events() {
+    let endless = |index| {
+        Step::Send(GenerationEvent::Data {
+            index,
+            data: "x".repeat(100_000),
+        })
+    };
+    let script: common::Script = Box::new(move |target, request| match target.run.id.as_str() {
+        "endless" => (1..=25).map(endless).collect(),
+        _ => text(request, 3, 1),
+    });
+    let (host, _store) = start(vec![engine("endless", 4, 1), engine("sound", 4, 1)], script);
+    host.service.submit(spec("b1", &[1; 8])).await.unwrap();
+    let page = host.listed("b1", 8).await;
+    assert!(page.results.iter().all(|result| result.text == whole_text(3)));
+    let failed = host.events.failed_runs.lock().unwrap();
+    assert!(failed.iter().any(|end| matches!(end, GenerationEnd::Lost { .. })));
+}
--- a/crates/jm-config/src/settings_read.rs
+++ b/crates/jm-config/src/settings_read.rs
@@ -23,6 +23,7 @@
 
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
 const MAX_BODY_BYTES: u64 = 1_000_000_000;
+const MAX_BUFFERED_BYTES: u64 = 100_000_000_000;
 const MAX_QUEUE: u64 = 1_000_000;
 const MAX_WINDOW_TOKENS: u64 = 100_000_000;
 
@@ -273,6 +274,13 @@
     let mut limits = Limits::default();
     set(reader, "head_bytes", 256, 1_000_000, &mut limits.head_bytes);
     set(reader, "body_bytes", 1, MAX_BODY_BYTES, &mut limits.body_bytes);
+    set(
+        reader,
+        "buffered_bytes",
+        1,
+        MAX_BUFFERED_BYTES,
+        &mut limits.buffered_bytes,
+    );
     set(
         reader,
         "head_timeout",
--- a/crates/jm-config/tests/bad_settings.rs
+++ b/crates/jm-config/tests/bad_settings.rs
@@ -77,12 +77,13 @@
 #[test]
 fn every_limit_has_a_setting() {
     let text = format!(
-        "{MINIMAL}[limits]\nhead_bytes = 9KB\nbody_bytes = 2MB\nhead_timeout = 1s\nbody_timeout = 2s\n\
+        "{MINIMAL}[limits]\nhead_bytes = 9KB\nbody_bytes = 2MB\nbuffered_bytes = 3MB\nhead_timeout = 1s\nbody_timeout = 2s\n\
          idle_timeout = 3s\nconnect_timeout = 4s\nanswer_timeout = 5s\nconnections = 6\n"
     );
     let Limits {
         head_bytes,
         body_bytes,
+        buffered_bytes,
         head_timeout_ms,
         body_timeout_ms,
         idle_timeout_ms,
@@ -91,8 +92,8 @@
         connections,
     } = Settings::parse("host.ini", &text).expect("valid").limits;
     assert_eq!(
-        (head_bytes, body_bytes),
-        (ByteSize::new(9_000), ByteSize::new(2_000_000))
+        [head_bytes, body_bytes, buffered_bytes].map(ByteSize::get),
+        [9_000, 2_000_000, 3_000_000]
     );
     let timeouts = [
         head_timeout_ms,
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -8,10 +8,11 @@
 
 use crate::{
     Limits,
+    buffer_budget::BufferBudget,
     exchange::{Cause, ExchangeError, ExchangeResponse, exchange},
     head::RequestTarget,
     pool::{ClientConnection, Pool},
-    read_body::read_body_to_end,
+    read_body::{read_body_to_end, read_body_within},
     response::set_body,
     response_body::response_body,
     validate::{FRAMING_HEADERS, invalid_header, length_checked_body},
@@ -72,18 +73,24 @@
     Pooled,
 }
 
-/// An HTTP client. Clones share one connection pool.
+/// An HTTP client. Clones share one connection pool and one limit on the memory of buffered bodies.
 #[derive(Debug, Clone)]
 pub struct Client {
     limits: Limits,
     pool: Arc<Pool>,
+    buffers: Arc<BufferBudget>,
 }
 
 impl Client {
     /// Creates a client that applies `limits` to connections and responses.
     pub fn new(limits: Limits) -> Self {
         let pool = Arc::new(Pool::new(&limits));
-        Self { limits, pool }
+        let buffers = Arc::new(BufferBudget::new(limits.buffered_bytes));
+        Self {
+            limits,
+            pool,
+            buffers,
+        }
     }
 
     /// Sends one request to the address in its URL and returns the response once its head has arrived.
@@ -125,9 +132,10 @@
     ///
     /// # Errors
     ///
-    /// Fails when the body exceeds the size limit of the client, and with the error of the body when it is incomplete.
+    /// Fails when the body exceeds the size limit of the client, with [`io::ErrorKind::QuotaExceeded`] when all bodies that
+    /// are being read exceed [`Limits::buffered_bytes`], and with the error of the body when it is incomplete.
     pub async fn read_body(&self, response: &mut Response) -> io::Result<Vec<u8>> {
-        read_body_to_end(response.take_body(), self.limits.body_bytes).await
+        read_body_within(response.take_body(), self.limits.body_bytes, &self.buffers).await
     }
 
     /// Sends a request that must run at most once, regardless of its method. It uses a new connection and is never
--- a/crates/jm-http/src/lib.rs
+++ b/crates/jm-http/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod body;
+mod buffer_budget;
 mod buffered;
 mod chunk;
 mod client;
--- a/crates/jm-http/src/limits.rs
+++ b/crates/jm-http/src/limits.rs
@@ -11,6 +11,9 @@
     pub head_bytes: ByteSize,
     /// Maximum size of a request or response body that is buffered in memory.
     pub body_bytes: ByteSize,
+    /// Maximum size of all response bodies that a client reads into memory at the same time. Bodies up to 64 KiB do not
+    /// count.
+    pub buffered_bytes: ByteSize,
     /// Maximum time between the first byte and the end of a head.
     pub head_timeout_ms: DurationMs,
     /// Maximum time without progress while a body is read or written.
@@ -30,6 +33,7 @@
         Self {
             head_bytes: ByteSize::new(8_000),
             body_bytes: ByteSize::new(1_000_000),
+            buffered_bytes: ByteSize::new(16_000_000),
             head_timeout_ms: DurationMs::new(5_000),
             body_timeout_ms: DurationMs::new(10_000),
             idle_timeout_ms: DurationMs::new(60_000),
--- a/crates/jm-http/src/response.rs
+++ b/crates/jm-http/src/response.rs
@@ -2,7 +2,7 @@
 
 use std::{io, time::Duration};
 
-use async_std::net::TcpStream;
+use async_std::{net::TcpStream, task};
 use futures::AsyncReadExt;
 use http_types::{Body, Method, Response, StatusCode};
 use jm_types::{LogEvent, ResultCode};
@@ -111,5 +111,9 @@
             return Ok(());
         }
         write_all(&mut stream, &buffer[..amount], stall_timeout, || {}).await?;
+        if amount == buffer.len() {
+            // A body that always has more bytes, read by a peer that is as fast, must not keep other tasks from running.
+            task::yield_now().await;
+        }
     }
 }
