Each attempt of a request chooses from the present targets

Cause: Host::forward took the list of targets at the request's arrival, and all later attempts, hedges included, chose from it.

Ruled out: a host that had not received the state.

Change: the forwarder asks for the present list at each attempt.

--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -119,13 +119,14 @@
     }
 
     /// Sends an admitted request to targets until one responds, the retry policy refuses it, the deadline passes or the
-    /// host shuts down, whose last moment for answers is the end of `shutdown`.
+    /// host shuts down, whose last moment for answers is the end of `shutdown`. Each attempt chooses from the targets that
+    /// `catalog` returns at that moment, because a request may wait for longer than a target takes to leave.
     pub async fn forward(
         &self,
         request: &CallerRequest,
         route: &Route,
         access: &Access,
-        catalog: &Catalog,
+        catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
         shutdown: impl Future<Output = ()> + Send,
     ) -> ForwardResult {
         let deadline = self.clock.now().after(request.time_limit(route));
@@ -156,7 +157,7 @@
     request: &'a CallerRequest,
     route: &'a Route,
     access: &'a Access,
-    catalog: &'a Catalog,
+    catalog: &'a (dyn Fn() -> Arc<Catalog> + Sync),
     attempts: RetryState,
     deadline: Timestamp,
     tried: Vec<RunKey>,
@@ -261,7 +262,8 @@
             return Err(no_target(format!("route {} has no service", self.route.name)));
         };
         let now = forwarder.clock.now();
-        let serving = self.catalog.serving(service);
+        let catalog = (self.catalog)();
+        let serving = catalog.serving(service);
         let chosen = self
             .loads()
             .choose(serving, &self.tried, &forwarder.options.zone, now);
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -99,6 +99,7 @@
     Answer,
     AnswerAfter(u64),
     Reject,
+    RejectAfter(u64),
     Lose,
     RefuseConnection,
     Hang,
@@ -137,6 +138,10 @@
                 answer()
             }
             Does::Reject => AttemptOutcome::NotRun { reason },
+            Does::RejectAfter(ms) => {
+                task::sleep(Duration::from_millis(ms)).await;
+                AttemptOutcome::NotRun { reason }
+            }
             Does::Lose => AttemptOutcome::Lost { reason },
             Does::RefuseConnection => AttemptOutcome::Unsent { reason },
             Does::Hang => std::future::pending().await,
@@ -169,7 +174,7 @@
     pub(crate) forwarder: Forwarder,
     pub(crate) targets: Arc<ScriptedTargets>,
     pub(crate) counted: Arc<Counted>,
-    pub(crate) catalog: Catalog,
+    pub(crate) catalog: Arc<Catalog>,
 }
 
 pub(crate) fn forwarder(ids: &[&str], rules: Vec<(&'static str, Does)>) -> TestForwarder {
@@ -192,6 +197,6 @@
         ),
         targets,
         counted,
-        catalog: ids.iter().map(|id| target(id)).collect(),
+        catalog: Arc::new(ids.iter().map(|id| target(id)).collect()),
     }
 }
--- a/crates/jm-forward/tests/forwarded_request.rs
+++ b/crates/jm-forward/tests/forwarded_request.rs
@@ -3,10 +3,16 @@
 
 mod common;
 
-use std::future::pending;
-
-use common::{Does, TestForwarder, forwarder, request, route, table};
-use jm_forward::{Access, ForwardResult, RouteKind};
+use std::{
+    future::pending,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use common::{Does, TestForwarder, forwarder, request, route, table, target};
+use jm_forward::{Access, Catalog, ForwardResult, RouteKind, TargetState};
 use jm_types::{DurationMs, Execution, ResultCode};
 
 async fn forward(test: &TestForwarder, kind: RouteKind) -> ForwardResult {
@@ -14,7 +20,13 @@
     let access = Access::Organisation("parish".parse().unwrap());
     let request = request("/orders/1", Some("key-1"));
     test.forwarder
-        .forward(&request, &route, &access, &test.catalog, pending())
+        .forward(
+            &request,
+            &route,
+            &access,
+            &|| Arc::clone(&test.catalog),
+            pending(),
+        )
         .await
 }
 
@@ -99,7 +111,7 @@
     let access = Access::Organisation("parish".parse().unwrap());
     let forwarded = test
         .forwarder
-        .forward(&request, &slow, &access, &test.catalog, pending())
+        .forward(&request, &slow, &access, &|| Arc::clone(&test.catalog), pending())
         .await;
     assert!(forwarded.is_ok(), "{forwarded:?}");
 }
@@ -160,3 +172,52 @@
     assert_eq!(code("/orders/1", Some("key-1")), Ok(()));
     assert_eq!(attempts(&test), 0);
 }
+
+/// Guards against an attempt on a target that began to leave while the request waited at another one. The later attempt
+/// chooses from the present list.
+#[async_std::test]
+async fn target_leaves_while_request_waits() {
+    let test = forwarder(&["full", "leaving"], vec![("full", Does::RejectAfter(30))]);
+    let mut left = target("leaving");
+    left.state = TargetState::Leaving;
+    let after: Arc<Catalog> = Arc::new([target("full"), left].into_iter().collect());
+    let is_first = AtomicBool::new(true);
+    let catalog = || match is_first.swap(false, Ordering::SeqCst) {
+        // Both serve and cost the same, so the first attempt goes to the first one.
+        true => Arc::clone(&test.catalog),
+        false => Arc::clone(&after),
+    };
+    let (route, request) = (
+        route(RouteKind::NonIdempotent),
+        request("/orders/1", Some("key-1")),
+    );
+    let access = Access::Organisation("parish".parse().unwrap());
+    let forwarded = test
+        .forwarder
+        .forward(&request, &route, &access, &catalog, pending())
+        .await;
+    assert_eq!(forwarded.unwrap_err().code.execution(), Execution::NotRun);
+    let attempts = test.targets.attempts.lock().unwrap();
+    assert!(attempts.iter().all(|(target, _)| target == "full"));
+}
+
+/// Guards against an attempt that does not see a target which was listed while the request waited.
+#[async_std::test]
+async fn target_joins_while_request_waits() {
+    let test = forwarder(&["full", "new"], vec![("full", Does::RejectAfter(30))]);
+    let only_full: Arc<Catalog> = Arc::new([target("full")].into_iter().collect());
+    let is_first = AtomicBool::new(true);
+    let catalog = || match is_first.swap(false, Ordering::SeqCst) {
+        true => Arc::clone(&only_full),
+        false => Arc::clone(&test.catalog),
+    };
+    let (route, request) = (
+        route(RouteKind::NonIdempotent),
+        request("/orders/1", Some("key-1")),
+    );
+    let access = Access::Organisation("parish".parse().unwrap());
+    let forwarded = test
+        .forwarder
+        .forward(&request, &route, &access, &catalog, pending());
+    assert_eq!(forwarded.await.unwrap().attempts, 2);
+}
--- a/crates/jm-forward/tests/host_drain.rs
+++ b/crates/jm-forward/tests/host_drain.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::future::ready;
+use std::{future::ready, sync::Arc};
 
 use async_std::channel::bounded;
 use common::{Does, forwarder, request, route};
@@ -75,9 +75,8 @@
     let exits = async move {
         let _ = exits.recv().await;
     };
-    let forwarded = test
-        .forwarder
-        .forward(&request, &route, &access, &test.catalog, exits);
+    let catalog = || Arc::clone(&test.catalog);
+    let forwarded = test.forwarder.forward(&request, &route, &access, &catalog, exits);
     let stop = async {
         while test.targets.attempts.lock().unwrap().is_empty() {
             async_std::task::yield_now().await;
@@ -96,8 +95,7 @@
     let access = Access::Organisation("parish".parse().unwrap());
     let (route, request) = (route(RouteKind::Idempotent), request("/orders/1", Some("key-1")));
     let exits = ready(());
-    let forwarded = test
-        .forwarder
-        .forward(&request, &route, &access, &test.catalog, exits);
+    let catalog = || Arc::clone(&test.catalog);
+    let forwarded = test.forwarder.forward(&request, &route, &access, &catalog, exits);
     forwarded.await.unwrap();
 }
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -311,7 +311,7 @@
         if let Some(drain) = self.drain.get() {
             drain.admit(request, route, self.clock.now())?;
         }
-        let catalog = self.cluster.catalog();
+        let catalog = || self.cluster.catalog();
         let shutdown = async {
             // No message is ever sent. `recv` fails when the stop closes the channel.
             let _ = self.last_answers.1.recv().await;
