Streams end with the deadline of their request

Cause: the deadline applied until the head of the answer; the body was limited by pauses between whole events alone. Bytes without events that are always available passed that limit too, as it is checked only after a wait.

Ruled out: the callers' own patience, which ends after 40 s; the other engines' streams of one second.

Change: a streamed body fails 250 ms after the sooner of the caller's deadline and the route's timeout, checked before each read. The caller's stream is cut, which differs from a complete one; the connection to the engine closes and the engine counts as failed.

--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -18,6 +18,7 @@
     RunKey, SelectionOptions, Target, TargetClient, TargetLoads,
     event_stream::limit_stalls,
     retry::{no_target, refusal},
+    stream_deadline::limit_duration,
 };
 
 /// Settings of a forwarder.
@@ -43,6 +44,9 @@
 /// Replaces [`MIN_STREAM_STALL_MS`] on routes with a long latency objective, in multiples of it.
 const STREAM_STALL_OBJECTIVES: u64 = 8;
 
+/// Time after the deadline of a stream for the last events that the target sent before it.
+const STREAM_END_MARGIN_MS: DurationMs = DurationMs::new(250);
+
 /// Receives events of requests for logs, metrics and usage accounting.
 pub trait ForwardObserver: Send + Sync {
     /// The request ran or may have run on a target. Called at most once for each request. `organisation` is `None` if
@@ -68,7 +72,7 @@
     clock: Arc<dyn Clock>,
     client: Arc<dyn TargetClient>,
     observer: Arc<dyn ForwardObserver>,
-    loads: Mutex<TargetLoads>,
+    loads: Arc<Mutex<TargetLoads>>,
     hedges: Mutex<RetryBudget>,
 }
 
@@ -86,7 +90,7 @@
         client: Arc<dyn TargetClient>,
         observer: Arc<dyn ForwardObserver>,
     ) -> Self {
-        let loads = Mutex::new(TargetLoads::new(options.selection));
+        let loads = Arc::new(Mutex::new(TargetLoads::new(options.selection)));
         Self {
             options,
             clock,
@@ -196,7 +200,7 @@
             self.open_runs.retain(|(run, _)| *run != ended.target.run);
             match ended.outcome {
                 AttemptOutcome::Answered(mut answer) => {
-                    answer.body = self.limit_stalls(answer.body);
+                    answer.body = self.limit_stream(answer.body, &ended.target.run);
                     self.loads()
                         .answered(&ended.target.run, self.since(ended.started_at));
                     self.count_execution();
@@ -208,14 +212,19 @@
         }
     }
 
-    fn limit_stalls(&self, body: AnswerBody) -> AnswerBody {
-        let limit = DurationMs::new(self.route.objective_ms.get() * STREAM_STALL_OBJECTIVES);
-        match body {
-            AnswerBody::Stream(body) => {
-                AnswerBody::Stream(limit_stalls(body, limit.max(MIN_STREAM_STALL_MS)))
-            }
-            whole => whole,
-        }
+    /// Limits the pauses and the whole time of a streamed body. A target that exceeds the time counts as failed.
+    fn limit_stream(&self, body: AnswerBody, run: &RunKey) -> AnswerBody {
+        let AnswerBody::Stream(body) = body else {
+            return body;
+        };
+        let stall_ms = DurationMs::new(self.route.objective_ms.get() * STREAM_STALL_OBJECTIVES);
+        let body = limit_stalls(body, stall_ms.max(MIN_STREAM_STALL_MS));
+        let clock = Arc::clone(&self.forwarder.clock);
+        let time_left = self.deadline.since(clock.now());
+        let (loads, run) = (Arc::clone(&self.forwarder.loads), run.clone());
+        let on_expiry = move || lock(&loads).stream_failed(&run, clock.now());
+        let limit = time_left.saturating_add(STREAM_END_MARGIN_MS);
+        AnswerBody::Stream(limit_duration(body, limit, on_expiry))
     }
 
     /// Waits for an attempt to end. Returns `None` after the hedge delay, when it has tried to start a hedged attempt.
--- a/crates/jm-forward/src/lib.rs
+++ b/crates/jm-forward/src/lib.rs
@@ -15,6 +15,7 @@
 mod retry;
 mod routing;
 mod selection;
+mod stream_deadline;
 mod target;
 
 pub use caller::{CallerRequest, ForwardAnswer, ForwardRefusal, ForwardResult};
@@ -31,4 +32,5 @@
     RouteKind, RoutingTable, Service, ServiceWeight,
 };
 pub use selection::{SelectionOptions, TargetLoads};
+pub use stream_deadline::limit_duration;
 pub use target::{Catalog, RunKey, Target, TargetState};
--- a/crates/jm-forward/src/selection.rs
+++ b/crates/jm-forward/src/selection.rs
@@ -113,6 +113,13 @@
         self.avoid(run, until);
     }
 
+    /// Records that a target failed to end a stream, whose request no longer counts as in flight.
+    pub fn stream_failed(&mut self, run: &RunKey, now: Timestamp) {
+        let until = now.after(self.options.avoid_failed_ms);
+        let load = self.load(run);
+        load.avoid_until = load.avoid_until.max(until);
+    }
+
     /// Records that a request was cancelled after `waited`, for example because another target responded first.
     /// `waited` is a lower bound of the target's response time.
     pub fn cancelled(&mut self, run: &RunKey, waited: DurationMs) {
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -8,13 +8,14 @@
 
 use async_std::task;
 use async_trait::async_trait;
+use futures::{StreamExt, TryStreamExt};
 use indexmap::IndexMap;
 use jm_forward::{
     AnswerBody, AttemptOptions, AttemptOutcome, CallerLimits, CallerRequest, Catalog, ForwardObserver,
     Forwarder, ForwarderOptions, Organisation, RetryOptions, Route, RouteKind, RoutingTable, RunKey,
     SelectionOptions, Service, ServiceWeight, Target, TargetAnswer, TargetClient, TargetState,
 };
-use jm_http::{Method, RequestTarget, Response, StatusCode, headers::Headers};
+use jm_http::{Body, Method, RequestTarget, Response, StatusCode, headers::Headers};
 use jm_types::{ByteSize, DurationMs, OrganisationId, Revision, SystemClock};
 
 pub(crate) fn target(id: &str) -> Target {
@@ -103,6 +104,8 @@
     Lose,
     RefuseConnection,
     Hang,
+    /// Answers with an event every few milliseconds, without end.
+    StreamForEver,
 }
 
 /// Target client with scripted behaviour by target id. The first matching rule applies, and a target without a rule
@@ -145,6 +148,7 @@
             Does::Lose => AttemptOutcome::Lost { reason },
             Does::RefuseConnection => AttemptOutcome::Unsent { reason },
             Does::Hang => std::future::pending().await,
+            Does::StreamForEver => stream_for_ever(),
         }
     }
 }
@@ -157,6 +161,19 @@
     })
 }
 
+fn stream_for_ever() -> AttemptOutcome {
+    let events = futures::stream::repeat(()).then(|()| async {
+        task::sleep(Duration::from_millis(5)).await;
+        Ok::<_, std::io::Error>(b"data: a\n\n".to_vec())
+    });
+    let reader = futures::io::BufReader::new(Box::pin(events).into_async_read());
+    AttemptOutcome::Answered(TargetAnswer {
+        status: StatusCode::Ok,
+        headers: empty_headers(),
+        body: AnswerBody::Stream(Body::from_reader(reader, None)),
+    })
+}
+
 #[derive(Default)]
 pub(crate) struct Counted {
     pub(crate) began: Mutex<Vec<Option<OrganisationId>>>,
