Items that no request can carry are refused with 400

Cause: id, path and headers of an item, and id and path of its reward call, went unchecked into the head of a request. A path could add lines to it.

--- a/crates/jm-batch/src/spec.rs
+++ b/crates/jm-batch/src/spec.rs
@@ -78,9 +78,72 @@
     /// The batch has no items.
     #[snafu(display("the batch has no items"))]
     NoItems,
+    /// A part of an item cannot be sent in the head of a request.
+    #[snafu(display("the {part} of item {id:?} cannot be sent: {reason}"))]
+    Unsendable {
+        /// Id of the item.
+        id: String,
+        /// The part of the item.
+        part: String,
+        /// What the part has to consist of.
+        reason: &'static str,
+    },
+}
+
+const VISIBLE: &str = "it must have visible ASCII characters only";
+const PATH: &str = "it must begin with a slash and have visible ASCII characters only";
+const HEADER_NAME: &str = "it must have letters, digits and !#$%&'*+-.^_`|~ only";
+const HEADER_VALUE: &str = "it must have visible ASCII characters, spaces and tabs only";
+
+fn is_visible(text: &str) -> bool {
+    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_graphic())
+}
+
+fn is_path(text: &str) -> bool {
+    text.starts_with('/') && is_visible(text)
+}
+
+fn is_header_name(text: &str) -> bool {
+    let is_allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    !text.is_empty() && text.bytes().all(is_allowed)
+}
+
+fn is_header_value(text: &str) -> bool {
+    text.bytes()
+        .all(|byte| byte.is_ascii_graphic() || matches!(byte, b' ' | b'\t'))
 }
 
 impl BatchItem {
+    /// Checks that the head of a request can carry the item. Otherwise no engine could ever get it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the id, the path, a header or the reward call has characters that a request cannot carry.
+    pub fn check(&self) -> Result<(), SpecError> {
+        self.check_part("id", is_visible(&self.id), VISIBLE)?;
+        self.check_part("path", is_path(&self.path), PATH)?;
+        for (name, value) in &self.headers {
+            self.check_part(
+                &format!("header name {name:?}"),
+                is_header_name(name),
+                HEADER_NAME,
+            )?;
+            let part = format!("value of header {name}");
+            self.check_part(&part, is_header_value(value), HEADER_VALUE)?;
+        }
+        let Some(reward) = &self.reward else {
+            return Ok(());
+        };
+        self.check_part("reward call's id", is_visible(&reward.id), VISIBLE)?;
+        self.check_part("reward call's path", is_path(&reward.path), PATH)
+    }
+
+    fn check_part(&self, part: &str, is_sendable: bool, reason: &'static str) -> Result<(), SpecError> {
+        let id = &self.id;
+        ensure!(is_sendable, UnsendableSnafu { id, part, reason });
+        Ok(())
+    }
+
     /// Expected size of a run at its end in tokens: the prompt plus the estimated generated tokens.
     pub fn work_tokens(&self) -> u64 {
         let max_generated = self.tokens.saturating_sub(self.prompt_tokens);
@@ -105,12 +168,13 @@
     ///
     /// # Errors
     ///
-    /// Fails when there are no items or two items share an id.
+    /// Fails when there are no items, two items share an id, or an item cannot be sent.
     pub fn check(&self) -> Result<(), SpecError> {
         ensure!(!self.items.is_empty(), NoItemsSnafu);
         let mut ids = HashSet::new();
         for item in &self.items {
             ensure!(ids.insert(&item.id), DuplicateItemSnafu { id: &item.id });
+            item.check()?;
         }
         Ok(())
     }
