Handover: texts reach the next owner also when the event comes first

Cause: hand_over took the texts after the answer, when the event had already released the batch.

Change: the texts are taken before the write as well; the longest of each item is announced.

Test: handed_on_after_event, which got no texts before.

--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -287,11 +287,14 @@
                 continue;
             };
             let handed = cached.state.with_owner(owner, owner_incarnation);
+            // The store's event may arrive before its answer, and then releases the batch with its texts.
+            let mut texts = self.runner.open_texts(&batch);
             match self.deps.store.update_state(&handed, cached.version).await {
                 Ok(WriteOutcome::Applied(version)) => {
-                    let texts = self.runner.open_texts(&batch);
+                    texts.extend(self.runner.open_texts(&batch));
                     self.release(&handed);
                     self.cache_state(handed.clone(), version);
+                    let texts = longest_texts(texts);
                     self.deps.peers.announce(&handed, version, texts).await;
                 }
                 Ok(WriteOutcome::Conflict) => {}
--- a/crates/jm-batch/tests/batch_takeover.rs
+++ b/crates/jm-batch/tests/batch_takeover.rs
@@ -7,7 +7,7 @@
     atomic::{AtomicUsize, Ordering},
 };
 
-use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text};
+use common::{CallKind, FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text};
 use jm_batch::{
     BatchPhase, BatchResult, BatchState, GenerationEnd, GenerationRequest, MembershipView, ResultPiece,
     Takeover, takeover,
@@ -105,6 +105,35 @@
     assert!(a.results.iter().all(|result| result.text == whole_text(3)));
 }
 
+/// Guards against texts that are lost at a planned stop because the store's event of the new owner comes before the answer
+/// to its write.
+#[async_std::test]
+async fn handed_on_after_event() {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
+    let (sent, half_done) = async_std::channel::unbounded();
+    let half = Box::new(move |_: &_, _: &GenerationRequest| {
+        vec![data(1), data(2), Step::Signal(sent.clone()), Step::Stall]
+    });
+    let first = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 8, 1)], half);
+    first.service.submit(spec("b1", &[3])).await.unwrap();
+    common::with_timeout(half_done.recv()).await.unwrap();
+    hosts.start("host-b");
+    let hold = store.hold_answers(CallKind::Write, "batch-state/");
+    let leaving = Arc::clone(&first.service);
+    let handing_over = async_std::task::spawn(async move { leaving.hand_over().await });
+    common::with_timeout(async {
+        while first.events.released.load(Ordering::SeqCst) == 0 {
+            first.sync_states(&store).await;
+        }
+    })
+    .await;
+    drop(hold);
+    handing_over.await;
+    let handed = first.peers.handed_over.lock().unwrap();
+    let (_, _, texts) = handed.last().unwrap();
+    assert_eq!(texts[0].last_event, Some(2));
+}
+
 /// A host that shuts down hands over its partial texts, and the next owner resumes them.
 #[async_std::test]
 async fn handed_on() {
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -12,7 +12,7 @@
     time::Duration,
 };
 
-use async_std::task;
+use async_std::{channel::Sender, task};
 use async_trait::async_trait;
 use indexmap::IndexMap;
 use jm_batch::{
@@ -137,6 +137,8 @@
     Send(GenerationEvent),
     Wait(Duration),
     End(GenerationEnd),
+    /// Tells the test that all steps before it are done.
+    Signal(Sender<()>),
     /// Sends nothing more and never ends.
     Stall,
 }
@@ -193,6 +195,7 @@
                 }
                 Step::Wait(time) => task::sleep(time).await,
                 Step::End(end) => return end,
+                Step::Signal(done) => done.send(()).await.unwrap(),
                 Step::Stall => std::future::pending().await,
             }
         }
@@ -301,6 +304,7 @@
     pub(crate) moved: AtomicU64,
     pub(crate) taken_over: AtomicU64,
     pub(crate) repeated_starts: AtomicU64,
+    pub(crate) released: AtomicU64,
     pub(crate) carried: Mutex<CarriedOver>,
     pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
     pub(crate) hedged_rewards: AtomicU64,
@@ -318,7 +322,9 @@
     fn start_repeated(&self, _batch: &BatchId) {
         self.repeated_starts.fetch_add(1, Ordering::SeqCst);
     }
-    fn released(&self, _batch: &BatchId, _to: &MemberId) {}
+    fn released(&self, _batch: &BatchId, _to: &MemberId) {
+        self.released.fetch_add(1, Ordering::SeqCst);
+    }
     fn paused(&self, _pause: DurationMs) {
         self.pauses.fetch_add(1, Ordering::SeqCst);
     }
