Check of items: messages are formatted only for items that fail

Cause: each start of a run formatted the names of all headers of its item. Ruled out: checking only at the submission, because items of an earlier release are in the store. Change: parts are formatted when a check fails. Measured: bad_input of whole_host passes as before; no timing was taken.

--- a/crates/jm-batch/src/spec.rs
+++ b/crates/jm-batch/src/spec.rs
@@ -1,6 +1,6 @@
 //! Specification of a batch, as its submitter requested it.
 
-use std::collections::HashSet;
+use std::{collections::HashSet, fmt::Display};
 
 use indexmap::IndexMap;
 use jm_types::{BatchId, DurationMs, ModelId, OrganisationId, WeightVersion};
@@ -120,27 +120,38 @@
     ///
     /// Fails when the id, the path, a header or the reward call has characters that a request cannot carry.
     pub fn check(&self) -> Result<(), SpecError> {
-        self.check_part("id", is_visible(&self.id), VISIBLE)?;
-        self.check_part("path", is_path(&self.path), PATH)?;
+        self.check_part(is_visible(&self.id), "id", VISIBLE)?;
+        self.check_part(is_path(&self.path), "path", PATH)?;
         for (name, value) in &self.headers {
             self.check_part(
-                &format!("header name {name:?}"),
                 is_header_name(name),
+                format_args!("header name {name:?}"),
                 HEADER_NAME,
             )?;
-            let part = format!("value of header {name}");
-            self.check_part(&part, is_header_value(value), HEADER_VALUE)?;
+            let part = format_args!("value of header {name}");
+            self.check_part(is_header_value(value), part, HEADER_VALUE)?;
         }
         let Some(reward) = &self.reward else {
             return Ok(());
         };
-        self.check_part("reward call's id", is_visible(&reward.id), VISIBLE)?;
-        self.check_part("reward call's path", is_path(&reward.path), PATH)
+        self.check_part(is_visible(&reward.id), "reward call's id", VISIBLE)?;
+        self.check_part(is_path(&reward.path), "reward call's path", PATH)
     }
 
-    fn check_part(&self, part: &str, is_sendable: bool, reason: &'static str) -> Result<(), SpecError> {
-        let id = &self.id;
-        ensure!(is_sendable, UnsendableSnafu { id, part, reason });
+    fn check_part(
+        &self,
+        is_sendable: bool,
+        part: impl Display,
+        reason: &'static str,
+    ) -> Result<(), SpecError> {
+        ensure!(
+            is_sendable,
+            UnsendableSnafu {
+                id: &self.id,
+                part: part.to_string(),
+                reason
+            }
+        );
         Ok(())
     }
 
