--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -17,7 +17,7 @@
     ForwardRefusal, ForwardResult, RetryDecision, RetryOptions, RetryState, Route, RouteKind, RoutingTable,
     RunKey, SelectionOptions, Target, TargetClient, TargetLoads,
     event_stream::limit_stalls,
-    retry::{no_target, refusal},
+    retry::{evacuated, no_target, refusal},
     stream_deadline::limit_duration,
 };
 
@@ -277,6 +277,10 @@
             .loads()
             .choose(serving, &self.tried, &forwarder.options.zone, now);
         let Some(target) = chosen.cloned() else {
+            if catalog.serving(service).next().is_none() && catalog.has_evacuated(service) {
+                let message = format!("all targets of service {service} are in evacuated zones");
+                return Err(evacuated(message, rand::random()));
+            }
             return Err(no_target(format!("no target of service {service} is available")));
         };
         self.tried.push(target.run.clone());
@@ -350,6 +354,7 @@
         }
         self.tried.clear();
         self.start()
+            .map_err(|refused| self.attempts.no_target_left(refused))
     }
 
     /// Records attempts that are dropped as cancelled.
--- a/crates/jm-forward/src/lib.rs
+++ b/crates/jm-forward/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod client;
 mod drain;
+mod evacuation;
 mod event_stream;
 mod forwarder;
 mod leaving;
@@ -23,6 +24,7 @@
     AnswerBody, AttemptOptions, AttemptOutcome, NoticeListener, TargetAnswer, TargetClient, TargetNotices,
 };
 pub use drain::Drain;
+pub use evacuation::{Evacuations, evacuated_retry_after};
 pub use event_stream::limit_stalls;
 pub use forwarder::{ForwardObserver, Forwarder, ForwarderOptions};
 pub use leaving::LeavingTargets;
--- a/crates/jm-forward/src/retry.rs
+++ b/crates/jm-forward/src/retry.rs
@@ -5,7 +5,9 @@
 
 use jm_types::{DurationMs, ResultCode, Timestamp};
 
-use crate::{AttemptOutcome, ForwardRefusal, Route, RouteKind, drain::stopping};
+use crate::{
+    AttemptOutcome, ForwardRefusal, Route, RouteKind, drain::stopping, evacuation::evacuated_retry_after,
+};
 
 /// Settings for retries and hedged attempts.
 #[derive(Debug, Clone, Copy)]
@@ -154,6 +156,14 @@
         RetryDecision::Refuse(refusal(code, reason.to_owned()))
     }
 
+    /// The refusal to return when no target is left for another attempt. It says whether the request may have run.
+    pub fn no_target_left(&self, refused: ForwardRefusal) -> ForwardRefusal {
+        match self.runs {
+            0 => refused,
+            _ => refusal(ResultCode::OutcomeUnknown, refused.message),
+        }
+    }
+
     /// The refusal to return after the deadline passed. It says whether the request may have run.
     pub fn timeout_refusal(&self) -> ForwardRefusal {
         if self.runs == 0 {
@@ -186,6 +196,15 @@
     }
 }
 
+/// The refusal of a request whose service has targets in evacuated zones only. The request has not run.
+pub(crate) fn evacuated(message: String, random: u32) -> ForwardRefusal {
+    ForwardRefusal {
+        code: ResultCode::Evacuated,
+        message,
+        retry_after_ms: Some(evacuated_retry_after(random)),
+    }
+}
+
 pub(crate) fn refusal(code: ResultCode, message: String) -> ForwardRefusal {
     ForwardRefusal {
         code,
--- a/crates/jm-forward/src/target.rs
+++ b/crates/jm-forward/src/target.rs
@@ -12,6 +12,8 @@
     Serving,
     /// Draining: finishes its requests and then exits.
     Leaving,
+    /// Listed and running in an evacuated zone: finishes its requests and accepts no new ones until the evacuation ends.
+    Evacuated,
 }
 
 /// Identifies one run of a target process. A restart under the same id is a new run without the state of the previous
@@ -68,6 +70,12 @@
             .filter(move |target| target.service == *service && target.is_serving())
     }
 
+    /// Whether a service has targets that would accept new requests if their zones were not evacuated.
+    pub fn has_evacuated(&self, service: &ServiceId) -> bool {
+        self.iter()
+            .any(|target| target.service == *service && target.state == TargetState::Evacuated)
+    }
+
     /// Returns a target, or `None` if it is not listed.
     pub fn get(&self, id: &TargetId) -> Option<&Target> {
         self.targets.get(id)
--- a/crates/jm-types/src/code.rs
+++ b/crates/jm-types/src/code.rs
@@ -130,6 +130,8 @@
     DispatchUnreachable = 2008, 503, NotRun;
     /// No connection to the entry daemon could be opened.
     EntryUnreachable = 2009, 503, NotRun;
+    /// All targets of the service are in evacuated availability zones.
+    Evacuated = 2010, 503, NotRun;
     /// The request may have run and its answer is not available.
     OutcomeUnknown = 3001, 502, Unknown;
     /// The target failed after it started the request.
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -99,6 +99,12 @@
     TargetLeaving = 4003, Info;
     /// A target is listed as serving, for the first time or again.
     TargetListed = 4004, Info;
+    /// The evacuation of an availability zone began on this host.
+    ZoneEvacuated = 4005, Warn;
+    /// The evacuation of an availability zone ended on this host.
+    ZoneReturned = 4006, Info;
+    /// A target is listed in an evacuated zone and receives no new requests.
+    TargetEvacuated = 4007, Info;
     /// An order to a target or to the platform was refused or failed.
     OrderFailed = 4101, Warn;
     /// A target was ordered to load a weight version.
