Hosts watch evacuations and send nothing to evacuated zones

Cause: no host read the objects evacuations/ZONE. PrefixWatch::list passed a listing that was older than the cached state to its handler after a gap of 1 s, which would have ended an evacuation; changes of an older version than that of the watch were applied as well. Change: where [bounds] evacuate is set (rendered from bounds.evacuate_ms only where it exists), the prefix is polled like the configuration. ClusterState applies evacuations to each listed target. Until the first listing its catalog is empty and the host is not ready. Older listings and changes reach no handler; on_list gets the listing with its version, on_change the version up to which the changes were read, because a deletion carries an older one. The first listing may come from a peer's cache of any age if the store does not answer. No replacements are ordered in evacuated zones, and none before the targets were listed; a weight load is checked again just before it is sent. Status, the gauge jm_evacuated_zones, the counter jm_evacuation_refusals_total and log events show evacuations.

--- a/crates/jm-host/src/cluster_state.rs
+++ b/crates/jm-host/src/cluster_state.rs
@@ -1,15 +1,21 @@
 //! Cached cluster state: the configuration, the targets and the weight versions that this host last read.
 
+mod evacuation;
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use indexmap::IndexMap;
 use jm_batch::RoutingSource;
-use jm_forward::{Catalog, LeavingTargets, NoticeListener, RoutingTable, RunKey, Target, TargetState};
-use jm_platform::{Change, KeyedObject};
-use jm_types::{Clock, DurationMs, LogEvent, ModelId, Revision, TargetId, Timestamp, WeightVersion};
+use jm_forward::{
+    Catalog, Evacuations, LeavingTargets, NoticeListener, RoutingTable, RunKey, Target, TargetState,
+};
+use jm_platform::{Change, KeyedObject, Listing, Version};
+use jm_types::{Clock, DurationMs, LogEvent, ModelId, Revision, TargetId, Timestamp, WeightVersion, ZoneId};
 
 use crate::{platform::PlatformObjects, prefix_watch::WatchHandler};
 
+pub(crate) use evacuation::EvacuationWatchHandler;
+
 /// Minimum gap in store confirmations after which missing targets are kept for a grace period instead of being removed
 /// at once. Entries of live targets expire in outages that are longer than this. The election of a new store reader
 /// takes less time, so it doesn't count as an outage.
@@ -36,6 +42,11 @@
     outage_grace_until: Option<Timestamp>,
     /// Targets that gave notice in their answers.
     leaving: LeavingTargets,
+    evacuations: Evacuations,
+    /// When this host applied the evacuation of each evacuated zone.
+    evacuated_since: IndexMap<ZoneId, Timestamp>,
+    /// Whether the first listing of evacuations is outstanding. Until then any target may be in an evacuated zone.
+    awaits_evacuations: bool,
     versions: IndexMap<ModelId, WeightVersion>,
 }
 
@@ -90,11 +101,11 @@
         (self.on_change)();
     }
 
-    /// Whether requests can be served: a configuration is active and the targets were listed. Before that each request would
-    /// be refused although targets are free.
+    /// Whether requests can be served: a configuration is active, and the targets and, where the feature is enabled, the
+    /// evacuations were listed. Before that each request would be refused although targets are free.
     pub fn is_complete(&self) -> bool {
         let state = self.lock();
-        state.routing.is_some() && state.has_listed_targets
+        state.routing.is_some() && state.has_listed_targets && !state.awaits_evacuations
     }
 
     /// Revision of the active configuration; zero before the first one.
@@ -163,6 +174,7 @@
         let event = match after.state {
             TargetState::Serving => LogEvent::TargetListed,
             TargetState::Leaving => LogEvent::TargetLeaving,
+            TargetState::Evacuated => LogEvent::TargetEvacuated,
         };
         event.write_fields(
             "a target is listed",
@@ -185,7 +197,7 @@
         let catalog = Arc::make_mut(&mut state.catalog);
         match target {
             Some(target) => {
-                let target = state.leaving.apply(target);
+                let target = state.evacuations.apply(state.leaving.apply(target));
                 Self::log_target(catalog.get(&id), &target);
                 state.missing.swap_remove(&id);
                 catalog.insert(target);
@@ -216,7 +228,7 @@
         let mut state = self.lock();
         let mut catalog: Catalog = decoded
             .into_iter()
-            .map(|target| state.leaving.apply(target))
+            .map(|target| state.evacuations.apply(state.leaving.apply(target)))
             .collect();
         if gap >= OUTAGE_THRESHOLD_MS {
             state.outage_grace_until = Some(now.after(RETURN_GRACE_MS));
@@ -298,8 +310,13 @@
         self.lock().routing.clone()
     }
 
+    /// Empty while the evacuations are not known, so that nothing is sent to a zone that may be evacuated.
     fn catalog(&self) -> Arc<Catalog> {
-        Arc::clone(&self.lock().catalog)
+        let state = self.lock();
+        match state.awaits_evacuations {
+            true => Arc::default(),
+            false => Arc::clone(&state.catalog),
+        }
     }
 }
 
@@ -307,14 +324,14 @@
 pub(crate) struct RoutingWatchHandler(pub(crate) Arc<ClusterState>);
 
 impl WatchHandler for RoutingWatchHandler {
-    fn on_list(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
+    fn on_list(&self, listing: Listing, _gap: DurationMs) {
         let key = self.0.objects.routing_key();
-        for object in objects.iter().filter(|object| object.key == key) {
+        for object in listing.objects.iter().filter(|object| object.key == key) {
             self.0.apply_routing(&object.object.value);
         }
     }
 
-    fn on_change(&self, change: Change) {
+    fn on_change(&self, change: Change, _version: Version) {
         if change.key == self.0.objects.routing_key()
             && let Some(value) = change.value
         {
@@ -327,12 +344,12 @@
 pub(crate) struct TargetWatchHandler(pub(crate) Arc<ClusterState>);
 
 impl WatchHandler for TargetWatchHandler {
-    fn on_list(&self, objects: Vec<KeyedObject>, gap: DurationMs) {
-        self.0.list_targets(&objects, gap);
+    fn on_list(&self, listing: Listing, gap: DurationMs) {
+        self.0.list_targets(&listing.objects, gap);
         (self.0.on_change)();
     }
 
-    fn on_change(&self, change: Change) {
+    fn on_change(&self, change: Change, _version: Version) {
         self.0.set_target(&change.key, change.value.as_deref());
         (self.0.on_change)();
     }
@@ -342,14 +359,14 @@
 pub(crate) struct VersionWatchHandler(pub(crate) Arc<ClusterState>);
 
 impl WatchHandler for VersionWatchHandler {
-    fn on_list(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
-        for object in objects {
+    fn on_list(&self, listing: Listing, _gap: DurationMs) {
+        for object in listing.objects {
             self.0.set_version(&object.key, &object.object.value);
         }
         (self.0.on_change)();
     }
 
-    fn on_change(&self, change: Change) {
+    fn on_change(&self, change: Change, _version: Version) {
         if let Some(value) = change.value {
             self.0.set_version(&change.key, &value);
         }
--- a/crates/jm-host/src/duty/capacity.rs
+++ b/crates/jm-host/src/duty/capacity.rs
@@ -81,6 +81,10 @@
     }
 
     async fn reconcile(&self, term: &mut Term, guard: &LeaseGuard) {
+        if !self.cluster.is_complete() {
+            // Targets that are not listed yet are not lost.
+            return;
+        }
         let observed = self.serving_by_service_zone(&term.replacement.desired());
         let orders = term.replacement.next_orders(&observed, self.clock.now());
         for order in orders {
@@ -93,16 +97,28 @@
     }
 
     /// Counts the serving targets by service and availability zone, for services for which orders are allowed.
-    /// Includes services and zones that have no listed target left.
+    /// Includes services and zones that have no listed target left. In an evacuated zone, the desired numbers count as
+    /// serving: its targets accept no work or are being shut down, and a replacement there could not be used.
     fn serving_by_service_zone(&self, desired: &[DesiredTargets]) -> IndexMap<ServiceZone, ObservedTargets> {
         let mut observed = IndexMap::new();
         let Some(routing) = self.cluster.routing() else {
             return observed;
         };
+        let evacuated: Vec<ZoneId> = self
+            .cluster
+            .evacuated_zones()
+            .into_iter()
+            .map(|(zone, _)| zone)
+            .collect();
         for desired in desired {
-            add_serving(&mut observed, &routing, &desired.service, &desired.zone, 0);
+            let serving = match evacuated.contains(&desired.zone) {
+                true => desired.count,
+                false => 0,
+            };
+            add_serving(&mut observed, &routing, &desired.service, &desired.zone, serving);
         }
-        for target in self.cluster.catalog().iter() {
+        let catalog = self.cluster.catalog();
+        for target in catalog.iter().filter(|target| !evacuated.contains(&target.zone)) {
             let serving = usize::from(target.is_serving());
             add_serving(&mut observed, &routing, &target.service, &target.zone, serving);
         }
--- a/crates/jm-host/src/duty/weights.rs
+++ b/crates/jm-host/src/duty/weights.rs
@@ -77,7 +77,10 @@
             };
             for load in self.next_loads() {
                 let catalog = self.cluster.catalog();
-                let Some(target) = catalog.get(&load.run.id).filter(|target| target.run == load.run) else {
+                let Some(target) = catalog
+                    .get(&load.run.id)
+                    .filter(|target| target.run == load.run && target.is_serving())
+                else {
                     continue;
                 };
                 let duty = Arc::clone(&self);
@@ -180,6 +183,11 @@
             version: load.version,
             accepted_orders: report.accepted_orders,
         };
+        let catalog = self.cluster.catalog();
+        let listed = catalog.get(&load.run.id).filter(|listed| listed.run == load.run);
+        if !listed.is_some_and(Target::is_serving) {
+            return Err("the engine was evacuated or began to leave before the order".to_owned());
+        }
         match self.duties.load_weights(target, &order, guard).await {
             LoadOutcome::Accepted | LoadOutcome::Unknown { .. } => {}
             LoadOutcome::AlreadyLoaded => {
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -163,6 +163,9 @@
             Arc::clone(&clock),
             on_change(&changes.0),
         ));
+        if settings.bounds.evacuate_ms.is_some() {
+            cluster.require_evacuations();
+        }
         platform.notices.listen(Arc::clone(&cluster) as _);
         let peers = Arc::new(PeerClient::new(Arc::clone(&membership)));
         let usage = Arc::new(UsageCounter::new(
@@ -389,6 +392,7 @@
             usage: Arc::clone(&components.aggregator),
             cache: Arc::clone(&components.cache),
             lease: Arc::clone(&self.lease),
+            wall: Arc::clone(&self.wall),
             product_store: Arc::clone(&components.product_store),
             platform_store: Arc::clone(&components.platform_store),
         };
--- a/crates/jm-host/src/host/reconcile.rs
+++ b/crates/jm-host/src/host/reconcile.rs
@@ -51,6 +51,9 @@
         let number = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         let observer = &self.observer;
         observer.targets.set(number(self.cluster.catalog().len()));
+        observer
+            .evacuated_zones
+            .set(number(self.cluster.evacuated_zones().len()));
         observer.live_hosts.set(number(self.membership.live().len()));
         observer
             .config_revision
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -4,13 +4,13 @@
 
 use async_std::task;
 use jm_batch::{BATCH_STATE_PREFIX, BatchService, BatchState};
-use jm_platform::{Change, KeyedObject};
+use jm_platform::{Change, Listing, Version};
 use jm_types::{BatchId, DurationMs, LogEvent};
 
 use super::{Host, HostComponents};
 use crate::{
     PrefixWatch, WatchHandler, WatchOptions,
-    cluster_state::{RoutingWatchHandler, TargetWatchHandler, VersionWatchHandler},
+    cluster_state::{EvacuationWatchHandler, RoutingWatchHandler, TargetWatchHandler, VersionWatchHandler},
     duty::{CapacityDuty, LeaseLoop, MaintenanceDuty, UsageDuty, WeightDuty},
     membership::MEMBER_PREFIX,
     peer::{ObjectSpace, PeerCacheSource},
@@ -24,6 +24,14 @@
     max_age_ms: DurationMs::new(1_300),
     retry_ms: DurationMs::new(150),
     max_retry_ms: DurationMs::new(600),
+    starts_at_any_age: false,
+};
+
+/// Options for evacuations. A host that restarts while the store does not answer takes them from a peer of any age,
+/// because without them it must not serve at all.
+const EVACUATIONS: WatchOptions = WatchOptions {
+    starts_at_any_age: true,
+    ..POLLED
 };
 
 /// Options for weight versions, hosts and batches. A watch delivers events immediately, and the next listing reveals
@@ -34,6 +42,7 @@
     max_age_ms: DurationMs::new(2_500),
     retry_ms: DurationMs::new(200),
     max_retry_ms: DurationMs::new(800),
+    starts_at_any_age: false,
 };
 
 /// Options for batch states. No item of an ended batch may start later than 3 s after its end, even when watches
@@ -89,6 +98,11 @@
             Arc::clone(&self.membership) as _,
         );
         self.start_watch(components, product, BATCH_STATE_PREFIX, BATCH_STATES, states);
+        if self.settings.bounds.evacuate_ms.is_some() {
+            let prefix = objects.evacuations_prefix();
+            let evacuations = Arc::new(EvacuationWatchHandler(Arc::clone(cluster)));
+            self.start_watch(components, platform, prefix, EVACUATIONS, evacuations);
+        }
     }
 
     fn start_watch(
@@ -177,7 +191,7 @@
 struct BatchStateWatchHandler(Arc<BatchService>);
 
 impl BatchStateWatchHandler {
-    fn apply(&self, key: &str, value: &[u8], version: jm_platform::Version) {
+    fn apply(&self, key: &str, value: &[u8], version: Version) {
         match serde_json::from_slice::<BatchState>(value) {
             Ok(state) => self.0.apply_state(state, version),
             Err(error) => LogEvent::ConfigUnreadable
@@ -187,13 +201,13 @@
 }
 
 impl WatchHandler for BatchStateWatchHandler {
-    fn on_list(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
-        for object in objects {
+    fn on_list(&self, listing: Listing, _gap: DurationMs) {
+        for object in listing.objects {
             self.apply(&object.key, &object.object.value, object.object.version);
         }
     }
 
-    fn on_change(&self, change: Change) {
+    fn on_change(&self, change: Change, _version: Version) {
         match change.value {
             Some(value) => self.apply(&change.key, &value, change.version),
             None => {
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -11,6 +11,7 @@
 mod instrumented_store;
 mod logging;
 mod membership;
+mod metric;
 mod observer;
 mod peer;
 mod peer_server;
@@ -36,5 +37,5 @@
 pub use prefix_watch::{CacheSource, PrefixWatch, WatchHandler, WatchOptions, time_until_relist};
 pub use relay::{RelayPeer, RelayedStore};
 pub use settings::{BoundSettings, HostSettings, ListenSettings, SettingsError};
-pub use status::{HostStatus, MemberStatus, OpenBatch, TargetStatus};
+pub use status::{EvacuatedZone, HostStatus, MemberStatus, OpenBatch, TargetStatus};
 pub use store_cache::{CachedChanges, StoreCache};
--- a/crates/jm-host/src/membership.rs
+++ b/crates/jm-host/src/membership.rs
@@ -19,7 +19,7 @@
 use jm_member::{
     AgentError, Detector, DetectorOptions, MemberAgent, MemberRecord, MemberRole, MemberState, MemberView,
 };
-use jm_platform::{Change, Condition, KeyedObject, ObjectStore};
+use jm_platform::{Change, Condition, Listing, ObjectStore, Version};
 use jm_types::{Clock, DurationMs, Incarnation, LogEvent, MemberId, Revision, Timestamp, ZoneId};
 use serde::{Deserialize, Serialize};
 
@@ -305,7 +305,8 @@
 }
 
 impl WatchHandler for Membership {
-    fn on_list(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
+    fn on_list(&self, listing: Listing, _gap: DurationMs) {
+        let objects = listing.objects;
         for object in &objects {
             self.apply(&object.key, Some(&object.object.value));
         }
@@ -326,7 +327,7 @@
         (self.on_change)();
     }
 
-    fn on_change(&self, change: Change) {
+    fn on_change(&self, change: Change, _version: Version) {
         self.apply(&change.key, change.value.as_deref());
         (self.on_change)();
     }
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -5,14 +5,13 @@
 use jm_batch::{BatchEvents, BatchProgress, CarriedOver, GenerationEnd, RewardAttempt, RewardEnd, RunEnd};
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-};
-
-use crate::{duty::UsageCounter, instrumented_store::STORE_CALL_LABELS};
+use prometheus::{Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 
-/// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5];
+use crate::{
+    duty::UsageCounter,
+    instrumented_store::STORE_CALL_LABELS,
+    metric::{counter, gauge, histogram, plain_counter},
+};
 
 /// Records the metrics and log lines of one host. Label values are result codes and fixed words, so the number of
 /// time series is bounded.
@@ -38,6 +37,9 @@
     pub live_hosts: IntGauge,
     /// One while this host holds the lease of the shared duties, otherwise zero.
     pub holds_lease: IntGauge,
+    /// Number of evacuated availability zones.
+    pub evacuated_zones: IntGauge,
+    evacuation_refusals: IntCounter,
 }
 
 impl HostObserver {
@@ -118,6 +120,16 @@
                 "jm_holds_lease",
                 "One while this host carries out the shared duties.",
             ),
+            evacuated_zones: gauge(
+                &registry,
+                "jm_evacuated_zones",
+                "Availability zones that are evacuated.",
+            ),
+            evacuation_refusals: plain_counter(
+                &registry,
+                "jm_evacuation_refusals_total",
+                "Requests refused because all targets of their service are in evacuated zones.",
+            ),
             registry,
         }
     }
@@ -151,6 +163,9 @@
                 );
             }
             Err(refusal) => {
+                if refusal.code == ResultCode::Evacuated {
+                    self.evacuation_refusals.inc();
+                }
                 let code = refusal.code.to_string();
                 self.requests.with_label_values(&[kind, &code]).inc();
                 LogEvent::RequestRefused.write_fields(
@@ -215,31 +230,6 @@
     }
 }
 
-fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("metric names are valid");
-    registry
-        .register(Box::new(counter.clone()))
-        .expect("metric names are distinct");
-    counter
-}
-
-fn histogram(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
-    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-    let histogram = HistogramVec::new(options, labels).expect("metric names are valid");
-    registry
-        .register(Box::new(histogram.clone()))
-        .expect("metric names are distinct");
-    histogram
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(name, help).expect("metric names are valid");
-    registry
-        .register(Box::new(gauge.clone()))
-        .expect("metric names are distinct");
-    gauge
-}
-
 fn outcome_name(outcome: &AttemptOutcome) -> (&'static str, &str) {
     match outcome {
         AttemptOutcome::Answered(_) => ("answered", ""),
--- a/crates/jm-host/src/peer/cache_source.rs
+++ b/crates/jm-host/src/peer/cache_source.rs
@@ -7,6 +7,7 @@
 use jm_platform::{Change, Changes, Listing, Version};
 use jm_route::{owner_by_key, stable_hash};
 use jm_types::{DurationMs, MemberId};
+use rand::seq::IndexedRandom;
 
 use super::{ObjectSpace, PeerClient, PeerReply, PeerRequest, message::keyed_object};
 use crate::{CacheSource, CachedChanges};
@@ -73,6 +74,24 @@
 /// Timeout of a call on another host's cache, in addition to its wait. After it, this host falls back to the store.
 const CACHE_CALL_TIMEOUT_MS: DurationMs = DurationMs::new(300);
 
+/// Maximum number of hosts that are asked for a listing of any age. Hosts that were cut off at different times have
+/// different ones, and the newest one is used.
+const MAX_START_CALLS: usize = 5;
+
+fn listing_of(reply: PeerReply) -> Option<(Listing, DurationMs)> {
+    match reply {
+        PeerReply::Copy {
+            objects,
+            version,
+            age_ms,
+        } => {
+            let objects = objects.into_iter().map(keyed_object).collect();
+            Some((Listing { objects, version }, age_ms))
+        }
+        _ => None,
+    }
+}
+
 #[async_trait]
 impl CacheSource for PeerCacheSource {
     async fn list(
@@ -86,17 +105,27 @@
             prefix: prefix.to_owned(),
             max_age_ms: max_age,
         };
-        match self.call(request, DurationMs::new(0)).await? {
-            PeerReply::Copy {
-                objects,
-                version,
-                age_ms,
-            } => {
-                let objects = objects.into_iter().map(keyed_object).collect();
-                Some((Listing { objects, version }, age_ms))
-            }
-            _ => None,
-        }
+        listing_of(self.call(request, DurationMs::new(0)).await?)
+    }
+
+    async fn list_at_any_age(&self, space: ObjectSpace, prefix: &str) -> Option<(Listing, DurationMs)> {
+        let others = self.client.membership.live_peers();
+        let chosen: Vec<MemberId> = {
+            let mut random = rand::rng();
+            let chosen = others.choose_multiple(&mut random, MAX_START_CALLS);
+            chosen.map(|(member, _)| member.clone()).collect()
+        };
+        let request = PeerRequest::ListCopy {
+            space,
+            prefix: prefix.to_owned(),
+            max_age_ms: DurationMs::new(u64::MAX),
+        };
+        let calls = chosen
+            .iter()
+            .map(|member| self.client.call_member(member, &request, DurationMs::new(0)));
+        let replies = futures::future::join_all(calls).await;
+        let listings = replies.into_iter().flatten().filter_map(listing_of);
+        listings.max_by_key(|(listing, _)| listing.version)
     }
 
     async fn watch(
--- a/crates/jm-host/src/peer_server/host_status.rs
+++ b/crates/jm-host/src/peer_server/host_status.rs
@@ -8,7 +8,7 @@
     cluster_state::ClusterState,
     duty::LeaseView,
     membership::Membership,
-    status::{HostStatus, MemberStatus, OpenBatch, TargetStatus},
+    status::{EvacuatedZone, HostStatus, MemberStatus, OpenBatch, TargetStatus},
 };
 
 /// The status of this host.
@@ -17,6 +17,7 @@
     cluster: &ClusterState,
     batches: &BatchService,
     lease: &LeaseView,
+    now_unix_ms: u64,
 ) -> HostStatus {
     HostStatus {
         host: membership.own_id().clone(),
@@ -27,9 +28,20 @@
         members: members(membership.own_id(), &membership.view()),
         targets: targets(cluster),
         open_batches: open_batches(batches),
+        evacuated_zones: evacuated_zones(cluster, now_unix_ms),
     }
 }
 
+fn evacuated_zones(cluster: &ClusterState, now_unix_ms: u64) -> Vec<EvacuatedZone> {
+    let zones = cluster.evacuated_zones().into_iter();
+    zones
+        .map(|(zone, lasting_ms)| EvacuatedZone {
+            zone,
+            since_unix_ms: now_unix_ms.saturating_sub(lasting_ms.get()),
+        })
+        .collect()
+}
+
 fn members(own: &MemberId, view: &MemberView) -> Vec<MemberStatus> {
     let others = view.iter().filter(|member| member.record.id != *own);
     others
--- a/crates/jm-host/src/peer_server/mod.rs
+++ b/crates/jm-host/src/peer_server/mod.rs
@@ -9,7 +9,7 @@
 use jm_http::{Connection, Handler, Request, Response, StatusCode};
 use jm_node::{decode, encode};
 use jm_platform::{KeyedObject, ObjectError, ObjectStore};
-use jm_types::LogEvent;
+use jm_types::{LogEvent, WallClock};
 use serde_bytes::ByteBuf;
 
 use self::host_status::host_status;
@@ -29,6 +29,7 @@
     pub(crate) usage: Arc<UsageAggregator>,
     pub(crate) cache: Arc<StoreCache>,
     pub(crate) lease: Arc<LeaseView>,
+    pub(crate) wall: Arc<dyn WallClock>,
     pub(crate) product_store: Arc<RelayedStore>,
     pub(crate) platform_store: Arc<RelayedStore>,
 }
@@ -48,7 +49,9 @@
             PeerRequest::Configuration => PeerReply::Configuration(self.cluster.routing_value()),
             PeerRequest::Status => {
                 let (membership, cluster) = (&self.membership, &self.cluster);
-                PeerReply::Status(host_status(membership, cluster, &self.batches, &self.lease))
+                let now_unix_ms = self.wall.unix_ms();
+                let status = host_status(membership, cluster, &self.batches, &self.lease, now_unix_ms);
+                PeerReply::Status(status)
             }
             PeerRequest::LeaseHolder => PeerReply::LeaseHolder(self.lease.holder()),
             PeerRequest::Usage {
--- a/crates/jm-host/src/platform.rs
+++ b/crates/jm-host/src/platform.rs
@@ -9,7 +9,7 @@
 use jm_lease::LeaseGuard;
 use jm_plan::DesiredTargets;
 use jm_platform::ObjectStore;
-use jm_types::{ModelId, OrganisationId, WeightVersion};
+use jm_types::{ModelId, OrganisationId, WeightVersion, ZoneId};
 use jm_usage::WindowId;
 use snafu::Snafu;
 
@@ -35,6 +35,16 @@
     /// Prefix of the keys of requests to retire a host.
     fn retirements_prefix(&self) -> &'static str;
 
+    /// Prefix of the keys of evacuations.
+    fn evacuations_prefix(&self) -> &'static str;
+
+    /// Decodes the availability zone of an evacuation, whose value has no meaning.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key does not name a zone.
+    fn evacuated_zone(&self, key: &str) -> Result<ZoneId, DecodeError>;
+
     /// Decodes the configuration object.
     ///
     /// # Errors
--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use async_trait::async_trait;
-use jm_platform::{Change, Changes, KeyedObject, Listing, ObjectStore, Version, WatchError};
+use jm_platform::{Change, Changes, Listing, ObjectStore, Version, WatchError};
 use jm_types::{Clock, DurationMs, LogEvent, Timestamp};
 
 use crate::{CachedChanges, ObjectSpace, StoreCache};
@@ -23,16 +23,19 @@
     pub retry_ms: DurationMs,
     /// Maximum backoff after a failed listing.
     pub max_retry_ms: DurationMs,
+    /// Whether the first listing may be another host's cached data of any age if the store does not answer.
+    pub starts_at_any_age: bool,
 }
 
 /// Receives the objects of a watched prefix.
 pub trait WatchHandler: Send + Sync {
-    /// Receives all objects as of one version of the store. `gap` is the time for which the store had not confirmed
-    /// the previous state.
-    fn on_list(&self, objects: Vec<KeyedObject>, gap: DurationMs);
+    /// Receives all objects as of one version of the store, which is never older than the version of the previous call of
+    /// either method. `gap` is the time for which the store had not confirmed the previous state.
+    fn on_list(&self, listing: Listing, gap: DurationMs);
 
-    /// Receives one change after the last listing.
-    fn on_change(&self, change: Change);
+    /// Receives one change after the last listing. `version` is the store version up to which the changes were read. The
+    /// version in `change` may be older if the object was deleted, and also if a listing revealed the change.
+    fn on_change(&self, change: Change, version: Version);
 }
 
 /// Access to another host's cache of the store.
@@ -47,6 +50,9 @@
         max_age: DurationMs,
     ) -> Option<(Listing, DurationMs)>;
 
+    /// Returns the newest listing that other hosts have, with its age, or `None` when none of them answers with one.
+    async fn list_at_any_age(&self, space: ObjectSpace, prefix: &str) -> Option<(Listing, DurationMs)>;
+
     /// Returns the changes after a version, waiting up to `wait` for the first one.
     async fn watch(
         &self,
@@ -141,7 +147,8 @@
     }
 
     /// Lists the prefix, and passes the listing to the handler when it is the first one, contains changes or follows a
-    /// notable gap.
+    /// notable gap. A listing that is older than the cached state confirms nothing and is dropped: the host read it from
+    /// a peer that lags behind.
     async fn list(
         &self,
         confirmed_at: Timestamp,
@@ -154,9 +161,24 @@
             .await;
         let (listing, age) = match cached {
             Some(cached) => cached,
-            None => (self.list_store(store_backoff).await?, DurationMs::new(0)),
+            None => match self.list_store(store_backoff).await {
+                Ok(listing) => (listing, DurationMs::new(0)),
+                Err(reason) if is_first && self.options.starts_at_any_age => {
+                    let any = self.source.list_at_any_age(self.space, self.prefix).await;
+                    any.ok_or(reason)?
+                }
+                Err(reason) => return Err(reason),
+            },
         };
         let now = self.clock.now();
+        let newest = self.cache.version(self.space, self.prefix);
+        if listing.version < newest {
+            return Ok(Position {
+                version: newest,
+                listed_at: now,
+                confirmed_at,
+            });
+        }
         let gap = now.since(confirmed_at).saturating_sub(age);
         let position = Position {
             version: listing.version,
@@ -165,7 +187,7 @@
         };
         let changed = self.cache.apply_listing(self.space, self.prefix, &listing, age);
         if is_first || changed > 0 || gap >= NOTABLE_GAP_MS {
-            self.handler.on_list(listing.objects, gap);
+            self.handler.on_list(listing, gap);
         }
         Ok(position)
     }
@@ -227,11 +249,16 @@
                     None => return position.confirmed_at,
                 },
             };
+            if changes.version < position.version {
+                // A lagging replica of the store may answer at once, so the next listing follows after a pause.
+                task::sleep(self.options.retry_ms.as_std()).await;
+                return position.confirmed_at;
+            }
             position.version = changes.version;
             position.confirmed_at = Timestamp::new(self.clock.now().get().saturating_sub(age.get()));
             self.cache.apply_changes(self.space, self.prefix, &changes, age);
             for change in changes.changes {
-                self.handler.on_change(change);
+                self.handler.on_change(change, position.version);
             }
         }
     }
--- a/crates/jm-host/src/settings.rs
+++ b/crates/jm-host/src/settings.rs
@@ -34,6 +34,9 @@
     pub usage_window_ms: DurationMs,
     /// Time after its submission for which a batch can be read.
     pub batch_keep_ms: DurationMs,
+    /// Time from the order to evacuate an availability zone until no host sends requests to it. `None` where the platform
+    /// has no evacuations.
+    pub evacuate_ms: Option<DurationMs>,
 }
 
 /// Settings of one host.
@@ -151,6 +154,7 @@
                 lease_ms: bounds.duration("lease")?,
                 usage_window_ms: bounds.duration("usage_window")?,
                 batch_keep_ms: bounds.duration("batch_keep")?,
+                evacuate_ms: bounds.optional_duration("evacuate")?,
             },
         })
     }
@@ -217,6 +221,12 @@
         text.split(',').map(|part| self.parse(key, part)).collect()
     }
 
+    /// Parses a duration; `None` when the key is missing or empty.
+    fn optional_duration(&self, key: &str) -> Result<Option<DurationMs>, SettingsError> {
+        let text = self.text(key).ok();
+        text.map(|text| self.parse(key, text)).transpose()
+    }
+
     /// Parses a duration, which must have a unit.
     fn duration(&self, key: &str) -> Result<DurationMs, SettingsError> {
         self.value(key)
--- a/crates/jm-host/src/status.rs
+++ b/crates/jm-host/src/status.rs
@@ -29,6 +29,15 @@
     pub weights: Vec<(ModelId, WeightVersion)>,
 }
 
+/// An evacuated availability zone in the reporting host's view.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuatedZone {
+    /// The zone, whose targets get no new work.
+    pub zone: ZoneId,
+    /// When the reporting host applied the evacuation, in milliseconds since the Unix epoch.
+    pub since_unix_ms: u64,
+}
+
 /// A batch that has not finished.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OpenBatch {
@@ -59,4 +68,7 @@
     pub targets: Vec<TargetStatus>,
     /// Batches that have not finished.
     pub open_batches: Vec<OpenBatch>,
+    /// Evacuated availability zones. Hosts of earlier releases report none.
+    #[serde(default)]
+    pub evacuated_zones: Vec<EvacuatedZone>,
 }
--- a/crates/jm-host/src/store_cache.rs
+++ b/crates/jm-host/src/store_cache.rs
@@ -168,6 +168,13 @@
         }
     }
 
+    /// Store version of the cached objects of a prefix; zero when the prefix is not cached.
+    pub fn version(&self, space: ObjectSpace, prefix: &str) -> Version {
+        let prefixes = self.lock();
+        let cached = prefixes.get(&(space, prefix.to_owned()));
+        cached.map_or(Version::default(), |cached| cached.version)
+    }
+
     /// Returns all objects of a prefix with their age, or `None` when they are older than `max_age` or not cached.
     pub fn listing(
         &self,
--- a/crates/jm-host/tests/followed_prefix.rs
+++ b/crates/jm-host/tests/followed_prefix.rs
@@ -9,8 +9,8 @@
 use async_trait::async_trait;
 use jm_host::{CacheSource, CachedChanges, ObjectSpace, PrefixWatch, StoreCache, WatchHandler, WatchOptions};
 use jm_platform::{
-    Change, Changes, Condition, KeyedObject, Listing, MemoryPlatform, Object, ObjectError, ObjectStore,
-    ReadError, Version, WatchError,
+    Change, Changes, Condition, Listing, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError,
+    Version, WatchError,
 };
 use jm_types::{DurationMs, SystemClock};
 
@@ -65,6 +65,9 @@
     ) -> Option<(Listing, DurationMs)> {
         self.0.as_ref()?.listing(space, prefix, max_age)
     }
+    async fn list_at_any_age(&self, _: ObjectSpace, _: &str) -> Option<(Listing, DurationMs)> {
+        None
+    }
     async fn watch(
         &self,
         space: ObjectSpace,
@@ -84,10 +87,10 @@
 struct ObservedKeys(Mutex<Vec<String>>);
 
 impl WatchHandler for ObservedKeys {
-    fn on_list(&self, objects: Vec<KeyedObject>, _gap: DurationMs) {
-        *self.0.lock().unwrap() = objects.into_iter().map(|object| object.key).collect();
+    fn on_list(&self, listing: Listing, _gap: DurationMs) {
+        *self.0.lock().unwrap() = listing.objects.into_iter().map(|object| object.key).collect();
     }
-    fn on_change(&self, change: Change) {
+    fn on_change(&self, change: Change, _version: Version) {
         let mut observed = self.0.lock().unwrap();
         observed.retain(|key| *key != change.key);
         if change.value.is_some() {
@@ -127,6 +130,7 @@
             max_age_ms: DurationMs::new(5_000),
             retry_ms: DurationMs::new(5),
             max_retry_ms: DurationMs::new(20),
+            starts_at_any_age: false,
         },
         clock: Arc::new(SystemClock),
         cache: Arc::clone(&cache),
--- a/crates/jm-host/tests/host_settings.rs
+++ b/crates/jm-host/tests/host_settings.rs
@@ -62,6 +62,18 @@
     );
 }
 
+/// Guards against a deployment without evacuations that cannot start, or that waits for evacuations forever.
+#[test]
+fn optional_evacuations() {
+    let with =
+        |line: &str| HostSettings::parse(&format!("{SETTINGS}{line}\n")).map(|it| it.bounds.evacuate_ms);
+    assert_eq!(with("").unwrap(), None);
+    assert_eq!(with("evacuate =").unwrap(), None);
+    assert_eq!(with("evacuate = 5000ms").unwrap(), Some(DurationMs::new(5_000)));
+    let error = with("evacuate = soon").unwrap_err().to_string();
+    assert!(error.starts_with("[bounds] evacuate = \"soon\""), "{error}");
+}
+
 #[test]
 fn no_seeds() {
     let settings = HostSettings::parse(&SETTINGS.replace("127.0.0.1:8003, 127.0.0.2:8003", "")).unwrap();
--- a/crates/jm-host/tests/lost_targets.rs
+++ b/crates/jm-host/tests/lost_targets.rs
@@ -8,8 +8,8 @@
 use jm_batch::RoutingSource;
 use jm_forward::{CallerLimits, RoutingTable, RunKey, Target, TargetState};
 use jm_host::{ClusterState, DecodeError, PlatformObjects, WatchHandler};
-use jm_platform::{Change, KeyedObject, Object, Version};
-use jm_types::{ByteSize, DurationMs, ManualClock, ModelId, Revision, WeightVersion};
+use jm_platform::{Change, KeyedObject, Listing, Object, Version};
+use jm_types::{ByteSize, DurationMs, ManualClock, ModelId, Revision, WeightVersion, ZoneId};
 
 /// Decodes objects whose value is a number or a word.
 struct PlainObjects;
@@ -27,6 +27,12 @@
     fn retirements_prefix(&self) -> &'static str {
         "retirements/"
     }
+    fn evacuations_prefix(&self) -> &'static str {
+        "evacuations/"
+    }
+    fn evacuated_zone(&self, _key: &str) -> Result<ZoneId, DecodeError> {
+        unreachable!("the test evacuates no zone")
+    }
     fn routing(&self, value: &[u8]) -> Result<RoutingTable, DecodeError> {
         let text = String::from_utf8_lossy(value);
         let revision = text.parse().map_err(|_| DecodeError {
@@ -114,15 +120,20 @@
     }
 
     fn list(&self, targets: &[(&str, &str)], gap_ms: u64) {
-        self.targets.on_list(objects(targets), DurationMs::new(gap_ms));
+        let listing = Listing {
+            objects: objects(targets),
+            version: Version::new(1),
+        };
+        self.targets.on_list(listing, DurationMs::new(gap_ms));
     }
 
     fn change(&self, id: &str, value: Option<&str>) {
-        self.targets.on_change(Change {
+        let change = Change {
             key: format!("targets/{id}"),
             version: Version::new(2),
             value: value.map(|value| value.as_bytes().to_vec()),
-        });
+        };
+        self.targets.on_change(change, Version::new(2));
     }
 }
 
--- a/crates/jm-host/tests/store_source.rs
+++ b/crates/jm-host/tests/store_source.rs
@@ -59,6 +59,7 @@
         max_age_ms: ms(1_300),
         retry_ms: ms(150),
         max_retry_ms: ms(600),
+        starts_at_any_age: false,
     };
     let wait = |listed, confirmed| time_until_relist(&options, ms(listed), ms(confirmed)).get();
     assert_eq!(wait(0, 0), 750, "fresh data: wait for the full interval");
