--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -27,7 +27,8 @@
     starts_at_any_age: false,
 };
 
-/// Options for evacuations. A host that restarts while the store does not answer takes them from a peer of any age,
+/// Options for evacuations. They are polled because a cache that believes a watch without its events would have a newer
+/// version without the evacuation, and end it on every host that reads this cache. A host that restarts while the store does not answer takes them from a peer of any age,
 /// because without them it must not serve at all.
 const EVACUATIONS: WatchOptions = WatchOptions {
     starts_at_any_age: true,
