Owners of batches, readers of the store and lease holders are hosts with enough processor time

Cause: all events of a step pass through the host that owns it, and the owner was any live host. On grown deployments five of six hosts have 0.09 to 0.12 of a core, which a step of 144 texts uses up. Change: the optional setting [host] cpu, rendered from the platform's limits, is part of a host's registration. capable_hosts picks the live hosts with at least half of the largest figure if there are four or more; owners, store readers and lease candidates are chosen among them. Hosts that are alike, or state nothing, are all candidates as before.

--- a/crates/jm-batch/src/ownership.rs
+++ b/crates/jm-batch/src/ownership.rs
@@ -27,6 +27,12 @@
     /// Live hosts that are not shutting down, with their incarnations.
     fn live(&self) -> Vec<(MemberId, Incarnation)>;
 
+    /// The live hosts among which the owners of batches are chosen. An owner handles each event of its items, so hosts with
+    /// little processor time are left out where there are enough others.
+    fn owner_candidates(&self) -> Vec<(MemberId, Incarnation)> {
+        self.live()
+    }
+
     /// Whether this host presumes more than half of the hosts failed, which indicates that it is isolated itself.
     fn is_isolated(&self) -> bool;
 }
@@ -67,8 +73,9 @@
     if displaced.is_some_and(|displaced| displaced < reclaim_ms) {
         return Takeover::None;
     }
-    let live: Vec<MemberId> = members.live().into_iter().map(|(member, _)| member).collect();
-    match owner_by_key(state.owner_key(), &live) {
+    let candidates = members.owner_candidates().into_iter();
+    let candidates: Vec<MemberId> = candidates.map(|(member, _)| member).collect();
+    match owner_by_key(state.owner_key(), &candidates) {
         Some(next) if next == own => Takeover::Claim,
         _ => Takeover::None,
     }
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -307,15 +307,15 @@
     }
 
     fn next_owner(&self, batch: &BatchId) -> Option<(MemberId, Incarnation)> {
-        let live: Vec<(MemberId, Incarnation)> = self.deps.members.live();
-        let others: Vec<MemberId> = live
+        let candidates: Vec<(MemberId, Incarnation)> = self.deps.members.owner_candidates();
+        let others: Vec<MemberId> = candidates
             .iter()
             .map(|(member, _)| member.clone())
             .filter(|member| *member != self.options.local_member)
             .collect();
         let state = self.cached_state(batch)?.state;
         let next = owner_by_key(state.owner_key(), &others)?;
-        live.iter().find(|(member, _)| member == next).cloned()
+        candidates.iter().find(|(member, _)| member == next).cloned()
     }
 
     /// The host that removes a batch from the store, which may differ from the owner. `None` if no host is live.
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -66,10 +66,10 @@
 
     /// Selects the owner of a new batch, which is this host if no live one is known.
     fn first_owner(&self, spec: &BatchSpec) -> (MemberId, Incarnation) {
-        let live = self.deps.members.live();
-        let members: Vec<MemberId> = live.iter().map(|(member, _)| member.clone()).collect();
+        let candidates = self.deps.members.owner_candidates();
+        let members: Vec<MemberId> = candidates.iter().map(|(member, _)| member.clone()).collect();
         let first = owner_by_key(owner_key(spec.model.as_ref(), &spec.id), &members);
-        let first = first.and_then(|first| live.iter().find(|(member, _)| member == first));
+        let first = first.and_then(|first| candidates.iter().find(|(member, _)| member == first));
         first
             .cloned()
             .unwrap_or_else(|| (self.options.local_member.clone(), self.options.incarnation))
--- a/crates/jm-host/src/duty/mod.rs
+++ b/crates/jm-host/src/duty/mod.rs
@@ -231,11 +231,18 @@
 
     fn role(&self) -> LeaseRole {
         let own = self.membership.own_id();
-        lease_role(&Duty::Fleet.key(), own, &self.live(), self.view.holder().as_ref())
+        let hosts = self.capable();
+        lease_role(&Duty::Fleet.key(), own, &hosts, self.view.holder().as_ref())
     }
 
     fn candidates(&self) -> Vec<MemberId> {
-        lease_candidates(&Duty::Fleet.key(), &self.live())
+        lease_candidates(&Duty::Fleet.key(), &self.capable())
+    }
+
+    /// The hosts that may take the lease. Its holder calls every engine, which takes processor time.
+    fn capable(&self) -> Vec<MemberId> {
+        let capable = self.membership.owner_candidates().into_iter();
+        capable.map(|(member, _)| member).collect()
     }
 
     fn live(&self) -> Vec<MemberId> {
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod capacity;
 mod cluster_state;
 mod duty;
 mod host;
@@ -21,6 +22,7 @@
 mod status;
 mod store_cache;
 
+pub use capacity::{CpuCapacity, CpuCapacityError, capable_hosts};
 pub use cluster_state::ClusterState;
 pub use duty::{LeaseRole, MAX_DUTY_CALL_MS, UsageAggregator, UsageCounter, lease_role};
 pub use host::{Host, HostError, HostParts, connection_limits};
--- a/crates/jm-host/src/membership.rs
+++ b/crates/jm-host/src/membership.rs
@@ -23,7 +23,7 @@
 use jm_types::{Clock, DurationMs, Incarnation, LogEvent, MemberId, Revision, Timestamp, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::{HostSettings, prefix_watch::WatchHandler};
+use crate::{CpuCapacity, HostSettings, capacity::capable_hosts, prefix_watch::WatchHandler};
 
 /// Prefix of the keys of registrations.
 pub(crate) const MEMBER_PREFIX: &str = "member/";
@@ -50,6 +50,9 @@
     pub callers: SocketAddr,
     /// Address on which the host serves its peers.
     pub peers: SocketAddr,
+    /// Processor time of the host; `None` if its settings or its release do not state it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cpu: Option<CpuCapacity>,
 }
 
 /// Intervals of the failure detector. A host is declared failed about 1.5 s after it stopped, because a step that
@@ -100,6 +103,7 @@
             },
             callers: settings.listen.callers,
             peers: settings.announced_peers,
+            cpu: settings.cpu,
         };
         let detector = Detector::new(detector_options(), own.record.clone(), Revision::new(0));
         // The platform provides no secret. The name of the deployment only separates its datagrams from those of
@@ -371,4 +375,11 @@
         });
         own.into_iter().chain(others).collect()
     }
+
+    fn owner_candidates(&self) -> Vec<(MemberId, Incarnation)> {
+        let live = self.live();
+        let registrations = self.lock();
+        let cpu_of = |(member, _): &(MemberId, Incarnation)| registrations.get(member)?.cpu;
+        capable_hosts(live, cpu_of)
+    }
 }
--- a/crates/jm-host/src/peer/cache_source.rs
+++ b/crates/jm-host/src/peer/cache_source.rs
@@ -29,13 +29,13 @@
     Reader(MemberId),
 }
 
-/// Selects where the host `own` reads the objects of the store, given the live hosts. Only one host reads the store,
-/// so the number of store calls does not grow with the number of hosts. Secondary readers serve its cached data to
-/// the others, so the load of the primary reader does not grow either.
-pub fn store_source(own: &MemberId, live: &[MemberId]) -> StoreSource {
-    let readers = live.len().div_ceil(HOSTS_PER_READER).max(1);
+/// Selects where the host `own` reads the objects of the store, given the number of live hosts and those that may read for
+/// others. Only one host reads the store, so the number of store calls does not grow with the number of hosts. Secondary
+/// readers serve its cached data to the others, so the load of the primary reader does not grow either.
+pub fn store_source(own: &MemberId, live: usize, candidates: &[MemberId]) -> StoreSource {
+    let readers = live.div_ceil(HOSTS_PER_READER).max(1);
     let chosen: Vec<&MemberId> = (0..readers)
-        .filter_map(|index| owner_by_key(&format!("store-reader/{index}"), live))
+        .filter_map(|index| owner_by_key(&format!("store-reader/{index}"), candidates))
         .collect();
     let slot = stable_hash(own.as_str().as_bytes()) as usize % readers;
     match (chosen.first(), chosen.get(slot)) {
@@ -54,8 +54,10 @@
 impl PeerCacheSource {
     fn source(&self) -> StoreSource {
         let membership = &self.client.membership;
-        let live: Vec<MemberId> = membership.live().into_iter().map(|(member, _)| member).collect();
-        store_source(membership.own_id(), &live)
+        let live = membership.live().len();
+        let candidates = membership.owner_candidates().into_iter();
+        let candidates: Vec<MemberId> = candidates.map(|(member, _)| member).collect();
+        store_source(membership.own_id(), live, &candidates)
     }
 
     async fn call(&self, request: PeerRequest, wait: DurationMs) -> Option<PeerReply> {
--- a/crates/jm-host/src/settings.rs
+++ b/crates/jm-host/src/settings.rs
@@ -6,6 +6,8 @@
 use jm_types::{DurationMs, MemberId, RegionId, ZoneId};
 use snafu::{OptionExt, ResultExt, Snafu};
 
+use crate::CpuCapacity;
+
 /// Addresses on which the host listens.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ListenSettings {
@@ -45,6 +47,8 @@
     pub zone: ZoneId,
     /// Region of this host.
     pub region: RegionId,
+    /// Processor time of this host; `None` if the settings do not state it.
+    pub cpu: Option<CpuCapacity>,
     /// Listen addresses.
     pub listen: ListenSettings,
     /// Address that other hosts connect to. Differs from the listen address when ports are forwarded.
@@ -128,6 +132,7 @@
             id: host.value("id")?,
             zone: host.value("zone")?,
             region: host.value("region")?,
+            cpu: host.optional("cpu")?,
             listen: ListenSettings {
                 callers: listen.value("callers")?,
                 ready: listen.value("ready")?,
@@ -198,6 +203,14 @@
         }
     }
 
+    /// Parses the value of a key; `None` when the key is missing or empty.
+    fn optional<T: FromStr<Err: fmt::Display>>(&self, key: &str) -> Result<Option<T>, SettingsError> {
+        match self.text(key) {
+            Ok(text) => self.parse(key, text).map(Some),
+            Err(_) => Ok(None),
+        }
+    }
+
     fn parse<T: FromStr<Err: fmt::Display>>(&self, key: &str, text: &str) -> Result<T, SettingsError> {
         text.trim()
             .parse()
--- a/crates/jm-host/tests/host_settings.rs
+++ b/crates/jm-host/tests/host_settings.rs
@@ -1,6 +1,6 @@
 //! Guards against a host that starts with unusable settings, and against errors that do not name the faulty setting.
 
-use jm_host::{HostSettings, SettingsError};
+use jm_host::{CpuCapacity, HostSettings, SettingsError};
 use jm_types::DurationMs;
 
 const SETTINGS: &str = "\
@@ -38,6 +38,18 @@
     assert_eq!(settings.seeds.len(), 2);
 }
 
+/// A deployment that states no processor time must start, and an unusable figure must name its key.
+#[test]
+fn processor_time() {
+    assert_eq!(HostSettings::parse(SETTINGS).unwrap().cpu, None);
+    let stated = SETTINGS.replace("[listen]", "cpu = 0.12\n\n[listen]");
+    let cpu = HostSettings::parse(&stated).unwrap().cpu;
+    assert_eq!(cpu, Some(CpuCapacity::from_millicores(120)));
+    let wrong = SETTINGS.replace("[listen]", "cpu = many\n\n[listen]");
+    let error = HostSettings::parse(&wrong).unwrap_err();
+    assert!(error.to_string().starts_with("[host] cpu = \"many\""));
+}
+
 /// Without a deployment name, hosts that use different addresses of the store ignored one another's datagrams.
 #[test]
 fn deployment_name() {
--- a/crates/jm-host/tests/store_source.rs
+++ b/crates/jm-host/tests/store_source.rs
@@ -17,7 +17,10 @@
 fn one_host_reads_the_store() {
     for count in [1, 2, 40, 41, 66, 120, 350] {
         let live = hosts(count);
-        let sources: Vec<StoreSource> = live.iter().map(|own| store_source(own, &live)).collect();
+        let sources: Vec<StoreSource> = live
+            .iter()
+            .map(|own| store_source(own, live.len(), &live))
+            .collect();
         let reads_store = |source: &&StoreSource| **source == StoreSource::Store;
         assert_eq!(sources.iter().filter(reads_store).count(), 1, "{count} hosts");
         let mut served: HashMap<&MemberId, usize> = HashMap::new();
@@ -37,13 +40,13 @@
     let live = hosts(350);
     let first = live
         .iter()
-        .find(|own| store_source(own, &live) == StoreSource::Store);
+        .find(|own| store_source(own, live.len(), &live) == StoreSource::Store);
     let first = first.unwrap();
     for own in &live {
-        let StoreSource::Reader(reader) = store_source(own, &live) else {
+        let StoreSource::Reader(reader) = store_source(own, live.len(), &live) else {
             continue;
         };
-        let of_reader = store_source(&reader, &live);
+        let of_reader = store_source(&reader, live.len(), &live);
         assert!(reader == *first || of_reader == StoreSource::PrimaryReader(first.clone()));
     }
 }
