Cold engines: limit the requests that all senders of a host make

Cause: engines crash when they receive far more requests than they tolerate after a start. Several batch owners and live hosts send to one engine and don't see each other's requests; an engine that rejects is probed every 100 ms by each owner.

Change: jm-forward has the module cold (shares of the rate, evenly spaced requests) and the gate that the forwarder, the placement of items, moves and reward calls of a host share. Requests are recorded at the decision. The limits come from cold_start_s and cold_per_s of a service, the state of a target from cold_left_ms, its start time, Cold-Ms in responses and failed connections. The runner wakes when a cold engine can take the next item; a live request waits up to 1 s when all its targets are cold. New log events 4011 and 4012 and the counter jm_cold_requests_held_total.

Tested: cargo test of jm-forward, jm-route, jm-types, jm-batch, jm-host and jacinthmoor-platform, all passed.

--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -5,8 +5,10 @@
 //! engine that would finish it first. An engine never receives more items than it has slots, so that the batch plan
 //! decides the order and not the engines' queues.
 
+use std::sync::Arc;
+
 use indexmap::IndexMap;
-use jm_forward::{RunKey, Target};
+use jm_forward::{ColdGate, RunKey, SendKind, Target};
 use jm_types::{DurationMs, ModelId, Timestamp, WeightVersion};
 
 /// Parameters of the engine selection.
@@ -62,6 +64,7 @@
 pub struct EngineLoads {
     options: LoadOptions,
     loads: IndexMap<RunKey, EngineLoad>,
+    cold: Option<Arc<ColdGate>>,
 }
 
 /// A batch that another host runs, as a competitor for engines.
@@ -98,9 +101,15 @@
         Self {
             options,
             loads: IndexMap::new(),
+            cold: None,
         }
     }
 
+    /// Sends to cold engines only what `gate` allows.
+    pub fn with_cold_gate(self, gate: Option<Arc<ColdGate>>) -> Self {
+        Self { cold: gate, ..self }
+    }
+
     /// The engine that would finish an item first, among those with a free slot and sufficiently new weights.
     pub fn pick<'a>(
         &self,
@@ -130,7 +139,8 @@
         self.has_slot(target, requirements, now) && self.has_memory(target, requirements)
     }
 
-    /// Whether the engine has a free slot and sufficiently new weights, and is not avoided.
+    /// Whether the engine has a free slot and sufficiently new weights, is not avoided, and may receive a request if it is
+    /// cold.
     pub(crate) fn has_slot(
         &self,
         target: &Target,
@@ -146,7 +156,21 @@
                 .max(1.0) as usize,
         };
         let is_avoided = load.is_some_and(|load| now < load.avoid_until);
-        running < window && !is_avoided && self.has_weights(target, requirements)
+        running < window
+            && !is_avoided
+            && self.has_weights(target, requirements)
+            && self
+                .cold
+                .as_ref()
+                .is_none_or(|gate| gate.may_send(target, SendKind::Item, now))
+    }
+
+    /// Records a request to the engine at the moment of the decision, so that one pass does not exceed what a cold engine
+    /// tolerates.
+    pub(crate) fn record_send(&self, target: &Target, now: Timestamp) {
+        if let Some(gate) = &self.cold {
+            gate.record_send(target, SendKind::Item, now);
+        }
     }
 
     fn usable_slots(&self, target: &Target) -> usize {
--- a/crates/jm-batch/src/placement.rs
+++ b/crates/jm-batch/src/placement.rs
@@ -96,6 +96,7 @@
         }
         self.candidates.extend(too_small);
         let candidate = chosen?;
+        loads.record_send(candidate.target, now);
         loads.run_started(&candidate.target.run, requirements.tokens);
         self.candidates.push(Reverse(Candidate {
             cost: loads.cost(candidate.target),
--- a/crates/jm-batch/src/reward_queue.rs
+++ b/crates/jm-batch/src/reward_queue.rs
@@ -6,11 +6,11 @@
 //! No target receives more of them than it has slots, less those reserved for live callers; the batch that is due first
 //! goes first, and within it the groups that its submitter waits for and that are nearest to completion.
 
-use std::cmp::Reverse;
+use std::{cmp::Reverse, sync::Arc};
 
 use futures::future::{AbortHandle, AbortRegistration};
 use indexmap::{IndexMap, IndexSet};
-use jm_forward::{Catalog, RunKey, Target};
+use jm_forward::{Catalog, ColdGate, RunKey, Target};
 use jm_route::RetryBudget;
 use jm_types::{BatchId, DurationMs, ServiceId, Timestamp, WeightVersion};
 
@@ -161,6 +161,14 @@
         }
     }
 
+    /// Sends to cold targets only what `gate` allows.
+    pub fn with_cold_gate(self, gate: Option<Arc<ColdGate>>) -> Self {
+        Self {
+            loads: self.loads.with_cold_gate(gate),
+            ..self
+        }
+    }
+
     /// Adds the call of a text that is complete. A call that is already queued is not changed.
     pub fn push(&mut self, key: RewardKey, now: Timestamp) {
         self.hedges.deposit();
@@ -279,6 +287,7 @@
         let serial = self.next_serial;
         self.next_serial += 1;
         let (abort, registration) = AbortHandle::new_pair();
+        self.loads.record_send(&target, pass.now);
         self.loads.run_started(&target.run, 0);
         let call = self.calls.get_mut(key)?;
         call.attempts += 1;
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -15,7 +15,7 @@
     task,
 };
 use indexmap::IndexMap;
-use jm_forward::{Catalog, RoutingTable, RunKey};
+use jm_forward::{Catalog, ColdGate, RoutingTable, RunKey};
 use jm_types::{BatchId, Clock, DurationMs, ModelId, Timestamp, WallClock, WeightVersion};
 
 use crate::{
@@ -36,6 +36,11 @@
 
     /// The listed targets, including the engines.
     fn catalog(&self) -> Arc<Catalog>;
+
+    /// Limits the requests to cold engines; `None` if nothing is limited.
+    fn cold_gate(&self) -> Option<Arc<ColdGate>> {
+        None
+    }
 }
 
 /// Intervals and limits of the batch runner.
@@ -163,10 +168,11 @@
 
 impl Runner {
     pub(crate) fn new(options: RunnerOptions, deps: RunnerDependencies) -> Arc<Self> {
+        let cold = || deps.routing_source.cold_gate();
         let state = RunnerState {
             owned: IndexMap::new(),
-            loads: EngineLoads::new(options.load),
-            rewards: RewardQueue::new(options.rewards),
+            loads: EngineLoads::new(options.load).with_cold_gate(cold()),
+            rewards: RewardQueue::new(options.rewards).with_cold_gate(cold()),
             next_serial: 0,
             reported_at: Timestamp::default(),
             is_unconfirmed: false,
@@ -186,10 +192,7 @@
         let mut next_check_at = self.now();
         let mut pauses = PauseDetector::new(self.options.pause_threshold_ms, self.now());
         loop {
-            let wait = match self.is_idle() {
-                true => IDLE_WAIT_MS,
-                false => self.options.check_interval_ms,
-            };
+            let wait = self.time_to_next_pass();
             // A wake-up and the timeout are handled alike.
             let _ = timeout(wait.as_std(), self.wake.1.recv()).await;
             if let Some(pause) = pauses.observe(wait, self.now()) {
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -5,11 +5,11 @@
 use async_std::task;
 use futures::future::{AbortHandle, AbortRegistration, Abortable, Aborted};
 use indexmap::IndexMap;
-use jm_forward::{Catalog, RoutingTable, RunKey, Target};
+use jm_forward::{Catalog, RoutingTable, RunKey, SendKind, Target};
 use jm_types::{BatchId, DurationMs, ModelId, ServiceId, Timestamp};
 
 use super::{
-    Runner, RunnerState,
+    IDLE_WAIT_MS, Runner, RunnerState,
     share::{Shares, item_requirements, item_service, service_targets},
     write::mark_writing,
 };
@@ -86,6 +86,26 @@
         choose(&mut state, &context)
     }
 
+    /// Time until the next pass: the interval of the checks while any item waits or runs, or less if a cold engine can take
+    /// an item that was held back.
+    pub(super) fn time_to_next_pass(&self) -> DurationMs {
+        if self.is_idle() {
+            return IDLE_WAIT_MS;
+        }
+        let now = self.now();
+        let held = self
+            .deps
+            .routing_source
+            .cold_gate()
+            .filter(|gate| gate.has_cold())
+            .and_then(|gate| {
+                let catalog = self.deps.routing_source.catalog();
+                gate.next_send_at(catalog.iter(), SendKind::Item, now)
+            });
+        let interval = self.options.check_interval_ms;
+        held.map_or(interval, |at| at.since(now).min(interval))
+    }
+
     fn spawn_run(self: &Arc<Self>, start: Start) {
         let runner = Arc::clone(self);
         task::spawn(async move { runner.run_item(start).await });
@@ -306,6 +326,7 @@
                 continue;
             };
             loads.run_ended(&run.target, run.tokens);
+            loads.record_send(target, context.now);
             loads.run_started(&target.run, requirements.tokens);
             best = None;
             moves.push(Move {
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -4,9 +4,10 @@
 
 use async_std::task;
 use futures::future::try_join;
+use jm_forward::ItemSender;
 use jm_platform::Version;
 use jm_route::owner_by_key;
-use jm_types::{BatchId, DurationMs, Incarnation, MemberId};
+use jm_types::{BatchId, DurationMs, Incarnation, MemberId, Timestamp};
 
 use super::{BatchService, CachedState, MAX_CACHED_RESULTS, STATE_RETRY_DELAY_MS, insert_bounded};
 use crate::{
@@ -71,6 +72,22 @@
             }
         }
         self.runner.set_remote_work(remote_work);
+        self.set_item_senders(now);
+    }
+
+    /// Names the owners of running batches, which share the rate of requests that cold engines tolerate.
+    fn set_item_senders(&self, now: Timestamp) {
+        let Some(gate) = self.deps.routing_source.cold_gate() else {
+            return;
+        };
+        let state = self.state();
+        let states = state.cached_states.values().map(|cached| &cached.state);
+        let running = states.filter(|state| state.phase == BatchPhase::Running);
+        let senders = running.map(|state| ItemSender {
+            owner: state.owner.clone(),
+            model: state.model.clone(),
+        });
+        gate.set_item_senders(senders, now);
     }
 
     /// After each pause of this process, reads the states of its batches before anything is started. The watch may
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -85,6 +85,7 @@
         slots,
         state: TargetState::Serving,
         models: IndexMap::from([(model("m"), WeightVersion::new(version))]),
+        cold_left_ms: DurationMs::new(0),
     }
 }
 
@@ -104,6 +105,7 @@
             models: vec![model("m")],
         }),
         capacity: None,
+        cold_start: None,
     });
     table.add_route(Route {
         name: "drafts".to_owned(),
--- a/crates/jm-batch/tests/common/scorers.rs
+++ b/crates/jm-batch/tests/common/scorers.rs
@@ -82,6 +82,7 @@
         id: "desk".parse().unwrap(),
         engine: None,
         capacity: None,
+        cold_start: None,
     });
     table.add_route(Route {
         name: "scores".to_owned(),
--- a/crates/jm-forward/src/client.rs
+++ b/crates/jm-forward/src/client.rs
@@ -89,6 +89,15 @@
 pub trait NoticeListener: Send + Sync {
     /// The target is about to exit. Called as soon as the head of the answer has arrived.
     fn target_leaving(&self, run: &RunKey);
+
+    /// The target stays cold for `left_ms`. Called as soon as the head of the answer has arrived.
+    fn target_cold(&self, _run: &RunKey, _left_ms: DurationMs) {}
+
+    /// No connection to the target could be opened.
+    fn target_unreachable(&self, _target: &Target) {}
+
+    /// The target answered a request of any kind.
+    fn target_answered(&self, _target: &Target) {}
 }
 
 /// Source of the notices of targets.
--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -13,9 +13,9 @@
 use jm_types::{Clock, DurationMs, OrganisationId, ResultCode, Timestamp, ZoneId};
 
 use crate::{
-    Access, AccessRefusal, AnswerBody, AttemptOptions, AttemptOutcome, CallerRequest, Catalog, ForwardAnswer,
-    ForwardRefusal, ForwardResult, RetryDecision, RetryOptions, RetryState, Route, RouteKind, RoutingTable,
-    RunKey, SelectionOptions, Target, TargetClient, TargetLoads,
+    Access, AccessRefusal, AnswerBody, AttemptOptions, AttemptOutcome, CallerRequest, Catalog, ColdGate,
+    ForwardAnswer, ForwardRefusal, ForwardResult, RetryDecision, RetryOptions, RetryState, Route, RouteKind,
+    RoutingTable, RunKey, SelectionOptions, SendKind, Target, TargetClient, TargetLoads,
     event_stream::limit_stalls,
     retry::{no_target, refusal},
     stream_deadline::limit_duration,
@@ -47,6 +47,10 @@
 /// Time after the deadline of a stream for the last events that the target sent before it.
 const STREAM_END_MARGIN_MS: DurationMs = DurationMs::new(250);
 
+/// Time for which a request without an attempt in progress waits for a cold target. A request that is refused afterwards
+/// has not run, and its caller can retry it.
+const MAX_COLD_WAIT_MS: DurationMs = DurationMs::new(1_000);
+
 /// Receives events of requests for logs, metrics and usage accounting.
 pub trait ForwardObserver: Send + Sync {
     /// The request ran or may have run on a target. Called at most once for each request. `organisation` is `None` if
@@ -74,6 +78,7 @@
     observer: Arc<dyn ForwardObserver>,
     loads: Arc<Mutex<TargetLoads>>,
     hedges: Mutex<RetryBudget>,
+    cold: Option<Arc<ColdGate>>,
 }
 
 struct EndedAttempt {
@@ -98,6 +103,15 @@
             observer,
             loads,
             hedges: Mutex::new(RetryBudget::new(HEDGES_PER_THOUSAND, HEDGE_BURST)),
+            cold: None,
+        }
+    }
+
+    /// Sends to cold targets only what `gate` allows.
+    pub fn with_cold_gate(self, gate: Arc<ColdGate>) -> Self {
+        Self {
+            cold: Some(gate),
+            ..self
         }
     }
 
@@ -192,7 +206,7 @@
     }
 
     async fn run(&mut self) -> ForwardResult {
-        self.start()?;
+        self.start_when_warm().await?;
         loop {
             let Some(ended) = self.next_ended().await else {
                 continue;
@@ -273,10 +287,22 @@
         let now = forwarder.clock.now();
         let catalog = (self.catalog)();
         let serving = catalog.serving(service);
-        let chosen = self
-            .loads()
-            .choose(serving, &self.tried, &forwarder.options.zone, now);
-        let Some(target) = chosen.cloned() else {
+        let cold = forwarder.cold.as_ref().filter(|gate| gate.has_cold());
+        let target = {
+            // The lock spans the decision and its record, so that no two requests use the same part of a quota.
+            let mut loads = self.loads();
+            let allowed = serving.filter(|target| {
+                cold.is_none_or(|gate| {
+                    self.tried.contains(&target.run) || gate.may_send(target, SendKind::Live, now)
+                })
+            });
+            let chosen = loads.choose(allowed, &self.tried, &forwarder.options.zone, now);
+            if let (Some(gate), Some(target)) = (cold, chosen) {
+                gate.record_send(target, SendKind::Live, now);
+            }
+            chosen.cloned()
+        };
+        let Some(target) = target else {
             return Err(no_target(format!("no target of service {service} is available")));
         };
         self.tried.push(target.run.clone());
@@ -329,7 +355,7 @@
                 if after_ms.get() > 0 {
                     task::sleep(after_ms.as_std()).await;
                 }
-                self.start_again()
+                self.start_again().await
             }
         }
     }
@@ -344,12 +370,34 @@
     }
 
     /// Like [`Self::start`], but starts over with all targets when each one was tried.
-    fn start_again(&mut self) -> Result<(), ForwardRefusal> {
+    async fn start_again(&mut self) -> Result<(), ForwardRefusal> {
         if self.start().is_ok() {
             return Ok(());
         }
         self.tried.clear();
-        self.start()
+        self.start_when_warm().await
+    }
+
+    /// Like [`Self::start`], but waits for a limited time while all targets are cold and have received their requests.
+    async fn start_when_warm(&mut self) -> Result<(), ForwardRefusal> {
+        let clock = &self.forwarder.clock;
+        let give_up_at = clock.now().after(MAX_COLD_WAIT_MS).min(self.deadline);
+        loop {
+            let Err(refusal) = self.start() else {
+                return Ok(());
+            };
+            let now = clock.now();
+            let gate = self.forwarder.cold.as_ref();
+            let catalog = (self.catalog)();
+            let service = self.route.service_for(&self.request.id);
+            let next_at = gate
+                .zip(service)
+                .and_then(|(gate, service)| gate.next_send_at(catalog.serving(service), SendKind::Live, now));
+            let Some(next_at) = next_at.filter(|at| *at < give_up_at) else {
+                return Err(refusal);
+            };
+            task::sleep(next_at.since(now).as_std()).await;
+        }
     }
 
     /// Records attempts that are dropped as cancelled.
--- a/crates/jm-forward/src/lib.rs
+++ b/crates/jm-forward/src/lib.rs
@@ -8,6 +8,8 @@
 
 mod caller;
 mod client;
+mod cold;
+mod cold_gate;
 mod drain;
 mod event_stream;
 mod forwarder;
@@ -22,14 +24,16 @@
 pub use client::{
     AnswerBody, AttemptOptions, AttemptOutcome, NoticeListener, TargetAnswer, TargetClient, TargetNotices,
 };
+pub use cold::{ColdQuota, ColdTargets, SendKind, cold_quota};
+pub use cold_gate::{ColdGate, HostKnowledge, ItemSender};
 pub use drain::Drain;
 pub use event_stream::limit_stalls;
 pub use forwarder::{ForwardObserver, Forwarder, ForwarderOptions};
 pub use leaving::LeavingTargets;
 pub use retry::{RetryDecision, RetryOptions, RetryState};
 pub use routing::{
-    Access, AccessRefusal, BatchPolicy, CallerLimits, CapacityConfig, EngineConfig, Organisation, Route,
-    RouteKind, RoutingTable, Service, ServiceWeight,
+    Access, AccessRefusal, BatchPolicy, CallerLimits, CapacityConfig, ColdStart, EngineConfig, Organisation,
+    Route, RouteKind, RoutingTable, Service, ServiceWeight,
 };
 pub use selection::{SelectionOptions, TargetLoads};
 pub use stream_deadline::limit_duration;
--- a/crates/jm-forward/src/routing.rs
+++ b/crates/jm-forward/src/routing.rs
@@ -2,7 +2,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use jm_route::stable_hash;
-use jm_types::{ByteSize, DurationMs, ModelId, OrganisationId, Revision, ServiceId};
+use jm_types::{ByteSize, DurationMs, ModelId, OrganisationId, Rate, Revision, ServiceId};
 
 /// How requests of a route may be retried or scheduled.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -104,6 +104,15 @@
     pub start_ms: DurationMs,
 }
 
+/// How targets of a service behave while they are cold, that is, in the time after their start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdStart {
+    /// Time for which a target is cold after it starts.
+    pub duration_ms: DurationMs,
+    /// Requests per second that a cold target tolerates; more than 0.
+    pub requests_per_s: Rate,
+}
+
 /// A service: the targets that run the same program.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Service {
@@ -113,6 +122,8 @@
     pub engine: Option<EngineConfig>,
     /// Set if its targets can be ordered from the platform.
     pub capacity: Option<CapacityConfig>,
+    /// Set if its targets tolerate only a limited rate of requests while they are cold.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// An organisation that may send requests.
@@ -223,6 +234,11 @@
         routes.iter().find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// All routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes_by_host.values().flatten()
+    }
+
     /// Whether any route has this host name.
     pub fn has_host(&self, host: &str) -> bool {
         self.routes_by_host.contains_key(host)
--- a/crates/jm-forward/src/target.rs
+++ b/crates/jm-forward/src/target.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use jm_types::{ModelId, ServiceId, TargetId, WeightVersion, ZoneId};
+use jm_types::{DurationMs, ModelId, ServiceId, TargetId, WeightVersion, ZoneId};
 
 /// Whether a target accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -41,6 +41,8 @@
     pub state: TargetState,
     /// Loaded weight version by model. The list lags behind the target.
     pub models: IndexMap<ModelId, WeightVersion>,
+    /// Time for which the target stayed cold when it wrote its entry; zero if it was warm or does not report it.
+    pub cold_left_ms: DurationMs,
 }
 
 impl Target {
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -11,12 +11,12 @@
 use futures::{StreamExt, TryStreamExt};
 use indexmap::IndexMap;
 use jm_forward::{
-    AnswerBody, AttemptOptions, AttemptOutcome, CallerLimits, CallerRequest, Catalog, ForwardObserver,
-    Forwarder, ForwarderOptions, Organisation, RetryOptions, Route, RouteKind, RoutingTable, RunKey,
-    SelectionOptions, Service, ServiceWeight, Target, TargetAnswer, TargetClient, TargetState,
+    AnswerBody, AttemptOptions, AttemptOutcome, CallerLimits, CallerRequest, Catalog, ColdStart,
+    ForwardObserver, Forwarder, ForwarderOptions, Organisation, RetryOptions, Route, RouteKind, RoutingTable,
+    RunKey, SelectionOptions, Service, ServiceWeight, Target, TargetAnswer, TargetClient, TargetState,
 };
 use jm_http::{Body, Method, RequestTarget, Response, StatusCode, headers::Headers};
-use jm_types::{ByteSize, DurationMs, OrganisationId, Revision, SystemClock};
+use jm_types::{ByteSize, DurationMs, OrganisationId, Rate, Revision, SystemClock};
 
 pub(crate) fn target(id: &str) -> Target {
     Target {
@@ -30,6 +30,7 @@
         slots: 6,
         state: TargetState::Serving,
         models: IndexMap::new(),
+        cold_left_ms: DurationMs::new(0),
     }
 }
 
@@ -66,6 +67,7 @@
         id: "desk".parse().unwrap(),
         engine: None,
         capacity: None,
+        cold_start: None,
     });
     let parish = Organisation {
         id: "parish".parse().unwrap(),
@@ -75,6 +77,21 @@
     table
 }
 
+/// A table whose service tolerates a limited rate of requests for 3 s after the start of a target.
+pub(crate) fn limited_table(requests_per_s: f64) -> RoutingTable {
+    let mut table = table([]);
+    table.add_service(Service {
+        id: "desk".parse().unwrap(),
+        engine: None,
+        capacity: None,
+        cold_start: Some(ColdStart {
+            duration_ms: DurationMs::new(3_000),
+            requests_per_s: Rate::new(requests_per_s),
+        }),
+    });
+    table
+}
+
 pub(crate) fn request(path: &str, key: Option<&str>) -> CallerRequest {
     CallerRequest {
         id: "r1".to_owned(),
--- a/crates/jm-host/src/cluster_state.rs
+++ b/crates/jm-host/src/cluster_state.rs
@@ -4,11 +4,15 @@
 
 use indexmap::IndexMap;
 use jm_batch::RoutingSource;
-use jm_forward::{Catalog, LeavingTargets, NoticeListener, RoutingTable, RunKey, Target, TargetState};
-use jm_platform::{Change, KeyedObject};
-use jm_types::{Clock, DurationMs, LogEvent, ModelId, Revision, TargetId, Timestamp, WeightVersion};
+use jm_forward::{
+    Catalog, ColdGate, LeavingTargets, NoticeListener, RoutingTable, RunKey, Target, TargetState,
+};
+use jm_platform::{Change, KeyedObject, Version};
+use jm_types::{
+    Clock, DurationMs, LogEvent, ModelId, Revision, TargetId, Timestamp, WallClock, WeightVersion,
+};
 
-use crate::{platform::PlatformObjects, prefix_watch::WatchHandler};
+use crate::{cold_entries::ColdEntries, platform::PlatformObjects, prefix_watch::WatchHandler};
 
 /// Minimum gap in store confirmations after which missing targets are kept for a grace period instead of being removed
 /// at once. Entries of live targets expire in outages that are longer than this. The election of a new store reader
@@ -44,6 +48,7 @@
     objects: Arc<dyn PlatformObjects>,
     clock: Arc<dyn Clock>,
     on_change: OnChange,
+    cold: ColdEntries,
     state: Mutex<ClusterStateInner>,
 }
 
@@ -54,10 +59,19 @@
             objects,
             clock,
             on_change,
+            cold: ColdEntries::default(),
             state: Mutex::default(),
         }
     }
 
+    /// Records cold targets in `gate`.
+    pub fn with_cold_gate(self, gate: Arc<ColdGate>, wall: Arc<dyn WallClock>) -> Self {
+        Self {
+            cold: ColdEntries::new(gate, wall),
+            ..self
+        }
+    }
+
     /// Returns the handler that applies target listings and changes to `cluster`.
     pub fn target_watch_handler(cluster: &Arc<Self>) -> Box<dyn WatchHandler> {
         Box::new(TargetWatchHandler(Arc::clone(cluster)))
@@ -80,6 +94,7 @@
         }
         {
             let mut state = self.lock();
+            self.cold.configured(&table, &state.catalog, self.clock.now());
             state.routing = Some(Arc::new(table));
             state.routing_value = value.to_vec();
         }
@@ -141,6 +156,11 @@
         (self.on_change)();
     }
 
+    /// Forgets cold targets that became warm or are gone.
+    pub(crate) fn update_cold_targets(&self) {
+        self.cold.update(&self.catalog(), self.clock.now());
+    }
+
     fn lock(&self) -> MutexGuard<'_, ClusterStateInner> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -174,7 +194,7 @@
         );
     }
 
-    fn set_target(&self, key: &str, value: Option<&[u8]>) {
+    fn set_target(&self, key: &str, value: Option<&[u8]>, version: Version) {
         let target = value.and_then(|value| self.decode(key, value));
         let id = key.strip_prefix(self.objects.targets_prefix()).unwrap_or(key);
         let Ok(id) = id.parse::<TargetId>() else { return };
@@ -187,6 +207,7 @@
             Some(target) => {
                 let target = state.leaving.apply(target);
                 Self::log_target(catalog.get(&id), &target);
+                self.cold.listed(&target, version, now);
                 state.missing.swap_remove(&id);
                 catalog.insert(target);
             }
@@ -209,9 +230,11 @@
 
     fn list_targets(&self, objects: &[KeyedObject], gap: DurationMs) {
         let now = self.clock.now();
-        let decoded = objects
-            .iter()
-            .filter_map(|object| self.decode(&object.key, &object.object.value));
+        let decoded = objects.iter().filter_map(|object| {
+            let target = self.decode(&object.key, &object.object.value)?;
+            self.cold.listed(&target, object.object.version, now);
+            Some(target)
+        });
         let decoded: Vec<Target> = decoded.collect();
         let mut state = self.lock();
         let mut catalog: Catalog = decoded
@@ -291,6 +314,21 @@
         );
         (self.on_change)();
     }
+
+    fn target_cold(&self, run: &RunKey, left_ms: DurationMs) {
+        let catalog = self.catalog();
+        if let Some(target) = catalog.get(&run.id) {
+            self.cold.reported(target, run, left_ms, self.clock.now());
+        }
+    }
+
+    fn target_unreachable(&self, target: &Target) {
+        self.cold.unreachable(target, self.clock.now());
+    }
+
+    fn target_answered(&self, target: &Target) {
+        self.cold.answered(target, || self.clock.now());
+    }
 }
 
 impl RoutingSource for ClusterState {
@@ -301,6 +339,10 @@
     fn catalog(&self) -> Arc<Catalog> {
         Arc::clone(&self.lock().catalog)
     }
+
+    fn cold_gate(&self) -> Option<Arc<ColdGate>> {
+        self.cold.gate()
+    }
 }
 
 /// Applies changes of the configuration object.
@@ -333,7 +375,8 @@
     }
 
     fn on_change(&self, change: Change) {
-        self.0.set_target(&change.key, change.value.as_deref());
+        self.0
+            .set_target(&change.key, change.value.as_deref(), change.version);
         (self.0.on_change)();
     }
 }
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -19,15 +19,15 @@
     BatchService, BatchServiceDependencies, BatchServiceOptions, BatchStore, RoutingSource, RunnerOptions,
 };
 use jm_forward::{
-    Access, CallerLimits, CallerRequest, Drain, ForwardRefusal, ForwardResult, Forwarder, ForwarderOptions,
-    RetryOptions, Route, RoutingTable, SelectionOptions,
+    Access, CallerLimits, CallerRequest, ColdGate, Drain, ForwardRefusal, ForwardResult, Forwarder,
+    ForwarderOptions, RetryOptions, Route, RoutingTable, SelectionOptions,
 };
 use jm_http::{Connection, Handler, Limits, Request, Response, Server, SharedLimits, listen};
 use jm_member::AgentError;
 use jm_node::{Stop, StopTrigger};
 use jm_platform::ObjectStore;
 use jm_types::{
-    ByteSize, Clock, DurationMs, Incarnation, LogEvent, ResultCode, SystemClock, WallClock, ZoneId,
+    ByteSize, Clock, DurationMs, Incarnation, LogEvent, ResultCode, SystemClock, Timestamp, WallClock, ZoneId,
 };
 use snafu::{ResultExt, Snafu};
 
@@ -89,6 +89,8 @@
     membership: Arc<Membership>,
     batches: Arc<BatchService>,
     forwarder: Forwarder,
+    cold: Arc<ColdGate>,
+    started_at: Timestamp,
     observer: Arc<HostObserver>,
     lease: Arc<LeaseView>,
     peers: Arc<PeerClient>,
@@ -158,11 +160,9 @@
             Membership::start(&settings, incarnation, Arc::clone(&clock), on_change(&changes.0)).await;
         let membership = membership.context(MembersSnafu)?;
         let objects = Arc::clone(&platform.objects);
-        let cluster = Arc::new(ClusterState::new(
-            objects,
-            Arc::clone(&clock),
-            on_change(&changes.0),
-        ));
+        let cold = Arc::new(ColdGate::new(settings.id.clone()));
+        let cluster = ClusterState::new(objects, Arc::clone(&clock), on_change(&changes.0));
+        let cluster = Arc::new(cluster.with_cold_gate(Arc::clone(&cold), Arc::clone(&wall)));
         platform.notices.listen(Arc::clone(&cluster) as _);
         let peers = Arc::new(PeerClient::new(Arc::clone(&membership)));
         let usage = Arc::new(UsageCounter::new(
@@ -215,7 +215,8 @@
             Arc::clone(&clock),
             Arc::clone(&components.platform.targets),
             Arc::clone(&observer) as _,
-        );
+        )
+        .with_cold_gate(Arc::clone(&cold));
         let lease: Arc<LeaseView> = Arc::default();
         let usage_publisher = Arc::new(UsagePublisher {
             counter: Arc::clone(&components.usage),
@@ -227,12 +228,14 @@
         let (trigger, stop) = Stop::new();
         let host = Arc::new(Self {
             settings,
+            started_at: clock.now(),
             clock,
             wall,
             cluster,
             membership,
             batches,
             forwarder,
+            cold,
             observer,
             lease,
             peers,
--- a/crates/jm-host/src/host/reconcile.rs
+++ b/crates/jm-host/src/host/reconcile.rs
@@ -5,6 +5,7 @@
 use async_std::task;
 use indexmap::IndexMap;
 use jm_batch::{MembershipView, RoutingSource};
+use jm_forward::HostKnowledge;
 use jm_types::{DurationMs, LogEvent, ModelId, WeightVersion};
 
 use super::{Host, connection_limits};
@@ -19,6 +20,12 @@
 /// Number of checks per cleanup of finished and expired batches.
 const CHECKS_PER_CLEANUP: u64 = 4;
 
+/// Interval of the checks of cold targets.
+const COLD_CHECK_INTERVAL_MS: DurationMs = DurationMs::new(200);
+
+/// Time after the start of a host in which it may not know all owners of batches.
+const COLD_SENDERS_SETTLE_MS: DurationMs = DurationMs::new(2_000);
+
 /// Interval at which engines are polled whose listed weights are too old for a batch.
 const VERSION_POLL_MS: DurationMs = DurationMs::new(250);
 
@@ -41,12 +48,40 @@
                     );
                 }
             }
+            self.set_cold_senders();
             self.batches.routing_changed();
             self.batches.reconcile();
             self.set_gauges();
         }
     }
 
+    /// Keeps the record of cold targets and of the hosts that send to them up to date. It has its own task, because a store
+    /// that does not respond delays the other checks.
+    pub(super) async fn watch_cold_targets(self: Arc<Self>) {
+        loop {
+            task::sleep(COLD_CHECK_INTERVAL_MS.as_std()).await;
+            if self.cold.has_limits() {
+                self.cluster.update_cold_targets();
+                self.set_cold_senders();
+            }
+        }
+    }
+
+    /// Names the hosts that share the rate of requests that cold targets tolerate.
+    fn set_cold_senders(&self) {
+        let registrations = self.membership.registrations();
+        let registered = registrations
+            .into_iter()
+            .map(|registration| registration.record.id);
+        let is_new = self.clock.now().since(self.started_at) < COLD_SENDERS_SETTLE_MS;
+        let knowledge = match self.membership.is_listed() {
+            false => HostKnowledge::Unlisted,
+            true if is_new || self.membership.is_isolated() => HostKnowledge::Uncertain,
+            true => HostKnowledge::Certain,
+        };
+        self.cold.set_hosts(registered.collect(), knowledge);
+    }
+
     fn set_gauges(&self) {
         let number = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         let observer = &self.observer;
@@ -55,6 +90,9 @@
         observer
             .config_revision
             .set(i64::try_from(self.cluster.revision().get()).unwrap_or(i64::MAX));
+        let no_labels: [&str; 0] = [];
+        let held = observer.cold_held.with_label_values(&no_labels);
+        held.inc_by(self.cold.take_held());
         observer
             .holds_lease
             .set(i64::from(self.lease.guard(&*self.clock).is_some()));
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -59,6 +59,7 @@
         task::spawn(async move { batches.run().await });
         task::spawn(Arc::clone(self).run_periodic_checks());
         task::spawn(Arc::clone(self).handle_changes());
+        task::spawn(Arc::clone(self).watch_cold_targets());
         let duties = Arc::clone(&components.platform.duties);
         task::spawn(Arc::clone(self).poll_versions(duties));
         task::spawn(Arc::clone(self).discover_hosts());
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs, unsafe_code)]
 
 mod cluster_state;
+mod cold_entries;
 mod duty;
 mod host;
 mod instrumented_store;
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -30,6 +30,8 @@
     store_failures: IntCounterVec,
     /// Store calls of this host, including those relayed for other hosts.
     pub store_calls: IntCounterVec,
+    /// Intervals in which a request to a cold target was held back.
+    pub(crate) cold_held: IntCounterVec,
     /// Revision of the active configuration.
     pub config_revision: IntGauge,
     /// Number of listed targets.
@@ -106,6 +108,12 @@
                 "Calls on the store by call, kind of object and outcome.",
                 &STORE_CALL_LABELS,
             ),
+            cold_held: counter(
+                &registry,
+                "jm_cold_requests_held_total",
+                "Intervals between requests to a cold target in which a request waited or went elsewhere.",
+                &[],
+            ),
             config_revision: gauge(
                 &registry,
                 "jm_config_revision",
--- a/crates/jm-host/tests/lost_targets.rs
+++ b/crates/jm-host/tests/lost_targets.rs
@@ -61,6 +61,7 @@
             slots: 1,
             state,
             models: Default::default(),
+            cold_left_ms: DurationMs::new(0),
         })
     }
     fn version(&self, _value: &[u8]) -> Result<(ModelId, WeightVersion), DecodeError> {
--- a/crates/jm-route/src/lib.rs
+++ b/crates/jm-route/src/lib.rs
@@ -28,7 +28,7 @@
 pub use explain::{Explanation, WaitReason};
 pub use hash::stable_hash;
 pub use options::SchedulerOptions;
-pub use owner::{Member, owner_by_key, owner_of};
+pub use owner::{Member, owner_by_key, owner_of, rank_by_key};
 pub use request::{Assignment, Class, Expired, Outcome, QueuedRequest, Refusal};
 pub use retry::{Backoff, RetryBudget};
 pub use scheduler::Scheduler;
--- a/crates/jm-route/src/owner.rs
+++ b/crates/jm-route/src/owner.rs
@@ -31,6 +31,15 @@
         .map(|member| member.id.clone())
 }
 
+/// Position of `member` among `others` in the rendezvous order of `key`; 0 is the first. `others` may contain `member`
+/// itself.
+pub fn rank_by_key(key: &str, member: &MemberId, others: &[MemberId]) -> usize {
+    let key = stable_hash(key.as_bytes());
+    let rank = |member: &MemberId| rendezvous_weight(stable_hash(member.as_str().as_bytes()), key);
+    let own = (rank(member), member);
+    others.iter().filter(|other| (rank(other), *other) > own).count()
+}
+
 /// The member that owns `key` by rendezvous hashing; `None` when `members` is empty.
 pub fn owner_by_key<'a>(key: &str, members: &'a [MemberId]) -> Option<&'a MemberId> {
     let key = stable_hash(key.as_bytes());
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -99,6 +99,10 @@
     TargetLeaving = 4003, Info;
     /// A target is listed as serving, for the first time or again.
     TargetListed = 4004, Info;
+    /// A target is cold and receives only the rate of requests that it tolerates.
+    TargetCold = 4011, Info;
+    /// A target is no longer cold.
+    TargetWarm = 4012, Info;
     /// An order to a target or to the platform was refused or failed.
     OrderFailed = 4101, Warn;
     /// A target was ordered to load a weight version.
--- a/crates/jm-types/src/number.rs
+++ b/crates/jm-types/src/number.rs
@@ -229,6 +229,9 @@
             }
         }
 
+        // Values are finite, so equality is reflexive.
+        impl Eq for $name {}
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 write!(f, concat!("{}", $unit), self.0)
