--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -23,6 +23,9 @@
 /// forth.
 const EVENTS_BEFORE_MOVE: u64 = 3;
 
+/// Minimum time between passes that cold engines cause. Dozens of them become ready at different times.
+const MIN_PASS_INTERVAL_MS: DurationMs = DurationMs::new(10);
+
 struct Start {
     batch: BatchId,
     item: usize,
@@ -103,7 +106,7 @@
                 gate.next_send_at(catalog.iter(), SendKind::Item, now)
             });
         let interval = self.options.check_interval_ms;
-        held.map_or(interval, |at| at.since(now).min(interval))
+        held.map_or(interval, |at| at.since(now).clamp(MIN_PASS_INTERVAL_MS, interval))
     }
 
     fn spawn_run(self: &Arc<Self>, start: Start) {
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -77,7 +77,8 @@
 
     /// Names the owners of running batches, which share the rate of requests that cold engines tolerate.
     fn set_item_senders(&self, now: Timestamp) {
-        let Some(gate) = self.deps.routing_source.cold_gate() else {
+        let gate = self.deps.routing_source.cold_gate();
+        let Some(gate) = gate.filter(|gate| gate.has_limits()) else {
             return;
         };
         let state = self.state();
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -22,8 +22,8 @@
     RewardAttempt, RewardEnd, RewardOptions, RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
 };
 use jm_forward::{
-    BatchPolicy, CallerLimits, Catalog, EngineConfig, Route, RouteKind, RoutingTable, RunKey, Service,
-    ServiceWeight, Target, TargetState,
+    BatchPolicy, CallerLimits, Catalog, ColdGate, EngineConfig, Route, RouteKind, RoutingTable, RunKey,
+    Service, ServiceWeight, Target, TargetState,
 };
 use jm_platform::{ObjectStore, Version};
 use jm_types::{
@@ -89,7 +89,7 @@
     }
 }
 
-fn routing() -> RoutingTable {
+pub(crate) fn routing() -> RoutingTable {
     let limits = CallerLimits {
         head_bytes: ByteSize::new(8_000),
         body_bytes: ByteSize::new(1_000_000),
@@ -222,6 +222,8 @@
 }
 
 pub(crate) struct TestRouting {
+    /// Limits nothing until a test sets limits.
+    pub(crate) cold: Arc<ColdGate>,
     pub(crate) catalog: Mutex<Arc<Catalog>>,
 }
 
@@ -233,6 +235,10 @@
     fn catalog(&self) -> Arc<Catalog> {
         Arc::clone(&self.catalog.lock().unwrap())
     }
+
+    fn cold_gate(&self) -> Option<Arc<ColdGate>> {
+        Some(Arc::clone(&self.cold))
+    }
 }
 
 /// Live hosts, in a membership view that all hosts of a test share.
@@ -418,6 +424,7 @@
         });
         let events = Arc::new(RecordedEvents::default());
         let routing = Arc::new(TestRouting {
+            cold: Arc::new(ColdGate::new(name.parse().unwrap())),
             catalog: Mutex::new(Arc::new(targets.into_iter().collect())),
         });
         let peers = Arc::new(SilentPeers::default());
--- a/crates/jm-forward/src/cold.rs
+++ b/crates/jm-forward/src/cold.rs
@@ -158,6 +158,11 @@
         self.runs.get(run).is_some_and(|cold_run| cold_run.is_cold(now))
     }
 
+    /// Whether an earlier check found that no request may be sent to the target yet.
+    pub fn is_held(&self, run: &RunKey, kind: SendKind, now: Timestamp) -> bool {
+        self.next_send_at(std::iter::once(run), kind, now).is_some()
+    }
+
     /// Whether a request may be sent to the target now. A request that may not counts as held back.
     pub fn may_send(&mut self, run: &RunKey, kind: SendKind, quota: ColdQuota, now: Timestamp) -> bool {
         let Some(cold_run) = self.runs.get_mut(run).filter(|cold_run| cold_run.is_cold(now)) else {
--- a/crates/jm-forward/src/cold_gate.rs
+++ b/crates/jm-forward/src/cold_gate.rs
@@ -254,6 +254,10 @@
         if !state.targets.is_cold(&target.run, now) {
             return true;
         }
+        // A pass over many items and engines computes each quota once.
+        if state.targets.is_held(&target.run, kind, now) {
+            return false;
+        }
         let quota = state.quota(&self.own, rate, target, kind, now);
         state.targets.may_send(&target.run, kind, quota, now)
     }
--- a/crates/jm-forward/tests/cold_hosts.rs
+++ b/crates/jm-forward/tests/cold_hosts.rs
@@ -61,8 +61,13 @@
     // Long-running hosts, which know the owners.
     hosts.iter_mut().for_each(|host| host.started_at = 0);
     let registered: Vec<MemberId> = hosts.iter().map(|host| host.id.clone()).collect();
+    // In every second run all batches begin at once, so that no owner knows of another one.
+    let latest_start = if seed.is_multiple_of(2) { 0 } else { 3_000 };
     let mut batches: Vec<Owners> = (0..rng.random_range(1..=4))
-        .map(|_| vec![(START_MS + rng.random_range(0..3_000), rng.random_range(0..count))])
+        .map(|_| {
+            let from = START_MS + rng.random_range(0..=latest_start);
+            vec![(from, rng.random_range(0..count))]
+        })
         .collect();
     let mut arrivals = Vec::new();
     for now in (START_MS..START_MS + COLD_MS).step_by(TICK_MS as usize) {
--- a/crates/jm-host/src/cold_entries.rs
+++ b/crates/jm-host/src/cold_entries.rs
@@ -11,7 +11,7 @@
 struct GateInputs {
     gate: Arc<ColdGate>,
     wall: Arc<dyn WallClock>,
-    /// Version of the last entry of each target of a service with a limit. An entry that is listed again unchanged says
+    /// Version of the last entry of each target that is cold or whose service has a limit. An entry that is listed again unchanged says
     /// nothing new about the time for which its target stays cold.
     versions: Mutex<IndexMap<TargetId, Version>>,
 }
@@ -46,7 +46,8 @@
     /// Records an entry, unless it is not newer than the last one of its target.
     pub(crate) fn listed(&self, target: &Target, version: Version, now: Timestamp) {
         let Some(inputs) = &self.0 else { return };
-        if !inputs.gate.is_limited(&target.service) {
+        // The version of a cold target's entry is kept without a limit too, because a limit may be configured later.
+        if target.cold_left_ms.get() == 0 && !inputs.gate.is_limited(&target.service) {
             return;
         }
         let mut versions = inputs.versions.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/jm-host/src/host/reconcile.rs
+++ b/crates/jm-host/src/host/reconcile.rs
@@ -60,8 +60,8 @@
     pub(super) async fn watch_cold_targets(self: Arc<Self>) {
         loop {
             task::sleep(COLD_CHECK_INTERVAL_MS.as_std()).await;
+            self.cluster.update_cold_targets();
             if self.cold.has_limits() {
-                self.cluster.update_cold_targets();
                 self.set_cold_senders();
             }
         }
