--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod capacity;
 mod cluster_state;
+mod cold_entries;
 mod duty;
 mod host;
 mod instrumented_store;
