Placement by expected end, with base speeds and cached prompts

Cause: engines of one service differ in base speed (0.7 to 1.7 times the mean), and the observed time between events mixes this with their load. Items started on slow engines and were moved, and shared prompts were prefilled again, because nothing recorded which engine has them cached.

Change: engine_speed derives the base time of an engine, expected_end compares engines and moves by time, held_prompts records the prompts sent to each engine. The prompt's parts come with the item (BatchItem::prompt_parts, absent in batches of earlier releases). New log event E5130, metrics of placed items, prompt tokens and savings of moves.

Tested: cargo clippy for the four crates, and cargo test for jm-types, jm-batch, jm-host and jacinthmoor-platform passed. In an earlier run of jm-batch, other_items (repeated_submission) failed once of four; the test concerns the storing of submissions, which this change doesn't touch.

--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -2,13 +2,21 @@
 //!
 //! Load pattern: a step submits more items than the engines have slots, all at once. Some engines are several times
 //! slower than others, some reject everything while they load weights, and some have stopped. An item goes to the
-//! engine that would finish it first. An engine never receives more items than it has slots, so that the batch plan
+//! engine that would finish it first, see `expected_end.rs`. An engine never receives more items than it has slots, so that the batch plan
 //! decides the order and not the engines' queues.
 
+mod forecast;
+
 use indexmap::IndexMap;
 use jm_forward::{RunKey, Target};
 use jm_types::{DurationMs, ModelId, Timestamp, WeightVersion};
 
+use crate::{
+    EngineSpeed, PromptPart,
+    expected_end::{PrefillTime, TextLengths},
+    held_prompts::HeldPrompts,
+};
+
 /// Parameters of the engine selection.
 #[derive(Debug, Clone, Copy)]
 pub struct LoadOptions {
@@ -33,9 +41,6 @@
     }
 }
 
-/// An item moves only if the other engine's time between events is below this fraction of the current engine's.
-const MOVE_GAP_RATIO: f64 = 0.6;
-
 /// Weight of the newest sample in the moving average of the time between events.
 const GAP_SMOOTHING_FACTOR: f64 = 0.1;
 
@@ -43,12 +48,21 @@
 /// times.
 const MEMORY_OVERCOMMIT: f64 = 1.3;
 
+/// Memory assumed for cached prompts of an engine whose memory is not configured.
+const DEFAULT_MEMORY_TOKENS: u64 = 32_000;
+
+/// Number of standard errors by which two observed speeds have to differ for a move.
+const MOVE_NOISE_FACTOR: f64 = 2.0;
+
 #[derive(Debug, Clone)]
 struct EngineLoad {
     running: usize,
     /// Expected total size of its runs at their ends, in tokens.
     tokens: u64,
+    /// Capacity of its memory at the last start of an item.
+    memory_tokens: Option<u64>,
     gap_ms: f64,
+    speed: EngineSpeed,
     avoid_until: Timestamp,
     /// Set when the engine rejects an item or one of its runs fails or stalls, and cleared by its next event. A suspect
     /// engine receives one item at a time.
@@ -62,6 +76,9 @@
 pub struct EngineLoads {
     options: LoadOptions,
     loads: IndexMap<RunKey, EngineLoad>,
+    prefill: PrefillTime,
+    lengths: TextLengths,
+    held: HeldPrompts,
 }
 
 /// A batch that another host runs, as a competitor for engines.
@@ -90,6 +107,18 @@
     pub tokens: u64,
     /// Capacity of an engine's memory in tokens; `None` if it is not configured.
     pub memory_tokens: Option<u64>,
+    /// Number of prompt tokens.
+    pub prompt_tokens: u64,
+    /// Parts at the start of the prompt that other items may share.
+    pub prompt_parts: &'a [PromptPart],
+    /// Events that earlier runs of the item generated.
+    pub events_done: u64,
+}
+
+impl ItemRequirements<'_> {
+    fn estimated_tokens(&self) -> u64 {
+        self.tokens.saturating_sub(self.prompt_tokens)
+    }
 }
 
 impl EngineLoads {
@@ -97,7 +126,7 @@
     pub fn new(options: LoadOptions) -> Self {
         Self {
             options,
-            loads: IndexMap::new(),
+            ..Self::default()
         }
     }
 
@@ -224,7 +253,7 @@
     }
 
     /// Releases the capacity of a run, whatever its outcome.
-    pub(crate) fn run_ended(&mut self, run: &RunKey, tokens: u64) {
+    pub fn run_ended(&mut self, run: &RunKey, tokens: u64) {
         let load = self.load(run);
         load.running = load.running.saturating_sub(1);
         load.tokens = load.tokens.saturating_sub(tokens);
@@ -246,16 +275,14 @@
         self.load(run).is_suspect = false;
     }
 
-    /// Whether `other` is faster by enough to make up for processing the item's prompt a second time. An engine that was
-    /// not observed yet is not.
-    pub(crate) fn is_much_faster(&self, other: &RunKey, current: &RunKey) -> bool {
-        let gaps = (self.loads.get(other), self.loads.get(current));
-        matches!(gaps, (Some(other), Some(current)) if other.gap_ms < current.gap_ms * MOVE_GAP_RATIO)
-    }
-
-    /// Records the version that the engine reported in a response.
-    pub(crate) fn record_version(&mut self, run: &RunKey, model: &ModelId, version: WeightVersion) {
-        self.load(run).versions.insert(model.clone(), version);
+    /// Records the version that the engine reported in a response. A new version means that the engine has loaded
+    /// weights, which removes its cached prompts.
+    pub fn record_version(&mut self, run: &RunKey, model: &ModelId, version: WeightVersion, now: Timestamp) {
+        let previous = self.load(run).versions.insert(model.clone(), version);
+        match previous.is_none_or(|previous| previous == version) {
+            true => self.held.version_confirmed(run, now),
+            false => self.held.version_changed(run, now),
+        }
     }
 
     /// Records that the engine rejected an item. An engine that loads weights rejects all items, so it is probed with
@@ -278,6 +305,7 @@
     /// Removes engines that are no longer listed and run nothing.
     pub(crate) fn retain(&mut self, is_listed: impl Fn(&RunKey) -> bool) {
         self.loads.retain(|run, load| load.running > 0 || is_listed(run));
+        self.held.retain(|run| is_listed(run));
     }
 
     fn load(&mut self, run: &RunKey) -> &mut EngineLoad {
@@ -285,7 +313,9 @@
         self.loads.entry(run.clone()).or_insert_with(|| EngineLoad {
             running: 0,
             tokens: 0,
+            memory_tokens: None,
             gap_ms,
+            speed: EngineSpeed::default(),
             avoid_until: Timestamp::new(0),
             is_suspect: false,
             versions: IndexMap::new(),
--- /dev/null
+++ b/crates/jm-batch/src/engine_speed.rs
@@ -0,0 +1,153 @@
+//! Speed of an engine without the effect of its load.
+//!
+//! Load pattern: engines of one service differ in speed by more than a factor of two, and each of them is slower the more
+//! items it runs. Comparing the observed times alone confuses both effects: a fast engine with many items looks like a
+//! slow one with few. The base speed belongs to a run of an engine and is handed over to the next owner of its batches.
+
+use jm_types::{DurationMs, TargetId};
+use serde::{Deserialize, Serialize};
+
+/// Relative increase of the time between events from an otherwise idle engine to a full one. It is fixed, because the
+/// engines of a pass have similar loads, so that a wrong slope hardly changes their order.
+const LOAD_SLOPE: f64 = 1.0;
+
+/// Number of events from which the speed of an engine counts as observed. Fewer samples make equal engines look unequal.
+const MIN_SAMPLES: u32 = 16;
+
+/// Weight of the newest sample in the moving averages. With a relative deviation of a third per event, two equal engines
+/// then differ by less than [`EQUAL_SPEED_RATIO`].
+const SMOOTHING_FACTOR: f64 = 0.03;
+
+/// Limit of a sample as a multiple of the average, so that one interruption does not make an engine slow.
+const MAX_SAMPLE_RATIO: f64 = 4.0;
+
+/// Smallest base time. Events that arrive together would otherwise give an engine an infinite speed.
+const MIN_BASE_MS: f64 = 0.1;
+
+/// Engines whose base times differ by at most this ratio count as equally fast.
+const EQUAL_SPEED_RATIO: f64 = 1.2;
+
+/// Factor by which `other_runs` further runs slow a run down on an engine with the given number of slots.
+pub(crate) fn load_factor(other_runs: usize, slots: usize) -> f64 {
+    1.0 + LOAD_SLOPE * other_runs as f64 / slots.max(1) as f64
+}
+
+/// Base time between events of one run of an engine, derived from observed events.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct EngineSpeed {
+    base_ms: f64,
+    /// Mean absolute deviation of the samples from the average.
+    deviation_ms: f64,
+    samples: u32,
+}
+
+impl EngineSpeed {
+    /// Adds the time between two events of a run, during which the engine had `other_runs` further runs of this host.
+    /// The runs of other hosts are unknown, so their effect is a part of the base time.
+    pub(crate) fn record(&mut self, gap: DurationMs, other_runs: usize, slots: usize) {
+        let sample_ms = (gap.get() as f64 / load_factor(other_runs, slots)).max(MIN_BASE_MS);
+        if self.samples == 0 {
+            self.base_ms = sample_ms;
+        }
+        let sample_ms = sample_ms.min(self.base_ms * MAX_SAMPLE_RATIO);
+        self.samples = self.samples.saturating_add(1);
+        let weight = SMOOTHING_FACTOR.max(1.0 / f64::from(self.samples));
+        let difference_ms = sample_ms - self.base_ms;
+        self.base_ms += weight * difference_ms;
+        self.deviation_ms += weight * (difference_ms.abs() - self.deviation_ms);
+    }
+
+    /// The base time between events; `None` until enough events were observed.
+    pub(crate) fn base_ms(&self) -> Option<f64> {
+        (self.samples >= MIN_SAMPLES).then_some(self.base_ms)
+    }
+
+    /// Whether the speed, which another host reported, can be used.
+    pub(crate) fn is_valid(&self) -> bool {
+        self.base_ms.is_finite()
+            && self.base_ms >= MIN_BASE_MS
+            && self.deviation_ms.is_finite()
+            && self.deviation_ms >= 0.0
+    }
+
+    /// Relative error of the base time to be expected from the deviation of its samples.
+    pub(crate) fn noise(&self) -> f64 {
+        let averaged = f64::from(self.samples.max(1)).min(2.0 / SMOOTHING_FACTOR);
+        self.deviation_ms / self.base_ms.max(MIN_BASE_MS) / averaged.sqrt()
+    }
+}
+
+/// The speed of one run of an engine, as owners of batches pass it on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ObservedSpeed {
+    /// The engine.
+    pub target: TargetId,
+    /// Start time of its run in milliseconds since the Unix epoch.
+    pub started_unix_ms: u64,
+    /// Its speed.
+    pub speed: EngineSpeed,
+}
+
+/// Whether base times differ by more than the engines of equal speed do.
+pub(crate) fn is_faster(base_ms: f64, other_base_ms: f64) -> bool {
+    base_ms * EQUAL_SPEED_RATIO < other_base_ms
+}
+
+/// Engines that count as equally fast.
+#[derive(Debug, Clone, Copy)]
+struct SpeedClass {
+    max_ms: f64,
+    mean_ms: f64,
+}
+
+/// The base times used to compare a set of engines. Engines of similar base times form a class and are equal, so that the
+/// load and the cached prompts decide between them, and not the errors of the observation.
+#[derive(Debug, Clone)]
+pub(crate) struct SpeedScale {
+    /// Base time of an engine that was not observed: the mean of the others.
+    mean_ms: f64,
+    /// Fastest first.
+    classes: Vec<SpeedClass>,
+}
+
+impl SpeedScale {
+    /// Compares the observed base times of the engines. `initial_ms` applies if there is none.
+    pub(crate) fn new(observed: impl Iterator<Item = f64>, initial_ms: f64) -> Self {
+        let mut observed: Vec<f64> = observed.collect();
+        observed.sort_by(f64::total_cmp);
+        let classes = speed_classes(&observed);
+        let mean_ms = match observed.is_empty() {
+            true => initial_ms,
+            false => mean(&observed),
+        };
+        Self { mean_ms, classes }
+    }
+
+    /// The base time of an engine with the given observed one.
+    pub(crate) fn base_ms(&self, observed: Option<f64>) -> f64 {
+        let Some(base_ms) = observed else {
+            return self.mean_ms;
+        };
+        let class = self.classes.partition_point(|class| class.max_ms < base_ms);
+        self.classes.get(class).map_or(base_ms, |class| class.mean_ms)
+    }
+}
+
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len() as f64
+}
+
+/// Splits base times in ascending order into classes.
+fn speed_classes(mut observed: &[f64]) -> Vec<SpeedClass> {
+    let mut classes = Vec::new();
+    while let Some(fastest_ms) = observed.first() {
+        let count = observed.partition_point(|base_ms| !is_faster(*fastest_ms, *base_ms));
+        let (class, slower) = observed.split_at(count);
+        classes.push(SpeedClass {
+            max_ms: class[count - 1],
+            mean_ms: mean(class),
+        });
+        observed = slower;
+    }
+    classes
+}
--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -41,6 +41,19 @@
     pub with_capacity: usize,
 }
 
+/// Items of a batch that one scheduling pass placed on engines.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PlacedItems {
+    /// Items placed on the engine with the shortest time between events.
+    pub fastest: usize,
+    /// Items placed on another engine, because it has more of the prompt cached and ends them earlier.
+    pub cached_prompt: usize,
+    /// Prompt tokens that the engines probably have cached.
+    pub cached_tokens: u64,
+    /// Prompt tokens that the engines have to prefill.
+    pub uncached_tokens: u64,
+}
+
 /// An attempt of a reward call that ended.
 #[derive(Debug)]
 pub struct RewardAttempt<'a> {
@@ -106,8 +119,11 @@
     /// A run ended before its text was complete.
     fn run_failed(&self, end: &RunEnd<'_>);
 
-    /// A running item was moved to a faster engine.
-    fn moved(&self, batch: &BatchId, item: &str, from: &RunKey, to: &RunKey);
+    /// Items were placed on engines, to be started there.
+    fn placed(&self, batch: &BatchId, placed: &PlacedItems);
+
+    /// A running item was moved to a faster engine, which is expected to end it earlier by `saving`.
+    fn moved(&self, batch: &BatchId, item: &str, from: &RunKey, to: &RunKey, saving: DurationMs);
 
     /// An attempt of a reward call ended.
     fn reward_attempt_ended(&self, attempt: &RewardAttempt<'_>);
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -21,6 +21,8 @@
     pub(crate) target: RunKey,
     /// Expected size of the item at its end, in tokens.
     pub(crate) tokens: u64,
+    /// Prompt tokens that the engine was expected to have cached.
+    pub(crate) cached_tokens: u64,
     pub(crate) begun: Timestamp,
     pub(crate) last_progress: Timestamp,
     /// Number of events that this run produced.
@@ -229,11 +231,18 @@
         self.texts[index].last_event
     }
 
+    /// Prompt tokens that the engine of a running item was expected to prefill.
+    pub(crate) fn uncached_tokens(&self, index: usize) -> u64 {
+        let cached_tokens = self.runs.get(&index).map_or(0, |run| run.cached_tokens);
+        self.spec.items[index].prompt_tokens.saturating_sub(cached_tokens)
+    }
+
     pub(crate) fn start(
         &mut self,
         index: usize,
         serial: u64,
         target: RunKey,
+        cached_tokens: u64,
         now: Timestamp,
         abort: AbortHandle,
     ) {
@@ -242,6 +251,7 @@
             serial,
             target,
             tokens: self.spec.items[index].work_tokens(),
+            cached_tokens,
             begun: now,
             last_progress: now,
             events: 0,
--- a/crates/jm-batch/src/placement.rs
+++ b/crates/jm-batch/src/placement.rs
@@ -3,20 +3,45 @@
 //! Load pattern: a step of thousands of items is placed on hundreds of engines, and each run that ends triggers a pass.
 //! Comparing all engines for each item makes a pass grow with the product of both, and the host that owns the step then
 //! spends its processor on scheduling instead of on events. A pass therefore compares the engines once and keeps them in
-//! a heap by cost, so that each placed item costs a logarithmic step.
+//! a heap by the time between events, so that each placed item costs a logarithmic step. The engines that hold the item's
+//! prompt are few; they are looked up and compared with the top of the heap by the expected end of the item.
 
 use std::{
     cmp::{Ordering, Reverse},
     collections::BinaryHeap,
 };
 
-use jm_forward::Target;
+use indexmap::IndexMap;
+use jm_forward::{RunKey, Target};
 use jm_types::Timestamp;
 
-use crate::{EngineLoads, ItemRequirements};
+use crate::{EngineLoads, ItemRequirements, engine_speed::SpeedScale};
+
+/// Why an item is placed on an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementReason {
+    /// The engine has the shortest time between events.
+    Fastest,
+    /// The engine has more of the prompt cached than the fastest one and ends the item earlier.
+    CachedPrompt,
+}
+
+/// An item on its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placed<'a> {
+    /// The engine.
+    pub target: &'a Target,
+    /// Why the engine was selected.
+    pub reason: PlacementReason,
+    /// Prompt tokens that the engine probably has cached.
+    pub cached_tokens: u64,
+}
 
 /// An engine that may take another item. Engines with equal costs are ordered as they are listed.
+#[derive(Clone, Copy)]
 struct Candidate<'a> {
+    /// Time between events that a further item would have, in milliseconds. It is outdated once an item was placed on the
+    /// engine because of its prompt.
     cost: f64,
     index: usize,
     target: &'a Target,
@@ -52,6 +77,8 @@
 /// The engines that can take items with the same model and weights, the one that finishes an item first on top.
 pub struct Placement<'a> {
     candidates: BinaryHeap<Reverse<Candidate<'a>>>,
+    targets: IndexMap<&'a RunKey, &'a Target>,
+    scale: SpeedScale,
 }
 
 impl<'a> Placement<'a> {
@@ -63,15 +90,19 @@
         now: Timestamp,
     ) -> Self {
         let open = targets.filter(|target| loads.has_slot(target, requirements, now));
-        let candidates = open.enumerate().map(|(index, target)| {
+        let targets: IndexMap<&RunKey, &Target> = open.map(|target| (&target.run, target)).collect();
+        let scale = loads.scale(targets.values().copied());
+        let candidates = targets.values().enumerate().map(|(index, target)| {
             Reverse(Candidate {
-                cost: loads.cost(target),
+                cost: loads.event_ms(target, &scale),
                 index,
                 target,
             })
         });
         Self {
             candidates: candidates.collect(),
+            targets,
+            scale,
         }
     }
 
@@ -81,26 +112,80 @@
         loads: &mut EngineLoads,
         requirements: ItemRequirements<'_>,
         now: Timestamp,
+    ) -> Option<Placed<'a>> {
+        let placed = self.choose(loads, requirements, now)?;
+        loads.start_item(&placed.target.run, requirements, now);
+        Some(placed)
+    }
+
+    /// The engine that finishes the item first, without starting it there.
+    pub(crate) fn choose(
+        &mut self,
+        loads: &EngineLoads,
+        requirements: ItemRequirements<'_>,
+        now: Timestamp,
+    ) -> Option<Placed<'a>> {
+        let fastest = self.fastest(loads, requirements, now)?;
+        let holder = self.best_holder(loads, requirements, fastest, now);
+        let (target, reason) = match holder {
+            Some(target) => (target, PlacementReason::CachedPrompt),
+            None => (fastest, PlacementReason::Fastest),
+        };
+        Some(Placed {
+            target,
+            reason,
+            cached_tokens: loads.cached_tokens(&target.run, requirements, now),
+        })
+    }
+
+    /// The engine with the shortest time between events among those with a slot and memory for the item.
+    fn fastest(
+        &mut self,
+        loads: &EngineLoads,
+        requirements: ItemRequirements<'_>,
+        now: Timestamp,
     ) -> Option<&'a Target> {
         let mut too_small = Vec::new();
         let mut chosen = None;
         while let Some(Reverse(candidate)) = self.candidates.pop() {
-            if !loads.has_slot(candidate.target, requirements, now) {
+            let target = candidate.target;
+            if !loads.has_slot(target, requirements, now) {
                 continue;
             }
-            if loads.has_memory(candidate.target, requirements) {
-                chosen = Some(candidate);
-                break;
+            // Costs only grow during a pass, so an entry with its present cost is the smallest.
+            let cost = loads.event_ms(target, &self.scale);
+            if cost != candidate.cost {
+                self.candidates.push(Reverse(Candidate { cost, ..candidate }));
+                continue;
             }
             too_small.push(Reverse(candidate));
+            if loads.has_memory(target, requirements) {
+                chosen = Some(target);
+                break;
+            }
         }
         self.candidates.extend(too_small);
-        let candidate = chosen?;
-        loads.run_started(&candidate.target.run, requirements.tokens);
-        self.candidates.push(Reverse(Candidate {
-            cost: loads.cost(candidate.target),
-            ..candidate
-        }));
-        Some(candidate.target)
+        chosen
+    }
+
+    /// The holder of the prompt that finishes the item before `fastest`. Only engines with a free slot are compared, so an
+    /// item never waits for a cached prompt.
+    fn best_holder(
+        &self,
+        loads: &EngineLoads,
+        requirements: ItemRequirements<'_>,
+        fastest: &Target,
+        now: Timestamp,
+    ) -> Option<&'a Target> {
+        let holders = loads.holders(requirements.prompt_parts);
+        let open = holders
+            .into_iter()
+            .filter_map(|run| self.targets.get(run).copied())
+            .filter(|target| loads.has_slot(target, requirements, now))
+            .filter(|target| loads.has_memory(target, requirements));
+        let end_ms = |target: &Target| loads.expected_end_ms(target, requirements, &self.scale, now);
+        let best = open.map(|target| (end_ms(target), target));
+        let (best_ms, best) = best.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        (best_ms < end_ms(fastest)).then_some(best)
     }
 }
--- a/crates/jm-batch/src/reward_queue.rs
+++ b/crates/jm-batch/src/reward_queue.rs
@@ -310,6 +310,9 @@
             remote_work: pass.remote_work,
             tokens: 0,
             memory_tokens: None,
+            prompt_tokens: 0,
+            prompt_parts: &[],
+            events_done: 0,
         };
         let is_open = |run: &RunKey| call.open.iter().any(|attempt| attempt.target == *run);
         let closed = || {
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -246,7 +246,8 @@
     }
 
     pub(crate) fn record_version(&self, run: &RunKey, model: &ModelId, version: WeightVersion) {
-        self.state().loads.record_version(run, model, version);
+        let now = self.now();
+        self.state().loads.record_version(run, model, version, now);
         self.wake();
     }
 
--- a/crates/jm-batch/src/runner/share.rs
+++ b/crates/jm-batch/src/runner/share.rs
@@ -42,6 +42,7 @@
     }
 }
 
+/// Requirements of an item without a text.
 pub(super) fn item_requirements<'a>(
     spec: &'a BatchSpec,
     item: usize,
@@ -57,6 +58,9 @@
         remote_work: &shares.remote_work,
         tokens: spec.items[item].work_tokens(),
         memory_tokens: engine.and_then(|engine| engine.memory_tokens),
+        prompt_tokens: spec.items[item].prompt_tokens,
+        prompt_parts: &spec.items[item].prompt_parts,
+        events_done: 0,
     }
 }
 
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -10,13 +10,14 @@
 
 use super::{
     Runner, RunnerState,
-    share::{Shares, item_requirements, item_service, service_targets},
+    share::{Shares, item_requirements, item_service},
     write::mark_writing,
 };
 use crate::{
-    BatchSpec, GenerationEnd, GenerationEvent, GenerationRequest, RewardKey,
-    owned::{EventOutcome, OwnedBatch, Run},
-    placement::Placement,
+    BatchSpec, EngineLoads, GenerationEnd, GenerationEvent, GenerationRequest, ItemRequirements, PlacedItems,
+    RewardKey,
+    owned::{EventOutcome, OwnedBatch},
+    placement::{Placed, Placement, PlacementReason},
 };
 
 /// Minimum number of events of a run before its item may move to a faster engine. It keeps items from moving back and
@@ -35,9 +36,17 @@
 /// An item that moves to a faster engine.
 struct Move {
     from: RunKey,
+    saving: DurationMs,
     start: Start,
 }
 
+/// The items that a pass starts, and how they were placed.
+#[derive(Default)]
+struct Starts {
+    starts: Vec<Start>,
+    placed: Vec<(BatchId, PlacedItems)>,
+}
+
 /// Inputs of one scheduling pass over all batches.
 struct SchedulingContext<'a> {
     routing: &'a RoutingTable,
@@ -50,31 +59,35 @@
 impl Runner {
     /// Starts the items that engines have room for.
     pub(super) fn start_ready(self: &Arc<Self>) {
-        for start in self.schedule(choose_starts) {
+        let Starts { starts, placed } = self.schedule(choose_starts);
+        for start in starts {
             self.spawn_run(start);
         }
+        for (batch, placed) in placed {
+            self.deps.events.placed(&batch, &placed);
+        }
     }
 
     /// Moves items to faster engines and drops the records of engines that are gone.
     pub(super) fn move_to_faster(self: &Arc<Self>) {
-        for Move { from, start } in self.schedule(choose_moves) {
+        for Move { from, saving, start } in self.schedule(choose_moves) {
             let item = &start.request.spec.items[start.item].id;
             self.deps
                 .events
-                .moved(&start.batch, item, &from, &start.target.run);
+                .moved(&start.batch, item, &from, &start.target.run, saving);
             self.spawn_run(start);
         }
     }
 
     /// What `choose` decides to do now: nothing without a configuration, or while the owners of the batches are unknown.
-    fn schedule<T>(&self, choose: impl FnOnce(&mut RunnerState, &SchedulingContext<'_>) -> Vec<T>) -> Vec<T> {
+    fn schedule<T: Default>(&self, choose: impl FnOnce(&mut RunnerState, &SchedulingContext<'_>) -> T) -> T {
         let Some(routing) = self.deps.routing_source.routing() else {
-            return Vec::new();
+            return T::default();
         };
         let catalog = self.deps.routing_source.catalog();
         let mut state = self.state();
         if state.is_unconfirmed {
-            return Vec::new();
+            return T::default();
         }
         let context = SchedulingContext {
             routing: &routing,
@@ -136,7 +149,7 @@
         let mut guard = self.state();
         let RunnerState { owned, loads, .. } = &mut *guard;
         if let (GenerationEvent::Version(version), Some(model)) = (&event, model) {
-            loads.record_version(&target.run, model, *version);
+            loads.record_version(&target.run, model, *version, now);
         }
         let Some(owned) = owned.get_mut(batch).filter(|owned| !owned.is_ended) else {
             return EventOutcome::Discarded;
@@ -144,8 +157,9 @@
         let outcome = owned.on_event(item, serial, event, now);
         if let EventOutcome::Event { gap, is_first } = outcome {
             loads.clear_suspicion(&target.run);
-            if !is_first {
-                loads.record_event_gap(&target.run, gap);
+            match is_first {
+                true => loads.record_first_event(target, owned.uncached_tokens(item), gap),
+                false => loads.record_event(target, gap),
             }
         }
         outcome
@@ -172,8 +186,10 @@
             return;
         };
         loads.run_ended(&run.target, run.tokens);
+        let parts = &owned.spec.items[item].prompt_parts;
         let expired = match &end {
             GenerationEnd::Complete => {
+                loads.record_text(owned.spec.items[item].estimated_tokens(), owned.events(item));
                 if owned.complete(item) {
                     let batch = batch.clone();
                     rewards.push(RewardKey { batch, item }, now);
@@ -187,10 +203,17 @@
                 .then_some("too many runs of the item failed"),
             GenerationEnd::NotRun { .. } => {
                 loads.record_rejection(&run.target, now);
+                loads.prompt_not_run(&run.target, parts, run.cached_tokens, run.tokens);
                 owned.plan.requeue(item, now);
                 None
             }
-            GenerationEnd::Unsent { .. } | GenerationEnd::Lost { .. } => {
+            GenerationEnd::Unsent { .. } => {
+                loads.record_failure(&run.target, now);
+                loads.prompts_lost(&run.target);
+                owned.plan.requeue(item, now);
+                None
+            }
+            GenerationEnd::Lost { .. } => {
                 loads.record_failure(&run.target, now);
                 owned.plan.requeue(item, now);
                 None
@@ -226,7 +249,7 @@
     }
 }
 
-fn choose_starts(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Vec<Start> {
+fn choose_starts(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Starts {
     let RunnerState {
         owned,
         loads,
@@ -244,30 +267,59 @@
             owned.spec.id.clone(),
         )
     });
-    let mut starts = Vec::new();
+    let mut chosen = Starts::default();
     for owned in batches {
         let spec = Arc::clone(&owned.spec);
         let mut placements: IndexMap<&ServiceId, Placement<'_>> = IndexMap::new();
+        let mut counts = PlacedItems::default();
         let ready: Vec<usize> = owned.plan.ready(context.now).collect();
         for item in ready {
             let Some(service) = item_service(&spec, item, context.routing) else {
                 break;
             };
-            let requirements = item_requirements(&spec, item, context.routing, &context.shares);
+            let requirements = open_requirements(&spec, owned, item, context);
             let placement = placements.entry(service).or_insert_with(|| {
                 Placement::new(loads, context.catalog.serving(service), requirements, context.now)
             });
-            let Some(target) = placement.start(loads, requirements, context.now) else {
+            let Some(placed) = placement.start(loads, requirements, context.now) else {
                 break;
             };
-            starts.push(start(owned, item, next_serial, target, context));
+            count(&mut counts, &placed, requirements);
+            chosen
+                .starts
+                .push(start(owned, item, next_serial, placed, context));
+        }
+        if counts != PlacedItems::default() {
+            chosen.placed.push((spec.id.clone(), counts));
         }
     }
-    starts
+    chosen
 }
 
-/// Selects items on engines that are much slower than one with free capacity. The longest text determines when a step
-/// ends, and a moved text continues after a few milliseconds.
+fn count(counts: &mut PlacedItems, placed: &Placed<'_>, requirements: ItemRequirements<'_>) {
+    match placed.reason {
+        PlacementReason::Fastest => counts.fastest += 1,
+        PlacementReason::CachedPrompt => counts.cached_prompt += 1,
+    }
+    counts.cached_tokens += placed.cached_tokens;
+    counts.uncached_tokens += requirements.prompt_tokens.saturating_sub(placed.cached_tokens);
+}
+
+/// Requirements of an item that continues its text so far.
+fn open_requirements<'a>(
+    spec: &'a BatchSpec,
+    owned: &OwnedBatch,
+    item: usize,
+    context: &'a SchedulingContext<'_>,
+) -> ItemRequirements<'a> {
+    ItemRequirements {
+        events_done: owned.events(item),
+        ..item_requirements(spec, item, context.routing, &context.shares)
+    }
+}
+
+/// Selects items that would end much earlier on another engine with free capacity. The longest text determines when a
+/// step ends, so the items with the most work left are moved first.
 fn choose_moves(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Vec<Move> {
     let RunnerState {
         owned,
@@ -281,47 +333,67 @@
     });
     let mut moves = Vec::new();
     for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
-        let movable = owned
-            .runs
-            .iter()
-            .filter(|(_, run)| run.events >= EVENTS_BEFORE_MOVE);
-        let items: Vec<usize> = movable.map(|(item, _)| *item).collect();
         let spec = Arc::clone(&owned.spec);
-        let mut best: Option<&Target> = None;
-        for item in items {
-            let requirements = item_requirements(&spec, item, context.routing, &context.shares);
-            // The engines are compared again only after a move, which changes their loads.
-            let found = best.or_else(|| {
-                let targets = service_targets(&spec, item, context.routing, context.catalog)?;
-                loads.pick(targets, requirements, context.now)
-            });
-            let Some(target) = found else { break };
-            best = Some(target);
-            let is_faster = |run: &Run| loads.is_much_faster(&target.run, &run.target);
-            let has_room = loads.has_memory(target, requirements);
-            if !has_room || !owned.runs.get(&item).is_some_and(is_faster) {
+        let mut placements: IndexMap<&ServiceId, Placement<'_>> = IndexMap::new();
+        for item in movable_items(&spec, owned, loads, context) {
+            let Some(service) = item_service(&spec, item, context.routing) else {
+                break;
+            };
+            let Some(run) = owned.runs.get(&item) else {
                 continue;
-            }
+            };
+            let requirements = open_requirements(&spec, owned, item, context);
+            let placement = placements.entry(service).or_insert_with(|| {
+                Placement::new(loads, context.catalog.serving(service), requirements, context.now)
+            });
+            let Some(placed) = placement.choose(loads, requirements, context.now) else {
+                break;
+            };
+            let listed = context.catalog.get(&run.target.id);
+            let slots = listed.map_or(placed.target.slots, |current| current.slots);
+            let saving = loads.move_saving(&run.target, slots, placed.target, requirements, context.now);
+            let Some(saving) = saving else { continue };
             let Some(run) = owned.stop_run(item, context.now) else {
                 continue;
             };
             loads.run_ended(&run.target, run.tokens);
-            loads.run_started(&target.run, requirements.tokens);
-            best = None;
+            loads.start_item(&placed.target.run, requirements, context.now);
             moves.push(Move {
                 from: run.target,
-                start: start(owned, item, next_serial, target, context),
+                saving,
+                start: start(owned, item, next_serial, placed, context),
             });
         }
     }
     moves
 }
 
+/// The running items that may move, those with the most work left first.
+fn movable_items(
+    spec: &BatchSpec,
+    owned: &OwnedBatch,
+    loads: &EngineLoads,
+    context: &SchedulingContext<'_>,
+) -> Vec<usize> {
+    let movable = owned
+        .runs
+        .iter()
+        .filter(|(_, run)| run.events >= EVENTS_BEFORE_MOVE);
+    let mut movable: Vec<(f64, usize)> = movable
+        .map(|(item, _)| {
+            let requirements = open_requirements(spec, owned, *item, context);
+            (loads.events_left(requirements), *item)
+        })
+        .collect();
+    movable.sort_by(|a, b| b.0.total_cmp(&a.0));
+    movable.into_iter().map(|(_, item)| item).collect()
+}
+
 fn start(
     owned: &mut OwnedBatch,
     item: usize,
     next_serial: &mut u64,
-    target: &Target,
+    placed: Placed<'_>,
     context: &SchedulingContext<'_>,
 ) -> Start {
     let serial = *next_serial;
@@ -333,7 +405,15 @@
         resume_after: owned.resume_after(item),
         time_left_ms: time_left(&owned.spec, context.unix_ms),
     };
-    owned.start(item, serial, target.run.clone(), context.now, abort);
+    let target = placed.target;
+    owned.start(
+        item,
+        serial,
+        target.run.clone(),
+        placed.cached_tokens,
+        context.now,
+        abort,
+    );
     Start {
         batch: owned.spec.id.clone(),
         item,
--- a/crates/jm-batch/src/spec.rs
+++ b/crates/jm-batch/src/spec.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
 
-use crate::RewardCall;
+use crate::{PromptPart, RewardCall};
 
 /// One request of a batch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,6 +33,9 @@
     /// The request that scores the text; `None` if the text is the result.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reward: Option<RewardCall>,
+    /// Parts at the start of the prompt that other items may share; empty if the submitter named none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub prompt_parts: Vec<PromptPart>,
 }
 
 /// A complete batch, as it is stored.
@@ -155,11 +158,15 @@
         Ok(())
     }
 
+    /// Estimated number of generated tokens.
+    pub(crate) fn estimated_tokens(&self) -> u64 {
+        let max_generated = self.tokens.saturating_sub(self.prompt_tokens);
+        self.expected_tokens.unwrap_or(max_generated).min(max_generated)
+    }
+
     /// Expected size of a run at its end in tokens: the prompt plus the estimated generated tokens.
     pub fn work_tokens(&self) -> u64 {
-        let max_generated = self.tokens.saturating_sub(self.prompt_tokens);
-        let generated = self.expected_tokens.unwrap_or(max_generated).min(max_generated);
-        self.prompt_tokens + generated
+        self.prompt_tokens + self.estimated_tokens()
     }
 }
 
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -18,8 +18,9 @@
 use jm_batch::{
     BatchEvents, BatchItem, BatchPeers, BatchProgress, BatchService, BatchServiceDependencies,
     BatchServiceOptions, BatchSpec, BatchState, BatchStore, CarriedOver, CheckpointOptions, EventSink,
-    GenerationEnd, GenerationEvent, GenerationRequest, Generator, ItemText, MembershipView, ResultPage,
-    RewardAttempt, RewardEnd, RewardOptions, RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
+    GenerationEnd, GenerationEvent, GenerationRequest, Generator, ItemText, MembershipView, PlacedItems,
+    ResultPage, RewardAttempt, RewardEnd, RewardOptions, RoutingSource, RunEnd, RunnerOptions,
+    WriteScheduleOptions,
 };
 use jm_forward::{
     BatchPolicy, CallerLimits, Catalog, EngineConfig, Route, RouteKind, RoutingTable, RunKey, Service,
@@ -55,6 +56,7 @@
         expected_tokens: Some(*tokens),
         group: Some(format!("g{index}")),
         reward: None,
+        prompt_parts: Vec::new(),
     };
     BatchSpec {
         id: id.parse().unwrap(),
@@ -302,6 +304,8 @@
     pub(crate) failed_runs: Mutex<Vec<GenerationEnd>>,
     pub(crate) expired: AtomicU64,
     pub(crate) moved: AtomicU64,
+    pub(crate) placed: AtomicU64,
+    pub(crate) cached_tokens: AtomicU64,
     pub(crate) taken_over: AtomicU64,
     pub(crate) repeated_starts: AtomicU64,
     pub(crate) released: AtomicU64,
@@ -334,7 +338,13 @@
     fn run_failed(&self, end: &RunEnd<'_>) {
         self.failed_runs.lock().unwrap().push(end.end.clone());
     }
-    fn moved(&self, _batch: &BatchId, _item: &str, _from: &RunKey, _to: &RunKey) {
+    fn placed(&self, _batch: &BatchId, placed: &PlacedItems) {
+        let items = (placed.fastest + placed.cached_prompt) as u64;
+        self.placed.fetch_add(items, Ordering::SeqCst);
+        self.cached_tokens
+            .fetch_add(placed.cached_tokens, Ordering::SeqCst);
+    }
+    fn moved(&self, _batch: &BatchId, _item: &str, _from: &RunKey, _to: &RunKey, _saving: DurationMs) {
         self.moved.fetch_add(1, Ordering::SeqCst);
     }
     fn reward_attempt_ended(&self, attempt: &RewardAttempt<'_>) {
--- a/crates/jm-batch/tests/placement.rs
+++ b/crates/jm-batch/tests/placement.rs
@@ -27,6 +27,9 @@
         remote_work: &[],
         tokens,
         memory_tokens: Some(1_000),
+        prompt_tokens: 0,
+        prompt_parts: &[],
+        events_done: 0,
     }
 }
 
@@ -42,8 +45,8 @@
     let counted = targets.iter().inspect(|_| comparisons.set(comparisons.get() + 1));
     let mut placement = Placement::new(&loads, counted, requirements(&model, 0), NOW);
     let placed = items.iter().map_while(|tokens| {
-        let target = placement.start(&mut loads, requirements(&model, *tokens), NOW)?;
-        Some(target.run.id.to_string())
+        let placed = placement.start(&mut loads, requirements(&model, *tokens), NOW)?;
+        Some(placed.target.run.id.to_string())
     });
     Placed {
         engines: placed.collect(),
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -2,17 +2,19 @@
 
 use std::sync::Arc;
 
-use jm_batch::{BatchEvents, BatchProgress, CarriedOver, GenerationEnd, RewardAttempt, RewardEnd, RunEnd};
+use jm_batch::{
+    BatchEvents, BatchProgress, CarriedOver, GenerationEnd, PlacedItems, RewardAttempt, RewardEnd, RunEnd,
+};
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
-use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-};
+use prometheus::{Encoder, HistogramVec, IntCounterVec, IntGauge, Registry, TextEncoder};
 
-use crate::{duty::UsageCounter, instrumented_store::STORE_CALL_LABELS};
-
-/// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5];
+use crate::{
+    duty::UsageCounter,
+    instrumented_store::STORE_CALL_LABELS,
+    metric::{counter, gauge, histogram},
+    placement_metrics::PlacementMetrics,
+};
 
 /// Records the metrics and log lines of one host. Label values are result codes and fixed words, so the number of
 /// time series is bounded.
@@ -23,6 +25,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     item_runs: IntCounterVec,
+    placement: PlacementMetrics,
     reward_attempts: IntCounterVec,
     reward_wait: HistogramVec,
     reward_time: HistogramVec,
@@ -70,6 +73,7 @@
                 "Runs of batch items that ended early, by outcome.",
                 &["outcome"],
             ),
+            placement: PlacementMetrics::new(&registry),
             reward_attempts: counter(
                 &registry,
                 "jm_reward_attempts_total",
@@ -215,31 +219,6 @@
     }
 }
 
-fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("metric names are valid");
-    registry
-        .register(Box::new(counter.clone()))
-        .expect("metric names are distinct");
-    counter
-}
-
-fn histogram(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
-    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
-    let histogram = HistogramVec::new(options, labels).expect("metric names are valid");
-    registry
-        .register(Box::new(histogram.clone()))
-        .expect("metric names are distinct");
-    histogram
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
-    let gauge = IntGauge::new(name, help).expect("metric names are valid");
-    registry
-        .register(Box::new(gauge.clone()))
-        .expect("metric names are distinct");
-    gauge
-}
-
 fn outcome_name(outcome: &AttemptOutcome) -> (&'static str, &str) {
     match outcome {
         AttemptOutcome::Answered(_) => ("answered", ""),
@@ -415,8 +394,23 @@
         );
     }
 
-    fn moved(&self, batch: &BatchId, item: &str, from: &RunKey, to: &RunKey) {
+    fn placed(&self, batch: &BatchId, placed: &PlacedItems) {
+        self.placement.record_placed(placed);
+        LogEvent::ItemsPlaced.write_fields(
+            "items were placed on engines",
+            &[
+                ("batch", &batch.as_str()),
+                ("fastest", &placed.fastest),
+                ("cached_prompt", &placed.cached_prompt),
+                ("cached_tokens", &placed.cached_tokens),
+                ("uncached_tokens", &placed.uncached_tokens),
+            ],
+        );
+    }
+
+    fn moved(&self, batch: &BatchId, item: &str, from: &RunKey, to: &RunKey, saving: DurationMs) {
         self.item_runs.with_label_values(&["moved"]).inc();
+        self.placement.record_move(saving);
         LogEvent::ItemMoved.write_fields(
             "the item was moved to a faster engine",
             &[
@@ -424,6 +418,7 @@
                 ("item", &item),
                 ("from", &from.id.as_str()),
                 ("to", &to.id.as_str()),
+                ("saving_ms", &saving.get()),
             ],
         );
     }
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -159,6 +159,8 @@
     ProcessPaused = 5116, Warn;
     /// A batch was to be started on a host that already runs it. The second start has no effect.
     BatchStartRepeated = 5117, Info;
+    /// Items of a batch were placed on engines.
+    ItemsPlaced = 5130, Debug;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
