--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -13,6 +13,7 @@
 
 use crate::{
     EngineSpeed, PromptPart,
+    engine_speed::LoadSlope,
     expected_end::{PrefillTime, TextLengths},
     held_prompts::HeldPrompts,
 };
@@ -76,6 +77,7 @@
 pub struct EngineLoads {
     options: LoadOptions,
     loads: IndexMap<RunKey, EngineLoad>,
+    slope: LoadSlope,
     prefill: PrefillTime,
     lengths: TextLengths,
     held: HeldPrompts,
--- a/crates/jm-batch/src/engine_load/forecast.rs
+++ b/crates/jm-batch/src/engine_load/forecast.rs
@@ -6,7 +6,7 @@
 use super::{DEFAULT_MEMORY_TOKENS, EngineLoads, ItemRequirements, MOVE_NOISE_FACTOR};
 use crate::{
     ObservedSpeed, PromptPart,
-    engine_speed::{SpeedScale, is_faster, load_factor},
+    engine_speed::{SpeedScale, is_faster, load_beside},
     expected_end::{ExpectedRun, move_saving},
 };
 
@@ -16,15 +16,17 @@
 impl EngineLoads {
     /// Records the time between two events of a run on the engine.
     pub fn record_event(&mut self, target: &Target, gap: DurationMs) {
-        let others = self.running(&target.run).saturating_sub(1);
-        self.load(&target.run).speed.record(gap, others, target.slots);
+        let load = self.load_beside_run(&target.run, target.slots);
+        let mut slope = self.slope;
+        self.load(&target.run).speed.record(gap, load, &mut slope);
+        self.slope = slope;
     }
 
     /// Records the time from the start of a run to its first event. `uncached_tokens` had to be prefilled.
     pub fn record_first_event(&mut self, target: &Target, uncached_tokens: u64, took: DurationMs) {
-        let others = self.running(&target.run).saturating_sub(1);
+        let load = self.load_beside_run(&target.run, target.slots);
         if let Some(base_ms) = self.observed_base_ms(&target.run) {
-            let prefill_ms = took.get() as f64 - base_ms * load_factor(others, target.slots);
+            let prefill_ms = took.get() as f64 - base_ms * self.slope.factor(load);
             let prefill_ms = prefill_ms.clamp(-MAX_PREFILL_SAMPLE_MS, MAX_PREFILL_SAMPLE_MS);
             self.prefill.record(uncached_tokens, prefill_ms);
         }
@@ -40,7 +42,7 @@
         let observed = self
             .loads
             .iter()
-            .filter(|(_, load)| load.speed.base_ms().is_some());
+            .filter(|(_, load)| load.speed.gap_ms().is_some());
         let speeds = observed.map(|(run, load)| ObservedSpeed {
             target: run.id.clone(),
             started_unix_ms: run.started_unix_ms,
@@ -71,7 +73,10 @@
     /// Time between events that another item would have on the engine.
     pub(crate) fn event_ms(&self, target: &Target, scale: &SpeedScale) -> f64 {
         let base_ms = scale.base_ms(self.observed_base_ms(&target.run));
-        base_ms * load_factor(self.running(&target.run), target.slots)
+        base_ms
+            * self
+                .slope
+                .factor(load_beside(self.running(&target.run), target.slots))
     }
 
     /// Time until the item would end on the engine.
@@ -106,12 +111,13 @@
     ) -> Option<DurationMs> {
         let current_ms = self.observed_base_ms(current)?;
         let other_ms = self.observed_base_ms(&target.run)?;
-        // The slope of the load is not observed, so a difference of loads alone justifies no move.
-        if !is_faster(other_ms, current_ms) {
+        // A difference of loads alone justifies no move, whether the slope is estimated too high or too low.
+        let gap_ms = |run: &RunKey| self.loads.get(run)?.speed.gap_ms();
+        if !is_faster(other_ms, current_ms) || !is_faster(gap_ms(&target.run)?, gap_ms(current)?) {
             return None;
         }
-        let others = self.running(current).saturating_sub(1);
-        let stay_ms = self.events_left(requirements) * current_ms * load_factor(others, slots);
+        let load = self.load_beside_run(current, slots);
+        let stay_ms = self.events_left(requirements) * current_ms * self.slope.factor(load);
         let scale = SpeedScale::new([current_ms, other_ms].into_iter(), other_ms);
         let move_ms = self.expected_end_ms(target, requirements, &scale, now);
         let noise = self.noise(current) + self.noise(&target.run);
@@ -178,8 +184,13 @@
             .events_left(requirements.estimated_tokens(), requirements.events_done)
     }
 
+    /// Load of an engine beside one of its runs.
+    fn load_beside_run(&self, run: &RunKey, slots: usize) -> f64 {
+        load_beside(self.running(run).saturating_sub(1), slots)
+    }
+
     fn observed_base_ms(&self, run: &RunKey) -> Option<f64> {
-        self.loads.get(run)?.speed.base_ms()
+        self.loads.get(run)?.speed.base_ms(&self.slope)
     }
 
     fn noise(&self, run: &RunKey) -> f64 {
--- a/crates/jm-batch/src/engine_speed.rs
+++ b/crates/jm-batch/src/engine_speed.rs
@@ -7,9 +7,20 @@
 use jm_types::{DurationMs, TargetId};
 use serde::{Deserialize, Serialize};
 
-/// Relative increase of the time between events from an otherwise idle engine to a full one. It is fixed, because the
-/// engines of a pass have similar loads, so that a wrong slope hardly changes their order.
-const LOAD_SLOPE: f64 = 1.0;
+/// Relative increase of the time between events from an idle engine to a full one, before it was observed.
+const INITIAL_SLOPE: f64 = 0.5;
+
+/// Weight of the initial slope, as a sum of squared loads: 200 events at loads that deviate by a fifth.
+const SLOPE_PRIOR_WEIGHT: f64 = 200.0 * 0.2 * 0.2;
+
+/// Factor by which older events lose weight in the slope with each new one.
+const SLOPE_DECAY: f64 = 0.9998;
+
+/// Smallest slope, so that equal engines are always used least loaded first.
+const MIN_SLOPE: f64 = 0.1;
+
+/// Largest slope. A full engine with a larger one would finish less than a half of its items in the same time.
+const MAX_SLOPE: f64 = 2.0;
 
 /// Number of events from which the speed of an engine counts as observed. Fewer samples make equal engines look unequal.
 const MIN_SAMPLES: u32 = 16;
@@ -27,53 +38,99 @@
 /// Engines whose base times differ by at most this ratio count as equally fast.
 const EQUAL_SPEED_RATIO: f64 = 1.2;
 
-/// Factor by which `other_runs` further runs slow a run down on an engine with the given number of slots.
-pub(crate) fn load_factor(other_runs: usize, slots: usize) -> f64 {
-    1.0 + LOAD_SLOPE * other_runs as f64 / slots.max(1) as f64
+/// Load of an engine beside one run, as a fraction of its slots.
+pub(crate) fn load_beside(other_runs: usize, slots: usize) -> f64 {
+    other_runs as f64 / slots.max(1) as f64
 }
 
-/// Base time between events of one run of an engine, derived from observed events.
+/// Effect of the load on the time between events, from deviations of both on the same engines. The speeds of the engines
+/// therefore do not influence it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct LoadSlope {
+    squares: f64,
+    products: f64,
+    mean_load: f64,
+}
+
+impl LoadSlope {
+    fn record(&mut self, load: f64, load_off: f64, relative_gap_off: f64) {
+        self.squares = self.squares * SLOPE_DECAY + load_off * load_off;
+        self.products = self.products * SLOPE_DECAY + load_off * relative_gap_off;
+        self.mean_load += (1.0 - SLOPE_DECAY) * (load - self.mean_load);
+    }
+
+    /// Factor by which the load slows a run down.
+    pub(crate) fn factor(&self, load: f64) -> f64 {
+        1.0 + self.slope() * load
+    }
+
+    fn slope(&self) -> f64 {
+        // The deviations are relative to the time at the mean load, not to that of an idle engine.
+        let initial = INITIAL_SLOPE / (1.0 + INITIAL_SLOPE * self.mean_load);
+        let relative = (self.products + initial * SLOPE_PRIOR_WEIGHT) / (self.squares + SLOPE_PRIOR_WEIGHT);
+        let at_idle = 1.0 - relative * self.mean_load;
+        match at_idle > 0.0 {
+            true => (relative / at_idle).clamp(MIN_SLOPE, MAX_SLOPE),
+            false => MAX_SLOPE,
+        }
+    }
+}
+
+/// Time between events of the runs of an engine, and the load at which it was observed.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct EngineSpeed {
-    base_ms: f64,
+    gap_ms: f64,
+    /// Mean load beside the observed runs.
+    load: f64,
     /// Mean absolute deviation of the samples from the average.
     deviation_ms: f64,
     samples: u32,
 }
 
 impl EngineSpeed {
-    /// Adds the time between two events of a run, during which the engine had `other_runs` further runs of this host.
-    /// The runs of other hosts are unknown, so their effect is a part of the base time.
-    pub(crate) fn record(&mut self, gap: DurationMs, other_runs: usize, slots: usize) {
-        let sample_ms = (gap.get() as f64 / load_factor(other_runs, slots)).max(MIN_BASE_MS);
+    /// Adds the time between two events of a run, during which the engine had the given load of this host beside it. The
+    /// runs of other hosts are unknown, so their effect is a part of the base time.
+    pub(crate) fn record(&mut self, gap: DurationMs, load: f64, slope: &mut LoadSlope) {
+        let sample_ms = (gap.get() as f64).max(MIN_BASE_MS);
         if self.samples == 0 {
-            self.base_ms = sample_ms;
+            (self.gap_ms, self.load) = (sample_ms, load);
         }
-        let sample_ms = sample_ms.min(self.base_ms * MAX_SAMPLE_RATIO);
+        let sample_ms = sample_ms.min(self.gap_ms * MAX_SAMPLE_RATIO);
         self.samples = self.samples.saturating_add(1);
         let weight = SMOOTHING_FACTOR.max(1.0 / f64::from(self.samples));
-        let difference_ms = sample_ms - self.base_ms;
-        self.base_ms += weight * difference_ms;
-        self.deviation_ms += weight * (difference_ms.abs() - self.deviation_ms);
+        let (gap_off_ms, load_off) = (sample_ms - self.gap_ms, load - self.load);
+        if self.samples >= MIN_SAMPLES {
+            slope.record(load, load_off, gap_off_ms / self.gap_ms);
+        }
+        self.gap_ms += weight * gap_off_ms;
+        self.load += weight * load_off;
+        self.deviation_ms += weight * (gap_off_ms.abs() - self.deviation_ms);
+    }
+
+    /// The time between events of a run alone on the engine; `None` until enough events were observed.
+    pub(crate) fn base_ms(&self, slope: &LoadSlope) -> Option<f64> {
+        self.gap_ms().map(|gap_ms| gap_ms / slope.factor(self.load))
     }
 
-    /// The base time between events; `None` until enough events were observed.
-    pub(crate) fn base_ms(&self) -> Option<f64> {
-        (self.samples >= MIN_SAMPLES).then_some(self.base_ms)
+    /// The time between events at the observed load; `None` until enough events were observed.
+    pub(crate) fn gap_ms(&self) -> Option<f64> {
+        (self.samples >= MIN_SAMPLES).then_some(self.gap_ms)
     }
 
     /// Whether the speed, which another host reported, can be used.
     pub(crate) fn is_valid(&self) -> bool {
-        self.base_ms.is_finite()
-            && self.base_ms >= MIN_BASE_MS
+        self.gap_ms.is_finite()
+            && self.gap_ms >= MIN_BASE_MS
+            && self.load.is_finite()
+            && self.load >= 0.0
             && self.deviation_ms.is_finite()
             && self.deviation_ms >= 0.0
     }
 
-    /// Relative error of the base time to be expected from the deviation of its samples.
+    /// Relative error of the average to be expected from the deviation of its samples.
     pub(crate) fn noise(&self) -> f64 {
         let averaged = f64::from(self.samples.max(1)).min(2.0 / SMOOTHING_FACTOR);
-        self.deviation_ms / self.base_ms.max(MIN_BASE_MS) / averaged.sqrt()
+        self.deviation_ms / self.gap_ms.max(MIN_BASE_MS) / averaged.sqrt()
     }
 }
 
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -3,6 +3,7 @@
 
 mod scorers;
 mod store;
+pub(crate) mod virtual_engines;
 
 use std::{
     sync::{
--- a/crates/jm-batch/tests/item_order.rs
+++ b/crates/jm-batch/tests/item_order.rs
@@ -2,9 +2,12 @@
 
 mod common;
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
-use common::{FaultyStore, Step, TestHost, data, engine, spec};
+use common::{FaultyStore, Script, Step, TestHost, data, engine, spec};
 use jm_batch::{BatchPlan, GenerationEnd, GenerationRequest, PlanOptions};
 use jm_types::Timestamp;
 use quickcheck::quickcheck;
@@ -64,12 +67,10 @@
     assert_eq!((at("e1"), at("e2")), (3, 2));
 }
 
-/// A text on an engine that became slow continues on a fast engine with free slots.
-#[async_std::test]
-async fn moves_from_slow_engine() {
-    let store = FaultyStore::new();
-    let script = Box::new(|target: &jm_forward::Target, request: &GenerationRequest| {
-        let pause = Duration::from_millis(if target.run.id.as_str() == "slow" { 40 } else { 2 });
+/// Texts of 40 events, with a pause before each next event that depends on the engine.
+fn paced(pause_ms: impl Fn(&str) -> u64 + Send + Sync + 'static) -> Script {
+    Box::new(move |target, request| {
+        let pause = Duration::from_millis(pause_ms(target.run.id.as_str()));
         let first = request.resume_after.unwrap_or(0) + 1;
         let mut steps = Vec::new();
         for index in first..=40 {
@@ -78,7 +79,14 @@
         }
         steps.push(Step::End(GenerationEnd::Complete));
         steps
-    });
+    })
+}
+
+/// A text on an engine that became slow continues on a fast engine with free slots.
+#[async_std::test]
+async fn moves_from_slow_engine() {
+    let store = FaultyStore::new();
+    let script = paced(|engine| if engine == "slow" { 40 } else { 2 });
     let targets = vec![engine("slow", 4, 1), engine("fast", 4, 1)];
     let host = TestHost::start("host-a", &Arc::default(), &store, targets, script);
     host.service.submit(spec("b1", &[1; 8])).await.unwrap();
@@ -88,5 +96,18 @@
             .iter()
             .all(|result| result.text == common::whole_text(40))
     );
-    assert!(host.events.moved.load(std::sync::atomic::Ordering::SeqCst) > 0);
+    assert!(host.events.moved.load(Ordering::SeqCst) > 0);
+}
+
+/// Guards against work that is thrown away: an engine that has more free slots is not faster for that reason.
+#[async_std::test]
+async fn no_moves_between_equal_engines() {
+    let store = FaultyStore::new();
+    let targets = vec![engine("small", 4, 1), engine("large", 12, 1)];
+    let host = TestHost::start("host-a", &Arc::default(), &store, targets, paced(|_| 20));
+    host.service.submit(spec("b1", &[1; 8])).await.unwrap();
+    host.listed("b1", 8).await;
+    let counts = (&host.events.placed, &host.events.moved);
+    let counts = (counts.0.load(Ordering::SeqCst), counts.1.load(Ordering::SeqCst));
+    assert_eq!(counts, (8, 0));
 }
