--- a/crates/jm-batch/src/engine_load/forecast.rs
+++ b/crates/jm-batch/src/engine_load/forecast.rs
@@ -8,6 +8,8 @@
     ObservedSpeed, PromptPart,
     engine_speed::{SpeedScale, is_faster, load_beside},
     expected_end::{ExpectedRun, move_saving},
+    held_prompts::Prefix,
+    placement::Placed,
 };
 
 /// A deviation of the time to the first event beyond this is caused by something else than the prefill.
@@ -79,15 +81,14 @@
                 .factor(load_beside(self.running(&target.run), target.slots))
     }
 
-    /// Time until the item would end on the engine.
+    /// Time until the item would end on an engine that has the given part of its prompt cached.
     pub(crate) fn expected_end_ms(
         &self,
         target: &Target,
         requirements: ItemRequirements<'_>,
         scale: &SpeedScale,
-        now: Timestamp,
+        cached_tokens: u64,
     ) -> f64 {
-        let cached_tokens = self.cached_tokens(&target.run, requirements, now);
         let expected = ExpectedRun {
             events_left: self.events_left(requirements),
             event_ms: self.event_ms(target, scale),
@@ -99,16 +100,15 @@
         expected.end_ms()
     }
 
-    /// The time that a move of a running item from an engine with `slots` slots to `target` saves; `None` if the move is
-    /// not worthwhile. An engine that was not observed is never faster.
+    /// The time that a move of a running item from an engine with `slots` slots saves; `None` if the move is not worthwhile. An engine that was not observed is never faster.
     pub(crate) fn move_saving(
         &self,
         current: &RunKey,
         slots: usize,
-        target: &Target,
+        placed: &Placed<'_>,
         requirements: ItemRequirements<'_>,
-        now: Timestamp,
     ) -> Option<DurationMs> {
+        let target = placed.target;
         let current_ms = self.observed_base_ms(current)?;
         let other_ms = self.observed_base_ms(&target.run)?;
         // A difference of loads alone justifies no move, whether the slope is estimated too high or too low.
@@ -119,25 +119,24 @@
         let load = self.load_beside_run(current, slots);
         let stay_ms = self.events_left(requirements) * current_ms * self.slope.factor(load);
         let scale = SpeedScale::new([current_ms, other_ms].into_iter(), other_ms);
-        let move_ms = self.expected_end_ms(target, requirements, &scale, now);
+        let move_ms = self.expected_end_ms(target, requirements, &scale, placed.cached_tokens);
         let noise = self.noise(current) + self.noise(&target.run);
         move_saving(stay_ms, move_ms, noise * MOVE_NOISE_FACTOR)
     }
 
-    /// Number of prompt tokens of the item that the engine has cached.
-    pub(crate) fn cached_tokens(
-        &self,
-        run: &RunKey,
-        requirements: ItemRequirements<'_>,
-        now: Timestamp,
-    ) -> u64 {
-        let cached = self.held.cached_tokens(run, requirements.prompt_parts, now);
-        cached.min(requirements.prompt_tokens)
+    /// Number of tokens at the start of the prompt that the engine has cached.
+    pub(crate) fn cached_tokens(&self, run: &RunKey, prompt: &[Prefix], now: Timestamp) -> u64 {
+        self.held.cached_tokens(run, prompt, now)
     }
 
     /// The engines that have most of the prompt cached.
-    pub(crate) fn holders(&self, parts: &[PromptPart]) -> Vec<&RunKey> {
-        self.held.holders(parts)
+    pub(crate) fn holders(&self, prompt: &[Prefix]) -> Vec<&RunKey> {
+        self.held.holders(prompt)
+    }
+
+    /// Time by which a cached prompt can end an item earlier at most.
+    pub(crate) fn max_prompt_saving_ms(&self, requirements: ItemRequirements<'_>) -> f64 {
+        2.0 * requirements.prompt_tokens as f64 * self.prefill.ms_per_token()
     }
 
     /// Records that an item is sent to the engine, which then has its prompt cached.
--- a/crates/jm-batch/src/held_prompts.rs
+++ b/crates/jm-batch/src/held_prompts.rs
@@ -18,7 +18,7 @@
 const MAX_AGE_MS: DurationMs = DurationMs::new(30_000);
 
 /// Number of holders that are compared for an item. It bounds the work of a pass when all engines hold a prompt.
-pub(crate) const MAX_HOLDERS: usize = 8;
+pub(crate) const MAX_HOLDERS: usize = 4;
 
 /// Number of holders that are listed for a part, so that recording one does not take longer the more engines hold it.
 /// The engine that is selected without the list still uses its own record.
@@ -49,8 +49,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 struct PrefixKey(u64);
 
+/// The beginning of a prompt up to the end of a part.
 #[derive(Debug, Clone, Copy)]
-struct Prefix {
+pub(crate) struct Prefix {
     key: PrefixKey,
     /// Tokens of its last part.
     tokens: u64,
@@ -58,7 +59,8 @@
     total_tokens: u64,
 }
 
-fn prefixes(parts: &[PromptPart]) -> impl Iterator<Item = Prefix> + '_ {
+/// The beginnings of a prompt, shortest first.
+pub(crate) fn prefixes(parts: &[PromptPart]) -> impl Iterator<Item = Prefix> + '_ {
     let first = Prefix {
         key: PrefixKey(0),
         tokens: 0,
@@ -146,25 +148,24 @@
     }
 
     /// Number of tokens at the start of the prompt that the engine has cached.
-    pub(crate) fn cached_tokens(&self, run: &RunKey, parts: &[PromptPart], now: Timestamp) -> u64 {
-        let Some(engine) = self.engines.get(run).filter(|_| !parts.is_empty()) else {
+    pub(crate) fn cached_tokens(&self, run: &RunKey, prefixes: &[Prefix], now: Timestamp) -> u64 {
+        let Some(engine) = self.engines.get(run).filter(|_| !prefixes.is_empty()) else {
             return 0;
         };
-        let is_held = |prefix: &Prefix| {
+        let is_held = |prefix: &&Prefix| {
             let held = engine.parts.get(&prefix.key);
             held.is_some_and(|held| now.since(held.used_at) < MAX_AGE_MS)
         };
-        let held = prefixes(parts).take_while(is_held).last();
+        let held = prefixes.iter().take_while(is_held).last();
         held.map_or(0, |prefix| prefix.total_tokens)
     }
 
-    /// At most [`MAX_HOLDERS`] engines that hold the beginning of the prompt, those with the longest one first.
-    pub(crate) fn holders(&self, parts: &[PromptPart]) -> Vec<&RunKey> {
+    /// At most [`MAX_HOLDERS`] engines that hold the beginning of the prompt, those with the longest one first. Of these,
+    /// the least recently used ones come first, because their runs have probably ended.
+    pub(crate) fn holders(&self, prefixes: &[Prefix]) -> Vec<&RunKey> {
         let mut found: Vec<&RunKey> = Vec::new();
-        let mut keys: Vec<PrefixKey> = prefixes(parts).map(|prefix| prefix.key).collect();
-        keys.reverse();
-        for key in keys {
-            for run in self.holders.get(&key).into_iter().flatten().rev() {
+        for prefix in prefixes.iter().rev() {
+            for run in self.holders.get(&prefix.key).into_iter().flatten() {
                 if found.len() == MAX_HOLDERS {
                     return found;
                 }
--- a/crates/jm-batch/src/placement.rs
+++ b/crates/jm-batch/src/placement.rs
@@ -15,7 +15,11 @@
 use jm_forward::{RunKey, Target};
 use jm_types::Timestamp;
 
-use crate::{EngineLoads, ItemRequirements, engine_speed::SpeedScale};
+use crate::{
+    EngineLoads, ItemRequirements,
+    engine_speed::SpeedScale,
+    held_prompts::{Prefix, prefixes},
+};
 
 /// Why an item is placed on an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -125,17 +129,16 @@
         requirements: ItemRequirements<'_>,
         now: Timestamp,
     ) -> Option<Placed<'a>> {
-        let fastest = self.fastest(loads, requirements, now)?;
-        let holder = self.best_holder(loads, requirements, fastest, now);
-        let (target, reason) = match holder {
-            Some(target) => (target, PlacementReason::CachedPrompt),
-            None => (fastest, PlacementReason::Fastest),
-        };
-        Some(Placed {
+        let target = self.fastest(loads, requirements, now)?;
+        let prompt: Vec<Prefix> = prefixes(requirements.prompt_parts).collect();
+        let cached_tokens = loads.cached_tokens(&target.run, &prompt, now);
+        let fastest = Placed {
             target,
-            reason,
-            cached_tokens: loads.cached_tokens(&target.run, requirements, now),
-        })
+            reason: PlacementReason::Fastest,
+            cached_tokens: cached_tokens.min(requirements.prompt_tokens),
+        };
+        let holder = self.best_holder(loads, requirements, &prompt, fastest, now);
+        Some(holder.unwrap_or(fastest))
     }
 
     /// The engine with the shortest time between events among those with a slot and memory for the item.
@@ -174,18 +177,38 @@
         &self,
         loads: &EngineLoads,
         requirements: ItemRequirements<'_>,
-        fastest: &Target,
+        prompt: &[Prefix],
+        fastest: Placed<'a>,
         now: Timestamp,
-    ) -> Option<&'a Target> {
-        let holders = loads.holders(requirements.prompt_parts);
+    ) -> Option<Placed<'a>> {
+        if fastest.cached_tokens >= requirements.prompt_tokens {
+            return None;
+        }
+        let end_ms = |placed: &Placed<'_>| {
+            loads.expected_end_ms(placed.target, requirements, &self.scale, placed.cached_tokens)
+        };
+        // Most holders are too busy to make up for the prefill. They are excluded by a comparison of the time between
+        // events, which keeps the cost of a pass low.
+        let max_saving_ms = loads.max_prompt_saving_ms(requirements);
+        let max_event_ms =
+            loads.event_ms(fastest.target, &self.scale) + max_saving_ms / loads.events_left(requirements);
+        let fastest_ms = end_ms(&fastest);
+        let holders = loads.holders(prompt).into_iter();
         let open = holders
-            .into_iter()
             .filter_map(|run| self.targets.get(run).copied())
+            .filter(|target| loads.event_ms(target, &self.scale) < max_event_ms)
             .filter(|target| loads.has_slot(target, requirements, now))
             .filter(|target| loads.has_memory(target, requirements));
-        let end_ms = |target: &Target| loads.expected_end_ms(target, requirements, &self.scale, now);
-        let best = open.map(|target| (end_ms(target), target));
-        let (best_ms, best) = best.min_by(|a, b| a.0.total_cmp(&b.0))?;
-        (best_ms < end_ms(fastest)).then_some(best)
+        let placed = open.map(|target| {
+            let cached_tokens = loads.cached_tokens(&target.run, prompt, now);
+            let placed = Placed {
+                target,
+                reason: PlacementReason::CachedPrompt,
+                cached_tokens: cached_tokens.min(requirements.prompt_tokens),
+            };
+            (end_ms(&placed), placed)
+        });
+        let (best_ms, best) = placed.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        (best_ms < fastest_ms).then_some(best)
     }
 }
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -351,7 +351,7 @@
             };
             let listed = context.catalog.get(&run.target.id);
             let slots = listed.map_or(placed.target.slots, |current| current.slots);
-            let saving = loads.move_saving(&run.target, slots, placed.target, requirements, context.now);
+            let saving = loads.move_saving(&run.target, slots, &placed, requirements);
             let Some(saving) = saving else { continue };
             let Some(run) = owned.stop_run(item, context.now) else {
                 continue;
