Prefill time is learned over more runs

The mean load of the slope also started at zero and rose too slowly.

Change: older runs lose weight ten times more slowly, the prior weighs 1,000 runs, and the mean load is weighted by its samples. Costs in the heap are compared in total order, so that no value can keep the loop running.

--- a/crates/jm-batch/src/engine_speed.rs
+++ b/crates/jm-batch/src/engine_speed.rs
@@ -49,6 +49,7 @@
 pub(crate) struct LoadSlope {
     squares: f64,
     products: f64,
+    samples: f64,
     mean_load: f64,
 }
 
@@ -56,7 +57,8 @@
     fn record(&mut self, load: f64, load_off: f64, relative_gap_off: f64) {
         self.squares = self.squares * SLOPE_DECAY + load_off * load_off;
         self.products = self.products * SLOPE_DECAY + load_off * relative_gap_off;
-        self.mean_load += (1.0 - SLOPE_DECAY) * (load - self.mean_load);
+        self.samples = self.samples * SLOPE_DECAY + 1.0;
+        self.mean_load += (load - self.mean_load) / self.samples;
     }
 
     /// Factor by which the load slows a run down.
--- a/crates/jm-batch/src/expected_end.rs
+++ b/crates/jm-batch/src/expected_end.rs
@@ -14,11 +14,15 @@
 /// from the deviations of the time to the first event.
 const MAX_PREFILL_FACTOR: f64 = 4.0;
 
-/// Weight of the initial prefill time, as a sum of squared tokens: 100 runs whose uncached tokens deviate by 200.
-const PREFILL_PRIOR_WEIGHT: f64 = 100.0 * 200.0 * 200.0;
+/// Weight of the initial prefill time, as a sum of squared tokens: 1,000 runs whose uncached tokens deviate by 200.
+const PREFILL_PRIOR_WEIGHT: f64 = 1_000.0 * 200.0 * 200.0;
 
-/// Factor by which older samples lose weight with each new one.
-const SAMPLE_DECAY: f64 = 0.995;
+/// Factor by which older runs lose weight in the prefill time. The times to the first event deviate by several times the
+/// prefill, so that the slope over 200 runs would have an error of its own size.
+const PREFILL_DECAY: f64 = 0.9995;
+
+/// Factor by which older texts lose weight with each new one.
+const LENGTH_DECAY: f64 = 0.995;
 
 /// Events of a text before any text was completed. Texts have 14 to 21 events on average.
 const INITIAL_EVENTS: f64 = 16.0;
@@ -50,12 +54,12 @@
     /// Adds a run. `first_event_ms` is the time to its first event without the time that one event takes.
     pub(crate) fn record(&mut self, uncached_tokens: u64, first_event_ms: f64) {
         let tokens = uncached_tokens as f64;
-        self.weight = self.weight * SAMPLE_DECAY + 1.0;
+        self.weight = self.weight * PREFILL_DECAY + 1.0;
         let tokens_off = tokens - self.mean_tokens;
         self.mean_tokens += tokens_off / self.weight;
         self.mean_ms += (first_event_ms - self.mean_ms) / self.weight;
-        self.squares = self.squares * SAMPLE_DECAY + tokens_off * (tokens - self.mean_tokens);
-        self.products = self.products * SAMPLE_DECAY + tokens_off * (first_event_ms - self.mean_ms);
+        self.squares = self.squares * PREFILL_DECAY + tokens_off * (tokens - self.mean_tokens);
+        self.products = self.products * PREFILL_DECAY + tokens_off * (first_event_ms - self.mean_ms);
     }
 
     pub(crate) fn ms_per_token(&self) -> f64 {
@@ -75,8 +79,8 @@
 impl TextLengths {
     /// Adds a complete text.
     pub(crate) fn record(&mut self, estimated_tokens: u64, events: u64) {
-        self.tokens = self.tokens * SAMPLE_DECAY + estimated_tokens.max(1) as f64;
-        self.events = self.events * SAMPLE_DECAY + events as f64;
+        self.tokens = self.tokens * LENGTH_DECAY + estimated_tokens.max(1) as f64;
+        self.events = self.events * LENGTH_DECAY + events as f64;
     }
 
     /// Expected number of events that a text still has to generate.
--- a/crates/jm-batch/src/placement.rs
+++ b/crates/jm-batch/src/placement.rs
@@ -157,7 +157,7 @@
             }
             // Costs only grow during a pass, so an entry with its present cost is the smallest.
             let cost = loads.event_ms(target, &self.scale);
-            if cost != candidate.cost {
+            if cost.total_cmp(&candidate.cost).is_ne() {
                 self.candidates.push(Reverse(Candidate { cost, ..candidate }));
                 continue;
             }
