Tests of moves that don't depend on the machine's pauses

Cause: no_moves_between_equal_engines also compared the number of placed items. It failed 3 of 25 runs on the busy machine with 9, 11 and 16 placements instead of 8 and no move, because stalled runs start again.

Change: the test checks moves, which it guards, and that all items were placed. The new test worthwhile_moves checks the rule itself without a clock; EngineLoads::move_saving is public for it.

--- a/crates/jm-batch/src/engine_load/forecast.rs
+++ b/crates/jm-batch/src/engine_load/forecast.rs
@@ -101,7 +101,7 @@
     }
 
     /// The time that a move of a running item from an engine with `slots` slots saves; `None` if the move is not worthwhile. An engine that was not observed is never faster.
-    pub(crate) fn move_saving(
+    pub fn move_saving(
         &self,
         current: &RunKey,
         slots: usize,
--- a/crates/jm-batch/tests/engine_choice.rs
+++ b/crates/jm-batch/tests/engine_choice.rs
@@ -8,7 +8,7 @@
     virtual_engines::{Item, Outcome, Rule, VirtualFleet},
 };
 use jm_batch::{
-    EngineLoads, ItemRequirements, LoadOptions, Placement, PlacementReason, PromptPart, PromptPartId,
+    EngineLoads, ItemRequirements, LoadOptions, Placed, Placement, PlacementReason, PromptPart, PromptPartId,
 };
 use jm_forward::Target;
 use jm_types::{DurationMs, ModelId, Timestamp, WeightVersion};
@@ -231,3 +231,37 @@
     assert_eq!(next.speeds(), loads.speeds());
     assert_eq!(place(&mut next, &targets, &[]).0, "b");
 }
+
+/// Saving of a move from the first to the second engine, whose events came at the given pauses beside the given runs.
+fn saving(current: (u64, usize), other: (u64, usize)) -> Option<DurationMs> {
+    let (mut loads, model) = (EngineLoads::new(LoadOptions::default()), model("m"));
+    let targets = [engine("current", 4, 1), engine("other", 4, 1)];
+    for (target, (gap_ms, runs)) in targets.iter().zip([current, other]) {
+        (0..runs).for_each(|_| loads.run_started(&target.run, 10));
+        observe(&mut loads, target, gap_ms);
+        (1..runs).for_each(|_| loads.run_ended(&target.run, 10));
+    }
+    loads.run_ended(&targets[1].run, 10);
+    let placed = Placed {
+        target: &targets[1],
+        reason: PlacementReason::Fastest,
+        cached_tokens: 0,
+    };
+    loads.move_saving(&targets[0].run, 4, &placed, requirements(&model, &[]))
+}
+
+/// Guards against work that is thrown away: an item moves only to an engine that is observed to be faster, by more than a
+/// fifth of the time left and 100 ms. An item without a text has 16 events left.
+#[test]
+fn worthwhile_moves() {
+    let saved = saving((64, 1), (26, 1)).unwrap();
+    assert!((590..=608).contains(&saved.get()), "{saved}");
+    assert_eq!(saving((26, 1), (64, 1)), None);
+    assert_eq!(saving((31, 1), (25, 1)), None, "less than 100 ms");
+    assert_eq!(saving((200, 1), (170, 1)), None, "less than a fifth");
+    assert_eq!(
+        saving((64, 1), (64, 4)),
+        None,
+        "only faster if the slope is right"
+    );
+}
--- a/crates/jm-batch/tests/item_order.rs
+++ b/crates/jm-batch/tests/item_order.rs
@@ -107,7 +107,6 @@
     let host = TestHost::start("host-a", &Arc::default(), &store, targets, paced(|_| 20));
     host.service.submit(spec("b1", &[1; 8])).await.unwrap();
     host.listed("b1", 8).await;
-    let counts = (&host.events.placed, &host.events.moved);
-    let counts = (counts.0.load(Ordering::SeqCst), counts.1.load(Ordering::SeqCst));
-    assert_eq!(counts, (8, 0));
+    assert!(host.events.placed.load(Ordering::SeqCst) >= 8);
+    assert_eq!(host.events.moved.load(Ordering::SeqCst), 0);
 }
