Merge placement: items on engines of unequal speed, cached prompts

Cause: items started on slow engines and moved; 60% of the prompt tokens read were shared parts read again. Tested: jm-batch, jm-host, jacinthmoor-platform.

--- a/crates/jm-batch/src/placement.rs
+++ b/crates/jm-batch/src/placement.rs
@@ -3,20 +3,49 @@
 //! Load pattern: a step of thousands of items is placed on hundreds of engines, and each run that ends triggers a pass.
 //! Comparing all engines for each item makes a pass grow with the product of both, and the host that owns the step then
 //! spends its processor on scheduling instead of on events. A pass therefore compares the engines once and keeps them in
-//! a heap by cost, so that each placed item costs a logarithmic step.
+//! a heap by the time between events, so that each placed item costs a logarithmic step. The engines that hold the item's
+//! prompt are few; they are looked up and compared with the top of the heap by the expected end of the item.
 
 use std::{
     cmp::{Ordering, Reverse},
     collections::BinaryHeap,
 };
 
-use jm_forward::Target;
+use indexmap::IndexMap;
+use jm_forward::{RunKey, Target};
 use jm_types::Timestamp;
 
-use crate::{EngineLoads, ItemRequirements};
+use crate::{
+    EngineLoads, ItemRequirements,
+    engine_speed::SpeedScale,
+    held_prompts::{Prefix, prefixes},
+};
+
+/// Why an item is placed on an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementReason {
+    /// The engine has the shortest time between events.
+    Fastest,
+    /// The engine has more of the prompt cached than the fastest one and ends the item earlier.
+    CachedPrompt,
+}
+
+/// An item on its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Placed<'a> {
+    /// The engine.
+    pub target: &'a Target,
+    /// Why the engine was selected.
+    pub reason: PlacementReason,
+    /// Prompt tokens that the engine probably has cached.
+    pub cached_tokens: u64,
+}
 
 /// An engine that may take another item. Engines with equal costs are ordered as they are listed.
+#[derive(Clone, Copy)]
 struct Candidate<'a> {
+    /// Time between events that a further item would have, in milliseconds. It is outdated once an item was placed on the
+    /// engine because of its prompt.
     cost: f64,
     index: usize,
     target: &'a Target,
@@ -52,6 +81,8 @@
 /// The engines that can take items with the same model and weights, the one that finishes an item first on top.
 pub struct Placement<'a> {
     candidates: BinaryHeap<Reverse<Candidate<'a>>>,
+    targets: IndexMap<&'a RunKey, &'a Target>,
+    scale: SpeedScale,
 }
 
 impl<'a> Placement<'a> {
@@ -63,15 +94,19 @@
         now: Timestamp,
     ) -> Self {
         let open = targets.filter(|target| loads.has_slot(target, requirements, now));
-        let candidates = open.enumerate().map(|(index, target)| {
+        let targets: IndexMap<&RunKey, &Target> = open.map(|target| (&target.run, target)).collect();
+        let scale = loads.scale(targets.values().copied());
+        let candidates = targets.values().enumerate().map(|(index, target)| {
             Reverse(Candidate {
-                cost: loads.cost(target),
+                cost: loads.event_ms(target, &scale),
                 index,
                 target,
             })
         });
         Self {
             candidates: candidates.collect(),
+            targets,
+            scale,
         }
     }
 
@@ -81,27 +116,100 @@
         loads: &mut EngineLoads,
         requirements: ItemRequirements<'_>,
         now: Timestamp,
+    ) -> Option<Placed<'a>> {
+        let placed = self.choose(loads, requirements, now)?;
+        loads.record_send(placed.target, now);
+        loads.start_item(&placed.target.run, requirements, now);
+        Some(placed)
+    }
+
+    /// The engine that finishes the item first, without starting it there.
+    pub(crate) fn choose(
+        &mut self,
+        loads: &EngineLoads,
+        requirements: ItemRequirements<'_>,
+        now: Timestamp,
+    ) -> Option<Placed<'a>> {
+        let target = self.fastest(loads, requirements, now)?;
+        let prompt: Vec<Prefix> = prefixes(requirements.prompt_parts).collect();
+        let cached_tokens = loads.cached_tokens(&target.run, &prompt, now);
+        let fastest = Placed {
+            target,
+            reason: PlacementReason::Fastest,
+            cached_tokens: cached_tokens.min(requirements.prompt_tokens),
+        };
+        let holder = self.best_holder(loads, requirements, &prompt, fastest, now);
+        Some(holder.unwrap_or(fastest))
+    }
+
+    /// The engine with the shortest time between events among those with a slot and memory for the item.
+    fn fastest(
+        &mut self,
+        loads: &EngineLoads,
+        requirements: ItemRequirements<'_>,
+        now: Timestamp,
     ) -> Option<&'a Target> {
         let mut too_small = Vec::new();
         let mut chosen = None;
         while let Some(Reverse(candidate)) = self.candidates.pop() {
-            if !loads.has_slot(candidate.target, requirements, now) {
+            let target = candidate.target;
+            if !loads.has_slot(target, requirements, now) {
                 continue;
             }
-            if loads.has_memory(candidate.target, requirements) {
-                chosen = Some(candidate);
-                break;
+            // Costs only grow during a pass, so an entry with its present cost is the smallest.
+            let cost = loads.event_ms(target, &self.scale);
+            if cost.total_cmp(&candidate.cost).is_ne() {
+                self.candidates.push(Reverse(Candidate { cost, ..candidate }));
+                continue;
             }
             too_small.push(Reverse(candidate));
+            if loads.has_memory(target, requirements) {
+                chosen = Some(target);
+                break;
+            }
         }
         self.candidates.extend(too_small);
-        let candidate = chosen?;
-        loads.record_send(candidate.target, now);
-        loads.run_started(&candidate.target.run, requirements.tokens);
-        self.candidates.push(Reverse(Candidate {
-            cost: loads.cost(candidate.target),
-            ..candidate
-        }));
-        Some(candidate.target)
+        chosen
+    }
+
+    /// The holder of the prompt that finishes the item before `fastest`. Only engines with a free slot are compared, so an
+    /// item never waits for a cached prompt.
+    fn best_holder(
+        &self,
+        loads: &EngineLoads,
+        requirements: ItemRequirements<'_>,
+        prompt: &[Prefix],
+        fastest: Placed<'a>,
+        now: Timestamp,
+    ) -> Option<Placed<'a>> {
+        if fastest.cached_tokens >= requirements.prompt_tokens {
+            return None;
+        }
+        let end_ms = |placed: &Placed<'_>| {
+            loads.expected_end_ms(placed.target, requirements, &self.scale, placed.cached_tokens)
+        };
+        // Most holders are too busy to make up for the prefill. They are excluded by a comparison of the time between
+        // events, which keeps the cost of a pass low.
+        let max_saving_ms = loads.max_prompt_saving_ms(requirements);
+        let max_event_ms =
+            loads.event_ms(fastest.target, &self.scale) + max_saving_ms / loads.events_left(requirements);
+        let fastest_ms = end_ms(&fastest);
+        let holders = loads.holders(prompt).into_iter();
+        let open = holders
+            .filter_map(|run| self.targets.get(run).copied())
+            .filter(|target| loads.event_ms(target, &self.scale) < max_event_ms)
+            .filter(|target| loads.has_slot(target, requirements, now))
+            .filter(|target| loads.has_memory(target, requirements));
+        let placed = open.map(|target| {
+            let cached_tokens = loads.cached_tokens(&target.run, prompt, now);
+            let placed = Placed {
+                target,
+                reason: PlacementReason::CachedPrompt,
+                cached_tokens: cached_tokens.min(requirements.prompt_tokens),
+            };
+            (end_ms(&placed), placed)
+        });
+        let (best_ms, best) = placed.min_by(|a, b| a.0.total_cmp(&b.0))?;
+        (best_ms < fastest_ms).then_some(best)
     }
 }
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -17,6 +17,7 @@
 mod observer;
 mod peer;
 mod peer_server;
+mod placement_metrics;
 mod platform;
 mod prefix_watch;
 mod relay;
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use jm_batch::{BatchEvents, BatchProgress, CarriedOver, GenerationEnd, RewardAttempt, RewardEnd, RunEnd};
+use jm_batch::{
+    BatchEvents, BatchProgress, CarriedOver, GenerationEnd, PlacedItems, RewardAttempt, RewardEnd, RunEnd,
+};
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
 use prometheus::{Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
@@ -11,6 +13,7 @@
     duty::UsageCounter,
     instrumented_store::STORE_CALL_LABELS,
     metric::{counter, gauge, histogram, plain_counter},
+    placement_metrics::PlacementMetrics,
 };
 
 /// Records the metrics and log lines of one host. Label values are result codes and fixed words, so the number of
@@ -22,6 +25,7 @@
     latency: HistogramVec,
     attempts: IntCounterVec,
     item_runs: IntCounterVec,
+    placement: PlacementMetrics,
     reward_attempts: IntCounterVec,
     reward_wait: HistogramVec,
     reward_time: HistogramVec,
@@ -74,6 +78,7 @@
                 "Runs of batch items that ended early, by outcome.",
                 &["outcome"],
             ),
+            placement: PlacementMetrics::new(&registry),
             reward_attempts: counter(
                 &registry,
                 "jm_reward_attempts_total",
@@ -413,8 +418,23 @@
         );
     }
 
-    fn moved(&self, batch: &BatchId, item: &str, from: &RunKey, to: &RunKey) {
+    fn placed(&self, batch: &BatchId, placed: &PlacedItems) {
+        self.placement.record_placed(placed);
+        LogEvent::ItemsPlaced.write_fields(
+            "items were placed on engines",
+            &[
+                ("batch", &batch.as_str()),
+                ("fastest", &placed.fastest),
+                ("cached_prompt", &placed.cached_prompt),
+                ("cached_tokens", &placed.cached_tokens),
+                ("uncached_tokens", &placed.uncached_tokens),
+            ],
+        );
+    }
+
+    fn moved(&self, batch: &BatchId, item: &str, from: &RunKey, to: &RunKey, saving: DurationMs) {
         self.item_runs.with_label_values(&["moved"]).inc();
+        self.placement.record_move(saving);
         LogEvent::ItemMoved.write_fields(
             "the item was moved to a faster engine",
             &[
@@ -422,6 +442,7 @@
                 ("item", &item),
                 ("from", &from.id.as_str()),
                 ("to", &to.id.as_str()),
+                ("saving_ms", &saving.get()),
             ],
         );
     }
