Hand batches over by message, without waiting for the store

Cause: at a planned stop, a batch made no progress until the store had accepted the next owner and that owner had read the batch from it. While hosts were restarted in turn and the store did not respond, batches stood still and finished but unstored results were generated again.

Change: the stopping host sends the state, the specification, the results, the texts and the failure counts to the next owner, which starts waiting items at once and stores the state itself. A conflict is decided by the stored state; a late write of a host that gave the batch up is replaced. Failure counts are also saved with the texts checkpoint from the second failure of an item on. A reader is no longer refused because a late piece of an earlier owner cannot be read.

--- a/crates/jm-batch/src/checkpoint.rs
+++ b/crates/jm-batch/src/checkpoint.rs
@@ -5,6 +5,9 @@
 //! has given up. Saving costs a store call and its bytes. Only texts that would take long to generate again are saved,
 //! and only the longest ones when there are many. A complete text whose score is overdue is saved first, so that it is
 //! never generated again because the service that scores it was away.
+//!
+//! Failure counts are saved with the texts from the second failure of an item on, so that an item that fails at several
+//! runs is not counted anew by each owner. Single failures occur in each step and would cost a store call each second.
 
 use jm_types::{DurationMs, Timestamp};
 
@@ -27,6 +30,8 @@
     pub min_unscored_ms: DurationMs,
     /// Replaces `interval_ms` while more complete texts wait for their scores than the last checkpoint holds.
     pub unscored_interval_ms: DurationMs,
+    /// Minimum number of failed runs of an item whose failure count is saved, whatever the length of its text.
+    pub min_failures: usize,
     /// Maximum total size of the texts in one checkpoint, with a margin for the overhead of the store's encoding.
     pub max_bytes: usize,
 }
@@ -40,6 +45,7 @@
             min_took_ms: DurationMs::new(1_000),
             min_unscored_ms: DurationMs::new(250),
             unscored_interval_ms: DurationMs::new(300),
+            min_failures: 2,
             max_bytes: 400_000,
         }
     }
@@ -56,6 +62,8 @@
     pub is_writing: bool,
     /// Number of complete texts in the last checkpoint.
     pub unscored: usize,
+    /// Sum of the failure counts in the last checkpoint.
+    pub saved_failures: usize,
 }
 
 impl CheckpointState {
@@ -71,22 +79,26 @@
     }
 }
 
-/// Selects the texts to save, complete ones first and then the longest.
+/// Selects the texts to save, complete ones first and then the longest. A text that does not fit is left out.
 pub fn texts_to_save(mut texts: Vec<ItemText>, options: &CheckpointOptions) -> Vec<ItemText> {
     let events = |text: &ItemText| text.last_event.unwrap_or(0);
-    let is_long = |text: &ItemText| events(text) >= options.min_events || text.took_ms >= options.min_took_ms;
-    texts.retain(|text| text.is_complete || is_long(text));
+    texts.retain(|text| is_worth_saving(text, options) || text.failures >= options.min_failures);
     texts.sort_by_key(|text| std::cmp::Reverse((text.is_complete, text.took_ms, events(text))));
     let mut bytes = 0;
-    let fits = texts.iter().take_while(|text| {
-        bytes += text.text.len();
-        bytes <= options.max_bytes
+    texts.retain(|text| {
+        let fits = bytes + text.text.len() <= options.max_bytes;
+        bytes += text.text.len() * usize::from(fits);
+        fits
     });
-    let count = fits.count();
-    texts.truncate(count);
     texts
 }
 
+/// Whether a text is saved for its own sake, and not only because of its failure count.
+pub(crate) fn is_worth_saving(text: &ItemText, options: &CheckpointOptions) -> bool {
+    let is_long = text.last_event.unwrap_or(0) >= options.min_events || text.took_ms >= options.min_took_ms;
+    text.is_complete || is_long
+}
+
 /// The longest text of each item with its highest failure counts, among all texts that earlier owners handed over or
 /// saved.
 pub fn longest_texts(texts: impl IntoIterator<Item = ItemText>) -> Vec<ItemText> {
--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -3,7 +3,7 @@
 use jm_forward::RunKey;
 use jm_types::{BatchId, DurationMs, MemberId};
 
-use crate::{GenerationEnd, RewardEnd};
+use crate::{GenerationEnd, HandoverReply, RewardEnd};
 
 /// A run that ended before its text was complete.
 #[derive(Debug)]
@@ -73,8 +73,26 @@
     pub complete: usize,
 }
 
+/// Receives the events of handovers at planned stops.
+pub trait HandoverEvents: Send + Sync {
+    /// The next owner accepted the batch.
+    fn handed_over(&self, batch: &BatchId, to: &MemberId);
+
+    /// The host `to` did not accept the batch.
+    fn handover_failed(&self, batch: &BatchId, to: &MemberId, reply: HandoverReply);
+
+    /// This host runs a batch that `from` handed over with `listed` stored results. The store does not name this host yet.
+    fn handover_accepted(&self, batch: &BatchId, from: &MemberId, listed: usize);
+
+    /// The store names this host as the owner of a batch that was handed over.
+    fn handover_confirmed(&self, batch: &BatchId);
+
+    /// The stored state takes precedence over a handover that this host accepted. `owner` is the owner that it names.
+    fn handover_overruled(&self, batch: &BatchId, owner: &MemberId);
+}
+
 /// Receives the events of all batches on this host.
-pub trait BatchEvents: Send + Sync {
+pub trait BatchEvents: HandoverEvents {
     /// A batch was stored.
     fn accepted(&self, batch: &BatchId, items: usize);
 
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -1,5 +1,7 @@
 //! State of a batch that this host runs: its plan, partial texts, runs and results.
 
+mod merge;
+
 use std::{cmp::Reverse, collections::HashSet, ops::ControlFlow, sync::Arc};
 
 use async_std::channel::{Receiver, Sender, bounded};
@@ -16,6 +18,8 @@
     write_schedule::UnwrittenResults,
 };
 
+pub(crate) use merge::HeldItems;
+
 pub(crate) struct Run {
     pub(crate) serial: u64,
     pub(crate) target: RunKey,
@@ -77,6 +81,13 @@
     /// Number of owners before this one. Their last results may reach the store after this host read it.
     pub(crate) earlier_owners: u32,
     pub(crate) checkpoint: CheckpointState,
+    /// Whether the plan's failure counts include those of all earlier owners.
+    pub(crate) has_all_failures: bool,
+    /// Whether this host got the batch from its former owner and the store does not name this host yet.
+    pub(crate) is_unconfirmed: bool,
+    /// Whether the next owner runs the batch, or is being asked to. This host only ends its running items.
+    pub(crate) is_handed_over: bool,
+    held: Option<HeldItems>,
     waiters: Vec<Sender<()>>,
 }
 
@@ -115,6 +126,10 @@
                 begun_at: now,
                 ..CheckpointState::default()
             },
+            has_all_failures: true,
+            is_unconfirmed: false,
+            is_handed_over: false,
+            held: None,
             waiters: Vec::new(),
         }
     }
--- a/crates/jm-batch/src/plan.rs
+++ b/crates/jm-batch/src/plan.rs
@@ -56,6 +56,8 @@
     /// Indexes of the items in start order.
     order: Vec<usize>,
     waiting: usize,
+    /// Whether no item may start, because another host takes the batch over.
+    is_paused: bool,
 }
 
 impl BatchPlan {
@@ -79,6 +81,7 @@
             failures: vec![0; spec.items.len()],
             order,
             waiting: spec.items.len(),
+            is_paused: false,
         }
     }
 
@@ -88,11 +91,16 @@
             .iter()
             .copied()
             .filter(move |index| match self.states[*index] {
-                ItemState::Waiting { not_before } => not_before <= now,
+                ItemState::Waiting { not_before } => not_before <= now && !self.is_paused,
                 _ => false,
             })
     }
 
+    /// Sets whether no item may start.
+    pub fn set_paused(&mut self, is_paused: bool) {
+        self.is_paused = is_paused;
+    }
+
     /// State of the item at `index`.
     pub fn state(&self, index: usize) -> ItemState {
         self.states[index]
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -1,6 +1,8 @@
 //! Runs the batches that this host owns.
 
+mod handover;
 mod monitor;
+mod recover;
 mod rewards;
 mod save;
 mod share;
@@ -23,12 +25,14 @@
     Generator, LoadOptions, PauseDetector, PlanOptions, RemoteWork, ResultPage, RewardClient, RewardKey,
     RewardOptions, RewardQueue, RunEnd, WriteScheduleOptions,
     carry_over::{carry_over, stop_repeated_items},
-    checkpoint::longest_texts,
     item_text::ItemText,
     owned::{OwnedBatch, Run},
     runner::write::mark_writing,
 };
 
+pub(crate) use handover::ReportedProgress;
+pub(crate) use recover::{PreviousBatch, RecoveredProgress};
+
 /// Provides the routing configuration and the target catalog.
 pub trait RoutingSource: Send + Sync {
     /// The configuration in force; `None` before the first one was received.
@@ -128,28 +132,6 @@
     }
 }
 
-/// State of a batch that a new owner resumes.
-pub(crate) struct RecoveredProgress {
-    /// Results in the store.
-    pub(crate) listed: Vec<BatchResult>,
-    /// Texts that earlier owners handed over or saved.
-    pub(crate) texts: Vec<ItemText>,
-    /// Number of owners before this one. The failures that an owner counted are lost unless it handed them over, so
-    /// later owners allow fewer.
-    pub(crate) earlier_owners: u32,
-    /// The submitter's previous batch, if another host ran it.
-    pub(crate) previous_batch: Option<PreviousBatch>,
-}
-
-/// A batch that another host ran and its submitter ended.
-pub(crate) struct PreviousBatch {
-    pub(crate) spec: BatchSpec,
-    /// Results in the store.
-    pub(crate) listed: Vec<BatchResult>,
-    /// Texts in the store.
-    pub(crate) texts: Vec<ItemText>,
-}
-
 pub(crate) struct Runner {
     options: RunnerOptions,
     deps: RunnerDependencies,
@@ -264,34 +246,6 @@
         self.insert(owned, None)
     }
 
-    /// Starts a batch whose stored state names this host as the owner. Returns whether it was started, see
-    /// [`Self::insert`].
-    pub(crate) fn start_recovered(
-        self: &Arc<Self>,
-        spec: Arc<BatchSpec>,
-        recovered: RecoveredProgress,
-    ) -> bool {
-        let is_taken_over = recovered.earlier_owners > 0;
-        let mut plan = self.options.plan;
-        if is_taken_over {
-            plan.failure_factor = 1;
-        }
-        let mut owned = OwnedBatch::new(spec, recovered.listed, plan, self.now());
-        owned.continue_texts(recovered.texts);
-        owned.earlier_owners = recovered.earlier_owners;
-        let earlier = recovered
-            .previous_batch
-            .map(|earlier| self.restore_previous(earlier));
-        self.insert(owned, earlier)
-    }
-
-    fn restore_previous(&self, earlier: PreviousBatch) -> OwnedBatch {
-        let spec = Arc::new(earlier.spec);
-        let mut owned = OwnedBatch::new(spec, earlier.listed, self.options.plan, self.now());
-        owned.continue_texts(longest_texts(earlier.texts));
-        owned
-    }
-
     /// Starts to run a batch, unless this host runs it already. Returns whether it was started. `previous` is the
     /// submitter's previous batch, if this host did not run it.
     ///
@@ -396,7 +350,10 @@
     /// them or does not run the batch.
     pub(crate) fn first_unread_position(&self, batch: &BatchId, after: usize) -> Option<usize> {
         let state = self.state();
-        let owned = state.owned.get(batch).filter(|owned| !owned.is_finished())?;
+        let owned = state
+            .owned
+            .get(batch)
+            .filter(|owned| !owned.is_finished() && !owned.is_handed_over)?;
         let listed = owned.listed.len();
         (owned.earlier_owners > 0 || after > listed).then_some(listed)
     }
@@ -432,7 +389,7 @@
     /// A page of results. If it is empty and results may follow, also a receiver for the next change.
     fn page(&self, batch: &BatchId, after: usize) -> Option<(ResultPage, Option<Receiver<()>>)> {
         let mut state = self.state();
-        let owned = state.owned.get_mut(batch)?;
+        let owned = state.owned.get_mut(batch).filter(|owned| !owned.is_handed_over)?;
         let page = ResultPage::slice(&owned.listed, after, owned.spec.items.len());
         let is_open = !owned.is_ended && !owned.is_finished();
         let changed = (page.results.is_empty() && is_open).then(|| owned.wait());
--- a/crates/jm-batch/src/runner/save.rs
+++ b/crates/jm-batch/src/runner/save.rs
@@ -6,7 +6,11 @@
 use jm_types::{BatchId, DurationMs, Timestamp};
 
 use super::{Runner, RunnerState};
-use crate::{RewardKey, RewardQueue, StoreError, checkpoint::texts_to_save, owned::OwnedBatch};
+use crate::{
+    RewardKey, RewardQueue, StoreError,
+    checkpoint::{is_worth_saving, texts_to_save},
+    owned::OwnedBatch,
+};
 
 impl Runner {
     /// Saves the long unfinished texts of each batch whose checkpoint is due, and its texts that wait for their scores.
@@ -16,7 +20,9 @@
         let mut guard = self.state();
         let RunnerState { owned, rewards, .. } = &mut *guard;
         let mut saves = Vec::new();
-        for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
+        // The number of an unconfirmed owner may also be that of the owner that the store names.
+        let saves_texts = |owned: &&mut OwnedBatch| owned.may_write() && !owned.is_unconfirmed;
+        for owned in owned.values_mut().filter(saves_texts) {
             let overdue = |item: usize| is_overdue(owned, item, rewards, options.min_unscored_ms, now);
             let unscored = owned.scoring_items().into_iter().filter(|item| overdue(*item));
             let unscored = unscored.count();
@@ -28,7 +34,12 @@
             let texts = texts_to_save(texts, options);
             owned.checkpoint.begun_at = now;
             owned.checkpoint.unscored = unscored;
-            if !texts.is_empty() {
+            let failures: usize = texts.iter().map(|text| text.failures).sum();
+            // Failure counts alone are written again only after they have changed.
+            let has_texts = texts.iter().any(|text| is_worth_saving(text, options));
+            let has_new_failures = !texts.is_empty() && failures != owned.checkpoint.saved_failures;
+            if has_texts || has_new_failures {
+                owned.checkpoint.saved_failures = failures;
                 owned.checkpoint.is_writing = true;
                 saves.push((owned.spec.id.clone(), owned.earlier_owners, texts));
             }
@@ -53,6 +64,7 @@
             };
             if saved.is_err() {
                 checkpoint.unscored = 0;
+                checkpoint.saved_failures = 0;
             }
         }
         if let Err(error) = saved {
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -174,7 +174,8 @@
         loads.run_ended(&run.target, run.tokens);
         let expired = match &end {
             GenerationEnd::Complete => {
-                if owned.complete(item) {
+                // The next owner makes the reward calls of a batch that was handed over.
+                if owned.complete(item) && !owned.is_handed_over {
                     let batch = batch.clone();
                     rewards.push(RewardKey { batch, item }, now);
                 }
--- a/crates/jm-batch/src/runner/write.rs
+++ b/crates/jm-batch/src/runner/write.rs
@@ -45,7 +45,7 @@
         let state = self.state();
         let owned = state.owned.get(batch)?;
         let unwritten = owned.unwritten(self.now(), self.deps.wall_clock.unix_ms());
-        let is_open = unwritten.results > 0 && !owned.is_ended;
+        let is_open = unwritten.results > 0 && owned.may_write();
         is_open.then(|| next_write_at(&unwritten, &self.options.write_schedule, owned.written_at))
     }
 
@@ -54,7 +54,7 @@
         let mut state = self.state();
         let owned = state.owned.get_mut(batch)?;
         let count = count_fitting(&owned.unlisted, PIECE_BYTES);
-        if count == 0 || owned.is_ended {
+        if count == 0 || !owned.may_write() {
             owned.is_writing = false;
             return None;
         }
@@ -116,7 +116,7 @@
 /// Marks the batch as being written if it has unstored results and no active writer. Returns whether the caller has to
 /// start a writer.
 pub(super) fn mark_writing(owned: &mut OwnedBatch) -> bool {
-    let must_start = !owned.is_writing && !owned.is_ended && !owned.unlisted.is_empty();
+    let must_start = !owned.is_writing && owned.may_write() && !owned.unlisted.is_empty();
     owned.is_writing |= must_start;
     must_start
 }
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -1,5 +1,6 @@
 //! The batch operations that any host offers to callers.
 
+mod handover;
 mod previous;
 mod read;
 mod reconcile;
@@ -23,8 +24,9 @@
 use snafu::Snafu;
 
 use crate::{
-    BatchEvents, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, Generator, ItemText,
-    MembershipView, ResultPage, RewardClient, RoutingSource, RunnerOptions, StoreError,
+    BatchEvents, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, Generator, Handover,
+    HandoverReply, ItemText, MembershipView, PendingHandover, ProgressReport, ResultPage, RewardClient,
+    RoutingSource, RunnerOptions, StoreError,
     runner::{Runner, RunnerDependencies},
     store::WriteOutcome,
 };
@@ -44,7 +46,13 @@
     /// The body of an item of a batch that `owner` runs; `None` when it does not answer or does not run the batch.
     async fn body(&self, owner: &MemberId, batch: &BatchId, item: &str) -> Option<Vec<u8>>;
 
-    /// Sends a new state to the owner that it names, with the partial texts of the previous owner. A lost call is
+    /// Hands a batch over to the owner that its new state names, before that state is stored.
+    async fn hand_over(&self, handover: Handover) -> HandoverReply;
+
+    /// Reports the progress of a former owner to the current one. Returns whether the report was received.
+    async fn report(&self, owner: &MemberId, report: ProgressReport) -> bool;
+
+    /// Sends a stored state to the owner that it names, with the partial texts of the previous owner. A lost call is
     /// harmless, because the owner also receives the state from the store.
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>);
 }
@@ -154,6 +162,10 @@
     specs: IndexMap<BatchId, Arc<BatchSpec>>,
     /// Texts that earlier owners handed over, until this host takes the batches over.
     handed_over: IndexMap<BatchId, Vec<ItemText>>,
+    /// Handovers that this host accepted and that the store does not confirm yet.
+    pending_handovers: IndexMap<BatchId, PendingHandover>,
+    /// States that name the next owners of the batches that this host handed over.
+    handed_to: IndexMap<BatchId, BatchState>,
     is_leaving: bool,
 }
 
@@ -317,7 +329,8 @@
         task::spawn(async move { peers.announce(&state, version, Vec::new()).await });
     }
 
-    /// Handles a state and partial texts that another host sent.
+    /// Handles a stored state and partial texts that another host sent. Hosts of the previous release hand batches over
+    /// with this message.
     pub fn receive_handover(self: &Arc<Self>, state: BatchState, version: Version, texts: Vec<ItemText>) {
         if !texts.is_empty() {
             insert_bounded(
@@ -341,6 +354,7 @@
     pub fn evict(&self, batch: &BatchId) {
         let mut state = self.state();
         state.cached_states.swap_remove(batch);
+        state.pending_handovers.swap_remove(batch);
         state.results.swap_remove(batch);
         state.specs.swap_remove(batch);
     }
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -2,16 +2,20 @@
 
 use std::sync::Arc;
 
-use async_std::task;
+use async_std::{future::timeout, task};
 use jm_types::{BatchId, DurationMs, OrganisationId};
 
-use super::{BatchService, MAX_CACHED_RESULTS, ReadError, insert_bounded};
+use super::{BatchService, MAX_CACHED_RESULTS, ReadError, UnavailableSnafu, insert_bounded};
 use crate::{BatchPhase, BatchResult, BatchSpec, BatchState, ResultPage};
 
 /// Interval for polling the store when the owner does not answer. No results are added until another host has taken the
 /// batch over, which takes longer than this interval.
 const STORE_POLL_MS: DurationMs = DurationMs::new(900);
 
+/// Maximum time for reading a late piece of an earlier owner before a reader is answered. Other hosts wait one second
+/// longer for the answer than the reader does.
+const UNREAD_PIECE_TIMEOUT_MS: DurationMs = DurationMs::new(800);
+
 /// Interval for checking whether this host has started a batch that it is taking over.
 const TAKEOVER_POLL_MS: DurationMs = DurationMs::new(20);
 
@@ -35,6 +39,11 @@
         if let Some(page) = self.read_running(batch, after, wait).await? {
             return Ok(page);
         }
+        if let Some(next) = self.handed_to(batch)
+            && let Some(page) = self.deps.peers.read(&next, batch, after, wait).await
+        {
+            return Ok(page);
+        }
         // The owner also keeps finished batches in memory, so asking it saves a store call for each piece.
         let members = &self.deps.members;
         if members.is_running(&state.owner, state.owner_incarnation)
@@ -54,6 +63,10 @@
         loop {
             let left = deadline.since(clock.now());
             match self.read_running(batch, after, left).await {
+                // Other hosts ask this host until the store names the next owner.
+                Ok(None) if let Some(next) = self.handed_to(batch) => {
+                    return self.deps.peers.read(&next, batch, after, left).await;
+                }
                 Ok(None) if left.get() > 0 && self.is_about_to_run(batch) => {
                     task::sleep(TAKEOVER_POLL_MS.min(left).as_std()).await;
                 }
@@ -87,15 +100,25 @@
         after: usize,
         wait: DurationMs,
     ) -> Result<Option<ResultPage>, ReadError> {
+        let clock = &self.deps.clock;
+        let deadline = clock.now().after(wait);
         while let Some(first) = self.runner.first_unread_position(batch, after) {
-            match self.deps.store.load_piece(batch, first).await {
-                Ok(Some(piece)) => self.runner.add_listed_piece(batch, piece),
-                Ok(None) => break,
-                Err(_) if after < first => break,
-                Err(error) => return Err(error.into()),
+            let load = self.deps.store.load_piece(batch, first);
+            let load = timeout(UNREAD_PIECE_TIMEOUT_MS.as_std(), load).await;
+            match load {
+                Ok(Ok(Some(piece))) => self.runner.add_listed_piece(batch, piece),
+                Ok(Ok(None)) => break,
+                // This host knows all results that the reader has. Later ones follow when the store responds.
+                Ok(Err(_)) | Err(_) if after <= first => break,
+                Ok(Err(error)) => return Err(error.into()),
+                Err(_) => {
+                    let reason = format!("no answer within {UNREAD_PIECE_TIMEOUT_MS}");
+                    return UnavailableSnafu { reason }.fail();
+                }
             }
         }
-        Ok(self.runner.read(batch, after, wait).await)
+        let left = deadline.since(clock.now());
+        Ok(self.runner.read(batch, after, left).await)
     }
 
     async fn read_stored(
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -1,4 +1,4 @@
-//! Takes batches over, hands them over to other hosts, and removes old ones.
+//! Takes batches over after failures, and removes old ones.
 
 use std::sync::Arc;
 
@@ -6,7 +6,7 @@
 use futures::future::try_join;
 use jm_platform::Version;
 use jm_route::owner_by_key;
-use jm_types::{BatchId, DurationMs, Incarnation, MemberId};
+use jm_types::{BatchId, DurationMs, MemberId};
 
 use super::{BatchService, CachedState, MAX_CACHED_RESULTS, STATE_RETRY_DELAY_MS, insert_bounded};
 use crate::{
@@ -37,7 +37,10 @@
             displaced_at,
         } in cached
         {
-            let owns = self.runner.owns(&state.batch);
+            if self.runs_unconfirmed(&state, version) {
+                continue;
+            }
+            let owns = self.runner.owns(&state.batch) && !self.runner.is_handed_over(&state.batch);
             match takeover(
                 &state,
                 &self.options.local_member,
@@ -71,6 +74,9 @@
             }
         }
         self.runner.set_remote_work(remote_work);
+        let members = &self.deps.members;
+        self.runner
+            .release_held(|giver| !members.is_running(&giver.member, giver.incarnation));
     }
 
     /// After each pause of this process, reads the states of its batches before anything is started. The watch may
@@ -97,7 +103,7 @@
         }
     }
 
-    fn release(&self, state: &BatchState) {
+    pub(super) fn release(&self, state: &BatchState) {
         if let Some(listed) = self.runner.release(&state.batch) {
             insert_bounded(
                 &mut self.state().results,
@@ -180,6 +186,8 @@
             listed: progress.listed,
             texts: longest_texts(texts),
             earlier_owners,
+            unlisted: Vec::new(),
+            has_all_failures: false,
             previous_batch,
         };
         let is_started = self.runner.start_recovered(Arc::new(spec), recovered);
@@ -224,7 +232,9 @@
             let Some(cached) = self.cached_state(&batch) else {
                 continue;
             };
-            if cached.state.phase == BatchPhase::Running {
+            // A handover is stored first, because it would otherwise replace the finished state.
+            let is_pending = self.state().pending_handovers.contains_key(&batch);
+            if cached.state.phase == BatchPhase::Running && !is_pending {
                 self.mark_finished(cached).await;
             }
         }
@@ -276,48 +286,6 @@
         }
     }
 
-    /// Hands the batches of this host over to other hosts before it shuts down.
-    pub async fn hand_over(&self) {
-        self.state().is_leaving = true;
-        for batch in self.runner.open_batches() {
-            let Some(cached) = self.cached_state(&batch) else {
-                continue;
-            };
-            let Some((owner, owner_incarnation)) = self.next_owner(&batch) else {
-                continue;
-            };
-            let handed = cached.state.with_owner(owner, owner_incarnation);
-            // The store's event may arrive before its answer, and then releases the batch with its texts.
-            let mut texts = self.runner.open_texts(&batch);
-            match self.deps.store.update_state(&handed, cached.version).await {
-                Ok(WriteOutcome::Applied(version)) => {
-                    texts.extend(self.runner.open_texts(&batch));
-                    self.release(&handed);
-                    self.cache_state(handed.clone(), version);
-                    let texts = longest_texts(texts);
-                    self.deps.peers.announce(&handed, version, texts).await;
-                }
-                Ok(WriteOutcome::Conflict) => {}
-                Err(error) => {
-                    let reason = error.to_string();
-                    self.deps.events.store_failed(&batch, "hand over", &reason);
-                }
-            }
-        }
-    }
-
-    fn next_owner(&self, batch: &BatchId) -> Option<(MemberId, Incarnation)> {
-        let live: Vec<(MemberId, Incarnation)> = self.deps.members.live();
-        let others: Vec<MemberId> = live
-            .iter()
-            .map(|(member, _)| member.clone())
-            .filter(|member| *member != self.options.local_member)
-            .collect();
-        let state = self.cached_state(batch)?.state;
-        let next = owner_by_key(state.owner_key(), &others)?;
-        live.iter().find(|(member, _)| member == next).cloned()
-    }
-
     /// The host that removes a batch from the store, which may differ from the owner. `None` if no host is live.
     fn removing_host(&self, batch: &BatchId) -> Option<MemberId> {
         let live: Vec<MemberId> = self
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -18,8 +18,9 @@
 use jm_batch::{
     BatchEvents, BatchItem, BatchPeers, BatchProgress, BatchService, BatchServiceDependencies,
     BatchServiceOptions, BatchSpec, BatchState, BatchStore, CarriedOver, CheckpointOptions, EventSink,
-    GenerationEnd, GenerationEvent, GenerationRequest, Generator, ItemText, MembershipView, ResultPage,
-    RewardAttempt, RewardEnd, RewardOptions, RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
+    GenerationEnd, GenerationEvent, GenerationRequest, Generator, Handover, HandoverEvents, HandoverReply,
+    ItemText, MembershipView, ProgressReport, ResultPage, RewardAttempt, RewardEnd, RewardOptions,
+    RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
 };
 use jm_forward::{
     BatchPolicy, CallerLimits, Catalog, EngineConfig, Route, RouteKind, RoutingTable, RunKey, Service,
@@ -267,10 +268,17 @@
     }
 }
 
-/// Peers that never answer. Announcements are recorded for the test.
+/// Peers that do not answer unless a test connects them, like a host of the previous release. Announcements are recorded
+/// for the test.
 #[derive(Default)]
 pub(crate) struct SilentPeers {
     pub(crate) handed_over: Mutex<Vec<(BatchState, Version, Vec<ItemText>)>>,
+    /// Handovers that were sent, also to hosts that do not answer.
+    pub(crate) offers: Mutex<Vec<Handover>>,
+    /// Hosts that receive handovers and reports.
+    pub(crate) hosts: Mutex<IndexMap<MemberId, Arc<BatchService>>>,
+    /// Whether the replies to handovers are lost.
+    pub(crate) loses_replies: AtomicBool,
 }
 
 #[async_trait]
@@ -289,6 +297,24 @@
         None
     }
 
+    async fn hand_over(&self, handover: Handover) -> HandoverReply {
+        self.offers.lock().unwrap().push(handover.clone());
+        let next = self.hosts.lock().unwrap().get(&handover.state.owner).cloned();
+        let Some(next) = next else {
+            return HandoverReply::NoAnswer;
+        };
+        match next.accept_handover(handover) {
+            _ if self.loses_replies.load(Ordering::SeqCst) => HandoverReply::NoAnswer,
+            true => HandoverReply::Accepted,
+            false => HandoverReply::Refused,
+        }
+    }
+
+    async fn report(&self, owner: &MemberId, report: ProgressReport) -> bool {
+        let next = self.hosts.lock().unwrap().get(owner).cloned();
+        next.is_some_and(|next| next.receive_report(report))
+    }
+
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
         self.handed_over
             .lock()
@@ -309,6 +335,20 @@
     pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
     pub(crate) hedged_rewards: AtomicU64,
     pub(crate) pauses: AtomicU64,
+    pub(crate) confirmed: AtomicU64,
+    pub(crate) overruled: AtomicU64,
+}
+
+impl HandoverEvents for RecordedEvents {
+    fn handed_over(&self, _batch: &BatchId, _to: &MemberId) {}
+    fn handover_failed(&self, _batch: &BatchId, _to: &MemberId, _reply: HandoverReply) {}
+    fn handover_accepted(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {}
+    fn handover_confirmed(&self, _batch: &BatchId) {
+        self.confirmed.fetch_add(1, Ordering::SeqCst);
+    }
+    fn handover_overruled(&self, _batch: &BatchId, _owner: &MemberId) {
+        self.overruled.fetch_add(1, Ordering::SeqCst);
+    }
 }
 
 impl BatchEvents for RecordedEvents {
@@ -405,6 +445,19 @@
         targets: Vec<Target>,
         script: Script,
         scoring: ScoringScript,
+    ) -> Self {
+        Self::start_patient(name, hosts, store, targets, script, scoring, 60)
+    }
+
+    /// Starts a host that stops runs without events only after `stall_ms`.
+    pub(crate) fn start_patient(
+        name: &str,
+        hosts: &Arc<Hosts>,
+        store: &Arc<FaultyStore>,
+        targets: Vec<Target>,
+        script: Script,
+        scoring: ScoringScript,
+        stall_ms: u64,
     ) -> Self {
         hosts.start(name);
         let scorers = Arc::new(ScriptedScorers::new(scoring));
@@ -440,8 +493,8 @@
                 },
                 write_retry_delay_ms: DurationMs::new(5),
                 check_interval_ms: DurationMs::new(10),
-                stall_ms: DurationMs::new(60),
-                first_event_stall_ms: DurationMs::new(60),
+                stall_ms: DurationMs::new(stall_ms),
+                first_event_stall_ms: DurationMs::new(stall_ms),
                 ..RunnerOptions::default()
             },
             retention_ms: DurationMs::new(600_000),
@@ -471,6 +524,36 @@
         }
     }
 
+    /// Lets this host hand batches over to `next` and report to it.
+    pub(crate) fn connect(&self, name: &str, next: &Self) {
+        let next = Arc::clone(&next.service);
+        self.peers
+            .hosts
+            .lock()
+            .unwrap()
+            .insert(name.parse().unwrap(), next);
+    }
+
+    /// Waits until runs of `count` items have started.
+    pub(crate) async fn started(&self, count: usize) {
+        with_timeout(async {
+            while self.engines.runs.lock().unwrap().len() < count {
+                task::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+
+    /// Waits until the store names this host as the owner of a batch that was handed over to it.
+    pub(crate) async fn confirmed(&self) {
+        with_timeout(async {
+            while self.events.confirmed.load(Ordering::SeqCst) == 0 {
+                task::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+
     /// Delivers all states in the store to the host, as its watch would.
     pub(crate) async fn sync_states(&self, store: &FaultyStore) {
         let listing = store.inner.list(jm_batch::BATCH_STATE_PREFIX).await.unwrap();
--- a/crates/jm-batch/tests/common/store.rs
+++ b/crates/jm-batch/tests/common/store.rs
@@ -28,6 +28,8 @@
     pub(crate) loses_next_response: AtomicBool,
     /// Fails all reads and writes without applying them.
     pub(crate) is_down: AtomicBool,
+    /// Does not respond to calls. They are applied when the store responds again.
+    pub(crate) is_silent: AtomicBool,
     pub(crate) reads: AtomicU64,
     held_calls: Mutex<Vec<HeldPrefix>>,
 }
@@ -54,6 +56,7 @@
             inner: MemoryPlatform::default(),
             loses_next_response: AtomicBool::new(false),
             is_down: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
             reads: AtomicU64::new(0),
             held_calls: Mutex::default(),
         })
@@ -100,6 +103,12 @@
         .await;
     }
 
+    async fn wait_while_silent(&self) {
+        while self.is_silent.load(Ordering::SeqCst) {
+            task::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     fn check(&self) -> Result<(), ReadError> {
         self.reads.fetch_add(1, Ordering::SeqCst);
         match self.is_down.load(Ordering::SeqCst) {
@@ -114,6 +123,7 @@
 #[async_trait]
 impl ObjectStore for FaultyStore {
     async fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
+        self.wait_while_silent().await;
         self.check()?;
         let object = self.inner.get(key).await;
         self.wait_while_held(CallKind::Read, key).await;
@@ -121,6 +131,7 @@
     }
 
     async fn put(&self, key: &str, value: Vec<u8>, condition: Condition) -> Result<Version, ObjectError> {
+        self.wait_while_silent().await;
         if self.is_down.load(Ordering::SeqCst) {
             return Err(ObjectError::Unavailable {
                 reason: "down".to_owned(),
@@ -141,6 +152,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, ReadError> {
+        self.wait_while_silent().await;
         self.check()?;
         self.inner.list(prefix).await
     }
--- a/crates/jm-batch/tests/saved_texts.rs
+++ b/crates/jm-batch/tests/saved_texts.rs
@@ -9,7 +9,8 @@
 
 use common::{FaultyStore, Hosts, Step, TestHost, data, engine, spec, text, whole_text};
 use jm_batch::{
-    CheckpointOptions, CheckpointState, GenerationRequest, ItemText, longest_texts, texts_to_save,
+    CheckpointOptions, CheckpointState, GenerationEnd, GenerationRequest, ItemText, longest_texts,
+    texts_to_save,
 };
 use jm_platform::ObjectStore;
 use jm_types::{DurationMs, Timestamp};
@@ -91,6 +92,35 @@
     assert_eq!(saved, [2, 3]);
 }
 
+/// The failure count of an item is saved from the second failure on, so that a kill does not restart it.
+#[async_std::test]
+async fn failures_of_killed_owner() {
+    let (store, hosts) = (FaultyStore::new(), Arc::new(Hosts::default()));
+    let fail = || {
+        Box::new(|_: &_, request: &GenerationRequest| match request.item {
+            0 => vec![Step::End(GenerationEnd::Failed {
+                reason: "status 500".to_owned(),
+            })],
+            _ => vec![Step::Stall],
+        })
+    };
+    let first = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 8, 1)], fail());
+    let mut batch = spec("b1", &[9, 2]);
+    batch.max_attempts = 4;
+    first.service.submit(batch).await.unwrap();
+    store.wait_for_saved_texts("b1").await;
+    let saved = store.inner.list("batch-texts/b1.").await.unwrap();
+    let texts: Vec<ItemText> = serde_json::from_slice(&saved.objects[0].object.value).unwrap();
+    assert!(texts[0].failures >= 2);
+    hosts.kill("host-a");
+    let second = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 8, 1)], fail());
+    second.sync_states(&store).await;
+    second.listed("b1", 1).await;
+    let runs = second.engines.runs.lock().unwrap();
+    let runs = runs.iter().filter(|(_, item)| item == "b1-0").count();
+    assert!(runs <= 2, "{runs} runs after at least 2 failures, with 4 allowed");
+}
+
 /// The handed-over text of an item may be older or newer than the last checkpoint of another host.
 #[test]
 fn longest_of_each_item() {
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -417,7 +417,7 @@
         let handover = async_std::future::timeout(DRAIN_MS.as_std(), self.batches.hand_over()).await;
         if handover.is_err() {
             LogEvent::BatchStoreFailed
-                .write("batches were not handed over in time; other hosts take them over without a handover");
+                .write("some batches were not handed over in time; other hosts take them over when this host has ended");
         }
         let drain_ms = DRAIN_MS
             .min(usable_ms)
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -1,5 +1,7 @@
 //! Log lines and metrics of requests and batches.
 
+mod handover;
+
 use std::sync::Arc;
 
 use jm_batch::{BatchEvents, BatchProgress, CarriedOver, GenerationEnd, RewardAttempt, RewardEnd, RunEnd};
--- a/crates/jm-host/src/peer/message.rs
+++ b/crates/jm-host/src/peer/message.rs
@@ -1,7 +1,7 @@
 //! Requests and replies between hosts.
 
 use indexmap::IndexMap;
-use jm_batch::{BatchState, ItemText, ResultPage};
+use jm_batch::{BatchState, Handover, ItemText, ProgressReport, ResultPage};
 use jm_platform::{Change, Condition, KeyedObject, Object, Version};
 use jm_types::{BatchId, DurationMs, Incarnation, MemberId, OrganisationId};
 use jm_usage::WindowId;
@@ -52,6 +52,10 @@
         version: Version,
         texts: Vec<ItemText>,
     },
+    /// Hosts of the previous release refuse this request with status 400.
+    Handover(Box<Handover>),
+    /// Like [`Self::Handover`].
+    Progress(ProgressReport),
     ListCopy {
         space: ObjectSpace,
         prefix: String,
@@ -159,6 +163,8 @@
     CopyRelist,
     /// The cached data is too old or behind the reader's version, or the prefix is not cached.
     CopyStale,
+    /// Whether the host runs the batch of a handover or of a report.
+    RunsBatch(bool),
     /// The store did not answer the other host either. Nothing was changed.
     StoreUnavailable,
     /// The store's answer to the other host was lost; a write may have taken effect.
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -15,7 +15,7 @@
 use async_trait::async_trait;
 use futures::FutureExt;
 use futures::future::select_ok;
-use jm_batch::{BatchPeers, BatchState, ItemText, ResultPage};
+use jm_batch::{BatchPeers, BatchState, Handover, HandoverReply, ItemText, ProgressReport, ResultPage};
 use jm_http::{Client, Limits, Method, Request, Reuse, StatusCode, Url};
 use jm_node::{decode, encode};
 use jm_platform::Version;
@@ -167,6 +167,22 @@
         }
     }
 
+    async fn hand_over(&self, handover: Handover) -> HandoverReply {
+        let owner = handover.state.owner.clone();
+        let request = PeerRequest::Handover(Box::new(handover));
+        match self.call_member(&owner, &request, DurationMs::new(0)).await {
+            Some(PeerReply::RunsBatch(true)) => HandoverReply::Accepted,
+            Some(_) => HandoverReply::Refused,
+            None => HandoverReply::NoAnswer,
+        }
+    }
+
+    async fn report(&self, owner: &MemberId, report: ProgressReport) -> bool {
+        let request = PeerRequest::Progress(report);
+        let reply = self.call_member(owner, &request, DurationMs::new(0)).await;
+        matches!(reply, Some(PeerReply::RunsBatch(true)))
+    }
+
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
         let request = PeerRequest::BatchState {
             state: state.clone(),
--- a/crates/jm-host/src/peer_server/mod.rs
+++ b/crates/jm-host/src/peer_server/mod.rs
@@ -67,6 +67,8 @@
                 self.batches.receive_handover(state, version, texts);
                 PeerReply::Taken
             }
+            PeerRequest::Handover(handover) => PeerReply::RunsBatch(self.batches.accept_handover(*handover)),
+            PeerRequest::Progress(report) => PeerReply::RunsBatch(self.batches.receive_report(report)),
             PeerRequest::ListCopy {
                 space,
                 prefix,
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -159,6 +159,16 @@
     ProcessPaused = 5116, Warn;
     /// A batch was to be started on a host that already runs it. The second start has no effect.
     BatchStartRepeated = 5117, Info;
+    /// The next owner accepted a batch from a host that stops.
+    BatchHandedOver = 5120, Info;
+    /// A host did not accept a batch from a host that stops.
+    BatchHandoverFailed = 5121, Info;
+    /// A host accepted a batch that the store does not assign to it yet.
+    BatchHandoverAccepted = 5122, Info;
+    /// The store names the host that accepted a batch.
+    BatchHandoverConfirmed = 5123, Info;
+    /// The store names another owner than the host that accepted a batch.
+    BatchHandoverOverruled = 5124, Warn;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
