Store double: read the holds on a call before it is applied

The test ends the hold for later calls when it sees the effect of the held one, and the store double read the holds only after that effect.

Change: the holds on a call are read before it is applied.

--- a/crates/jm-batch/tests/common/store.rs
+++ b/crates/jm-batch/tests/common/store.rs
@@ -79,15 +79,18 @@
         self.held_calls.lock().unwrap().clear();
     }
 
-    async fn wait_while_held(&self, kind: CallKind, key: &str) {
-        let held: Vec<Receiver<()>> = {
-            let calls = self.held_calls.lock().unwrap();
-            let matching = calls
-                .iter()
-                .filter(|held| held.kind == kind && key.starts_with(held.prefix));
-            matching.map(|held| held.released.clone()).collect()
-        };
-        for released in held {
+    /// The holds on a call. They are read before the call is applied, because a test that sees its effect may have ended
+    /// the hold for later calls.
+    fn holds(&self, kind: CallKind, key: &str) -> Vec<Receiver<()>> {
+        let calls = self.held_calls.lock().unwrap();
+        let matching = calls
+            .iter()
+            .filter(|held| held.kind == kind && key.starts_with(held.prefix));
+        matching.map(|held| held.released.clone()).collect()
+    }
+
+    async fn wait_while_held(holds: Vec<Receiver<()>>) {
+        for released in holds {
             // The error says that the hold was dropped.
             let _ = released.recv().await;
         }
@@ -125,8 +128,9 @@
     async fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
         self.wait_while_silent().await;
         self.check()?;
+        let holds = self.holds(CallKind::Read, key);
         let object = self.inner.get(key).await;
-        self.wait_while_held(CallKind::Read, key).await;
+        Self::wait_while_held(holds).await;
         object
     }
 
@@ -137,8 +141,9 @@
                 reason: "down".to_owned(),
             });
         }
+        let holds = self.holds(CallKind::Write, key);
         let result = self.inner.put(key, value, condition).await;
-        self.wait_while_held(CallKind::Write, key).await;
+        Self::wait_while_held(holds).await;
         if self.loses_next_response.swap(false, Ordering::SeqCst) {
             return Err(ObjectError::AnswerLost {
                 reason: "lost".to_owned(),
