--- a/crates/jm-batch/src/checkpoint.rs
+++ b/crates/jm-batch/src/checkpoint.rs
@@ -7,7 +7,7 @@
 //! never generated again because the service that scores it was away.
 //!
 //! Failure counts are saved with the texts from the second failure of an item on, so that an item that fails at several
-//! runs is not counted anew by each owner. Single failures occur in each step and would cost a store call each second.
+//! runs is not counted anew by each owner. Single failures occur in most steps and would cost a store call each.
 
 use jm_types::{DurationMs, Timestamp};
 
@@ -28,7 +28,8 @@
     /// Time for which a complete text waits for its score before it is saved. A service that scores texts usually answers
     /// sooner, and each checkpoint costs a store call.
     pub min_unscored_ms: DurationMs,
-    /// Replaces `interval_ms` while more complete texts wait for their scores than the last checkpoint holds.
+    /// Replaces `interval_ms` while more complete texts wait for their scores than the last checkpoint holds, or while a
+    /// failure count is not saved. An item that fails at once uses all its attempts within half a second.
     pub unscored_interval_ms: DurationMs,
     /// Minimum number of failed runs of an item whose failure count is saved, whatever the length of its text.
     pub min_failures: usize,
@@ -62,12 +63,13 @@
     pub is_writing: bool,
     /// Number of complete texts in the last checkpoint.
     pub unscored: usize,
-    /// Sum of the failure counts in the last checkpoint.
+    /// Sum of the repeated failures of all items at the last checkpoint.
     pub saved_failures: usize,
 }
 
 impl CheckpointState {
-    /// Whether the next checkpoint may start at `now`. `unscored` is the number of complete texts whose score is overdue.
+    /// Whether the next checkpoint may start at `now`. `unscored` is the number of complete texts whose score is overdue
+    /// and of items whose failure counts are not saved.
     pub fn is_due(&self, options: &CheckpointOptions, unscored: usize, now: Timestamp) -> bool {
         let factor = 1 << self.failures.min(options.max_doublings);
         let interval_ms = match unscored > self.unscored {
--- a/crates/jm-batch/src/handover.rs
+++ b/crates/jm-batch/src/handover.rs
@@ -7,8 +7,9 @@
 
 use std::sync::Arc;
 
+use jm_forward::RunKey;
 use jm_platform::Version;
-use jm_types::{BatchId, Incarnation, MemberId};
+use jm_types::{BatchId, Incarnation, MemberId, TargetId};
 use serde::{Deserialize, Serialize};
 
 use crate::{BatchResult, BatchSpec, BatchState, ItemText};
@@ -29,6 +30,34 @@
     pub incarnation: Incarnation,
 }
 
+/// An item that the former owner of a batch still runs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunningItem {
+    /// Index of the item in the batch.
+    pub item: usize,
+    /// The engine that runs it. Its capacity is in use until the run ends.
+    pub target: TargetId,
+    /// Start time of the engine's process in milliseconds since the Unix epoch; zero if unknown.
+    pub target_started_unix_ms: u64,
+}
+
+impl RunningItem {
+    pub(crate) fn new(item: usize, run: &RunKey) -> Self {
+        Self {
+            item,
+            target: run.id.clone(),
+            target_started_unix_ms: run.started_unix_ms,
+        }
+    }
+
+    pub(crate) fn run(&self) -> RunKey {
+        RunKey {
+            id: self.target.clone(),
+            started_unix_ms: self.target_started_unix_ms,
+        }
+    }
+}
+
 /// Everything that the next owner needs to run a batch without reading the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Handover {
@@ -52,7 +81,7 @@
     pub texts: Vec<ItemText>,
     /// Items that the sender continues to run. It reports their texts later.
     #[serde(default)]
-    pub running: Vec<usize>,
+    pub running: Vec<RunningItem>,
     /// Whether the failure counts in `texts` include those of all earlier owners.
     #[serde(default)]
     pub has_all_failures: bool,
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -34,7 +34,9 @@
 pub use engine_load::{EngineLoads, ItemRequirements, LoadOptions, RemoteWork};
 pub use events::{BatchEvents, BatchProgress, CarriedOver, HandoverEvents, RewardAttempt, RunEnd};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
-pub use handover::{Giver, Handover, HandoverReply, HandoverStatus, PendingHandover, ProgressReport};
+pub use handover::{
+    Giver, Handover, HandoverReply, HandoverStatus, PendingHandover, ProgressReport, RunningItem,
+};
 pub use item_text::ItemText;
 pub use next_owner::{Candidate, next_owner};
 pub use ownership::{MembershipView, Takeover, takeover};
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -18,7 +18,8 @@
     write_schedule::UnwrittenResults,
 };
 
-pub(crate) use merge::HeldItems;
+use merge::HeldItems;
+pub(crate) use merge::UsedCapacity;
 
 pub(crate) struct Run {
     pub(crate) serial: u64,
@@ -191,6 +192,13 @@
         items.filter(|text| is_open(text) && has_progress(text)).collect()
     }
 
+    /// Sum of the failure counts of the open items that have at least `min_failures`.
+    pub(crate) fn repeated_failures(&self, min_failures: usize) -> usize {
+        let open = (0..self.texts.len()).filter(|item| self.plan.state(*item) != ItemState::Done);
+        let failures = open.map(|item| self.plan.failures(item));
+        failures.filter(|failures| *failures >= min_failures).sum()
+    }
+
     pub(crate) fn is_finished(&self) -> bool {
         self.listed.len() >= self.spec.items.len()
     }
--- a/crates/jm-batch/src/owned/merge.rs
+++ b/crates/jm-batch/src/owned/merge.rs
@@ -1,17 +1,25 @@
 //! Progress that passes between the former and the current owner of a batch.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
+use indexmap::IndexMap;
+use jm_forward::RunKey;
 use jm_types::Timestamp;
 
 use super::{OwnedBatch, Run};
-use crate::{BatchResult, ItemState, ItemText, ResultState, handover::Giver};
+use crate::{BatchResult, Giver, ItemState, ItemText, ResultState, RunningItem};
 
 /// Items that a former owner still runs, and that do not start here for the time being.
-#[derive(Debug)]
 pub(crate) struct HeldItems {
     giver: Giver,
-    items: HashSet<usize>,
+    until: Timestamp,
+    items: IndexMap<usize, UsedCapacity>,
+}
+
+/// Capacity of an engine that a run of the former owner uses.
+pub(crate) struct UsedCapacity {
+    pub(crate) target: RunKey,
+    pub(crate) tokens: u64,
 }
 
 /// Changes that the owner has to apply to the engines and the reward calls after a merge.
@@ -89,33 +97,51 @@
     }
 
     /// Keeps items that `giver` still runs from starting here before `until`.
-    pub(crate) fn hold_items(&mut self, items: Vec<usize>, giver: Giver, until: Timestamp) {
-        let is_waiting = |index: &usize| {
-            *index < self.texts.len() && matches!(self.plan.state(*index), ItemState::Waiting { .. })
-        };
-        let items: HashSet<usize> = items.into_iter().filter(is_waiting).collect();
-        for index in &items {
-            self.plan.requeue(*index, until);
+    pub(crate) fn hold_items(&mut self, running: Vec<RunningItem>, giver: Giver, until: Timestamp) {
+        let mut items = IndexMap::new();
+        for running in running {
+            let index = running.item;
+            let is_waiting =
+                index < self.texts.len() && matches!(self.plan.state(index), ItemState::Waiting { .. });
+            if is_waiting {
+                self.plan.requeue(index, until);
+                let used = UsedCapacity {
+                    target: running.run(),
+                    tokens: self.spec.items[index].work_tokens(),
+                };
+                items.insert(index, used);
+            }
         }
-        self.held = Some(HeldItems { giver, items });
+        self.held = Some(HeldItems { giver, until, items });
+    }
+
+    /// Capacity that the runs of the held items use.
+    pub(crate) fn held_capacity(&self) -> impl Iterator<Item = &UsedCapacity> {
+        self.held.iter().flat_map(|held| held.items.values())
     }
 
-    /// The host whose running items are held; `None` if no items are held.
-    pub(crate) fn held_by(&self) -> Option<&Giver> {
+    /// Whether items are held longer than necessary.
+    pub(crate) fn must_release_held(&self, has_ended: impl Fn(&Giver) -> bool, now: Timestamp) -> bool {
         let held = self.held.as_ref().filter(|held| !held.items.is_empty());
-        held.map(|held| &held.giver)
+        held.is_some_and(|held| now >= held.until || has_ended(&held.giver))
     }
 
-    /// Lets held items start, except for those that the former owner still runs.
-    pub(crate) fn release_held(&mut self, still_running: &[usize], now: Timestamp) {
-        let Some(held) = &mut self.held else { return };
-        let plan = &mut self.plan;
-        held.items.retain(|index| {
-            let is_running = still_running.contains(index);
-            if !is_running && matches!(plan.state(*index), ItemState::Waiting { .. }) {
-                plan.requeue(*index, now);
+    /// Lets held items start, except for those that the former owner still runs. Returns the capacity that became free.
+    pub(crate) fn release_held(&mut self, still_running: &[usize], now: Timestamp) -> Vec<UsedCapacity> {
+        let Some(held) = &mut self.held else {
+            return Vec::new();
+        };
+        let mut free = Vec::new();
+        for (index, used) in std::mem::take(&mut held.items) {
+            if still_running.contains(&index) {
+                held.items.insert(index, used);
+                continue;
             }
-            is_running
-        });
+            if matches!(self.plan.state(index), ItemState::Waiting { .. }) {
+                self.plan.requeue(index, now);
+            }
+            free.push(used);
+        }
+        free
     }
 }
--- a/crates/jm-batch/src/runner/handover.rs
+++ b/crates/jm-batch/src/runner/handover.rs
@@ -3,11 +3,12 @@
 use std::{collections::HashSet, sync::Arc};
 
 use async_std::task;
-use jm_types::{BatchId, DurationMs, Timestamp};
+use jm_types::{BatchId, DurationMs};
 
 use super::{RecoveredProgress, Runner, RunnerState, end_runs, write::mark_writing};
 use crate::{
-    BatchResult, BatchSpec, ItemText, ProgressReport, RewardKey, handover::Giver, owned::OwnedBatch,
+    BatchResult, BatchSpec, EngineLoads, Giver, ItemText, ProgressReport, RewardKey, RunningItem,
+    owned::{OwnedBatch, UsedCapacity},
 };
 
 /// Progress of a batch at the moment of its handover.
@@ -16,7 +17,7 @@
     pub(crate) listed: Vec<BatchResult>,
     pub(crate) unlisted: Vec<BatchResult>,
     pub(crate) texts: Vec<ItemText>,
-    pub(crate) running: Vec<usize>,
+    pub(crate) running: Vec<RunningItem>,
     /// Whether the failure counts include those of all earlier owners.
     pub(crate) has_all_failures: bool,
 }
@@ -30,9 +31,9 @@
 }
 
 impl ReportedProgress {
-    pub(crate) fn new(running: &[usize], results: &[BatchResult]) -> Self {
+    pub(crate) fn new(running: &[RunningItem], results: &[BatchResult]) -> Self {
         Self {
-            running: running.iter().copied().collect(),
+            running: running.iter().map(|running| running.item).collect(),
             results: results.iter().map(|result| result.item.clone()).collect(),
         }
     }
@@ -59,12 +60,14 @@
         owned.plan.set_paused(true);
         // Readers that wait here have to ask the next owner.
         owned.notify();
+        let running = owned.runs.iter();
+        let running = running.map(|(item, run)| RunningItem::new(*item, &run.target));
         Some(HandoverProgress {
             spec: Arc::clone(&owned.spec),
             listed: owned.listed.clone(),
             unlisted: owned.unlisted.clone(),
             texts: owned.open_texts(),
-            running: owned.runs.keys().copied().collect(),
+            running: running.collect(),
             has_all_failures: owned.has_all_failures,
         })
     }
@@ -151,14 +154,23 @@
         self: &Arc<Self>,
         spec: Arc<BatchSpec>,
         progress: RecoveredProgress,
-        running: Vec<usize>,
+        running: Vec<RunningItem>,
         giver: Giver,
         hold: DurationMs,
     ) -> bool {
         let mut owned = self.recovered(spec, progress);
         owned.is_unconfirmed = true;
         owned.hold_items(running, giver, self.now().after(hold));
-        self.insert(owned, None)
+        let batch = owned.spec.id.clone();
+        let is_started = self.insert(owned, None);
+        if is_started {
+            let mut state = self.state();
+            let RunnerState { owned, loads, .. } = &mut *state;
+            for used in owned.get(&batch).into_iter().flat_map(OwnedBatch::held_capacity) {
+                loads.run_started(&used.target, used.tokens);
+            }
+        }
+        is_started
     }
 
     /// Records that the store names this host as the owner.
@@ -191,7 +203,7 @@
         end_runs(loads, &owned.adopt_results(results));
         let merged = owned.merge_texts(texts);
         end_runs(loads, &merged.stopped);
-        owned.release_held(&running, now);
+        free_capacity(loads, &owned.release_held(&running, now));
         rewards.retain(|key| key.batch != batch || owned.is_scoring(key.item));
         for item in merged.scoring {
             let batch = batch.clone();
@@ -206,13 +218,21 @@
         true
     }
 
-    /// Lets items start that are held for a host that has ended.
+    /// Lets items start that are held for too long or for a host that has ended.
     pub(crate) fn release_held(&self, has_ended: impl Fn(&Giver) -> bool) {
-        let now: Timestamp = self.now();
+        let now = self.now();
         let mut state = self.state();
-        let held = state.owned.values_mut();
-        for owned in held.filter(|owned| owned.held_by().is_some_and(&has_ended)) {
-            owned.release_held(&[], now);
+        let RunnerState { owned, loads, .. } = &mut *state;
+        for owned in owned.values_mut() {
+            if owned.must_release_held(&has_ended, now) {
+                free_capacity(loads, &owned.release_held(&[], now));
+            }
         }
     }
 }
+
+pub(super) fn free_capacity(loads: &mut EngineLoads, free: &[UsedCapacity]) {
+    for used in free {
+        loads.run_ended(&used.target, used.tokens);
+    }
+}
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -31,6 +31,7 @@
 };
 
 pub(crate) use handover::ReportedProgress;
+use handover::free_capacity;
 pub(crate) use recover::{PreviousBatch, RecoveredProgress};
 
 /// Provides the routing configuration and the target catalog.
@@ -127,6 +128,7 @@
         let runs = owned.stop_all();
         owned.notify();
         end_runs(&mut self.loads, &runs);
+        free_capacity(&mut self.loads, &owned.release_held(&[], Timestamp::default()));
         self.rewards.retain(|key| key.batch != *batch);
         Some(owned)
     }
@@ -332,8 +334,10 @@
         owned.is_ended = true;
         let listed = owned.listed.len();
         let runs = owned.stop_all();
+        let free = owned.release_held(&[], Timestamp::default());
         owned.notify();
         end_runs(&mut state.loads, &runs);
+        free_capacity(&mut state.loads, &free);
         state.rewards.retain(|key| key.batch != *batch);
         drop(state);
         self.deps.events.ended(batch, listed);
--- a/crates/jm-batch/src/runner/save.rs
+++ b/crates/jm-batch/src/runner/save.rs
@@ -26,7 +26,11 @@
             let overdue = |item: usize| is_overdue(owned, item, rewards, options.min_unscored_ms, now);
             let unscored = owned.scoring_items().into_iter().filter(|item| overdue(*item));
             let unscored = unscored.count();
-            if !owned.checkpoint.is_due(options, unscored, now) {
+            // Failure counts alone are written again only after they have changed.
+            let failures = owned.repeated_failures(options.min_failures);
+            let has_new_failures = failures > 0 && failures != owned.checkpoint.saved_failures;
+            let waiting = unscored + usize::from(has_new_failures);
+            if !owned.checkpoint.is_due(options, waiting, now) {
                 continue;
             }
             let mut texts = owned.open_texts();
@@ -34,10 +38,7 @@
             let texts = texts_to_save(texts, options);
             owned.checkpoint.begun_at = now;
             owned.checkpoint.unscored = unscored;
-            let failures: usize = texts.iter().map(|text| text.failures).sum();
-            // Failure counts alone are written again only after they have changed.
             let has_texts = texts.iter().any(|text| is_worth_saving(text, options));
-            let has_new_failures = !texts.is_empty() && failures != owned.checkpoint.saved_failures;
             if has_texts || has_new_failures {
                 owned.checkpoint.saved_failures = failures;
                 owned.checkpoint.is_writing = true;
--- a/crates/jm-batch/src/service/handover.rs
+++ b/crates/jm-batch/src/service/handover.rs
@@ -252,7 +252,7 @@
             batch: batch.clone(),
             texts: handover.texts.clone(),
             results: handover.unlisted.clone(),
-            running: handover.running.clone(),
+            running: handover.running.iter().map(|running| running.item).collect(),
         };
         let recovered = RecoveredProgress {
             listed: handover.listed,
