Tell all hosts who runs a batch before the store does

Cause: while the store was silent for longer than the failure detector needs, the successor by rendezvous of the stopped host tried to claim the batch from the host that already ran it, and readers on other hosts asked the stopped host and then the store.

Change: a host that accepts a batch sends the other hosts a notice, which holds for the stored version that it replaces. They do not claim the batch from that host while it is alive, and read its results there.

--- a/crates/jm-batch/src/handover.rs
+++ b/crates/jm-batch/src/handover.rs
@@ -126,6 +126,16 @@
     pub running: Vec<usize>,
 }
 
+/// Tells the other hosts that a host runs a batch although the store does not name it yet. They then neither claim the batch
+/// nor read its results elsewhere.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerNotice {
+    /// The state that names the sender.
+    pub state: BatchState,
+    /// Version of the stored state that it replaces. The notice has no meaning for any other version.
+    pub version: Version,
+}
+
 /// Answer of the next owner to a [`Handover`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HandoverReply {
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -35,7 +35,7 @@
 pub use events::{BatchEvents, BatchProgress, CarriedOver, HandoverEvents, RewardAttempt, RunEnd};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
 pub use handover::{
-    Giver, Handover, HandoverReply, HandoverStatus, PendingHandover, ProgressReport, RunningItem,
+    Giver, Handover, HandoverReply, HandoverStatus, OwnerNotice, PendingHandover, ProgressReport, RunningItem,
 };
 pub use item_text::ItemText;
 pub use next_owner::{Candidate, next_owner};
--- a/crates/jm-batch/src/service/handover.rs
+++ b/crates/jm-batch/src/service/handover.rs
@@ -243,6 +243,7 @@
                 HandoverStatus::Confirmed => {}
                 HandoverStatus::Pending | HandoverStatus::Delayed => {
                     pending.version = cached.version;
+                    self.notify_hosts(&pending);
                     must_confirm = state.pending_handovers.insert(batch.clone(), pending).is_none();
                 }
             }
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -1,6 +1,7 @@
 //! The batch operations that any host offers to callers.
 
 mod handover;
+mod owner_notice;
 mod previous;
 mod read;
 mod reconcile;
@@ -25,8 +26,8 @@
 
 use crate::{
     BatchEvents, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, Generator, Handover,
-    HandoverReply, ItemText, MembershipView, PendingHandover, ProgressReport, ResultPage, RewardClient,
-    RoutingSource, RunnerOptions, StoreError,
+    HandoverReply, ItemText, MembershipView, OwnerNotice, PendingHandover, ProgressReport, ResultPage,
+    RewardClient, RoutingSource, RunnerOptions, StoreError,
     runner::{Runner, RunnerDependencies},
     store::WriteOutcome,
 };
@@ -52,6 +53,9 @@
     /// Reports the progress of a former owner to the current one. Returns whether the report was received.
     async fn report(&self, owner: &MemberId, report: ProgressReport) -> bool;
 
+    /// Sends a notice to all other live hosts. A lost call is harmless.
+    async fn notify(&self, notice: OwnerNotice);
+
     /// Sends a stored state to the owner that it names, with the partial texts of the previous owner. A lost call is
     /// harmless, because the owner also receives the state from the store.
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>);
@@ -164,6 +168,8 @@
     handed_over: IndexMap<BatchId, Vec<ItemText>>,
     /// Handovers that this host accepted and that the store does not confirm yet.
     pending_handovers: IndexMap<BatchId, PendingHandover>,
+    /// Hosts that run batches although the store does not name them yet.
+    notices: IndexMap<BatchId, OwnerNotice>,
     /// States that name the next owners of the batches that this host handed over.
     handed_to: IndexMap<BatchId, BatchState>,
     is_leaving: bool,
@@ -355,6 +361,7 @@
         let mut state = self.state();
         state.cached_states.swap_remove(batch);
         state.pending_handovers.swap_remove(batch);
+        state.notices.shift_remove(batch);
         state.results.swap_remove(batch);
         state.specs.swap_remove(batch);
     }
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -45,9 +45,8 @@
             return Ok(page);
         }
         // The owner also keeps finished batches in memory, so asking it saves a store call for each piece.
-        let members = &self.deps.members;
-        if members.is_running(&state.owner, state.owner_incarnation)
-            && let Some(page) = self.deps.peers.read(&state.owner, batch, after, wait).await
+        if let Some(owner) = self.host_to_ask(&state)
+            && let Some(page) = self.deps.peers.read(&owner, batch, after, wait).await
         {
             return Ok(page);
         }
@@ -178,9 +177,8 @@
             return Ok(body);
         }
         // A specification is far larger than one body, and the owner has it in memory.
-        let members = &self.deps.members;
-        if members.is_running(&state.owner, state.owner_incarnation)
-            && let Some(body) = self.deps.peers.body(&state.owner, batch, item).await
+        if let Some(owner) = self.host_to_ask(&state)
+            && let Some(body) = self.deps.peers.body(&owner, batch, item).await
         {
             return Ok(body);
         }
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -31,23 +31,27 @@
         let cached: Vec<CachedState> = self.state().cached_states.values().cloned().collect();
         let mut remote_work = Vec::new();
         let now = self.deps.clock.now();
-        for CachedState {
-            state,
-            version,
-            displaced_at,
-        } in cached
-        {
+        for cached in cached {
+            let is_noticed = self.noticed_owner(&cached).is_some();
+            let CachedState {
+                state,
+                version,
+                displaced_at,
+            } = cached;
             if self.runs_unconfirmed(&state, version) {
                 continue;
             }
             let owns = self.runner.owns(&state.batch) && !self.runner.is_handed_over(&state.batch);
-            match takeover(
+            let decision = takeover(
                 &state,
                 &self.options.local_member,
                 self.options.incarnation,
                 &*self.deps.members,
                 displaced_at.map(|displaced_at| now.since(displaced_at)),
-            ) {
+            );
+            match decision {
+                // A live host already runs the batch and only waits for the store.
+                Takeover::Claim if is_noticed => {}
                 Takeover::Own if !owns => self.start_takeover(state, None),
                 Takeover::Own => {}
                 Takeover::Claim => {
--- a/crates/jm-batch/tests/batch_handover.rs
+++ b/crates/jm-batch/tests/batch_handover.rs
@@ -16,7 +16,8 @@
     PendingHandover,
 };
 use jm_platform::{Condition, ObjectStore, Version};
-use jm_types::{Incarnation, WeightVersion};
+use jm_route::owner_by_key;
+use jm_types::{Incarnation, MemberId, WeightVersion};
 
 /// Each text takes `ms`.
 fn slow(ms: u64) -> Script {
@@ -203,6 +204,43 @@
     stopping.await;
 }
 
+/// Guards against a third host that claims the batch while the store does not name the host that runs it, and against readers
+/// there that get no results.
+#[async_std::test]
+async fn third_host_while_unconfirmed() {
+    let fleet = Fleet::new();
+    let half: Script = Box::new(|_, request| match request.item {
+        1 => text(request, 3, 1),
+        _ => vec![data(1), Step::Stall],
+    });
+    let first = fleet.start("host-a", 2, half);
+    first.service.submit(spec("b1", &[1, 9])).await.unwrap();
+    first.listed("b1", 1).await;
+    // The third host is the successor by rendezvous, but it does not answer the offer.
+    let names: Vec<MemberId> = ["host-b", "host-c"].map(|name| name.parse().unwrap()).to_vec();
+    let successor = owner_by_key("m", &names).unwrap().as_str();
+    let next = if successor == "host-b" { "host-c" } else { "host-b" };
+    let second = fleet.start(next, 1, endless());
+    let third = fleet.start(successor, 1, endless());
+    third.sync_states(&fleet.store).await;
+    first.connect(next, &second);
+    second.connect(successor, &third);
+    third.connect(next, &second);
+    fleet.silence(true);
+    fleet.store.state_writes.store(0, Ordering::SeqCst);
+    first.service.hand_over().await;
+    fleet.hosts.kill("host-a");
+    assert_eq!(third.listed("b1", 1).await.results.len(), 1);
+    third.service.reconcile();
+    sleep(Duration::from_millis(30)).await;
+    let writes = fleet.store.state_writes.load(Ordering::SeqCst);
+    assert_eq!(writes, 1, "only the next owner updates the state");
+    fleet.silence(false);
+    second.confirmed().await;
+    let (state, _) = fleet.stored_state().await;
+    assert_eq!((state.owner.as_str(), state.earlier_owners), (next, 1));
+}
+
 /// The store's event of the new owner arrives before the answer to its write.
 #[async_std::test]
 async fn event_before_answer() {
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -19,8 +19,8 @@
     BatchEvents, BatchItem, BatchPeers, BatchProgress, BatchService, BatchServiceDependencies,
     BatchServiceOptions, BatchSpec, BatchState, BatchStore, CarriedOver, CheckpointOptions, EventSink,
     GenerationEnd, GenerationEvent, GenerationRequest, Generator, Handover, HandoverEvents, HandoverReply,
-    ItemText, MembershipView, ProgressReport, ResultPage, RewardAttempt, RewardEnd, RewardOptions,
-    RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
+    ItemText, MembershipView, OwnerNotice, ProgressReport, ResultPage, RewardAttempt, RewardEnd,
+    RewardOptions, RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
 };
 use jm_forward::{
     BatchPolicy, CallerLimits, Catalog, EngineConfig, Route, RouteKind, RoutingTable, RunKey, Service,
@@ -285,12 +285,13 @@
 impl BatchPeers for SilentPeers {
     async fn read(
         &self,
-        _owner: &MemberId,
-        _batch: &BatchId,
-        _after: usize,
-        _wait: DurationMs,
+        owner: &MemberId,
+        batch: &BatchId,
+        after: usize,
+        wait: DurationMs,
     ) -> Option<ResultPage> {
-        None
+        let owner = self.hosts.lock().unwrap().get(owner).cloned()?;
+        owner.read_owned(batch, after, wait).await
     }
 
     async fn body(&self, _owner: &MemberId, _batch: &BatchId, _item: &str) -> Option<Vec<u8>> {
@@ -315,6 +316,13 @@
         next.is_some_and(|next| next.receive_report(report))
     }
 
+    async fn notify(&self, notice: OwnerNotice) {
+        let hosts: Vec<Arc<BatchService>> = self.hosts.lock().unwrap().values().cloned().collect();
+        for host in hosts {
+            host.receive_notice(notice.clone());
+        }
+    }
+
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
         self.handed_over
             .lock()
--- a/crates/jm-batch/tests/common/store.rs
+++ b/crates/jm-batch/tests/common/store.rs
@@ -31,6 +31,8 @@
     /// Does not respond to calls. They are applied when the store responds again.
     pub(crate) is_silent: AtomicBool,
     pub(crate) reads: AtomicU64,
+    /// Writes of batch states, also those without a response yet.
+    pub(crate) state_writes: AtomicU64,
     held_calls: Mutex<Vec<HeldPrefix>>,
 }
 
@@ -58,6 +60,7 @@
             is_down: AtomicBool::new(false),
             is_silent: AtomicBool::new(false),
             reads: AtomicU64::new(0),
+            state_writes: AtomicU64::new(0),
             held_calls: Mutex::default(),
         })
     }
@@ -135,6 +138,8 @@
     }
 
     async fn put(&self, key: &str, value: Vec<u8>, condition: Condition) -> Result<Version, ObjectError> {
+        let is_state = key.starts_with(jm_batch::BATCH_STATE_PREFIX);
+        self.state_writes.fetch_add(u64::from(is_state), Ordering::SeqCst);
         self.wait_while_silent().await;
         if self.is_down.load(Ordering::SeqCst) {
             return Err(ObjectError::Unavailable {
--- a/crates/jm-host/src/peer/message.rs
+++ b/crates/jm-host/src/peer/message.rs
@@ -1,7 +1,7 @@
 //! Requests and replies between hosts.
 
 use indexmap::IndexMap;
-use jm_batch::{BatchState, Handover, ItemText, ProgressReport, ResultPage};
+use jm_batch::{BatchState, Handover, ItemText, OwnerNotice, ProgressReport, ResultPage};
 use jm_platform::{Change, Condition, KeyedObject, Object, Version};
 use jm_types::{BatchId, DurationMs, Incarnation, MemberId, OrganisationId};
 use jm_usage::WindowId;
@@ -56,6 +56,8 @@
     Handover(Box<Handover>),
     /// Like [`Self::Handover`].
     Progress(ProgressReport),
+    /// Like [`Self::Handover`].
+    OwnerNotice(OwnerNotice),
     ListCopy {
         space: ObjectSpace,
         prefix: String,
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -13,9 +13,13 @@
 
 use async_std::future::timeout;
 use async_trait::async_trait;
-use futures::FutureExt;
-use futures::future::select_ok;
-use jm_batch::{BatchPeers, BatchState, Handover, HandoverReply, ItemText, ProgressReport, ResultPage};
+use futures::{
+    FutureExt,
+    future::{join_all, select_ok},
+};
+use jm_batch::{
+    BatchPeers, BatchState, Handover, HandoverReply, ItemText, OwnerNotice, ProgressReport, ResultPage,
+};
 use jm_http::{Client, Limits, Method, Request, Reuse, StatusCode, Url};
 use jm_node::{decode, encode};
 use jm_platform::Version;
@@ -183,6 +187,16 @@
         matches!(reply, Some(PeerReply::RunsBatch(true)))
     }
 
+    async fn notify(&self, notice: OwnerNotice) {
+        let request = PeerRequest::OwnerNotice(notice);
+        let others = self.membership.live_peers();
+        let calls = others
+            .iter()
+            .map(|(member, _)| self.call_member(member, &request, DurationMs::new(0)));
+        // A host that does not answer learns the owner from the store.
+        join_all(calls).await;
+    }
+
     async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
         let request = PeerRequest::BatchState {
             state: state.clone(),
--- a/crates/jm-host/src/peer_server/mod.rs
+++ b/crates/jm-host/src/peer_server/mod.rs
@@ -68,6 +68,10 @@
                 PeerReply::Taken
             }
             PeerRequest::Handover(handover) => PeerReply::RunsBatch(self.batches.accept_handover(*handover)),
+            PeerRequest::OwnerNotice(notice) => {
+                self.batches.receive_notice(notice);
+                PeerReply::Taken
+            }
             PeerRequest::Progress(report) => PeerReply::RunsBatch(self.batches.receive_report(report)),
             PeerRequest::ListCopy {
                 space,
