Handover: bounds on small grace, oversize batches, and the store path

Cause: found while reading the handover again. A batch above the size of the message marked its next owner as unavailable for other batches. A handover through the store used an outdated number of owners after an unconfirmed one and gave up on the conflict with the host's own update. The 2.4 s for running items exceeded a short grace period. A handover whose state was already stored left its texts without checkpoints.

Change: each of these. The progress in a handover is no longer copied.

Tested: cargo test -p jm-batch -p jm-host -p jm-types: all pass; clippy with the platform crate is clean.

--- a/crates/jm-batch/src/runner/handover.rs
+++ b/crates/jm-batch/src/runner/handover.rs
@@ -149,7 +149,7 @@
     }
 
     /// Starts a batch that `giver` handed over and whose state is not stored yet. The items that `giver` still runs
-    /// start after `hold` at the latest. Returns whether it was started, see [`Self::insert`].
+    /// start after `hold` at the latest.
     pub(crate) fn start_handed_over(
         self: &Arc<Self>,
         spec: Arc<BatchSpec>,
@@ -157,20 +157,18 @@
         running: Vec<RunningItem>,
         giver: Giver,
         hold: DurationMs,
-    ) -> bool {
+    ) {
         let mut owned = self.recovered(spec, progress);
         owned.is_unconfirmed = true;
         owned.hold_items(running, giver, self.now().after(hold));
         let batch = owned.spec.id.clone();
-        let is_started = self.insert(owned, None);
-        if is_started {
+        if self.insert(owned, None) {
             let mut state = self.state();
             let RunnerState { owned, loads, .. } = &mut *state;
             for used in owned.get(&batch).into_iter().flat_map(OwnedBatch::held_capacity) {
                 loads.run_started(&used.target, used.tokens);
             }
         }
-        is_started
     }
 
     /// Records that the store names this host as the owner.
--- a/crates/jm-batch/src/service/handover.rs
+++ b/crates/jm-batch/src/service/handover.rs
@@ -24,6 +24,9 @@
 /// second not to answer.
 const MAX_OFFERS: usize = 2;
 
+/// Maximum attempts to hand a batch over through the store.
+const MAX_STORED_ATTEMPTS: usize = 2;
+
 /// How long the next owner does not start the items that the former one still runs.
 const HOLD_MS: DurationMs = DurationMs::new(3_000);
 
@@ -75,12 +78,13 @@
         for _ in 0..MAX_OFFERS {
             let next = self.next_owner(batch, unavailable)?;
             let handover = self.handover_to(batch, next.clone())?;
+            if handover.size_bytes() > MAX_HANDOVER_BYTES {
+                self.runner.cancel_handover(batch);
+                return None;
+            }
             let reported = ReportedProgress::new(&handover.running, &handover.unlisted);
             let state = handover.state.clone();
-            let reply = match handover.size_bytes() <= MAX_HANDOVER_BYTES {
-                true => self.deps.peers.hand_over(handover).await,
-                false => HandoverReply::NoAnswer,
-            };
+            let reply = self.deps.peers.hand_over(handover).await;
             if reply == HandoverReply::Accepted {
                 self.runner.stop_rewards(batch);
                 let mut service_state = self.state();
@@ -153,27 +157,39 @@
 
     /// Hands a batch over through the store.
     async fn hand_over_stored(&self, batch: &BatchId) {
-        let Some(cached) = self.cached_state(batch) else {
-            return;
-        };
-        let Some(next) = self.next_owner(batch, &[]) else {
-            return;
-        };
-        let handed = cached.state.with_owner(next.member, next.incarnation);
-        // The store's event may arrive before its answer, and then releases the batch with its texts.
-        let mut texts = self.runner.open_texts(batch);
-        match self.deps.store.update_state(&handed, cached.version).await {
-            Ok(WriteOutcome::Applied(version)) => {
-                texts.extend(self.runner.open_texts(batch));
-                self.release(&handed);
-                self.cache_state(handed.clone(), version);
-                let texts = longest_texts(texts);
-                self.deps.peers.announce(&handed, version, texts).await;
-            }
-            Ok(WriteOutcome::Conflict) => {}
-            Err(error) => {
-                let reason = error.to_string();
-                self.deps.events.store_failed(batch, "hand over", &reason);
+        for _ in 0..MAX_STORED_ATTEMPTS {
+            let Some(cached) = self.cached_state(batch) else {
+                return;
+            };
+            let Some(next) = self.next_owner(batch, &[]) else {
+                return;
+            };
+            let pending = self.state().pending_handovers.get(batch).cloned();
+            let current = pending.map_or(cached.state, |pending| pending.state);
+            let handed = current.with_owner(next.member, next.incarnation);
+            // The store's event may arrive before its answer, and then releases the batch with its texts.
+            let mut texts = self.runner.open_texts(batch);
+            match self.deps.store.update_state(&handed, cached.version).await {
+                Ok(WriteOutcome::Applied(version)) => {
+                    self.state().pending_handovers.swap_remove(batch);
+                    texts.extend(self.runner.open_texts(batch));
+                    self.release(&handed);
+                    self.cache_state(handed.clone(), version);
+                    let texts = longest_texts(texts);
+                    self.deps.peers.announce(&handed, version, texts).await;
+                    return;
+                }
+                Ok(WriteOutcome::Conflict) => {
+                    // The state of a handover that this host accepted may have been stored in the meantime.
+                    if self.load_state(batch).await.is_err() || !self.is_about_to_run(batch) {
+                        return;
+                    }
+                }
+                Err(error) => {
+                    let reason = error.to_string();
+                    self.deps.events.store_failed(batch, "hand over", &reason);
+                    return;
+                }
             }
         }
     }
@@ -232,7 +248,7 @@
         };
         let batch = pending.state.batch.clone();
         let earlier_owners = pending.state.earlier_owners;
-        let mut must_confirm = false;
+        let (mut must_confirm, mut is_confirmed) = (false, false);
         {
             let mut state = self.state();
             let Some(cached) = state.cached_states.get(&batch).filter(|_| !state.is_leaving) else {
@@ -240,7 +256,7 @@
             };
             match pending.status(&cached.state, cached.version) {
                 HandoverStatus::Overruled => return false,
-                HandoverStatus::Confirmed => {}
+                HandoverStatus::Confirmed => is_confirmed = true,
                 HandoverStatus::Pending | HandoverStatus::Delayed => {
                     pending.version = cached.version;
                     self.notify_hosts(&pending);
@@ -248,29 +264,31 @@
                 }
             }
         }
-        let count = handover.listed.len();
-        let report = ProgressReport {
-            batch: batch.clone(),
-            texts: handover.texts.clone(),
-            results: handover.unlisted.clone(),
-            running: handover.running.iter().map(|running| running.item).collect(),
-        };
-        let recovered = RecoveredProgress {
-            listed: handover.listed,
-            texts: handover.texts,
-            earlier_owners,
-            unlisted: handover.unlisted,
-            has_all_failures: handover.has_all_failures,
-            previous_batch: None,
-        };
-        let (spec, running) = (handover.spec, handover.running);
-        let from = giver.member.clone();
-        let is_started = self
-            .runner
-            .start_handed_over(spec, recovered, running, giver, HOLD_MS);
-        match is_started {
-            true => self.deps.events.handover_accepted(&batch, &from, count),
-            false => drop(self.runner.merge(report)),
+        match self.runner.owns(&batch) {
+            true => drop(self.runner.merge(ProgressReport {
+                batch: batch.clone(),
+                texts: handover.texts,
+                results: handover.unlisted,
+                running: handover.running.iter().map(|running| running.item).collect(),
+            })),
+            false => {
+                self.deps
+                    .events
+                    .handover_accepted(&batch, &giver.member, handover.listed.len());
+                let progress = RecoveredProgress {
+                    listed: handover.listed,
+                    texts: handover.texts,
+                    earlier_owners,
+                    unlisted: handover.unlisted,
+                    has_all_failures: handover.has_all_failures,
+                    previous_batch: None,
+                };
+                self.runner
+                    .start_handed_over(handover.spec, progress, handover.running, giver, HOLD_MS);
+            }
+        }
+        if is_confirmed {
+            self.runner.confirm_handover(&batch);
         }
         match must_confirm {
             true => drop(task::spawn(Arc::clone(self).confirm_handover(batch))),
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -414,7 +414,8 @@
         let drain = *self.drain.get_or_init(|| Drain::new(begun.after(usable_ms)));
         self.membership.start_leaving();
         trigger.leave();
-        let handover = async_std::future::timeout(DRAIN_MS.as_std(), self.batches.hand_over()).await;
+        let handover_ms = DRAIN_MS.min(usable_ms);
+        let handover = async_std::future::timeout(handover_ms.as_std(), self.batches.hand_over()).await;
         if handover.is_err() {
             LogEvent::BatchStoreFailed
                 .write("some batches were not handed over in time; other hosts take them over when this host has ended");
