Tests of two more handovers

Guards against a handover message that arrives after the store's event, and against an owner that stops before the store names it and has no peer that knows the message.

--- a/crates/jm-batch/tests/batch_handover.rs
+++ b/crates/jm-batch/tests/batch_handover.rs
@@ -13,7 +13,7 @@
 };
 use jm_batch::{
     BatchPhase, BatchResult, BatchState, GenerationEnd, GenerationRequest, Giver, Handover, HandoverStatus,
-    PendingHandover,
+    ItemText, PendingHandover,
 };
 use jm_platform::{Condition, ObjectStore, Version};
 use jm_route::owner_by_key;
@@ -241,6 +241,71 @@
     assert_eq!((state.owner.as_str(), state.earlier_owners), (next, 1));
 }
 
+/// An owner that the store does not name yet stops, and its next owner does not know the message. The batch goes through the
+/// store, with the texts.
+#[async_std::test]
+async fn unconfirmed_owner_stops() {
+    let fleet = Fleet::new();
+    let first = fleet.start("host-a", 4, endless());
+    first.service.submit(spec("b1", &[1])).await.unwrap();
+    first.started(1).await;
+    let second = fleet.start("host-b", 4, endless());
+    first.connect("host-b", &second);
+    fleet.silence(true);
+    first.service.hand_over().await;
+    fleet.hosts.kill("host-a");
+    let third = fleet.start("host-c", 4, slow(1));
+    let leaving = Arc::clone(&second.service);
+    let stopping = spawn(async move { leaving.hand_over().await });
+    sleep(Duration::from_millis(30)).await;
+    fleet.silence(false);
+    stopping.await;
+    fleet.hosts.kill("host-b");
+    let (state, version, texts) = second.peers.handed_over.lock().unwrap().pop().unwrap();
+    assert_eq!((state.owner.as_str(), state.earlier_owners), ("host-c", 2));
+    third.service.receive_handover(state, version, texts);
+    assert_eq!(third.listed("b1", 1).await.results[0].text, whole_text(3));
+    let starts = third.engines.starts.lock().unwrap().clone();
+    assert_eq!(starts[0].2, Some(2));
+}
+
+/// Both hosts run the batch, because the store named the next owner before the message arrived. It adopts the complete texts
+/// and stops its own runs of those items.
+#[async_std::test]
+async fn message_after_store() {
+    let fleet = Fleet::new();
+    let first = fleet.start("host-a", 4, endless());
+    first.service.submit(spec("b1", &[2, 1])).await.unwrap();
+    first.started(2).await;
+    let second = fleet.start("host-b", 4, endless());
+    first.service.hand_over().await;
+    fleet.hosts.kill("host-a");
+    second.sync_states(&fleet.store).await;
+    second.started(2).await;
+    let mut late = first.peers.offers.lock().unwrap()[0].clone();
+    late.texts = (0..2).map(complete_text).collect();
+    assert!(second.service.accept_handover(late));
+    let page = second.listed("b1", 2).await;
+    assert!(page.results.iter().all(|result| result.text == whole_text(3)));
+    let open = &second.engines.open;
+    common::with_timeout(async {
+        while open.load(Ordering::SeqCst) > 0 {
+            sleep(Duration::from_millis(2)).await;
+        }
+    })
+    .await;
+}
+
+fn complete_text(item: usize) -> ItemText {
+    ItemText {
+        item,
+        text: whole_text(3),
+        last_event: Some(3),
+        is_complete: true,
+        ..ItemText::default()
+    }
+}
+
 /// The store's event of the new owner arrives before the answer to its write.
 #[async_std::test]
 async fn event_before_answer() {
