--- /dev/null
+++ b/crates/jm-batch/tests/common/events.rs
@@ -0,0 +1,86 @@
+//! Records what the hosts of a test report.
+
+use std::sync::{
+    Mutex,
+    atomic::{AtomicU64, Ordering},
+};
+
+use jm_batch::{
+    BatchEvents, BatchProgress, CarriedOver, GenerationEnd, HandoverEvents, HandoverReply, RewardAttempt,
+    RewardEnd, RunEnd,
+};
+use jm_forward::RunKey;
+use jm_types::{BatchId, DurationMs, MemberId};
+
+#[derive(Default)]
+pub(crate) struct RecordedEvents {
+    pub(crate) failed_runs: Mutex<Vec<GenerationEnd>>,
+    pub(crate) expired: AtomicU64,
+    pub(crate) moved: AtomicU64,
+    pub(crate) taken_over: AtomicU64,
+    pub(crate) repeated_starts: AtomicU64,
+    pub(crate) released: AtomicU64,
+    pub(crate) carried: Mutex<CarriedOver>,
+    pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
+    pub(crate) hedged_rewards: AtomicU64,
+    pub(crate) pauses: AtomicU64,
+    pub(crate) confirmed: AtomicU64,
+    pub(crate) overruled: AtomicU64,
+}
+
+impl HandoverEvents for RecordedEvents {
+    fn handed_over(&self, _batch: &BatchId, _to: &MemberId) {}
+    fn handover_failed(&self, _batch: &BatchId, _to: &MemberId, _reply: HandoverReply) {}
+    fn handover_accepted(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {}
+    fn handover_confirmed(&self, _batch: &BatchId) {
+        self.confirmed.fetch_add(1, Ordering::SeqCst);
+    }
+    fn handover_overruled(&self, _batch: &BatchId, _owner: &MemberId) {
+        self.overruled.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl BatchEvents for RecordedEvents {
+    fn accepted(&self, _batch: &BatchId, _items: usize) {}
+    fn taken_over(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {
+        self.taken_over.fetch_add(1, Ordering::SeqCst);
+    }
+    fn carried_over(&self, _batch: &BatchId, carried: &CarriedOver) {
+        *self.carried.lock().unwrap() = *carried;
+    }
+    fn start_repeated(&self, _batch: &BatchId) {
+        self.repeated_starts.fetch_add(1, Ordering::SeqCst);
+    }
+    fn released(&self, _batch: &BatchId, _to: &MemberId) {
+        self.released.fetch_add(1, Ordering::SeqCst);
+    }
+    fn paused(&self, _pause: DurationMs) {
+        self.pauses.fetch_add(1, Ordering::SeqCst);
+    }
+    fn progress(&self, _batch: &BatchId, _progress: &BatchProgress) {}
+    fn finished(&self, _batch: &BatchId, _took: DurationMs) {}
+    fn ended(&self, _batch: &BatchId, _listed: usize) {}
+    fn run_failed(&self, end: &RunEnd<'_>) {
+        self.failed_runs.lock().unwrap().push(end.end.clone());
+    }
+    fn moved(&self, _batch: &BatchId, _item: &str, _from: &RunKey, _to: &RunKey) {
+        self.moved.fetch_add(1, Ordering::SeqCst);
+    }
+    fn reward_attempt_ended(&self, attempt: &RewardAttempt<'_>) {
+        self.reward_ends.lock().unwrap().push(attempt.end.clone());
+    }
+    fn reward_hedged(
+        &self,
+        _batch: &BatchId,
+        _item: &str,
+        _first: &RunKey,
+        _second: &RunKey,
+        _waited: DurationMs,
+    ) {
+        self.hedged_rewards.fetch_add(1, Ordering::SeqCst);
+    }
+    fn expired(&self, _batch: &BatchId, _item: &str, _reason: &str) {
+        self.expired.fetch_add(1, Ordering::SeqCst);
+    }
+    fn store_failed(&self, _batch: &BatchId, _action: &str, _reason: &str) {}
+}
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -1,13 +1,15 @@
 //! In-memory engines, hosts and store for the batch tests.
 #![allow(dead_code, reason = "each test file uses a part of these helpers")]
 
+mod events;
+mod peers;
 mod scorers;
 mod store;
 
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -16,22 +18,22 @@
 use async_trait::async_trait;
 use indexmap::IndexMap;
 use jm_batch::{
-    BatchEvents, BatchItem, BatchPeers, BatchProgress, BatchService, BatchServiceDependencies,
-    BatchServiceOptions, BatchSpec, BatchState, BatchStore, CarriedOver, CheckpointOptions, EventSink,
-    GenerationEnd, GenerationEvent, GenerationRequest, Generator, Handover, HandoverEvents, HandoverReply,
-    ItemText, MembershipView, OwnerNotice, ProgressReport, ResultPage, RewardAttempt, RewardEnd,
-    RewardOptions, RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
+    BatchItem, BatchService, BatchServiceDependencies, BatchServiceOptions, BatchSpec, BatchStore,
+    CheckpointOptions, EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator,
+    MembershipView, ResultPage, RewardOptions, RoutingSource, RunnerOptions, WriteScheduleOptions,
 };
 use jm_forward::{
     BatchPolicy, CallerLimits, Catalog, EngineConfig, Route, RouteKind, RoutingTable, RunKey, Service,
     ServiceWeight, Target, TargetState,
 };
-use jm_platform::{ObjectStore, Version};
+use jm_platform::ObjectStore;
 use jm_types::{
     BatchId, ByteSize, Clock, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, Timestamp,
     WallClock, WeightVersion,
 };
 
+pub(crate) use events::RecordedEvents;
+pub(crate) use peers::SilentPeers;
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
 pub(crate) use scorers::{ScoringScript, ScriptedScorers, scored, scorer, spec_with_rewards};
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
@@ -268,142 +270,6 @@
     }
 }
 
-/// Peers that do not answer unless a test connects them, like a host of the previous release. Announcements are recorded
-/// for the test.
-#[derive(Default)]
-pub(crate) struct SilentPeers {
-    pub(crate) handed_over: Mutex<Vec<(BatchState, Version, Vec<ItemText>)>>,
-    /// Handovers that were sent, also to hosts that do not answer.
-    pub(crate) offers: Mutex<Vec<Handover>>,
-    /// Hosts that receive handovers and reports.
-    pub(crate) hosts: Mutex<IndexMap<MemberId, Arc<BatchService>>>,
-    /// Whether the replies to handovers are lost.
-    pub(crate) loses_replies: AtomicBool,
-}
-
-#[async_trait]
-impl BatchPeers for SilentPeers {
-    async fn read(
-        &self,
-        owner: &MemberId,
-        batch: &BatchId,
-        after: usize,
-        wait: DurationMs,
-    ) -> Option<ResultPage> {
-        let owner = self.hosts.lock().unwrap().get(owner).cloned()?;
-        owner.read_owned(batch, after, wait).await
-    }
-
-    async fn body(&self, _owner: &MemberId, _batch: &BatchId, _item: &str) -> Option<Vec<u8>> {
-        None
-    }
-
-    async fn hand_over(&self, handover: Handover) -> HandoverReply {
-        self.offers.lock().unwrap().push(handover.clone());
-        let next = self.hosts.lock().unwrap().get(&handover.state.owner).cloned();
-        let Some(next) = next else {
-            return HandoverReply::NoAnswer;
-        };
-        match next.accept_handover(handover) {
-            _ if self.loses_replies.load(Ordering::SeqCst) => HandoverReply::NoAnswer,
-            true => HandoverReply::Accepted,
-            false => HandoverReply::Refused,
-        }
-    }
-
-    async fn report(&self, owner: &MemberId, report: ProgressReport) -> bool {
-        let next = self.hosts.lock().unwrap().get(owner).cloned();
-        next.is_some_and(|next| next.receive_report(report))
-    }
-
-    async fn notify(&self, notice: OwnerNotice) {
-        let hosts: Vec<Arc<BatchService>> = self.hosts.lock().unwrap().values().cloned().collect();
-        for host in hosts {
-            host.receive_notice(notice.clone());
-        }
-    }
-
-    async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
-        self.handed_over
-            .lock()
-            .unwrap()
-            .push((state.clone(), version, texts));
-    }
-}
-
-#[derive(Default)]
-pub(crate) struct RecordedEvents {
-    pub(crate) failed_runs: Mutex<Vec<GenerationEnd>>,
-    pub(crate) expired: AtomicU64,
-    pub(crate) moved: AtomicU64,
-    pub(crate) taken_over: AtomicU64,
-    pub(crate) repeated_starts: AtomicU64,
-    pub(crate) released: AtomicU64,
-    pub(crate) carried: Mutex<CarriedOver>,
-    pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
-    pub(crate) hedged_rewards: AtomicU64,
-    pub(crate) pauses: AtomicU64,
-    pub(crate) confirmed: AtomicU64,
-    pub(crate) overruled: AtomicU64,
-}
-
-impl HandoverEvents for RecordedEvents {
-    fn handed_over(&self, _batch: &BatchId, _to: &MemberId) {}
-    fn handover_failed(&self, _batch: &BatchId, _to: &MemberId, _reply: HandoverReply) {}
-    fn handover_accepted(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {}
-    fn handover_confirmed(&self, _batch: &BatchId) {
-        self.confirmed.fetch_add(1, Ordering::SeqCst);
-    }
-    fn handover_overruled(&self, _batch: &BatchId, _owner: &MemberId) {
-        self.overruled.fetch_add(1, Ordering::SeqCst);
-    }
-}
-
-impl BatchEvents for RecordedEvents {
-    fn accepted(&self, _batch: &BatchId, _items: usize) {}
-    fn taken_over(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {
-        self.taken_over.fetch_add(1, Ordering::SeqCst);
-    }
-    fn carried_over(&self, _batch: &BatchId, carried: &CarriedOver) {
-        *self.carried.lock().unwrap() = *carried;
-    }
-    fn start_repeated(&self, _batch: &BatchId) {
-        self.repeated_starts.fetch_add(1, Ordering::SeqCst);
-    }
-    fn released(&self, _batch: &BatchId, _to: &MemberId) {
-        self.released.fetch_add(1, Ordering::SeqCst);
-    }
-    fn paused(&self, _pause: DurationMs) {
-        self.pauses.fetch_add(1, Ordering::SeqCst);
-    }
-    fn progress(&self, _batch: &BatchId, _progress: &BatchProgress) {}
-    fn finished(&self, _batch: &BatchId, _took: DurationMs) {}
-    fn ended(&self, _batch: &BatchId, _listed: usize) {}
-    fn run_failed(&self, end: &RunEnd<'_>) {
-        self.failed_runs.lock().unwrap().push(end.end.clone());
-    }
-    fn moved(&self, _batch: &BatchId, _item: &str, _from: &RunKey, _to: &RunKey) {
-        self.moved.fetch_add(1, Ordering::SeqCst);
-    }
-    fn reward_attempt_ended(&self, attempt: &RewardAttempt<'_>) {
-        self.reward_ends.lock().unwrap().push(attempt.end.clone());
-    }
-    fn reward_hedged(
-        &self,
-        _batch: &BatchId,
-        _item: &str,
-        _first: &RunKey,
-        _second: &RunKey,
-        _waited: DurationMs,
-    ) {
-        self.hedged_rewards.fetch_add(1, Ordering::SeqCst);
-    }
-    fn expired(&self, _batch: &BatchId, _item: &str, _reason: &str) {
-        self.expired.fetch_add(1, Ordering::SeqCst);
-    }
-    fn store_failed(&self, _batch: &BatchId, _action: &str, _reason: &str) {}
-}
-
 /// One host with its engines.
 pub(crate) struct TestHost {
     pub(crate) service: Arc<BatchService>,
