--- a/crates/jm-batch/src/checkpoint.rs
+++ b/crates/jm-batch/src/checkpoint.rs
@@ -5,6 +5,9 @@
 //! has given up. Saving costs a store call and its bytes. Only texts that would take long to generate again are saved,
 //! and only the longest ones when there are many. A complete text whose score is overdue is saved first, so that it is
 //! never generated again because the service that scores it was away.
+//!
+//! Failure counts are saved with the texts from the second failure of an item on, so that an item that fails at several
+//! runs is not counted anew by each owner. Single failures occur in most steps and would cost a store call each.
 
 use jm_types::{DurationMs, Timestamp};
 
@@ -25,8 +28,11 @@
     /// Time for which a complete text waits for its score before it is saved. A service that scores texts usually answers
     /// sooner, and each checkpoint costs a store call.
     pub min_unscored_ms: DurationMs,
-    /// Replaces `interval_ms` while more complete texts wait for their scores than the last checkpoint holds.
+    /// Replaces `interval_ms` while more complete texts wait for their scores than the last checkpoint holds, or while a
+    /// failure count is not saved. An item that fails at once uses all its attempts within half a second.
     pub unscored_interval_ms: DurationMs,
+    /// Minimum number of failed runs of an item whose failure count is saved, whatever the length of its text.
+    pub min_failures: usize,
     /// Maximum total size of the texts in one checkpoint, with a margin for the overhead of the store's encoding.
     pub max_bytes: usize,
 }
@@ -40,6 +46,7 @@
             min_took_ms: DurationMs::new(1_000),
             min_unscored_ms: DurationMs::new(250),
             unscored_interval_ms: DurationMs::new(300),
+            min_failures: 2,
             max_bytes: 400_000,
         }
     }
@@ -56,10 +63,13 @@
     pub is_writing: bool,
     /// Number of complete texts in the last checkpoint.
     pub unscored: usize,
+    /// Sum of the repeated failures of all items at the last checkpoint.
+    pub saved_failures: usize,
 }
 
 impl CheckpointState {
-    /// Whether the next checkpoint may start at `now`. `unscored` is the number of complete texts whose score is overdue.
+    /// Whether the next checkpoint may start at `now`. `unscored` is the number of complete texts whose score is overdue
+    /// and of items whose failure counts are not saved.
     pub fn is_due(&self, options: &CheckpointOptions, unscored: usize, now: Timestamp) -> bool {
         let factor = 1 << self.failures.min(options.max_doublings);
         let interval_ms = match unscored > self.unscored {
@@ -71,22 +81,26 @@
     }
 }
 
-/// Selects the texts to save, complete ones first and then the longest.
+/// Selects the texts to save, complete ones first and then the longest. A text that does not fit is left out.
 pub fn texts_to_save(mut texts: Vec<ItemText>, options: &CheckpointOptions) -> Vec<ItemText> {
     let events = |text: &ItemText| text.last_event.unwrap_or(0);
-    let is_long = |text: &ItemText| events(text) >= options.min_events || text.took_ms >= options.min_took_ms;
-    texts.retain(|text| text.is_complete || is_long(text));
+    texts.retain(|text| is_worth_saving(text, options) || text.failures >= options.min_failures);
     texts.sort_by_key(|text| std::cmp::Reverse((text.is_complete, text.took_ms, events(text))));
     let mut bytes = 0;
-    let fits = texts.iter().take_while(|text| {
-        bytes += text.text.len();
-        bytes <= options.max_bytes
+    texts.retain(|text| {
+        let fits = bytes + text.text.len() <= options.max_bytes;
+        bytes += text.text.len() * usize::from(fits);
+        fits
     });
-    let count = fits.count();
-    texts.truncate(count);
     texts
 }
 
+/// Whether a text is saved for its own sake, and not only because of its failure count.
+pub(crate) fn is_worth_saving(text: &ItemText, options: &CheckpointOptions) -> bool {
+    let is_long = text.last_event.unwrap_or(0) >= options.min_events || text.took_ms >= options.min_took_ms;
+    text.is_complete || is_long
+}
+
 /// The longest text of each item with its highest failure counts, among all texts that earlier owners handed over or
 /// saved.
 pub fn longest_texts(texts: impl IntoIterator<Item = ItemText>) -> Vec<ItemText> {
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -14,8 +14,10 @@
 mod expected_end;
 mod generator;
 mod groups;
+mod handover;
 mod held_prompts;
 mod item_text;
+mod next_owner;
 mod owned;
 mod ownership;
 mod pause;
@@ -34,10 +36,16 @@
 pub use checkpoint::{CheckpointOptions, CheckpointState, longest_texts, texts_to_save};
 pub use engine_load::{EngineLoads, ItemRequirements, LoadOptions, RemoteWork};
 pub use engine_speed::{EngineSpeed, ObservedSpeed};
-pub use events::{BatchEvents, BatchProgress, CarriedOver, PlacedItems, RewardAttempt, RunEnd};
+pub use events::{
+    BatchEvents, BatchProgress, CarriedOver, HandoverEvents, PlacedItems, RewardAttempt, RunEnd,
+};
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
+pub use handover::{
+    Giver, Handover, HandoverReply, HandoverStatus, OwnerNotice, PendingHandover, ProgressReport, RunningItem,
+};
 pub use held_prompts::{PromptPart, PromptPartId};
 pub use item_text::ItemText;
+pub use next_owner::{Candidate, next_owner};
 pub use ownership::{MembershipView, Takeover, takeover};
 pub use pause::PauseDetector;
 pub use placement::{Placed, Placement, PlacementReason};
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -213,7 +213,8 @@
         let expired = match &end {
             GenerationEnd::Complete => {
                 loads.record_text(owned.spec.items[item].estimated_tokens(), owned.events(item));
-                if owned.complete(item) {
+                // The next owner makes the reward calls of a batch that was handed over.
+                if owned.complete(item) && !owned.is_handed_over {
                     let batch = batch.clone();
                     rewards.push(RewardKey { batch, item }, now);
                 }
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -1,4 +1,4 @@
-//! Takes batches over, hands them over to other hosts, and removes old ones.
+//! Takes batches over after failures, and removes old ones.
 
 use std::sync::Arc;
 
@@ -7,7 +7,7 @@
 use jm_forward::ItemSender;
 use jm_platform::Version;
 use jm_route::owner_by_key;
-use jm_types::{BatchId, DurationMs, Incarnation, MemberId, Timestamp};
+use jm_types::{BatchId, DurationMs, MemberId, Timestamp};
 
 use super::{BatchService, CachedState, MAX_CACHED_RESULTS, STATE_RETRY_DELAY_MS, insert_bounded};
 use crate::{
@@ -32,20 +32,27 @@
         let cached: Vec<CachedState> = self.state().cached_states.values().cloned().collect();
         let mut remote_work = Vec::new();
         let now = self.deps.clock.now();
-        for CachedState {
-            state,
-            version,
-            displaced_at,
-        } in cached
-        {
-            let owns = self.runner.owns(&state.batch);
-            match takeover(
+        for cached in cached {
+            let is_noticed = self.noticed_owner(&cached).is_some();
+            let CachedState {
+                state,
+                version,
+                displaced_at,
+            } = cached;
+            if self.runs_unconfirmed(&state, version) {
+                continue;
+            }
+            let owns = self.runner.owns(&state.batch) && !self.runner.is_handed_over(&state.batch);
+            let decision = takeover(
                 &state,
                 &self.options.local_member,
                 self.options.incarnation,
                 &*self.deps.members,
                 displaced_at.map(|displaced_at| now.since(displaced_at)),
-            ) {
+            );
+            match decision {
+                // A live host already runs the batch and only waits for the store.
+                Takeover::Claim if is_noticed => {}
                 Takeover::Own if !owns => self.start_takeover(state, None),
                 Takeover::Own => {}
                 Takeover::Claim => {
@@ -73,6 +80,9 @@
         }
         self.runner.set_remote_work(remote_work);
         self.set_item_senders(now);
+        let members = &self.deps.members;
+        self.runner
+            .release_held(|giver| !members.is_running(&giver.member, giver.incarnation));
     }
 
     /// Names the owners of running batches, which share the rate of requests that cold engines tolerate.
@@ -118,7 +128,7 @@
         }
     }
 
-    fn release(&self, state: &BatchState) {
+    pub(super) fn release(&self, state: &BatchState) {
         if let Some(listed) = self.runner.release(&state.batch) {
             insert_bounded(
                 &mut self.state().results,
@@ -201,6 +211,8 @@
             listed: progress.listed,
             texts: longest_texts(texts),
             earlier_owners,
+            unlisted: Vec::new(),
+            has_all_failures: false,
             previous_batch,
         };
         let is_started = self.runner.start_recovered(Arc::new(spec), recovered);
@@ -245,7 +257,9 @@
             let Some(cached) = self.cached_state(&batch) else {
                 continue;
             };
-            if cached.state.phase == BatchPhase::Running {
+            // A handover is stored first, because it would otherwise replace the finished state.
+            let is_pending = self.state().pending_handovers.contains_key(&batch);
+            if cached.state.phase == BatchPhase::Running && !is_pending {
                 self.mark_finished(cached).await;
             }
         }
@@ -297,48 +311,6 @@
         }
     }
 
-    /// Hands the batches of this host over to other hosts before it shuts down.
-    pub async fn hand_over(&self) {
-        self.state().is_leaving = true;
-        for batch in self.runner.open_batches() {
-            let Some(cached) = self.cached_state(&batch) else {
-                continue;
-            };
-            let Some((owner, owner_incarnation)) = self.next_owner(&batch) else {
-                continue;
-            };
-            let handed = cached.state.with_owner(owner, owner_incarnation);
-            // The store's event may arrive before its answer, and then releases the batch with its texts.
-            let mut texts = self.runner.open_texts(&batch);
-            match self.deps.store.update_state(&handed, cached.version).await {
-                Ok(WriteOutcome::Applied(version)) => {
-                    texts.extend(self.runner.open_texts(&batch));
-                    self.release(&handed);
-                    self.cache_state(handed.clone(), version);
-                    let texts = longest_texts(texts);
-                    self.deps.peers.announce(&handed, version, texts).await;
-                }
-                Ok(WriteOutcome::Conflict) => {}
-                Err(error) => {
-                    let reason = error.to_string();
-                    self.deps.events.store_failed(&batch, "hand over", &reason);
-                }
-            }
-        }
-    }
-
-    fn next_owner(&self, batch: &BatchId) -> Option<(MemberId, Incarnation)> {
-        let candidates: Vec<(MemberId, Incarnation)> = self.deps.members.owner_candidates();
-        let others: Vec<MemberId> = candidates
-            .iter()
-            .map(|(member, _)| member.clone())
-            .filter(|member| *member != self.options.local_member)
-            .collect();
-        let state = self.cached_state(batch)?.state;
-        let next = owner_by_key(state.owner_key(), &others)?;
-        candidates.iter().find(|(member, _)| member == next).cloned()
-    }
-
     /// The host that removes a batch from the store, which may differ from the owner. `None` if no host is live.
     fn removing_host(&self, batch: &BatchId) -> Option<MemberId> {
         let live: Vec<MemberId> = self
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! In-memory engines, hosts and store for the batch tests.
 #![allow(dead_code, reason = "each test file uses a part of these helpers")]
 
+mod events;
+mod peers;
 mod scorers;
 mod store;
 pub(crate) mod virtual_engines;
@@ -17,22 +19,22 @@
 use async_trait::async_trait;
 use indexmap::IndexMap;
 use jm_batch::{
-    BatchEvents, BatchItem, BatchPeers, BatchProgress, BatchService, BatchServiceDependencies,
-    BatchServiceOptions, BatchSpec, BatchState, BatchStore, CarriedOver, CheckpointOptions, EventSink,
-    GenerationEnd, GenerationEvent, GenerationRequest, Generator, ItemText, MembershipView, PlacedItems,
-    ResultPage, RewardAttempt, RewardEnd, RewardOptions, RoutingSource, RunEnd, RunnerOptions,
-    WriteScheduleOptions,
+    BatchItem, BatchService, BatchServiceDependencies, BatchServiceOptions, BatchSpec, BatchStore,
+    CheckpointOptions, EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator,
+    MembershipView, ResultPage, RewardOptions, RoutingSource, RunnerOptions, WriteScheduleOptions,
 };
 use jm_forward::{
     BatchPolicy, CallerLimits, Catalog, ColdGate, EngineConfig, Route, RouteKind, RoutingTable, RunKey,
     Service, ServiceWeight, Target, TargetState,
 };
-use jm_platform::{ObjectStore, Version};
+use jm_platform::ObjectStore;
 use jm_types::{
     BatchId, ByteSize, Clock, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, Timestamp,
     WallClock, WeightVersion,
 };
 
+pub(crate) use events::RecordedEvents;
+pub(crate) use peers::SilentPeers;
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
 pub(crate) use scorers::{ScoringScript, ScriptedScorers, scored, scorer, spec_with_rewards};
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
@@ -278,103 +280,6 @@
     }
 }
 
-/// Peers that never answer. Announcements are recorded for the test.
-#[derive(Default)]
-pub(crate) struct SilentPeers {
-    pub(crate) handed_over: Mutex<Vec<(BatchState, Version, Vec<ItemText>)>>,
-}
-
-#[async_trait]
-impl BatchPeers for SilentPeers {
-    async fn read(
-        &self,
-        _owner: &MemberId,
-        _batch: &BatchId,
-        _after: usize,
-        _wait: DurationMs,
-    ) -> Option<ResultPage> {
-        None
-    }
-
-    async fn body(&self, _owner: &MemberId, _batch: &BatchId, _item: &str) -> Option<Vec<u8>> {
-        None
-    }
-
-    async fn announce(&self, state: &BatchState, version: Version, texts: Vec<ItemText>) {
-        self.handed_over
-            .lock()
-            .unwrap()
-            .push((state.clone(), version, texts));
-    }
-}
-
-#[derive(Default)]
-pub(crate) struct RecordedEvents {
-    pub(crate) failed_runs: Mutex<Vec<GenerationEnd>>,
-    pub(crate) expired: AtomicU64,
-    pub(crate) moved: AtomicU64,
-    pub(crate) placed: AtomicU64,
-    pub(crate) cached_tokens: AtomicU64,
-    pub(crate) taken_over: AtomicU64,
-    pub(crate) repeated_starts: AtomicU64,
-    pub(crate) released: AtomicU64,
-    pub(crate) carried: Mutex<CarriedOver>,
-    pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
-    pub(crate) hedged_rewards: AtomicU64,
-    pub(crate) pauses: AtomicU64,
-}
-
-impl BatchEvents for RecordedEvents {
-    fn accepted(&self, _batch: &BatchId, _items: usize) {}
-    fn taken_over(&self, _batch: &BatchId, _from: &MemberId, _listed: usize) {
-        self.taken_over.fetch_add(1, Ordering::SeqCst);
-    }
-    fn carried_over(&self, _batch: &BatchId, carried: &CarriedOver) {
-        *self.carried.lock().unwrap() = *carried;
-    }
-    fn start_repeated(&self, _batch: &BatchId) {
-        self.repeated_starts.fetch_add(1, Ordering::SeqCst);
-    }
-    fn released(&self, _batch: &BatchId, _to: &MemberId) {
-        self.released.fetch_add(1, Ordering::SeqCst);
-    }
-    fn paused(&self, _pause: DurationMs) {
-        self.pauses.fetch_add(1, Ordering::SeqCst);
-    }
-    fn progress(&self, _batch: &BatchId, _progress: &BatchProgress) {}
-    fn finished(&self, _batch: &BatchId, _took: DurationMs) {}
-    fn ended(&self, _batch: &BatchId, _listed: usize) {}
-    fn run_failed(&self, end: &RunEnd<'_>) {
-        self.failed_runs.lock().unwrap().push(end.end.clone());
-    }
-    fn placed(&self, _batch: &BatchId, placed: &PlacedItems) {
-        let items = (placed.fastest + placed.cached_prompt) as u64;
-        self.placed.fetch_add(items, Ordering::SeqCst);
-        self.cached_tokens
-            .fetch_add(placed.cached_tokens, Ordering::SeqCst);
-    }
-    fn moved(&self, _batch: &BatchId, _item: &str, _from: &RunKey, _to: &RunKey, _saving: DurationMs) {
-        self.moved.fetch_add(1, Ordering::SeqCst);
-    }
-    fn reward_attempt_ended(&self, attempt: &RewardAttempt<'_>) {
-        self.reward_ends.lock().unwrap().push(attempt.end.clone());
-    }
-    fn reward_hedged(
-        &self,
-        _batch: &BatchId,
-        _item: &str,
-        _first: &RunKey,
-        _second: &RunKey,
-        _waited: DurationMs,
-    ) {
-        self.hedged_rewards.fetch_add(1, Ordering::SeqCst);
-    }
-    fn expired(&self, _batch: &BatchId, _item: &str, _reason: &str) {
-        self.expired.fetch_add(1, Ordering::SeqCst);
-    }
-    fn store_failed(&self, _batch: &BatchId, _action: &str, _reason: &str) {}
-}
-
 /// One host with its engines.
 pub(crate) struct TestHost {
     pub(crate) service: Arc<BatchService>,
@@ -424,6 +329,19 @@
         targets: Vec<Target>,
         script: Script,
         scoring: ScoringScript,
+    ) -> Self {
+        Self::start_patient(name, hosts, store, targets, script, scoring, 60)
+    }
+
+    /// Starts a host that stops runs without events only after `stall_ms`.
+    pub(crate) fn start_patient(
+        name: &str,
+        hosts: &Arc<Hosts>,
+        store: &Arc<FaultyStore>,
+        targets: Vec<Target>,
+        script: Script,
+        scoring: ScoringScript,
+        stall_ms: u64,
     ) -> Self {
         hosts.start(name);
         let scorers = Arc::new(ScriptedScorers::new(scoring));
@@ -460,8 +378,8 @@
                 },
                 write_retry_delay_ms: DurationMs::new(5),
                 check_interval_ms: DurationMs::new(10),
-                stall_ms: DurationMs::new(60),
-                first_event_stall_ms: DurationMs::new(60),
+                stall_ms: DurationMs::new(stall_ms),
+                first_event_stall_ms: DurationMs::new(stall_ms),
                 ..RunnerOptions::default()
             },
             retention_ms: DurationMs::new(600_000),
@@ -491,6 +409,36 @@
         }
     }
 
+    /// Lets this host hand batches over to `next` and report to it.
+    pub(crate) fn connect(&self, name: &str, next: &Self) {
+        let next = Arc::clone(&next.service);
+        self.peers
+            .hosts
+            .lock()
+            .unwrap()
+            .insert(name.parse().unwrap(), next);
+    }
+
+    /// Waits until runs of `count` items have started.
+    pub(crate) async fn started(&self, count: usize) {
+        with_timeout(async {
+            while self.engines.runs.lock().unwrap().len() < count {
+                task::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+
+    /// Waits until the store names this host as the owner of a batch that was handed over to it.
+    pub(crate) async fn confirmed(&self) {
+        with_timeout(async {
+            while self.events.confirmed.load(Ordering::SeqCst) == 0 {
+                task::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+
     /// Delivers all states in the store to the host, as its watch would.
     pub(crate) async fn sync_states(&self, store: &FaultyStore) {
         let listing = store.inner.list(jm_batch::BATCH_STATE_PREFIX).await.unwrap();
--- a/crates/jm-batch/tests/common/store.rs
+++ b/crates/jm-batch/tests/common/store.rs
@@ -28,7 +28,11 @@
     pub(crate) loses_next_response: AtomicBool,
     /// Fails all reads and writes without applying them.
     pub(crate) is_down: AtomicBool,
+    /// Does not respond to calls. They are applied when the store responds again.
+    pub(crate) is_silent: AtomicBool,
     pub(crate) reads: AtomicU64,
+    /// Writes of batch states, also those without a response yet.
+    pub(crate) state_writes: AtomicU64,
     held_calls: Mutex<Vec<HeldPrefix>>,
 }
 
@@ -54,7 +58,9 @@
             inner: MemoryPlatform::default(),
             loses_next_response: AtomicBool::new(false),
             is_down: AtomicBool::new(false),
+            is_silent: AtomicBool::new(false),
             reads: AtomicU64::new(0),
+            state_writes: AtomicU64::new(0),
             held_calls: Mutex::default(),
         })
     }
@@ -76,15 +82,18 @@
         self.held_calls.lock().unwrap().clear();
     }
 
-    async fn wait_while_held(&self, kind: CallKind, key: &str) {
-        let held: Vec<Receiver<()>> = {
-            let calls = self.held_calls.lock().unwrap();
-            let matching = calls
-                .iter()
-                .filter(|held| held.kind == kind && key.starts_with(held.prefix));
-            matching.map(|held| held.released.clone()).collect()
-        };
-        for released in held {
+    /// The holds on a call. They are read before the call is applied, because a test that sees its effect may have ended
+    /// the hold for later calls.
+    fn holds(&self, kind: CallKind, key: &str) -> Vec<Receiver<()>> {
+        let calls = self.held_calls.lock().unwrap();
+        let matching = calls
+            .iter()
+            .filter(|held| held.kind == kind && key.starts_with(held.prefix));
+        matching.map(|held| held.released.clone()).collect()
+    }
+
+    async fn wait_while_held(holds: Vec<Receiver<()>>) {
+        for released in holds {
             // The error says that the hold was dropped.
             let _ = released.recv().await;
         }
@@ -100,6 +109,12 @@
         .await;
     }
 
+    async fn wait_while_silent(&self) {
+        while self.is_silent.load(Ordering::SeqCst) {
+            task::sleep(Duration::from_millis(2)).await;
+        }
+    }
+
     fn check(&self) -> Result<(), ReadError> {
         self.reads.fetch_add(1, Ordering::SeqCst);
         match self.is_down.load(Ordering::SeqCst) {
@@ -114,20 +129,26 @@
 #[async_trait]
 impl ObjectStore for FaultyStore {
     async fn get(&self, key: &str) -> Result<Option<Object>, ReadError> {
+        self.wait_while_silent().await;
         self.check()?;
+        let holds = self.holds(CallKind::Read, key);
         let object = self.inner.get(key).await;
-        self.wait_while_held(CallKind::Read, key).await;
+        Self::wait_while_held(holds).await;
         object
     }
 
     async fn put(&self, key: &str, value: Vec<u8>, condition: Condition) -> Result<Version, ObjectError> {
+        let is_state = key.starts_with(jm_batch::BATCH_STATE_PREFIX);
+        self.state_writes.fetch_add(u64::from(is_state), Ordering::SeqCst);
+        self.wait_while_silent().await;
         if self.is_down.load(Ordering::SeqCst) {
             return Err(ObjectError::Unavailable {
                 reason: "down".to_owned(),
             });
         }
+        let holds = self.holds(CallKind::Write, key);
         let result = self.inner.put(key, value, condition).await;
-        self.wait_while_held(CallKind::Write, key).await;
+        Self::wait_while_held(holds).await;
         if self.loses_next_response.swap(false, Ordering::SeqCst) {
             return Err(ObjectError::AnswerLost {
                 reason: "lost".to_owned(),
@@ -141,6 +162,7 @@
     }
 
     async fn list(&self, prefix: &str) -> Result<Listing, ReadError> {
+        self.wait_while_silent().await;
         self.check()?;
         self.inner.list(prefix).await
     }
--- a/crates/jm-host/src/peer_server/mod.rs
+++ b/crates/jm-host/src/peer_server/mod.rs
@@ -70,6 +70,12 @@
                 self.batches.receive_handover(state, version, texts);
                 PeerReply::Taken
             }
+            PeerRequest::Handover(handover) => PeerReply::RunsBatch(self.batches.accept_handover(*handover)),
+            PeerRequest::OwnerNotice(notice) => {
+                self.batches.receive_notice(notice);
+                PeerReply::Taken
+            }
+            PeerRequest::Progress(report) => PeerReply::RunsBatch(self.batches.receive_report(report)),
             PeerRequest::ListCopy {
                 space,
                 prefix,
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -171,6 +171,16 @@
     BatchStartRepeated = 5117, Info;
     /// Items of a batch were placed on engines.
     ItemsPlaced = 5130, Debug;
+    /// The next owner accepted a batch from a host that stops.
+    BatchHandedOver = 5120, Info;
+    /// A host did not accept a batch from a host that stops.
+    BatchHandoverFailed = 5121, Info;
+    /// A host accepted a batch that the store does not assign to it yet.
+    BatchHandoverAccepted = 5122, Info;
+    /// The store names the host that accepted a batch.
+    BatchHandoverConfirmed = 5123, Info;
+    /// The store names another owner than the host that accepted a batch.
+    BatchHandoverOverruled = 5124, Warn;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
