jm-http: one memory budget for all buffers of a process

Cause: the size of each body was limited, but nothing limited all of them together, so a few clients filled the memory of a host.

Change: BufferBudget counts the buffers of servers and clients before they grow. When it is exhausted, the module rejection selects the connection to reject: a stalled one first, then one of the client with the most large buffers, then the one with the least progress for its age. A body that arrives is refused with 503 (JM1018, Retry-After), any other connection is closed, and a request that may run is never rejected. Small bodies are always accepted. Bodies are read into buffers that end at their exact size, and SharedBytes replaces copies per attempt. Idle connections release their read buffer.

--- a/crates/jm-http/src/buffer_budget.rs
+++ b/crates/jm-http/src/buffer_budget.rs
@@ -1,77 +1,387 @@
-//! Limit on the memory that all buffered bodies of a client use together.
+//! Limit on the memory of all buffers that the servers and clients of a process use together.
 //!
-//! Load pattern: a faulty peer answers many requests at once with bytes that never end. A limit on each body alone lets
-//! them fill the memory of the process, and the requests of all other callers end with it. Small bodies are always
-//! buffered, so that they are served while large ones are refused.
+//! Load pattern: faulty peers and untrusted clients send many bodies at once that never end, or read none of their
+//! responses. A limit on each body alone lets them fill the memory of the process, and the requests of all other callers
+//! end with it. Bytes are counted before a buffer grows. Small bodies are always buffered, so that they are served while
+//! large ones are refused.
 
 use std::{
+    convert::Infallible,
     io,
-    sync::atomic::{AtomicU64, Ordering},
+    net::IpAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
 };
 
-use jm_types::ByteSize;
+use async_std::{
+    channel::{Receiver, Sender, bounded},
+    task,
+};
+use indexmap::IndexMap;
+use jm_types::{ByteSize, DurationMs, LogEvent};
+
+use crate::rejection::{Candidate, Phase, SMALL_BYTES, select};
+
+/// Interval at which a buffer that waits for memory checks whether a rejected one has released its own.
+const WAIT_INTERVAL: Duration = Duration::from_millis(10);
+/// Minimum time between two log lines about rejections.
+const LOG_INTERVAL_MS: u64 = 1_000;
+
+/// Why a body was rejected, for the metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectionReason {
+    /// It made no progress, or the least of all, when another buffer needed memory.
+    Selected,
+    /// It needed memory itself, and none could be made available.
+    NoMemory,
+}
 
-/// Size up to which a body does not count.
-const UNCOUNTED_BYTES: u64 = 64 * 1024;
+/// Memory budget shared by the servers and clients of a process. Clones share the budget.
+#[derive(Debug, Clone)]
+pub struct BufferBudget(Arc<Inner>);
 
 #[derive(Debug)]
-pub(crate) struct BufferBudget {
+struct Inner {
     limit: ByteSize,
-    used_bytes: AtomicU64,
+    started: Instant,
+    state: Mutex<State>,
+    selected: AtomicU64,
+    without_memory: AtomicU64,
+    /// Time of the last log line, in milliseconds since `started`, plus one. Zero before the first line.
+    logged_at_ms: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    next_id: u64,
+    used_bytes: u64,
+    /// Bytes of rejected holders that have not been released yet.
+    releasing_bytes: u64,
+    holders: IndexMap<u64, Arc<Holder>>,
+}
+
+/// One holder of memory. Its fields other than the progress change only under the lock of the state.
+#[derive(Debug)]
+struct Holder {
+    id: u64,
+    client: Option<IpAddr>,
+    phase: Mutex<Phase>,
+    held_bytes: AtomicU64,
+    moved_bytes: AtomicU64,
+    phase_began_ms: AtomicU64,
+    progress_at_ms: AtomicU64,
+    is_rejected: AtomicBool,
+    /// Closed when the holder is rejected.
+    rejection: Sender<Infallible>,
+}
+
+enum Attempt {
+    Counted,
+    /// Rejected holders will release enough memory.
+    Wait,
+    Refused,
 }
 
 impl BufferBudget {
-    pub(crate) fn new(limit: ByteSize) -> Self {
-        Self {
+    /// Creates a budget of `limit` bytes.
+    pub fn new(limit: ByteSize) -> Self {
+        Self(Arc::new(Inner {
             limit,
-            used_bytes: AtomicU64::new(0),
+            started: Instant::now(),
+            state: Mutex::default(),
+            selected: AtomicU64::new(0),
+            without_memory: AtomicU64::new(0),
+            logged_at_ms: AtomicU64::new(0),
+        }))
+    }
+
+    /// Maximum number of bytes that all buffers use together.
+    pub fn limit(&self) -> ByteSize {
+        self.0.limit
+    }
+
+    /// Number of bytes that the buffers use now.
+    pub fn used(&self) -> ByteSize {
+        ByteSize::new(self.state().used_bytes)
+    }
+
+    /// Number of rejected buffers since the start.
+    pub fn rejected(&self, reason: RejectionReason) -> u64 {
+        match reason {
+            RejectionReason::Selected => self.0.selected.load(Ordering::Relaxed),
+            RejectionReason::NoMemory => self.0.without_memory.load(Ordering::Relaxed),
         }
     }
 
-    /// The share of a body that is about to be read.
-    pub(crate) fn share(&self) -> BufferShare<'_> {
+    /// A share without memory, for a buffer that is not rejected in favour of others.
+    pub fn share(&self) -> BufferShare {
+        self.share_of(None, Phase::Running)
+    }
+
+    /// The share of a connection, which may be rejected.
+    pub(crate) fn connection_share(&self, client: Option<IpAddr>) -> BufferShare {
+        self.share_of(client, Phase::Waiting)
+    }
+
+    fn share_of(&self, client: Option<IpAddr>, phase: Phase) -> BufferShare {
+        let (rejection, rejected) = bounded(1);
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        let id = state.next_id;
+        state.next_id += 1;
+        let holder = Arc::new(Holder {
+            id,
+            client,
+            phase: Mutex::new(phase),
+            held_bytes: AtomicU64::new(0),
+            moved_bytes: AtomicU64::new(0),
+            phase_began_ms: AtomicU64::new(now_ms),
+            progress_at_ms: AtomicU64::new(now_ms),
+            is_rejected: AtomicBool::new(false),
+            rejection,
+        });
+        state.holders.insert(id, Arc::clone(&holder));
+        drop(state);
         BufferShare {
-            budget: self,
-            counted_bytes: 0,
+            budget: self.clone(),
+            holder,
+            rejected,
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        // No code can panic between two related changes under this lock, so a poisoned lock is still consistent.
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.0.started.elapsed().as_millis() as u64
+    }
+
+    fn count_rejection(&self, reason: RejectionReason) {
+        let counter = match reason {
+            RejectionReason::Selected => &self.0.selected,
+            RejectionReason::NoMemory => &self.0.without_memory,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let now_ms = self.now_ms() + 1;
+        let logged_at_ms = self.0.logged_at_ms.load(Ordering::Relaxed);
+        let is_due = logged_at_ms == 0 || now_ms >= logged_at_ms + LOG_INTERVAL_MS;
+        let replaced =
+            self.0
+                .logged_at_ms
+                .compare_exchange(logged_at_ms, now_ms, Ordering::Relaxed, Ordering::Relaxed);
+        if is_due && replaced.is_ok() {
+            LogEvent::BufferRejected.write_fields(
+                "the buffers of this process exceed their budget; a body or connection was rejected",
+                &[
+                    ("used_bytes", &self.used().get()),
+                    ("limit_bytes", &self.0.limit.get()),
+                    ("selected", &self.0.selected.load(Ordering::Relaxed)),
+                    ("without_memory", &self.0.without_memory.load(Ordering::Relaxed)),
+                ],
+            );
         }
     }
 }
 
-/// Memory of one body. Dropping it returns the memory to the budget.
+impl State {
+    fn candidates(&self, now_ms: u64) -> Vec<Candidate> {
+        let open = self.holders.values().filter(|holder| !holder.is_rejected());
+        open.map(|holder| holder.candidate(now_ms)).collect()
+    }
+
+    /// Rejects holders until `excess_bytes` are being released. Returns the number of rejected holders and whether the
+    /// memory suffices. Stops when `own` is selected.
+    fn make_room(
+        &mut self,
+        excess_bytes: u64,
+        own: &Holder,
+        rejects_small: bool,
+        now_ms: u64,
+    ) -> (usize, bool) {
+        let mut rejected = 0;
+        while self.releasing_bytes < excess_bytes {
+            let selected = select(&self.candidates(now_ms), rejects_small).filter(|id| *id != own.id);
+            let Some(holder) = selected.and_then(|id| self.holders.get(&id)) else {
+                return (rejected, false);
+            };
+            holder.is_rejected.store(true, Ordering::Relaxed);
+            holder.rejection.close();
+            self.releasing_bytes += holder.held();
+            rejected += 1;
+        }
+        (rejected, true)
+    }
+
+    fn set_held(&mut self, holder: &Holder, bytes: u64) {
+        let before = holder.held_bytes.swap(bytes, Ordering::Relaxed);
+        self.used_bytes = self.used_bytes + bytes - before;
+        if holder.is_rejected() {
+            self.releasing_bytes = self.releasing_bytes + bytes - before;
+        }
+    }
+}
+
+impl Holder {
+    fn is_rejected(&self) -> bool {
+        self.is_rejected.load(Ordering::Relaxed)
+    }
+
+    fn held(&self) -> u64 {
+        self.held_bytes.load(Ordering::Relaxed)
+    }
+
+    fn phase(&self) -> MutexGuard<'_, Phase> {
+        self.phase.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn candidate(&self, now_ms: u64) -> Candidate {
+        let since = |time: &AtomicU64| DurationMs::new(now_ms.saturating_sub(time.load(Ordering::Relaxed)));
+        Candidate {
+            id: self.id,
+            client: self.client,
+            phase: *self.phase(),
+            held: ByteSize::new(self.held()),
+            moved: ByteSize::new(self.moved_bytes.load(Ordering::Relaxed)),
+            age_ms: since(&self.phase_began_ms),
+            idle_ms: since(&self.progress_at_ms),
+        }
+    }
+}
+
+/// Memory of one connection or body. Dropping it returns the memory to the budget.
 #[derive(Debug)]
-pub(crate) struct BufferShare<'a> {
-    budget: &'a BufferBudget,
-    counted_bytes: u64,
+pub struct BufferShare {
+    budget: BufferBudget,
+    holder: Arc<Holder>,
+    rejected: Receiver<Infallible>,
 }
 
-impl BufferShare<'_> {
-    /// Counts a buffer that has grown to `size_bytes`.
+impl BufferShare {
+    /// Counts a buffer before it grows to `size_bytes`, and rejects others if the budget is exhausted. Waits up to
+    /// `max_wait` until they have released their memory. A small buffer is always counted.
     ///
     /// # Errors
     ///
-    /// Fails with [`io::ErrorKind::QuotaExceeded`] when all bodies together exceed the budget.
-    pub(crate) fn grow_to(&mut self, size_bytes: u64) -> io::Result<()> {
-        let counted_bytes = size_bytes.saturating_sub(UNCOUNTED_BYTES);
-        let added_bytes = counted_bytes.saturating_sub(self.counted_bytes);
-        if added_bytes == 0 {
-            return Ok(());
+    /// Fails with [`io::ErrorKind::QuotaExceeded`] when there is no memory for this buffer.
+    pub async fn grow_to(&self, size_bytes: u64, max_wait: DurationMs) -> io::Result<()> {
+        let begun = Instant::now();
+        loop {
+            let is_late = begun.elapsed() >= max_wait.as_std();
+            match self.try_grow(size_bytes) {
+                Attempt::Counted => return Ok(()),
+                Attempt::Wait | Attempt::Refused if !is_late => {
+                    // A peer cannot make progress while its bytes are not read, so the wait is not counted as a stall.
+                    self.progressed(0);
+                    task::sleep(WAIT_INTERVAL).await;
+                }
+                Attempt::Wait | Attempt::Refused => break,
+            }
         }
-        let used_bytes = &self.budget.used_bytes;
-        let before = used_bytes.fetch_add(added_bytes, Ordering::Relaxed);
-        self.counted_bytes += added_bytes;
-        let limit = self.budget.limit;
-        if before + added_bytes <= limit.get() {
-            return Ok(());
-        }
-        let message = format!("the bodies that are being read exceed {limit} together");
+        self.budget.count_rejection(RejectionReason::NoMemory);
+        let message = format!("the buffers of this process exceed {}", self.budget.0.limit);
         Err(io::Error::new(io::ErrorKind::QuotaExceeded, message))
     }
+
+    fn try_grow(&self, size_bytes: u64) -> Attempt {
+        let budget = &self.budget;
+        let now_ms = budget.now_ms();
+        let mut state = budget.state();
+        let needed_bytes = state.used_bytes + size_bytes.saturating_sub(self.holder.held());
+        let excess_bytes = needed_bytes.saturating_sub(budget.0.limit.get());
+        let is_small = size_bytes <= SMALL_BYTES;
+        if excess_bytes == 0 || is_small {
+            state.set_held(&self.holder, size_bytes);
+        }
+        let (rejected, has_room) = state.make_room(excess_bytes, &self.holder, is_small, now_ms);
+        drop(state);
+        for _ in 0..rejected {
+            budget.count_rejection(RejectionReason::Selected);
+        }
+        match (excess_bytes == 0 || is_small, has_room) {
+            (true, _) => Attempt::Counted,
+            (false, true) => Attempt::Wait,
+            (false, false) => Attempt::Refused,
+        }
+    }
+
+    /// Counts a buffer that already has `size_bytes`, and rejects others if the budget is exceeded.
+    pub fn set(&self, size_bytes: u64) {
+        let budget = &self.budget;
+        let now_ms = budget.now_ms();
+        let mut state = budget.state();
+        state.set_held(&self.holder, size_bytes);
+        let excess_bytes = state.used_bytes.saturating_sub(budget.0.limit.get());
+        let (rejected, _) = state.make_room(excess_bytes, &self.holder, true, now_ms);
+        drop(state);
+        for _ in 0..rejected {
+            budget.count_rejection(RejectionReason::Selected);
+        }
+    }
+
+    /// Moves `size_bytes` of this share into one that is not rejected in favour of others.
+    pub(crate) fn split(&self, size_bytes: u64) -> Self {
+        let split = self.budget.share();
+        let mut state = self.budget.state();
+        let held_bytes = self.holder.held();
+        state.set_held(&self.holder, held_bytes.saturating_sub(size_bytes));
+        state.set_held(&split.holder, size_bytes);
+        drop(state);
+        split
+    }
+
+    /// Begins a phase of a connection. Returns false when the connection has been rejected before, so that a rejected
+    /// request never runs.
+    pub(crate) fn begin(&self, phase: Phase) -> bool {
+        let now_ms = self.budget.now_ms();
+        let _state = self.budget.state();
+        if self.holder.is_rejected() {
+            return false;
+        }
+        *self.holder.phase() = phase;
+        self.holder.moved_bytes.store(0, Ordering::Relaxed);
+        self.holder.phase_began_ms.store(now_ms, Ordering::Relaxed);
+        self.holder.progress_at_ms.store(now_ms, Ordering::Relaxed);
+        true
+    }
+
+    /// Limit of the budget to which this share belongs.
+    pub(crate) fn limit(&self) -> ByteSize {
+        self.budget.0.limit
+    }
+
+    /// Current phase of the connection.
+    pub(crate) fn phase(&self) -> Phase {
+        *self.holder.phase()
+    }
+
+    /// Records that `amount` bytes were received or sent.
+    pub(crate) fn progressed(&self, amount: usize) {
+        let now_ms = self.budget.now_ms();
+        self.holder
+            .moved_bytes
+            .fetch_add(amount as u64, Ordering::Relaxed);
+        self.holder.progress_at_ms.store(now_ms, Ordering::Relaxed);
+    }
+
+    /// Resolves when this share is rejected in favour of others.
+    pub(crate) fn rejection(&self) -> impl Future<Output = ()> + Send + use<> {
+        let rejected = self.rejected.clone();
+        // No message is ever sent. `recv` fails when the rejection closes the channel.
+        async move {
+            let _ = rejected.recv().await;
+        }
+    }
 }
 
-impl Drop for BufferShare<'_> {
+impl Drop for BufferShare {
     fn drop(&mut self) {
-        self.budget
-            .used_bytes
-            .fetch_sub(self.counted_bytes, Ordering::Relaxed);
+        let mut state = self.budget.state();
+        state.set_held(&self.holder, 0);
+        state.holders.swap_remove(&self.holder.id);
     }
 }
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -4,20 +4,24 @@
 
 use async_std::io;
 use http_types::{Body, Method, Request, Response};
+use jm_types::DurationMs;
 use snafu::Snafu;
 
 use crate::{
-    Limits,
-    buffer_budget::BufferBudget,
+    BufferBudget, Limits, SharedBytes,
     exchange::{Cause, ExchangeError, ExchangeResponse, exchange},
     head::RequestTarget,
     pool::{ClientConnection, Pool},
-    read_body::{read_body_to_end, read_body_within},
+    read_body::{BodyShares, read_body_to_end, read_body_within},
     response::set_body,
     response_body::response_body,
+    shared_bytes::OutgoingBody,
     validate::{FRAMING_HEADERS, invalid_header, length_checked_body},
 };
 
+/// Maximum time for which a response body waits for memory of the process. Stalled connections are rejected after 1 s.
+const MEMORY_WAIT_MS: DurationMs = DurationMs::new(2_000);
+
 /// Reason why a request failed.
 #[derive(Debug, Snafu)]
 pub enum ClientError {
@@ -78,18 +82,29 @@
 pub struct Client {
     limits: Limits,
     pool: Arc<Pool>,
-    buffers: Arc<BufferBudget>,
+    buffers: BufferBudget,
+    process_buffers: Option<BufferBudget>,
 }
 
 impl Client {
     /// Creates a client that applies `limits` to connections and responses.
     pub fn new(limits: Limits) -> Self {
         let pool = Arc::new(Pool::new(&limits));
-        let buffers = Arc::new(BufferBudget::new(limits.buffered_bytes));
+        let buffers = BufferBudget::new(limits.buffered_bytes);
         Self {
             limits,
             pool,
             buffers,
+            process_buffers: None,
+        }
+    }
+
+    /// Counts the bodies that this client reads towards the memory budget of the process as well.
+    #[must_use]
+    pub fn with_budget(self, budget: BufferBudget) -> Self {
+        Self {
+            process_buffers: Some(budget),
+            ..self
         }
     }
 
@@ -133,9 +148,14 @@
     /// # Errors
     ///
     /// Fails when the body exceeds the size limit of the client, with [`io::ErrorKind::QuotaExceeded`] when all bodies that
-    /// are being read exceed [`Limits::buffered_bytes`], and with the error of the body when it is incomplete.
+    /// are being read exceed [`Limits::buffered_bytes`] or the budget of the process, and with the error of the body when it is incomplete.
     pub async fn read_body(&self, response: &mut Response) -> io::Result<Vec<u8>> {
-        read_body_within(response.take_body(), self.limits.body_bytes, &self.buffers).await
+        let process = self.process_buffers.as_ref();
+        let shares = BodyShares {
+            client: self.buffers.share(),
+            process: process.map(|budget| (budget.share(), MEMORY_WAIT_MS)),
+        };
+        read_body_within(response.take_body(), self.limits.body_bytes, &shares).await
     }
 
     /// Sends a request that must run at most once, regardless of its method. It uses a new connection and is never
@@ -200,7 +220,7 @@
 }
 
 enum RequestBody {
-    Buffered(Vec<u8>),
+    Buffered(SharedBytes),
     Stream(Body),
 }
 
@@ -212,12 +232,21 @@
             request.remove_header(name);
         }
         let target = request.ext().get::<RequestTarget>().cloned();
+        if let Some(OutgoingBody(body)) = request.ext_mut().remove() {
+            return Ok(Self {
+                address,
+                target,
+                head: request,
+                body: RequestBody::Buffered(body),
+                written: false,
+            });
+        }
         let body = length_checked_body(request.take_body());
         let is_small = body
             .len()
             .is_some_and(|length| length as u64 <= limits.body_bytes.get());
         let body = match is_small {
-            true => RequestBody::Buffered(read_body(body, limits).await?),
+            true => RequestBody::Buffered(read_body(body, limits).await?.into()),
             false => RequestBody::Stream(body),
         };
         Ok(Self {
@@ -236,14 +265,14 @@
 
     fn repeatable_request(&self) -> Option<Request> {
         match &self.body {
-            RequestBody::Buffered(body) => Some(self.with_body(body.clone().into())),
+            RequestBody::Buffered(body) => Some(self.with_body(body.to_body())),
             RequestBody::Stream(_) => None,
         }
     }
 
     fn take_request(&mut self) -> Request {
-        let body = match std::mem::replace(&mut self.body, RequestBody::Buffered(Vec::new())) {
-            RequestBody::Buffered(body) => body.into(),
+        let body = match std::mem::replace(&mut self.body, RequestBody::Buffered(Vec::new().into())) {
+            RequestBody::Buffered(body) => body.to_body(),
             RequestBody::Stream(body) => body,
         };
         self.with_body(body)
--- a/crates/jm-http/src/connection.rs
+++ b/crates/jm-http/src/connection.rs
@@ -11,12 +11,14 @@
     pin_mut,
 };
 use http_types::{Method, Request, Response};
-use jm_types::{LogEvent, ResultCode};
+use jm_types::{DurationMs, LogEvent, ResultCode};
 
 use crate::{
-    Connection, Handler, Limits, SharedLimits,
+    BufferShare, Connection, Handler, Limits, SharedBytes, SharedLimits,
     framing::{BodyDecoder, BodyError, BodyStep, Framing},
     head::{Refusal, RequestHead, parse_request},
+    read_body::next_capacity,
+    rejection::{Phase, SMALL_BYTES},
     response::{AfterResponse, error_response, prepare_response, write_response},
     stream::{BufferedStream, write_all},
 };
@@ -25,8 +27,17 @@
 /// Maximum time for discarding bytes that the peer sends after the last response. Closing a socket with unread bytes
 /// resets the connection, and the peer could lose the response.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// Memory that a connection uses apart from its buffers, most of it the state of its task.
+const CONNECTION_BYTES: u64 = 16 * 1024;
+/// Maximum time for which a body that arrives waits for memory. Stalled connections are rejected after 1 s.
+const MEMORY_WAIT_MS: DurationMs = DurationMs::new(2_000);
+/// `Retry-After` of a request that was rejected for lack of memory, in seconds. By then, the connections that stalled
+/// while it waited have been rejected.
+const MEMORY_RETRY_AFTER_S: &str = "1";
+
 pub(crate) struct ServerConnection {
     stream: BufferedStream,
+    share: BufferShare,
     connection: Connection,
     limits: SharedLimits,
     handler: Arc<dyn Handler>,
@@ -39,11 +50,13 @@
         stream: BufferedStream,
         connection: Connection,
         limits: SharedLimits,
+        share: BufferShare,
         handler: Arc<dyn Handler>,
         stopping: Receiver<Infallible>,
     ) -> Self {
         Self {
             stream,
+            share,
             connection,
             limits,
             handler,
@@ -52,13 +65,27 @@
         }
     }
 
+    /// Serves requests until the connection ends or is rejected because the buffers of the process exceed their
+    /// budget. A rejected request whose body has not arrived is refused as not run. In all other cases, the connection
+    /// is closed.
     pub(crate) async fn run(mut self) {
-        while self.wait_for_request().await {
+        let rejection = self.share.rejection();
+        let is_rejected = {
+            let serve = self.serve();
+            pin_mut!(serve, rejection);
+            matches!(select(serve, rejection).await, Either::Right(_))
+        };
+        if is_rejected && self.share.phase() == Phase::Receiving {
+            self.refuse(memory_refusal()).await;
+        }
+    }
+
+    async fn serve(&mut self) {
+        while self.share.begin(Phase::Waiting) && self.wait_for_request().await {
             let after = match self.read_request().await {
                 Ok((request, after)) => self.respond(request, after).await,
                 Err(refusal) => {
-                    let stall_timeout = self.limits.get().body_timeout_ms.as_std();
-                    refuse(&mut self.stream, self.connection.peer, refusal, stall_timeout).await;
+                    self.refuse(refusal).await;
                     AfterResponse::Close
                 }
             };
@@ -69,11 +96,26 @@
         }
     }
 
+    async fn refuse(&mut self, refusal: Refusal) {
+        // The body has been dropped.
+        self.count_buffers(0);
+        let stall_timeout = self.limits.get().body_timeout_ms.as_std();
+        refuse(&mut self.stream, self.connection.peer, refusal, stall_timeout).await;
+    }
+
+    /// Counts the buffers of the connection, with `extra_bytes` for a body.
+    fn count_buffers(&self, extra_bytes: u64) {
+        self.share
+            .set(CONNECTION_BYTES + self.stream.buffer_bytes() as u64 + extra_bytes);
+    }
+
     /// Waits for the first byte of a request. Returns false when the connection must be closed instead.
     async fn wait_for_request(&mut self) -> bool {
         if !self.stream.data().is_empty() {
             return true;
         }
+        self.stream.release_buffer();
+        self.count_buffers(0);
         let idle = timeout(self.limits.get().idle_timeout_ms.as_std(), self.stream.fill()).boxed();
         if let Either::Left((read, _)) = select(idle, self.stopping.recv().boxed()).await {
             return matches!(read, Ok(Ok(1..)));
@@ -101,13 +143,21 @@
         if head.expects_continue && head.framing != Framing::Length(0) && self.stream.data().is_empty() {
             self.write_continue().await?;
         }
+        if !self.share.begin(Phase::Receiving) {
+            return Err(memory_refusal());
+        }
         let body = self.read_body(head.framing).await?;
+        if !self.share.begin(Phase::Running) {
+            return Err(memory_refusal());
+        }
+        let body_share =
+            (body.capacity() as u64 > SMALL_BYTES).then(|| self.share.split(body.capacity() as u64));
         let mut request = head.request;
         // These headers described the transfer of the body, which has been received completely.
         for name in ["expect", "transfer-encoding"] {
             request.remove_header(name);
         }
-        set_request_body(&mut request, body);
+        SharedBytes::new(body, body_share).set_as_received(&mut request);
         request.set_peer_addr(self.connection.peer);
         let after = match head.keep_alive {
             true => AfterResponse::KeepAlive,
@@ -122,18 +172,29 @@
             if let Some(head) = parse_request(self.stream.data(), limit_bytes)? {
                 return Ok(head);
             }
-            if matches!(self.stream.fill().await, Ok(0) | Err(_)) {
-                return Err(Refusal::new(
-                    ResultCode::MalformedRequest,
-                    "the connection ended within the head",
-                ));
+            match self.stream.fill().await {
+                Ok(0) | Err(_) => {
+                    return Err(Refusal::new(
+                        ResultCode::MalformedRequest,
+                        "the connection ended within the head",
+                    ));
+                }
+                Ok(amount) => self.share.progressed(amount),
             }
+            self.count_buffers(0);
         }
     }
 
     fn check_length(&self, framing: Framing) -> Result<(), Refusal> {
         match framing {
-            Framing::Length(length) => self.check_size(length),
+            Framing::Length(length) => {
+                self.check_size(length)?;
+                // The whole budget cannot hold this body, so the caller need not send it.
+                match length > SMALL_BYTES && length > self.share.limit().get() {
+                    true => Err(memory_refusal()),
+                    false => Ok(()),
+                }
+            }
             _ => Ok(()),
         }
     }
@@ -149,27 +210,45 @@
 
     async fn write_continue(&mut self) -> Result<(), Refusal> {
         let stall_timeout = self.limits.get().body_timeout_ms.as_std();
-        let written = write_all(&mut self.stream.socket(), CONTINUE, stall_timeout, || {}).await;
+        let written = write_all(&mut self.stream.socket(), CONTINUE, stall_timeout, |_| {}).await;
         written.map_err(|error| Refusal::new(ResultCode::CutBody, error))
     }
 
     async fn read_body(&mut self, framing: Framing) -> Result<Vec<u8>, Refusal> {
         let mut decoder = BodyDecoder::new(framing);
         let mut body = Vec::new();
+        let max_bytes = match framing {
+            Framing::Length(length) => length,
+            Framing::Chunked | Framing::UntilClose => self.limits.get().body_bytes.get(),
+        };
         loop {
             match decoder.step(self.stream.data()).map_err(body_refusal)? {
                 BodyStep::Done => return Ok(body),
                 BodyStep::Skip(amount) => self.stream.consume(amount),
                 BodyStep::Data(amount) => {
-                    self.check_size((body.len() + amount) as u64)?;
+                    let needed_bytes = body.len() + amount;
+                    self.check_size(needed_bytes as u64)?;
+                    if needed_bytes > body.capacity() {
+                        let capacity = next_capacity(body.capacity(), needed_bytes, max_bytes as usize);
+                        self.reserve(capacity as u64).await?;
+                        body.reserve_exact(capacity - body.len());
+                    }
                     body.extend_from_slice(&self.stream.data()[..amount]);
                     self.stream.consume(amount);
+                    self.share.progressed(amount);
                 }
                 BodyStep::NeedMore => self.read_piece().await?,
             }
         }
     }
 
+    /// Counts the buffers of the connection before its body grows to `body_bytes`.
+    async fn reserve(&self, body_bytes: u64) -> Result<(), Refusal> {
+        let size_bytes = CONNECTION_BYTES + self.stream.buffer_bytes() as u64 + body_bytes;
+        let reserved = self.share.grow_to(size_bytes, MEMORY_WAIT_MS).await;
+        reserved.map_err(|_| memory_refusal())
+    }
+
     async fn read_piece(&mut self) -> Result<(), Refusal> {
         let time = self.limits.get().body_timeout_ms;
         match timeout(time.as_std(), self.stream.fill()).await {
@@ -201,7 +280,10 @@
         };
         let stall_timeout = self.limits.get().body_timeout_ms.as_std();
         let response = prepare_response(response, method, after);
-        let written = write_response(self.stream.socket(), response, method, stall_timeout);
+        self.share.begin(Phase::Sending);
+        self.count_buffers(response.len().unwrap_or(0) as u64);
+        let on_progress = |amount| self.share.progressed(amount);
+        let written = write_response(self.stream.socket(), response, method, stall_timeout, on_progress);
         match unless_closed(written, &mut self.stream, limit_bytes).await {
             Some(Ok(())) if after == AfterResponse::Close => {
                 close(&mut self.stream).await;
@@ -261,12 +343,11 @@
     Refusal::new(code, error)
 }
 
-fn set_request_body(request: &mut Request, body: Vec<u8>) {
-    let has_type = request.header("content-type").is_some();
-    request.set_body(body);
-    if !has_type {
-        request.remove_header("content-type");
-    }
+fn memory_refusal() -> Refusal {
+    Refusal::new(
+        ResultCode::BuffersFull,
+        "the buffers of this process exceed their budget",
+    )
 }
 
 /// Sends an error response and closes the connection once the peer has closed its side or [`DISCARD_TIMEOUT`] has
@@ -278,9 +359,14 @@
     stall_timeout: Duration,
 ) {
     let Refusal { code, message } = refusal;
-    LogEvent::RequestRefused.write(format!("{code} {peer:?}: {message}"));
-    let response = prepare_response(error_response(code, &message), Method::Get, AfterResponse::Close);
-    let written = write_response(stream.socket(), response, Method::Get, stall_timeout).await;
+    let mut response = error_response(code, &message);
+    match code {
+        // The budget logs these itself, at most one line a second.
+        ResultCode::BuffersFull => drop(response.insert_header("retry-after", MEMORY_RETRY_AFTER_S)),
+        _ => LogEvent::RequestRefused.write(format!("{code} {peer:?}: {message}")),
+    }
+    let response = prepare_response(response, Method::Get, AfterResponse::Close);
+    let written = write_response(stream.socket(), response, Method::Get, stall_timeout, |_| {}).await;
     if written.is_ok() {
         close(stream).await;
     }
--- a/crates/jm-http/src/exchange.rs
+++ b/crates/jm-http/src/exchange.rs
@@ -160,7 +160,7 @@
             Some(target) => &with_target(&buffer[..amount], method, target),
             None => &buffer[..amount],
         };
-        let on_progress = || written.store(true, Ordering::Relaxed);
+        let on_progress = |_| written.store(true, Ordering::Relaxed);
         let written = write_all(&mut stream, bytes, stall_timeout, on_progress).await;
         written.map_err(WriteError::Socket)?;
     }
--- a/crates/jm-http/src/limits.rs
+++ b/crates/jm-http/src/limits.rs
@@ -11,8 +11,8 @@
     pub head_bytes: ByteSize,
     /// Maximum size of a request or response body that is buffered in memory.
     pub body_bytes: ByteSize,
-    /// Maximum size of all response bodies that a client reads into memory at the same time. Bodies up to 64 KiB do not
-    /// count.
+    /// Maximum size of all response bodies that a client reads into memory at the same time. Bodies up to 64 KiB are
+    /// always read.
     pub buffered_bytes: ByteSize,
     /// Maximum time between the first byte and the end of a head.
     pub head_timeout_ms: DurationMs,
--- a/crates/jm-http/src/response.rs
+++ b/crates/jm-http/src/response.rs
@@ -96,12 +96,14 @@
     }
 }
 
-/// Writes a prepared response. Body data is written as soon as the body yields it.
+/// Writes a prepared response. Body data is written as soon as the body yields it. `on_progress` receives the number of
+/// written bytes.
 pub(crate) async fn write_response(
     mut stream: TcpStream,
     response: Response,
     method: Method,
     stall_timeout: Duration,
+    mut on_progress: impl FnMut(usize),
 ) -> io::Result<()> {
     let mut encoder = async_h1::server::Encoder::new(response, method);
     let mut buffer = vec![0; ENCODE_BUFFER_BYTES];
@@ -110,7 +112,7 @@
         if amount == 0 {
             return Ok(());
         }
-        write_all(&mut stream, &buffer[..amount], stall_timeout, || {}).await?;
+        write_all(&mut stream, &buffer[..amount], stall_timeout, &mut on_progress).await?;
         if amount == buffer.len() {
             // A body that always has more bytes, read by a peer that is as fast, must not keep other tasks from running.
             task::yield_now().await;
--- a/crates/jm-http/src/server.rs
+++ b/crates/jm-http/src/server.rs
@@ -11,10 +11,10 @@
 use async_trait::async_trait;
 use futures::{FutureExt, future::Shared, select};
 use http_types::{Request, Response};
-use jm_types::{LogEvent, ResultCode};
+use jm_types::{ByteSize, LogEvent, ResultCode};
 
 use crate::{
-    SharedLimits,
+    BufferBudget, SharedLimits,
     connection::{ServerConnection, refuse},
     head::Refusal,
     stream::BufferedStream,
@@ -44,13 +44,23 @@
 pub struct Server {
     limits: SharedLimits,
     handler: Arc<dyn Handler>,
+    budget: BufferBudget,
 }
 
 impl Server {
     /// Creates a server that passes requests to `handler`. The limits can be changed later through [`SharedLimits`].
     pub fn new(limits: impl Into<SharedLimits>, handler: Arc<dyn Handler>) -> Self {
-        let limits = limits.into();
-        Self { limits, handler }
+        Self {
+            limits: limits.into(),
+            handler,
+            budget: BufferBudget::new(ByteSize::new(u64::MAX / 2)),
+        }
+    }
+
+    /// Applies a limit to the memory of all connections that this server and others with the same budget use together.
+    #[must_use]
+    pub fn with_budget(self, budget: BufferBudget) -> Self {
+        Self { budget, ..self }
     }
 
     /// Accepts connections until `stop` resolves, then waits until open requests have completed.
@@ -127,6 +137,7 @@
             stream,
             Connection { peer: Some(peer) },
             self.server.limits.clone(),
+            self.server.budget.connection_share(Some(peer.ip())),
             Arc::clone(&self.server.handler),
             self.stopping.clone(),
         );
--- a/crates/jm-http/src/stream.rs
+++ b/crates/jm-http/src/stream.rs
@@ -46,6 +46,19 @@
         self.received_bytes
     }
 
+    /// Memory that the buffer uses.
+    pub(crate) fn buffer_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
+    /// Releases the memory of an empty buffer, because most connections are idle most of the time.
+    pub(crate) fn release_buffer(&mut self) {
+        if self.data().is_empty() {
+            self.buffer = Vec::new();
+            self.start = 0;
+        }
+    }
+
     pub(crate) fn consume(&mut self, amount: usize) {
         self.start += amount;
         if self.start == self.buffer.len() {
@@ -97,14 +110,14 @@
     stream: &mut TcpStream,
     mut bytes: &[u8],
     stall_timeout: Duration,
-    mut on_progress: impl FnMut(),
+    mut on_progress: impl FnMut(usize),
 ) -> io::Result<()> {
     while !bytes.is_empty() {
         let amount = timeout(stall_timeout, stream.write(bytes)).await?;
         if amount == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
-        on_progress();
+        on_progress(amount);
         bytes = &bytes[amount..];
     }
     Ok(())
--- a/crates/jm-types/src/code.rs
+++ b/crates/jm-types/src/code.rs
@@ -112,6 +112,8 @@
     MethodNotAllowed = 1016, 405, NotRun;
     /// The expectation in the `expect` header is not supported.
     UnsupportedExpectation = 1017, 417, NotRun;
+    /// The buffers of the process exceed their memory budget.
+    BuffersFull = 1018, 503, NotRun;
     /// The queue for the service is full.
     QueueFull = 2001, 429, NotRun;
     /// The deadline passed while the request was waiting.
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -53,6 +53,8 @@
     RequestServed = 1105, Info;
     /// A request was hedged: it also runs on a second target because the first target is slow.
     RequestHedged = 1106, Info;
+    /// The buffers of the process exceed their memory budget, and a body or a connection was rejected.
+    BufferRejected = 1107, Warn;
     /// Log lines were dropped because one event exceeded its rate limit.
     LogLinesLeftOut = 1201, Warn;
     /// The settings file was reloaded.
