Hosts apply one memory budget; batches count their memory

Change: [limits] memory in the settings, rendered from limits.memory_mb, names the memory of the machine; all buffers may use 35% of it (512 MB without the setting). The listeners and the clients of the store, the targets and the peers share the budget. Attempts share the body of a request. Metrics jm_buffer_bytes, jm_buffer_limit_bytes, jm_buffers_rejected_total.

A second fault, seen as a host that refused bodies above 4 MB although its configuration permits them: a configuration that was active before the task that applies its limits had started left the initial limits in force. The task now applies the first one in any case, and a host is ready only afterwards.

--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -46,7 +46,7 @@
 pub use service::{
     BatchPeers, BatchService, BatchServiceDependencies, BatchServiceOptions, ReadError, SubmitError,
 };
-pub use spec::{BatchItem, BatchSpec, SpecError};
+pub use spec::{BatchItem, BatchSpec, SpecError, SpecMemory};
 pub use state::{BatchPhase, BatchState};
 pub use store::{BATCH_STATE_PREFIX, BatchStore, StoreError};
 pub use write_schedule::{UnwrittenResults, WriteScheduleOptions, next_write_at};
--- a/crates/jm-batch/src/spec.rs
+++ b/crates/jm-batch/src/spec.rs
@@ -1,6 +1,11 @@
 //! Specification of a batch, as its submitter requested it.
 
-use std::{collections::HashSet, fmt::Display};
+use std::{
+    any::Any,
+    collections::HashSet,
+    fmt::{self, Display},
+    sync::Arc,
+};
 
 use indexmap::IndexMap;
 use jm_types::{BatchId, DurationMs, ModelId, OrganisationId, WeightVersion};
@@ -64,8 +69,37 @@
     pub submitted_unix_ms: u64,
     /// Requests of the batch.
     pub items: Vec<BatchItem>,
+    /// Memory that the requests use.
+    #[serde(skip)]
+    pub memory: SpecMemory,
 }
 
+/// Keeps the memory of a batch counted until the batch is dropped. A batch that was read from the store counts none. Two
+/// batches are equal whatever memory they count.
+#[derive(Clone, Default)]
+pub struct SpecMemory(Option<Arc<dyn Any + Send + Sync>>);
+
+impl SpecMemory {
+    /// Drops `share` when the last copy of the batch is dropped.
+    pub fn new(share: Arc<dyn Any + Send + Sync>) -> Self {
+        Self(Some(share))
+    }
+}
+
+impl fmt::Debug for SpecMemory {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_tuple("SpecMemory").field(&self.0.is_some()).finish()
+    }
+}
+
+impl PartialEq for SpecMemory {
+    fn eq(&self, _other: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for SpecMemory {}
+
 /// Why a batch is rejected.
 #[derive(Debug, Clone, PartialEq, Eq, Snafu)]
 pub enum SpecError {
--- a/crates/jm-batch/src/store/spec.rs
+++ b/crates/jm-batch/src/store/spec.rs
@@ -139,6 +139,8 @@
         };
         return (head, None);
     }
+    // A large batch is not held in two encodings at the same time.
+    drop(text);
     let parts = ItemParts::new(&spec.items);
     let header = BatchSpec {
         items: Vec::new(),
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -19,7 +19,8 @@
     BatchEvents, BatchItem, BatchPeers, BatchProgress, BatchService, BatchServiceDependencies,
     BatchServiceOptions, BatchSpec, BatchState, BatchStore, CarriedOver, CheckpointOptions, EventSink,
     GenerationEnd, GenerationEvent, GenerationRequest, Generator, ItemText, MembershipView, ResultPage,
-    RewardAttempt, RewardEnd, RewardOptions, RoutingSource, RunEnd, RunnerOptions, WriteScheduleOptions,
+    RewardAttempt, RewardEnd, RewardOptions, RoutingSource, RunEnd, RunnerOptions, SpecMemory,
+    WriteScheduleOptions,
 };
 use jm_forward::{
     BatchPolicy, CallerLimits, Catalog, EngineConfig, Route, RouteKind, RoutingTable, RunKey, Service,
@@ -70,6 +71,7 @@
         priority: 1,
         submitted_unix_ms: SystemClock.unix_ms(),
         items: expected_tokens.iter().enumerate().map(item).collect(),
+        memory: SpecMemory::default(),
     }
 }
 
--- a/crates/jm-forward/src/caller.rs
+++ b/crates/jm-forward/src/caller.rs
@@ -1,6 +1,6 @@
 //! Requests of callers and the results of forwarding them.
 
-use jm_http::{Method, RequestTarget, headers::Headers};
+use jm_http::{Method, RequestTarget, SharedBytes, headers::Headers};
 use jm_types::{DurationMs, ResultCode};
 
 use crate::{Route, TargetAnswer};
@@ -18,8 +18,8 @@
     pub target: RequestTarget,
     /// Headers that are forwarded unchanged.
     pub headers: Headers,
-    /// Complete body; empty if there is none.
-    pub body: Vec<u8>,
+    /// Complete body; empty if there is none. All attempts share it.
+    pub body: SharedBytes,
     /// API key sent with the request. `None` if it has none.
     pub key: Option<String>,
     /// How long the caller waits for the response. `None` if the caller does not specify it; the timeout of the route
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -82,7 +82,7 @@
         method: Method::Post,
         target: RequestTarget::new(path),
         headers: empty_headers(),
-        body: b"body".to_vec(),
+        body: b"body".to_vec().into(),
         key: key.map(str::to_owned),
         timeout_ms: Some(DurationMs::new(500)),
     }
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -6,7 +6,10 @@
 use std::{
     convert::Infallible,
     net::SocketAddr,
-    sync::{Arc, OnceLock},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -22,7 +25,7 @@
     Access, CallerLimits, CallerRequest, Drain, ForwardRefusal, ForwardResult, Forwarder, ForwarderOptions,
     RetryOptions, Route, RoutingTable, SelectionOptions,
 };
-use jm_http::{Connection, Handler, Limits, Request, Response, Server, SharedLimits, listen};
+use jm_http::{BufferBudget, Connection, Handler, Limits, Request, Response, Server, SharedLimits, listen};
 use jm_member::AgentError;
 use jm_node::{Stop, StopTrigger};
 use jm_platform::ObjectStore;
@@ -94,6 +97,9 @@
     peers: Arc<PeerClient>,
     usage_publisher: Arc<UsagePublisher>,
     caller_limits: SharedLimits,
+    /// Whether the limits of a configuration are applied.
+    has_caller_limits: AtomicBool,
+    buffers: BufferBudget,
     changes: (Sender<()>, Receiver<()>),
     stop: Stop,
     /// Set when a planned stop begins.
@@ -164,12 +170,12 @@
             on_change(&changes.0),
         ));
         platform.notices.listen(Arc::clone(&cluster) as _);
-        let peers = Arc::new(PeerClient::new(Arc::clone(&membership)));
+        let peers = Arc::new(PeerClient::new(Arc::clone(&membership), platform.buffers.clone()));
         let usage = Arc::new(UsageCounter::new(
             Arc::clone(&wall),
             settings.bounds.usage_window_ms,
         ));
-        let observer = Arc::new(HostObserver::new(Arc::clone(&usage)));
+        let observer = Arc::new(HostObserver::new(Arc::clone(&usage), platform.buffers.clone()));
         let relayed = |direct: &Arc<dyn ObjectStore>, space| -> Arc<RelayedStore> {
             let client = Arc::clone(&peers);
             let relay = Arc::new(PeerRelay { client, space });
@@ -224,6 +230,7 @@
             peers: Arc::clone(&peers),
             lease: Arc::clone(&lease),
         });
+        let buffers = components.platform.buffers.clone();
         let (trigger, stop) = Stop::new();
         let host = Arc::new(Self {
             settings,
@@ -238,6 +245,8 @@
             peers,
             usage_publisher,
             caller_limits: initial_limits().into(),
+            has_caller_limits: AtomicBool::new(false),
+            buffers,
             changes,
             stop,
             drain: OnceLock::new(),
@@ -261,9 +270,11 @@
         &self.settings
     }
 
-    /// Whether the host accepts callers: it has a configuration and the targets, and is not about to stop.
+    /// Whether the host accepts callers: it has a configuration, whose limits are applied, and the targets, and is not
+    /// about to stop.
     pub fn is_ready(&self) -> bool {
-        !self.membership.is_leaving() && self.cluster.is_complete()
+        let has_limits = self.has_caller_limits.load(Ordering::Relaxed);
+        !self.membership.is_leaving() && has_limits && self.cluster.is_complete()
     }
 
     /// Returns at most `limit` addresses of hosts for a caller, those in `zone` first, and how long the caller may
@@ -287,6 +298,11 @@
         &self.observer
     }
 
+    /// Memory budget that all servers and clients of this host share.
+    pub fn buffers(&self) -> &BufferBudget {
+        &self.buffers
+    }
+
     /// Wall-clock time in milliseconds since the Unix epoch.
     pub fn unix_ms(&self) -> u64 {
         self.wall.unix_ms()
@@ -372,7 +388,7 @@
         handler: Arc<dyn Handler>,
     ) -> Result<JoinHandle<()>, HostError> {
         let listener = listen(address).context(ListenSnafu { address })?;
-        let server = Server::new(limits, handler);
+        let server = Server::new(limits, handler).with_budget(self.buffers.clone());
         let stopped = self.stop.stop_started();
         Ok(task::spawn(async move {
             if let Err(error) = server.serve(listener, stopped).await {
--- a/crates/jm-host/src/host/reconcile.rs
+++ b/crates/jm-host/src/host/reconcile.rs
@@ -1,11 +1,11 @@
 //! Reacts to changes of the cluster state, and periodically checks what no event announces.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use async_std::task;
 use indexmap::IndexMap;
 use jm_batch::{MembershipView, RoutingSource};
-use jm_types::{DurationMs, LogEvent, ModelId, WeightVersion};
+use jm_types::{DurationMs, LogEvent, ModelId, Revision, WeightVersion};
 
 use super::{Host, connection_limits};
 use crate::{
@@ -25,7 +25,8 @@
 impl Host {
     /// Handles changes of the configuration, the targets and the hosts.
     pub(super) async fn handle_changes(self: Arc<Self>) {
-        let mut revision = self.cluster.revision();
+        // The first configuration may be active before this task runs. Its limits must be applied all the same.
+        let mut revision = Revision::new(0);
         while self.changes.1.recv().await.is_ok() {
             if self.cluster.revision() > revision {
                 let was_ready = revision.get() > 0;
@@ -33,6 +34,7 @@
                 self.membership.set_applied_revision(revision);
                 if let Some(table) = self.cluster.routing() {
                     self.caller_limits.set(connection_limits(&table.caller_limits));
+                    self.has_caller_limits.store(true, Ordering::Relaxed);
                 }
                 if !was_ready {
                     LogEvent::DaemonReady.write_fields(
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod buffer_metrics;
 mod cluster_state;
 mod duty;
 mod host;
@@ -35,6 +36,6 @@
 };
 pub use prefix_watch::{CacheSource, PrefixWatch, WatchHandler, WatchOptions, time_until_relist};
 pub use relay::{RelayPeer, RelayedStore};
-pub use settings::{BoundSettings, HostSettings, ListenSettings, SettingsError};
+pub use settings::{BoundSettings, HostSettings, LimitSettings, ListenSettings, SettingsError};
 pub use status::{HostStatus, MemberStatus, OpenBatch, TargetStatus};
 pub use store_cache::{CachedChanges, StoreCache};
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -4,12 +4,13 @@
 
 use jm_batch::{BatchEvents, BatchProgress, CarriedOver, GenerationEnd, RewardAttempt, RewardEnd, RunEnd};
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
+use jm_http::BufferBudget;
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
 };
 
-use crate::{duty::UsageCounter, instrumented_store::STORE_CALL_LABELS};
+use crate::{buffer_metrics::BufferMetrics, duty::UsageCounter, instrumented_store::STORE_CALL_LABELS};
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5];
@@ -19,6 +20,7 @@
 pub struct HostObserver {
     usage: Arc<UsageCounter>,
     registry: Registry,
+    buffers: BufferMetrics,
     requests: IntCounterVec,
     latency: HistogramVec,
     attempts: IntCounterVec,
@@ -41,11 +43,13 @@
 }
 
 impl HostObserver {
-    /// Registers all metrics in a new registry. Executed requests are also counted in `usage`.
-    pub fn new(usage: Arc<UsageCounter>) -> Self {
+    /// Registers all metrics in a new registry. Executed requests are also counted in `usage`. The memory metrics show
+    /// `buffers`.
+    pub fn new(usage: Arc<UsageCounter>, buffers: BufferBudget) -> Self {
         let registry = Registry::new();
         Self {
             usage,
+            buffers: BufferMetrics::new(&registry, buffers),
             requests: counter(
                 &registry,
                 "jm_requests_total",
@@ -197,6 +201,7 @@
 
     /// Renders the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
+        self.buffers.update();
         let mut text = Vec::new();
         let encoder = TextEncoder::new();
         if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
@@ -215,7 +220,7 @@
     }
 }
 
-fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+pub(crate) fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let counter = IntCounterVec::new(Opts::new(name, help), labels).expect("metric names are valid");
     registry
         .register(Box::new(counter.clone()))
@@ -232,7 +237,7 @@
     histogram
 }
 
-fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+pub(crate) fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
     let gauge = IntGauge::new(name, help).expect("metric names are valid");
     registry
         .register(Box::new(gauge.clone()))
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -16,7 +16,7 @@
 use futures::FutureExt;
 use futures::future::select_ok;
 use jm_batch::{BatchPeers, BatchState, ItemText, ResultPage};
-use jm_http::{Client, Limits, Method, Request, Reuse, StatusCode, Url};
+use jm_http::{BufferBudget, Client, Limits, Method, Request, Reuse, StatusCode, Url};
 use jm_node::{decode, encode};
 use jm_platform::Version;
 use jm_types::{BatchId, ByteSize, DurationMs, LogEvent, MemberId};
@@ -45,7 +45,7 @@
 }
 
 impl PeerClient {
-    pub(crate) fn new(membership: Arc<Membership>) -> Self {
+    pub(crate) fn new(membership: Arc<Membership>, buffers: BufferBudget) -> Self {
         let limits = Limits {
             body_bytes: ByteSize::new(64_000_000),
             connect_timeout_ms: DurationMs::new(300),
@@ -54,7 +54,7 @@
             ..Limits::default()
         };
         Self {
-            client: Client::new(limits),
+            client: Client::new(limits).with_budget(buffers),
             membership,
         }
     }
--- a/crates/jm-host/src/peer_server/mod.rs
+++ b/crates/jm-host/src/peer_server/mod.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use jm_batch::BatchService;
-use jm_http::{Connection, Handler, Request, Response, StatusCode};
+use jm_http::{Connection, Handler, Request, Response, SharedBytes, StatusCode};
 use jm_node::{decode, encode};
 use jm_platform::{KeyedObject, ObjectError, ObjectStore};
 use jm_types::LogEvent;
@@ -167,7 +167,7 @@
         if request.url().path() != PEER_PATH {
             return Response::new(StatusCode::NotFound);
         }
-        let body = match request.body_bytes().await {
+        let body = match SharedBytes::take(&mut request).await {
             Ok(body) => body,
             Err(error) => {
                 LogEvent::ConnectionFailed.write(format_args!("the call of a peer cannot be read: {error}"));
--- a/crates/jm-host/src/platform.rs
+++ b/crates/jm-host/src/platform.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use jm_batch::{Generator, RewardClient};
 use jm_forward::{RoutingTable, Target, TargetClient, TargetNotices};
+use jm_http::BufferBudget;
 use jm_lease::LeaseGuard;
 use jm_plan::DesiredTargets;
 use jm_platform::ObjectStore;
@@ -168,4 +169,6 @@
     pub generator: Arc<dyn Generator>,
     /// Sends the calls that score complete texts.
     pub rewards: Arc<dyn RewardClient>,
+    /// Memory budget that the connections to the platform share with the servers of the host.
+    pub buffers: BufferBudget,
 }
--- a/crates/jm-host/src/settings.rs
+++ b/crates/jm-host/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{fmt, net::SocketAddr, path::Path, str::FromStr};
 
 use ini::{Ini, Properties};
-use jm_types::{DurationMs, MemberId, RegionId, ZoneId};
+use jm_types::{ByteSize, DurationMs, MemberId, RegionId, ZoneId};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 /// Addresses on which the host listens.
@@ -36,6 +36,26 @@
     pub batch_keep_ms: DurationMs,
 }
 
+/// Memory of the machine if the settings do not contain it: that of the largest machines that hosts run on.
+const DEFAULT_MEMORY: ByteSize = ByteSize::new(512_000_000);
+/// Share of the machine's memory that all buffers may use, in percent. On the smallest machine (110 MB) it holds the
+/// largest permitted body (33,554,432 bytes), and leaves as much for decoding and for the allocator as the buffers use.
+const BUFFER_PERCENT: u64 = 35;
+
+/// Limits of the machine.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// Memory of the machine.
+    pub memory: ByteSize,
+}
+
+impl LimitSettings {
+    /// Maximum size of all buffers together.
+    pub fn buffers(&self) -> ByteSize {
+        ByteSize::new(self.memory.get() / 100 * BUFFER_PERCENT)
+    }
+}
+
 /// Settings of one host.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct HostSettings {
@@ -59,6 +79,8 @@
     pub duties: SocketAddr,
     /// Time bounds set by the platform.
     pub bounds: BoundSettings,
+    /// Limits of the machine.
+    pub limits: LimitSettings,
 }
 
 /// The settings are missing or invalid.
@@ -152,6 +174,9 @@
                 usage_window_ms: bounds.duration("usage_window")?,
                 batch_keep_ms: bounds.duration("batch_keep")?,
             },
+            limits: LimitSettings {
+                memory: Section::of(&ini, "limits").size_or("memory", DEFAULT_MEMORY)?,
+            },
         })
     }
 }
@@ -217,6 +242,31 @@
         text.split(',').map(|part| self.parse(key, part)).collect()
     }
 
+    /// Parses a size with a unit, or returns `default` when the key is missing or empty. A platform may render a number
+    /// of megabytes with a fraction.
+    fn size_or(&self, key: &str, default: ByteSize) -> Result<ByteSize, SettingsError> {
+        let Ok(text) = self.text(key) else {
+            return Ok(default);
+        };
+        let megabytes = text
+            .strip_suffix("MB")
+            .and_then(|number| number.trim().parse::<f64>().ok());
+        let size = match megabytes {
+            Some(number) if number.is_finite() && number > 0.0 => ByteSize::new((number * 1e6) as u64),
+            _ => self.parse(key, text)?,
+        };
+        match size.get() {
+            0 => InvalidSnafu {
+                section: self.name,
+                key,
+                value: text,
+                reason: "the size is zero",
+            }
+            .fail(),
+            _ => Ok(size),
+        }
+    }
+
     /// Parses a duration, which must have a unit.
     fn duration(&self, key: &str) -> Result<DurationMs, SettingsError> {
         self.value(key)
--- a/crates/jm-host/tests/host_settings.rs
+++ b/crates/jm-host/tests/host_settings.rs
@@ -1,7 +1,7 @@
 //! Guards against a host that starts with unusable settings, and against errors that do not name the faulty setting.
 
 use jm_host::{HostSettings, SettingsError};
-use jm_types::DurationMs;
+use jm_types::{ByteSize, DurationMs};
 
 const SETTINGS: &str = "\
 [host]
@@ -98,3 +98,31 @@
     let error = HostSettings::read(std::path::Path::new("no-such-file.ini")).unwrap_err();
     assert!(error.to_string().contains("no-such-file.ini"), "{error}");
 }
+
+/// Guards against a budget that cannot hold the largest permitted body (33,554,432 bytes) on the smallest machine, or one
+/// that leaves no memory for anything else.
+#[test]
+fn memory_budget() {
+    let parse = |text: &str| HostSettings::parse(&format!("{SETTINGS}\n[limits]\n{text}\n"));
+    let smallest = parse("memory = 110MB").unwrap().limits;
+    assert_eq!(smallest.memory, ByteSize::new(110_000_000));
+    assert!(smallest.buffers().get() > 33_554_432 + 1_000_000);
+    assert!(smallest.buffers().get() < 55_000_000);
+    let default = HostSettings::parse(SETTINGS).unwrap().limits;
+    assert_eq!(default.memory, ByteSize::new(512_000_000));
+    assert_eq!(parse("memory =").unwrap().limits, default);
+    assert_eq!(
+        parse("memory = 110.25MB").unwrap().limits.memory,
+        ByteSize::new(110_250_000)
+    );
+    for text in [
+        "memory = much",
+        "memory = 0MB",
+        "memory = -1MB",
+        "memory = NaNMB",
+        "memory = 110",
+    ] {
+        let error = parse(text).unwrap_err().to_string();
+        assert!(error.starts_with("[limits] memory = "), "{error}");
+    }
+}
