--- a/crates/jm-http/src/buffer_budget.rs
+++ b/crates/jm-http/src/buffer_budget.rs
@@ -32,6 +32,10 @@
 /// Minimum time between two log lines about rejections.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
+/// Part of the limit that responses may use together, in percent. While nobody reads them, they must leave memory for
+/// requests. On the smallest machines, the part holds the largest answers of the store (16 MB).
+const RESPONSE_PERCENT: u64 = 60;
+
 /// Why a body was rejected, for the metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RejectionReason {
@@ -134,6 +138,11 @@
         self.share_of(None, Phase::Running)
     }
 
+    /// A share for a response that a client reads.
+    pub(crate) fn response_share(&self) -> BufferShare {
+        self.share_of(None, Phase::Answering)
+    }
+
     /// The share of a connection, which may be rejected. At the maximum number of connections, a stalled one is rejected
     /// for it. Returns `None` if there is none.
     pub(crate) fn connection_share(&self, client: Option<IpAddr>) -> Option<BufferShare> {
@@ -189,6 +198,12 @@
         self.0.started.elapsed().as_millis() as u64
     }
 
+    fn count_rejections(&self, selected: usize) {
+        for _ in 0..selected {
+            self.count_rejection(RejectionReason::Selected);
+        }
+    }
+
     fn count_rejection(&self, reason: RejectionReason) {
         let counter = match reason {
             RejectionReason::Selected => &self.0.selected,
@@ -217,6 +232,29 @@
 }
 
 impl State {
+    /// Memory that responses use, apart from rejected ones.
+    fn response_bytes(&self) -> u64 {
+        let open = self.holders.values().filter(|holder| !holder.is_rejected());
+        let responses = open.filter(|holder| holder.phase().is_response());
+        responses.map(|holder| holder.held()).sum()
+    }
+
+    /// Rejects responses that nobody reads until another one of `added_bytes` fits. Returns the number of rejected ones
+    /// and whether it fits.
+    fn make_room_for_response(&mut self, added_bytes: u64, limit_bytes: u64, now_ms: u64) -> (usize, bool) {
+        let mut rejected = 0;
+        while self.response_bytes() + added_bytes > limit_bytes {
+            let mut sending = self.candidates(now_ms);
+            sending.retain(|candidate| candidate.phase == Phase::Sending);
+            let Some(id) = select(&sending, false) else {
+                return (rejected, false);
+            };
+            self.reject(id);
+            rejected += 1;
+        }
+        (rejected, true)
+    }
+
     fn candidates(&self, now_ms: u64) -> Vec<Candidate> {
         let open = self.holders.values().filter(|holder| !holder.is_rejected());
         open.map(|holder| holder.candidate(now_ms)).collect()
@@ -329,17 +367,24 @@
         let budget = &self.budget;
         let now_ms = budget.now_ms();
         let mut state = budget.state();
-        let needed_bytes = state.used_bytes + size_bytes.saturating_sub(self.holder.held());
-        let excess_bytes = needed_bytes.saturating_sub(budget.0.limit.get());
+        let added_bytes = size_bytes.saturating_sub(self.holder.held());
+        let excess_bytes = (state.used_bytes + added_bytes).saturating_sub(budget.0.limit.get());
         let is_small = size_bytes <= SMALL_BYTES;
+        if self.phase() == Phase::Answering && !is_small {
+            let limit_bytes = budget.0.limit.get() / 100 * RESPONSE_PERCENT;
+            let (rejected, has_room) = state.make_room_for_response(added_bytes, limit_bytes, now_ms);
+            if !has_room || rejected > 0 {
+                drop(state);
+                budget.count_rejections(rejected);
+                return if has_room { Attempt::Wait } else { Attempt::Refused };
+            }
+        }
         if excess_bytes == 0 || is_small {
             state.set_held(&self.holder, size_bytes);
         }
         let (rejected, has_room) = state.make_room(excess_bytes, &self.holder, is_small, now_ms);
         drop(state);
-        for _ in 0..rejected {
-            budget.count_rejection(RejectionReason::Selected);
-        }
+        budget.count_rejections(rejected);
         match (excess_bytes == 0 || is_small, has_room) {
             (true, _) => Attempt::Counted,
             (false, true) => Attempt::Wait,
@@ -356,9 +401,7 @@
         let excess_bytes = state.used_bytes.saturating_sub(budget.0.limit.get());
         let (rejected, _) = state.make_room(excess_bytes, &self.holder, true, now_ms);
         drop(state);
-        for _ in 0..rejected {
-            budget.count_rejection(RejectionReason::Selected);
-        }
+        budget.count_rejections(rejected);
     }
 
     /// Moves `size_bytes` of this share into one that is not rejected in favour of others.
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -153,7 +153,7 @@
         let process = self.process_buffers.as_ref();
         let shares = BodyShares {
             client: self.buffers.share(),
-            process: process.map(|budget| (budget.share(), MEMORY_WAIT_MS)),
+            process: process.map(|budget| (budget.response_share(), MEMORY_WAIT_MS)),
         };
         read_body_within(response.take_body(), self.limits.body_bytes, &shares).await
     }
--- a/crates/jm-http/src/rejection.rs
+++ b/crates/jm-http/src/rejection.rs
@@ -26,6 +26,15 @@
     Running,
     /// It sends a response.
     Sending,
+    /// A client reads a response.
+    Answering,
+}
+
+impl Phase {
+    /// Whether the memory belongs to a response.
+    pub(crate) fn is_response(self) -> bool {
+        matches!(self, Self::Sending | Self::Answering)
+    }
 }
 
 /// A connection that holds memory.
@@ -58,7 +67,7 @@
     /// once its reader has stopped.
     fn may_be_rejected(&self) -> bool {
         match self.phase {
-            Phase::Running => false,
+            Phase::Running | Phase::Answering => false,
             Phase::Receiving => self.is_stalled() || !self.is_small(),
             Phase::Waiting | Phase::Sending => self.is_stalled(),
         }
--- a/crates/jm-http/tests/server_budget.rs
+++ b/crates/jm-http/tests/server_budget.rs
@@ -182,3 +182,21 @@
     .await;
     assert_eq!(budget.rejected(RejectionReason::Selected), 1);
 }
+
+/// Guards against answers that take all memory of the process, so that no request can be accepted.
+#[async_std::test]
+async fn answers_leave_room() {
+    let budget = BufferBudget::new(ByteSize::new(10_000_000));
+    let limits = Limits {
+        body_bytes: ByteSize::new(8_000_000),
+        ..long_limits()
+    };
+    let client = Client::new(limits).with_budget(budget.clone());
+    let mut answer = Response::new(200);
+    answer.set_body(vec![b'x'; 5_000_000]);
+    assert_eq!(client.read_body(&mut answer).await.unwrap().len(), 5_000_000);
+    answer.set_body(vec![b'x'; 7_000_000]);
+    let error = client.read_body(&mut answer).await.unwrap_err();
+    assert_eq!(error.kind(), std::io::ErrorKind::QuotaExceeded);
+    assert_eq!(budget.used().get(), 0);
+}
