--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -21,7 +21,8 @@
 use jm_batch::{
     BatchItem, BatchService, BatchServiceDependencies, BatchServiceOptions, BatchSpec, BatchStore,
     CheckpointOptions, EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator,
-    MembershipView, ResultPage, RewardOptions, RoutingSource, RunnerOptions, WriteScheduleOptions,
+    MembershipView, ResultPage, RewardOptions, RoutingSource, RunnerOptions, SpecMemory,
+    WriteScheduleOptions,
 };
 use jm_forward::{
     BatchPolicy, CallerLimits, Catalog, ColdGate, EngineConfig, Route, RouteKind, RoutingTable, RunKey,
@@ -75,6 +76,7 @@
         priority: 1,
         submitted_unix_ms: SystemClock.unix_ms(),
         items: expected_tokens.iter().enumerate().map(item).collect(),
+        memory: SpecMemory::default(),
     }
 }
 
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -5,6 +5,7 @@
 
 #![deny(missing_docs, unsafe_code)]
 
+mod buffer_metrics;
 mod capacity;
 mod cluster_state;
 mod cold_entries;
@@ -20,6 +21,7 @@
 mod placement_metrics;
 mod platform;
 mod prefix_watch;
+mod process_budget;
 mod relay;
 mod settings;
 mod status;
@@ -39,7 +41,8 @@
     PlatformParts,
 };
 pub use prefix_watch::{CacheSource, PrefixWatch, WatchHandler, WatchOptions, time_until_relist};
+pub use process_budget::process_budget;
 pub use relay::{RelayPeer, RelayedStore};
-pub use settings::{BoundSettings, HostSettings, ListenSettings, SettingsError};
+pub use settings::{BoundSettings, HostSettings, LimitSettings, ListenSettings, SettingsError};
 pub use status::{EvacuatedZone, HostStatus, MemberStatus, OpenBatch, TargetStatus};
 pub use store_cache::{CachedChanges, StoreCache};
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -8,10 +8,12 @@
     BatchEvents, BatchProgress, CarriedOver, GenerationEnd, PlacedItems, RewardAttempt, RewardEnd, RunEnd,
 };
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
+use jm_http::BufferBudget;
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, OrganisationId, ResultCode, Revision};
 use prometheus::{Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 
 use crate::{
+    buffer_metrics::BufferMetrics,
     duty::UsageCounter,
     instrumented_store::STORE_CALL_LABELS,
     metric::{counter, gauge, histogram, plain_counter},
@@ -23,6 +25,7 @@
 pub struct HostObserver {
     usage: Arc<UsageCounter>,
     registry: Registry,
+    buffers: BufferMetrics,
     requests: IntCounterVec,
     latency: HistogramVec,
     attempts: IntCounterVec,
@@ -51,11 +54,13 @@
 }
 
 impl HostObserver {
-    /// Registers all metrics in a new registry. Executed requests are also counted in `usage`.
-    pub fn new(usage: Arc<UsageCounter>) -> Self {
+    /// Registers all metrics in a new registry. Executed requests are also counted in `usage`. The memory metrics show
+    /// `buffers`.
+    pub fn new(usage: Arc<UsageCounter>, buffers: BufferBudget) -> Self {
         let registry = Registry::new();
         Self {
             usage,
+            buffers: BufferMetrics::new(&registry, buffers),
             requests: counter(
                 &registry,
                 "jm_requests_total",
@@ -227,6 +232,7 @@
 
     /// Renders the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
+        self.buffers.update();
         let mut text = Vec::new();
         let encoder = TextEncoder::new();
         if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -53,6 +53,8 @@
     RequestServed = 1105, Info;
     /// A request was hedged: it also runs on a second target because the first target is slow.
     RequestHedged = 1106, Info;
+    /// The buffers of the process exceed their memory budget, and a body or a connection was rejected.
+    BufferRejected = 1107, Warn;
     /// Log lines were dropped because one event exceeded its rate limit.
     LogLinesLeftOut = 1201, Warn;
     /// The settings file was reloaded.
@@ -169,8 +171,6 @@
     ProcessPaused = 5116, Warn;
     /// A batch was to be started on a host that already runs it. The second start has no effect.
     BatchStartRepeated = 5117, Info;
-    /// Items of a batch were placed on engines.
-    ItemsPlaced = 5130, Debug;
     /// The next owner accepted a batch from a host that stops.
     BatchHandedOver = 5120, Info;
     /// A host did not accept a batch from a host that stops.
@@ -181,6 +181,8 @@
     BatchHandoverConfirmed = 5123, Info;
     /// The store names another owner than the host that accepted a batch.
     BatchHandoverOverruled = 5124, Warn;
+    /// Items of a batch were placed on engines.
+    ItemsPlaced = 5130, Debug;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
