Hosts follow a peer whose unchanged prefix has an older version

Cause: since older listings are dropped, a host that had listed a prefix in the store stayed ahead of its reader until the prefix changed, and watched the store itself meanwhile. Change: an older listing that has the same objects is followed from its version on. Reads of the history no longer scan it. Tested: jm-host, with peer_with_an_older_version.

--- a/crates/jm-host/src/store_cache.rs
+++ b/crates/jm-host/src/store_cache.rs
@@ -175,6 +175,13 @@
         cached.map_or(Version::default(), |cached| cached.version)
     }
 
+    /// Whether the cached objects of a prefix are those of `listing`, each with the same version.
+    pub(crate) fn has_same_objects(&self, space: ObjectSpace, prefix: &str, listing: &Listing) -> bool {
+        let prefixes = self.lock();
+        let cached = prefixes.get(&(space, prefix.to_owned()));
+        cached.is_some_and(|cached| cached.differences(listing).is_empty())
+    }
+
     /// Returns all objects of a prefix with their age, or `None` when they are older than `max_age` or not cached.
     pub fn listing(
         &self,
@@ -247,10 +254,11 @@
         if after < cached.history_start {
             return (CachedChanges::Relist, None);
         }
-        let newer = cached
+        // The history is in the order of its versions. Many readers resume near its end with each change.
+        let first = cached
             .changes
-            .iter()
-            .filter(|(observed_at, _)| *observed_at > after);
+            .partition_point(|(observed_at, _)| *observed_at <= after);
+        let newer = cached.changes.range(first..);
         let changes = Changes {
             changes: newer.map(|(_, change)| change.clone()).collect(),
             version: cached.version,
--- a/crates/jm-host/tests/followed_prefix.rs
+++ b/crates/jm-host/tests/followed_prefix.rs
@@ -223,6 +223,29 @@
     assert_eq!(cached.unwrap().0.objects.len(), 2);
 }
 
+/// A host that has listed a prefix in the store may be ahead of its peer, whose version of the prefix grows only with changes.
+/// Guards against a host that watches the store itself until the prefix changes.
+#[async_std::test]
+async fn peer_with_an_older_version() {
+    let store = Arc::new(WatchedStore::default());
+    write(&store, "kind/a").await;
+    let older = store.inner.list("kind/").await.unwrap();
+    write(&store, "other/a").await;
+    let other = empty_cache();
+    let (observed, cache) = start(&store, Some(Arc::clone(&other)), 10);
+    observed.wait_for("kind/a").await;
+    assert!(cache.version(ObjectSpace::Product, "kind/") > older.version);
+    other.apply_listing(ObjectSpace::Product, "kind/", &older, DurationMs::new(0));
+    task::sleep(std::time::Duration::from_millis(150)).await;
+    let calls = store.calls.load(Ordering::SeqCst);
+    task::sleep(std::time::Duration::from_millis(150)).await;
+    assert_eq!(
+        store.calls.load(Ordering::SeqCst),
+        calls,
+        "calls of the store while the peer answers"
+    );
+}
+
 /// Guards against a host that restarts while the store is down and learns nothing, or takes a peer that has listed nothing
 /// for a store without objects, or keeps the peer's state after the store has returned.
 #[async_std::test]
