Hosts ask a second reader before the store; changes are collected for many readers

A host whose reader does not answer in time lists 3,000 targets in the store, whose own answers took 100 ms instead of 10. Change: second_reader is asked for the changes since the host's version first. A cache with more than 170 waiting readers (eight readers serve 299 hosts) collects changes for 50 ms instead of replying to each. Tested: jm-host.

--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -35,7 +35,9 @@
 pub use logging::{InitLoggingError, LogDecision, LogRateLimiter, init_logging};
 pub use membership::{Membership, Registration};
 pub use observer::HostObserver;
-pub use peer::{ObjectSpace, StatusError, StoreSource, UsageCounts, fetch_status, store_source};
+pub use peer::{
+    ObjectSpace, StatusError, StoreSource, UsageCounts, fetch_status, second_reader, store_source,
+};
 pub use platform::{
     DecodeError, DutyCallError, DutyCalls, EngineReport, LoadOrder, LoadOutcome, PlatformObjects,
     PlatformParts,
--- a/crates/jm-host/src/peer/cache_source.rs
+++ b/crates/jm-host/src/peer/cache_source.rs
@@ -47,6 +47,21 @@
     }
 }
 
+/// Another reader for a host whose reader did not answer or lags behind; `None` where there is no second reader. At the size
+/// of several readers, a host that falls back to the store lists thousands of targets there, which takes seconds when many
+/// hosts do so at once. The changes since its version are few.
+pub fn second_reader(own: &MemberId, live: usize, candidates: &[MemberId]) -> Option<MemberId> {
+    let StoreSource::Reader(first) = store_source(own, live, candidates) else {
+        return None;
+    };
+    let readers = live.div_ceil(HOSTS_PER_READER).max(1);
+    let chosen = (0..readers).filter_map(|index| owner_by_key(&format!("store-reader/{index}"), candidates));
+    let mut others: Vec<&MemberId> = chosen.filter(|reader| **reader != first).collect();
+    others.dedup();
+    let slot = stable_hash(own.as_str().as_bytes()) as usize % others.len().max(1);
+    others.get(slot).map(|reader| (*reader).clone())
+}
+
 /// Access to the cache of the reader that is responsible for this host.
 pub(crate) struct PeerCacheSource {
     pub(crate) client: Arc<PeerClient>,
@@ -54,11 +69,28 @@
 
 impl PeerCacheSource {
     fn source(&self) -> StoreSource {
+        let (live, candidates) = self.hosts();
+        store_source(self.client.membership.own_id(), live, &candidates)
+    }
+
+    /// The number of live hosts, and those that may read for others.
+    fn hosts(&self) -> (usize, Vec<MemberId>) {
         let membership = &self.client.membership;
-        let live = membership.live().len();
         let candidates = membership.owner_candidates().into_iter();
-        let candidates: Vec<MemberId> = candidates.map(|(member, _)| member).collect();
-        store_source(membership.own_id(), live, &candidates)
+        (
+            membership.live().len(),
+            candidates.map(|(member, _)| member).collect(),
+        )
+    }
+
+    /// Makes a call at the second reader.
+    async fn call_second(&self, request: &PeerRequest) -> Option<PeerReply> {
+        let (live, candidates) = self.hosts();
+        let reader = second_reader(self.client.membership.own_id(), live, &candidates)?;
+        let address = self.client.membership.peer_address(&reader)?;
+        self.client
+            .call_within(address, request, CACHE_CALL_TIMEOUT_MS)
+            .await
     }
 
     async fn call(&self, request: PeerRequest, wait: DurationMs) -> Option<PeerReply> {
@@ -142,14 +174,18 @@
             StoreSource::PrimaryReader(_) => wait.min(READER_MAX_WAIT_MS),
             StoreSource::Store | StoreSource::Reader(_) => wait,
         };
-        let request = PeerRequest::WatchCopy {
+        let request = |wait_ms| PeerRequest::WatchCopy {
             space,
             prefix: prefix.to_owned(),
             after,
-            wait_ms: wait,
+            wait_ms,
             max_age_ms: max_age,
         };
-        match self.call(request, wait).await {
+        let mut reply = self.call(request(wait), wait).await;
+        if matches!(reply, None | Some(PeerReply::CopyStale)) {
+            reply = self.call_second(&request(DurationMs::new(0))).await;
+        }
+        match reply {
             Some(PeerReply::CopyChanges {
                 changes,
                 version,
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -30,7 +30,7 @@
 use crate::{cluster_state::ClusterState, membership::Membership};
 
 pub(crate) use cache_source::PeerCacheSource;
-pub use cache_source::{StoreSource, store_source};
+pub use cache_source::{StoreSource, second_reader, store_source};
 pub use message::{ObjectSpace, UsageCounts};
 pub(crate) use message::{PeerReply, PeerRequest, WireCondition, wire_change, wire_object};
 pub(crate) use relay::PeerRelay;
--- a/crates/jm-host/src/store_cache.rs
+++ b/crates/jm-host/src/store_cache.rs
@@ -7,12 +7,16 @@
 
 use std::{
     collections::{HashSet, VecDeque},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
 };
 
 use async_std::{
     channel::{Receiver, Sender, bounded},
     future::timeout,
+    task,
 };
 use indexmap::IndexMap;
 use jm_platform::{Change, Changes, KeyedObject, Listing, Object, Version};
@@ -24,6 +28,30 @@
 /// history also holds one change of each object, because all of them may change at once.
 const MIN_CHANGE_HISTORY: usize = 512;
 
+/// Number of waiting readers above which changes are collected before they are sent. Hundreds of targets change in a second
+/// of a large deployment, and a reply for each change to each of forty hosts, for five prefixes, takes more processor time
+/// than a host has.
+const MAX_IMMEDIATE_READERS: usize = 170;
+
+/// Time for which changes are collected.
+const COLLECT_MS: DurationMs = DurationMs::new(50);
+
+/// Counts a waiting reader until it is dropped.
+struct WaitingReader<'a>(&'a AtomicUsize);
+
+impl<'a> WaitingReader<'a> {
+    fn new(readers: &'a AtomicUsize) -> Self {
+        readers.fetch_add(1, Ordering::Relaxed);
+        Self(readers)
+    }
+}
+
+impl Drop for WaitingReader<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Result of reading the changes of a prefix from a cache.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CachedChanges {
@@ -109,6 +137,8 @@
 /// Cached objects and recent changes of all watched prefixes.
 pub struct StoreCache {
     clock: Arc<dyn Clock>,
+    /// Number of readers that wait for changes, in all prefixes.
+    readers: AtomicUsize,
     prefixes: Mutex<IndexMap<(ObjectSpace, String), CachedPrefix>>,
 }
 
@@ -117,6 +147,7 @@
     pub fn new(clock: Arc<dyn Clock>) -> Self {
         Self {
             clock,
+            readers: AtomicUsize::new(0),
             prefixes: Mutex::default(),
         }
     }
@@ -218,6 +249,7 @@
         max_age: DurationMs,
     ) -> CachedChanges {
         let deadline = self.clock.now().after(wait);
+        let _waiting = WaitingReader::new(&self.readers);
         loop {
             let (reply, changed) = self.changes_after(space, prefix, after, max_age);
             let CachedChanges::Changes { changes, age_ms } = &reply else {
@@ -232,6 +264,9 @@
             if timeout(remaining.as_std(), changed.recv()).await.is_err() {
                 return self.changes_after(space, prefix, after, max_age).0;
             }
+            if self.readers.load(Ordering::Relaxed) > MAX_IMMEDIATE_READERS {
+                task::sleep(COLLECT_MS.as_std()).await;
+            }
         }
     }
 
--- a/crates/jm-host/tests/store_source.rs
+++ b/crates/jm-host/tests/store_source.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 
-use jm_host::{StoreSource, WatchOptions, store_source, time_until_relist};
+use jm_host::{StoreSource, WatchOptions, second_reader, store_source, time_until_relist};
 use jm_types::{DurationMs, MemberId};
 
 fn hosts(count: usize) -> Vec<MemberId> {
@@ -34,6 +34,28 @@
     }
 }
 
+/// A host whose reader stops must not have to list all targets in the store, as hundreds of hosts then do so at once.
+#[test]
+fn second_readers() {
+    let live = hosts(300);
+    for own in &live {
+        let StoreSource::Reader(first) = store_source(own, live.len(), &live) else {
+            continue;
+        };
+        let second = second_reader(own, live.len(), &live).expect("there are several readers");
+        assert!(second != first && second != *own);
+        assert_ne!(
+            store_source(&second, live.len(), &live),
+            StoreSource::Reader(first)
+        );
+    }
+    let few = hosts(30);
+    assert!(
+        few.iter()
+            .all(|own| second_reader(own, few.len(), &few).is_none())
+    );
+}
+
 /// Data must pass through at most one secondary reader, because each one adds to its age.
 #[test]
 fn readers_use_the_primary_cache() {
