check-config: findings about a configuration before it is sent

Cause: a mistake in the configuration object shows only after it is sent. Hosts reject an object that they cannot decode as a whole, and apply one with routes that never match, ambiguous keys or contradicting limits without a word (section 8 of docs/design/overview.md). Change: jacinthmoor-host check-config FILE [--against FILE] [--json]. The platform's adapter locates decoding errors entry by entry and names places as in the JSON. A wrong command line of any subcommand of jacinthmoor-host now exits with 2 instead of 1, as jacinthmoor does. Tested: jm-forward and jacinthmoor-platform, all tests: no failed test; after the last changes of tests and docs jm-forward config_check (7) and platform check_config (9), host_program, object_reading, odd_entries, platform_names again: no failed test. The property tests pass with 2,000 documents each.

--- a/crates/jm-forward/src/lib.rs
+++ b/crates/jm-forward/src/lib.rs
@@ -10,6 +10,8 @@
 mod client;
 mod cold;
 mod cold_gate;
+mod config_check;
+mod config_document;
 mod drain;
 mod evacuation;
 mod event_stream;
@@ -27,6 +29,10 @@
 };
 pub use cold::{ColdQuota, ColdTargets, SendKind, cold_quota};
 pub use cold_gate::{ColdGate, HostKnowledge, ItemSender};
+pub use config_check::{
+    CheckLimits, ConfigField, EntryList, Finding, Place, Severity, check_config, compare_configs,
+};
+pub use config_document::{ConfigDocument, OrganisationEntry};
 pub use drain::Drain;
 pub use evacuation::{Evacuations, evacuated_retry_after};
 pub use event_stream::limit_stalls;
