--- a/crates/jm-forward/src/routing.rs
+++ b/crates/jm-forward/src/routing.rs
@@ -69,7 +69,9 @@
     /// Selects the service for a request. The same request id always maps to the same service. `None` if the route has
     /// no services.
     pub fn service_for(&self, request_id: &str) -> Option<&ServiceId> {
-        let total: u64 = self.services.iter().map(|part| part.weight).sum();
+        // A configuration may hold any weights, and an overflow must not end the process.
+        let weights = self.services.iter().map(|part| part.weight);
+        let total = weights.fold(0_u64, u64::saturating_add);
         if total == 0 {
             return self.services.first().map(|part| &part.service);
         }
