Batches that can be on time start before late ones

Cause: the steps of several submitters overlap on one host. Batches started in the order of their submission, so a step that could not be on time any more delayed those that still could.

Change: jm-batch start_order (no I/O) decides the order between batches (priority, on time or late, due time) and names the groups that a submitter is expected to wait for. A batch is late if its longest open text of an awaited group ends after the due time at the mean time between events. Texts of spare groups are not counted: they are the longest, and the batch can be on time without them.

--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the batches that this host owns.
 
+mod batch_order;
 mod handover;
 mod monitor;
 mod recover;
