--- a/crates/jm-batch/src/checkpoint.rs
+++ b/crates/jm-batch/src/checkpoint.rs
@@ -68,11 +68,17 @@
 }
 
 impl CheckpointState {
-    /// Whether the next checkpoint may start at `now`. `unscored` is the number of complete texts whose score is overdue
-    /// and of items whose failure counts are not saved.
-    pub fn is_due(&self, options: &CheckpointOptions, unscored: usize, now: Timestamp) -> bool {
+    /// Whether the next checkpoint may start at `now`. `unscored` is the number of complete texts whose score is overdue,
+    /// and `has_new_failures` says whether there are repeated failures that the last checkpoint does not hold.
+    pub fn is_due(
+        &self,
+        options: &CheckpointOptions,
+        unscored: usize,
+        has_new_failures: bool,
+        now: Timestamp,
+    ) -> bool {
         let factor = 1 << self.failures.min(options.max_doublings);
-        let interval_ms = match unscored > self.unscored {
+        let interval_ms = match unscored > self.unscored || has_new_failures {
             true => options.interval_ms.min(options.unscored_interval_ms),
             false => options.interval_ms,
         };
--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: a step submits more items than the engines have slots, all at once. Some engines are several times
 //! slower than others, some reject everything while they load weights, and some have stopped. An item goes to the
-//! engine that would finish it first, see `expected_end.rs`. An engine never receives more items than it has slots, so that the batch plan
-//! decides the order and not the engines' queues.
+//! engine that would finish it first, see `expected_end.rs`. An engine never receives more items than it has slots, so that
+//! the batch plan decides the order and not the engines' queues.
 
 mod forecast;
 
--- a/crates/jm-batch/src/engine_load/forecast.rs
+++ b/crates/jm-batch/src/engine_load/forecast.rs
@@ -100,7 +100,8 @@
         expected.end_ms()
     }
 
-    /// The time that a move of a running item from an engine with `slots` slots saves; `None` if the move is not worthwhile. An engine that was not observed is never faster.
+    /// The time that a move of a running item from an engine with `slots` slots saves; `None` if the move is not worthwhile.
+    /// An engine that was not observed is never faster.
     pub fn move_saving(
         &self,
         current: &RunKey,
@@ -191,7 +192,9 @@
     /// Mean time between events of the engines, at the load that they had.
     pub(crate) fn mean_gap_ms<'a>(&self, targets: impl Iterator<Item = &'a Target>) -> f64 {
         let (sum_ms, count) = targets.fold((0.0, 0_usize), |(sum_ms, count), target| {
-            (sum_ms + self.gap_ms(&target.run), count + 1)
+            let observed = self.loads.get(&target.run).and_then(|load| load.speed.gap_ms());
+            let gap_ms = observed.unwrap_or(self.options.initial_gap_ms as f64);
+            (sum_ms + gap_ms, count + 1)
         });
         match count {
             0 => self.options.initial_gap_ms as f64,
--- a/crates/jm-batch/src/handover.rs
+++ b/crates/jm-batch/src/handover.rs
@@ -12,7 +12,7 @@
 use jm_types::{BatchId, Incarnation, MemberId, TargetId};
 use serde::{Deserialize, Serialize};
 
-use crate::{BatchResult, BatchSpec, BatchState, ItemText};
+use crate::{BatchResult, BatchSpec, BatchState, ItemText, ObservedSpeed};
 
 /// Maximum size of a handover. Half of the 8 MB that a host accepts from its peers, because a host with 110 MB of memory
 /// may encode several handovers at the same time.
@@ -59,7 +59,7 @@
 }
 
 /// Everything that the next owner needs to run a batch without reading the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Handover {
     /// The state that names the receiver. It is not stored yet.
     pub state: BatchState,
@@ -85,6 +85,9 @@
     /// Whether the failure counts in `texts` include those of all earlier owners.
     #[serde(default)]
     pub has_all_failures: bool,
+    /// Speeds of engines that the sender observed.
+    #[serde(default)]
+    pub speeds: Vec<ObservedSpeed>,
 }
 
 impl Handover {
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -196,8 +196,7 @@
 
     /// Sum of the failure counts of the open items that have at least `min_failures`.
     pub(crate) fn repeated_failures(&self, min_failures: usize) -> usize {
-        let open = (0..self.texts.len()).filter(|item| self.plan.state(*item) != ItemState::Done);
-        let failures = open.map(|item| self.plan.failures(item));
+        let failures = (0..self.texts.len()).map(|item| self.plan.failures(item));
         failures.filter(|failures| *failures >= min_failures).sum()
     }
 
--- a/crates/jm-batch/src/owned/merge.rs
+++ b/crates/jm-batch/src/owned/merge.rs
@@ -17,6 +17,7 @@
 }
 
 /// Capacity of an engine that a run of the former owner uses.
+#[derive(Clone)]
 pub(crate) struct UsedCapacity {
     pub(crate) target: RunKey,
     pub(crate) tokens: u64,
--- a/crates/jm-batch/src/runner/handover.rs
+++ b/crates/jm-batch/src/runner/handover.rs
@@ -7,7 +7,8 @@
 
 use super::{RecoveredProgress, Runner, RunnerState, end_runs, write::mark_writing};
 use crate::{
-    BatchResult, BatchSpec, EngineLoads, Giver, ItemText, ProgressReport, RewardKey, RunningItem,
+    BatchResult, BatchSpec, EngineLoads, Giver, ItemText, ObservedSpeed, ProgressReport, RewardKey,
+    RunningItem,
     owned::{OwnedBatch, UsedCapacity},
 };
 
@@ -20,6 +21,7 @@
     pub(crate) running: Vec<RunningItem>,
     /// Whether the failure counts include those of all earlier owners.
     pub(crate) has_all_failures: bool,
+    pub(crate) speeds: Vec<ObservedSpeed>,
 }
 
 /// What the next owner has received.
@@ -69,6 +71,7 @@
             texts: owned.open_texts(),
             running: running.collect(),
             has_all_failures: owned.has_all_failures,
+            speeds: state.loads.speeds(),
         })
     }
 
@@ -161,16 +164,26 @@
         let mut owned = self.recovered(spec, progress);
         owned.is_unconfirmed = true;
         owned.hold_items(running, giver, self.now().after(hold));
-        let batch = owned.spec.id.clone();
-        if self.insert(owned, None) {
+        let used: Vec<UsedCapacity> = owned.held_capacity().cloned().collect();
+        // Counted before the batch is visible, so that no scheduling pass places other items on this capacity.
+        let mut state = self.state();
+        for used in &used {
+            state.loads.run_started(&used.target, used.tokens);
+        }
+        drop(state);
+        if !self.insert(owned, None) {
             let mut state = self.state();
-            let RunnerState { owned, loads, .. } = &mut *state;
-            for used in owned.get(&batch).into_iter().flat_map(OwnedBatch::held_capacity) {
-                loads.run_started(&used.target, used.tokens);
+            for used in &used {
+                state.loads.run_ended(&used.target, used.tokens);
             }
         }
     }
 
+    /// Adopts what a former owner observed of the engines' speeds.
+    pub(crate) fn adopt_speeds(&self, speeds: Vec<ObservedSpeed>) {
+        self.state().loads.adopt_speeds(speeds);
+    }
+
     /// Records that the store names this host as the owner.
     pub(crate) fn confirm_handover(&self, batch: &BatchId) {
         if let Some(owned) = self.state().owned.get_mut(batch) {
--- a/crates/jm-batch/src/runner/save.rs
+++ b/crates/jm-batch/src/runner/save.rs
@@ -29,8 +29,7 @@
             // Failure counts alone are written again only after they have changed.
             let failures = owned.repeated_failures(options.min_failures);
             let has_new_failures = failures > 0 && failures != owned.checkpoint.saved_failures;
-            let waiting = unscored + usize::from(has_new_failures);
-            if !owned.checkpoint.is_due(options, waiting, now) {
+            if !owned.checkpoint.is_due(options, unscored, has_new_failures, now) {
                 continue;
             }
             let mut texts = owned.open_texts();
--- a/crates/jm-batch/src/service/handover.rs
+++ b/crates/jm-batch/src/service/handover.rs
@@ -125,6 +125,7 @@
             texts: progress.texts,
             running: progress.running,
             has_all_failures: progress.has_all_failures,
+            speeds: progress.speeds,
         })
     }
 
@@ -283,6 +284,7 @@
                     has_all_failures: handover.has_all_failures,
                     previous_batch: None,
                 };
+                self.runner.adopt_speeds(handover.speeds);
                 self.runner
                     .start_handed_over(handover.spec, progress, handover.running, giver, HOLD_MS);
             }
--- a/crates/jm-batch/tests/batch_handover.rs
+++ b/crates/jm-batch/tests/batch_handover.rs
@@ -204,8 +204,8 @@
     stopping.await;
 }
 
-/// Guards against a third host that claims the batch while the store does not name the host that runs it, and against readers
-/// there that get no results.
+/// Guards against a third host that claims the batch while the store does not name the host that runs it, and against
+/// readers there that get no results.
 #[async_std::test]
 async fn third_host_while_unconfirmed() {
     let fleet = Fleet::new();
@@ -436,11 +436,11 @@
     first.service.hand_over().await;
     let offered = first.peers.offers.lock().unwrap()[0].clone();
     let mut message = serde_json::to_value(&offered).unwrap();
-    for field in ["running", "has_all_failures"] {
+    for field in ["running", "has_all_failures", "speeds"] {
         message.as_object_mut().unwrap().remove(field);
     }
     let older: Handover = serde_json::from_value(message).unwrap();
-    assert!(older.running.is_empty() && !older.has_all_failures);
+    assert!(older.running.is_empty() && !older.has_all_failures && older.speeds.is_empty());
     assert!(!first.service.accept_handover(older.clone()));
     assert!(second.service.accept_handover(older));
     assert_eq!(second.listed("b1", 2).await.results.len(), 2);
--- a/crates/jm-batch/tests/saved_texts.rs
+++ b/crates/jm-batch/tests/saved_texts.rs
@@ -150,7 +150,7 @@
             ..CheckpointState::default()
         };
         let mut wait_ms = 0;
-        while !state.is_due(&options, 0, Timestamp::new(wait_ms)) {
+        while !state.is_due(&options, 0, false, Timestamp::new(wait_ms)) {
             wait_ms += 100;
         }
         DurationMs::new(wait_ms).get()
@@ -168,11 +168,15 @@
         ..CheckpointState::default()
     };
     let soon = Timestamp::new(options.unscored_interval_ms.get());
-    assert!(state.is_due(&options, 100, soon));
+    assert!(state.is_due(&options, 100, false, soon));
     assert!(
-        !state.is_due(&options, 44, soon),
+        !state.is_due(&options, 44, false, soon),
         "the last checkpoint holds them all"
     );
+    assert!(
+        state.is_due(&options, 1, true, soon),
+        "new failures count whatever the number of complete texts"
+    );
     let short = ItemText {
         is_complete: true,
         ..item_text(3, 2, 10)
--- a/crates/jm-forward/src/cold_gate.rs
+++ b/crates/jm-forward/src/cold_gate.rs
@@ -264,7 +264,7 @@
         has_become
     }
 
-    /// Whether a request may be sent to the target now.
+    /// Whether a request may be sent to the target now. One that may not counts as held back.
     pub fn may_send(&self, target: &Target, kind: SendKind, now: Timestamp) -> bool {
         if !self.has_cold() {
             return true;
--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -291,6 +291,7 @@
         let target = {
             // The lock spans the decision and its record, so that no two requests use the same part of a quota.
             let mut loads = self.loads();
+            // Targets that were tried are not chosen again, and must not count as held back.
             let allowed = serving.filter(|target| {
                 cold.is_none_or(|gate| {
                     self.tried.contains(&target.run) || gate.may_send(target, SendKind::Live, now)
--- a/crates/jm-forward/src/retry.rs
+++ b/crates/jm-forward/src/retry.rs
@@ -72,7 +72,9 @@
         Self {
             is_idempotent,
             max_attempts: route.max_attempts.max(1),
-            hedge_after_ms: DurationMs::new(route.objective_ms.get().saturating_mul(options.hedge_percent) / 100),
+            hedge_after_ms: DurationMs::new(
+                route.objective_ms.get().saturating_mul(options.hedge_percent) / 100,
+            ),
             options,
             deadline,
             runs: 0,
--- a/crates/jm-host/src/capacity.rs
+++ b/crates/jm-host/src/capacity.rs
@@ -48,8 +48,8 @@
 /// Minimum number of hosts that share the work. With fewer, the loss of one host would move too much work at once.
 const MIN_CAPABLE_HOSTS: usize = 4;
 
-/// The hosts with at least half of the processor time of the largest one, or all hosts if these are too few. A host that does
-/// not state its processor time is left out, unless none does.
+/// The hosts with at least half of the processor time of the largest one, or all hosts if these are too few. A host that
+/// does not state its processor time is left out, unless none does.
 pub fn capable_hosts(
     live: Vec<(MemberId, Incarnation)>,
     cpu_of: impl Fn(&(MemberId, Incarnation)) -> Option<CpuCapacity>,
--- a/crates/jm-host/src/cold_entries.rs
+++ b/crates/jm-host/src/cold_entries.rs
@@ -11,8 +11,8 @@
 struct GateInputs {
     gate: Arc<ColdGate>,
     wall: Arc<dyn WallClock>,
-    /// Version of the last entry of each target that is cold or whose service has a limit. An entry that is listed again unchanged says
-    /// nothing new about the time for which its target stays cold.
+    /// Version of the last entry of each target that is cold or whose service has a limit. An entry that is listed again
+    /// unchanged says nothing new about the time for which its target stays cold.
     versions: Mutex<IndexMap<TargetId, Version>>,
 }
 
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -27,9 +27,9 @@
     starts_at_any_age: false,
 };
 
-/// Options for evacuations. They are polled because a cache that believes a watch without its events would have a newer
-/// version without the evacuation, and end it on every host that reads this cache. A host that restarts while the store does not answer takes them from a peer of any age,
-/// because without them it must not serve at all.
+/// Options for evacuations. They are polled, because a watch that has lost its events would advance the version of a cache
+/// without the evacuation, and end it on every host that reads this cache. A host that restarts while the store does not
+/// answer takes them from a peer of any age, because it must not serve without them.
 const EVACUATIONS: WatchOptions = WatchOptions {
     starts_at_any_age: true,
     ..POLLED
--- a/crates/jm-host/src/peer/cache_source.rs
+++ b/crates/jm-host/src/peer/cache_source.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use async_trait::async_trait;
+use indexmap::IndexSet;
 use jm_batch::MembershipView;
 use jm_platform::{Change, Changes, Listing, Version};
 use jm_route::{owner_by_key, stable_hash};
@@ -34,11 +35,8 @@
 /// others. Only one host reads the store, so the number of store calls does not grow with the number of hosts. Secondary
 /// readers serve its cached data to the others, so the load of the primary reader does not grow either.
 pub fn store_source(own: &MemberId, live: usize, candidates: &[MemberId]) -> StoreSource {
-    let readers = live.div_ceil(HOSTS_PER_READER).max(1);
-    let chosen: Vec<&MemberId> = (0..readers)
-        .filter_map(|index| owner_by_key(&format!("store-reader/{index}"), candidates))
-        .collect();
-    let slot = stable_hash(own.as_str().as_bytes()) as usize % readers;
+    let chosen = readers(live, candidates);
+    let slot = slot_of(own, live.div_ceil(HOSTS_PER_READER));
     match (chosen.first(), chosen.get(slot)) {
         (Some(first), _) if *first == own => StoreSource::Store,
         (Some(first), _) if chosen.contains(&own) => StoreSource::PrimaryReader((*first).clone()),
@@ -54,12 +52,22 @@
     let StoreSource::Reader(first) = store_source(own, live, candidates) else {
         return None;
     };
+    let others = readers(live, candidates).into_iter();
+    let others: IndexSet<&MemberId> = others.filter(|reader| **reader != first).collect();
+    let second = others.get_index(slot_of(own, others.len()))?;
+    Some((*second).clone())
+}
+
+/// The readers, the primary one first. One host may be chosen more than once.
+fn readers(live: usize, candidates: &[MemberId]) -> Vec<&MemberId> {
     let readers = live.div_ceil(HOSTS_PER_READER).max(1);
     let chosen = (0..readers).filter_map(|index| owner_by_key(&format!("store-reader/{index}"), candidates));
-    let mut others: Vec<&MemberId> = chosen.filter(|reader| **reader != first).collect();
-    others.dedup();
-    let slot = stable_hash(own.as_str().as_bytes()) as usize % others.len().max(1);
-    others.get(slot).map(|reader| (*reader).clone())
+    chosen.collect()
+}
+
+/// Which of `count` readers serves the host.
+fn slot_of(own: &MemberId, count: usize) -> usize {
+    stable_hash(own.as_str().as_bytes()) as usize % count.max(1)
 }
 
 /// Access to the cache of the reader that is responsible for this host.
@@ -83,13 +91,13 @@
         )
     }
 
-    /// Makes a call at the second reader.
-    async fn call_second(&self, request: &PeerRequest) -> Option<PeerReply> {
+    /// Makes a call at the second reader, which may wait for `wait`.
+    async fn call_second(&self, request: &PeerRequest, wait: DurationMs) -> Option<PeerReply> {
         let (live, candidates) = self.hosts();
         let reader = second_reader(self.client.membership.own_id(), live, &candidates)?;
         let address = self.client.membership.peer_address(&reader)?;
         self.client
-            .call_within(address, request, CACHE_CALL_TIMEOUT_MS)
+            .call_within(address, request, wait.saturating_add(CACHE_CALL_TIMEOUT_MS))
             .await
     }
 
@@ -183,7 +191,9 @@
         };
         let mut reply = self.call(request(wait), wait).await;
         if matches!(reply, None | Some(PeerReply::CopyStale)) {
-            reply = self.call_second(&request(DurationMs::new(0))).await;
+            // Without a wait, this host would repeat the call at once for as long as its first reader lags behind.
+            let wait = wait.min(READER_MAX_WAIT_MS);
+            reply = self.call_second(&request(wait), wait).await;
         }
         match reply {
             Some(PeerReply::CopyChanges {
--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -147,9 +147,9 @@
     }
 
     /// Lists the prefix, and passes the listing to the handler when it is the first one, contains changes or follows a
-    /// notable gap. A listing that is older than the cached state and differs from it is dropped: the host read it from a peer
-    /// that lags behind. If it does not differ, the host follows the peer from the older version on, because a prefix without
-    /// changes may keep its version for long.
+    /// notable gap. A listing that is older than the cached state and differs from it is dropped: the host read it from a
+    /// peer that lags behind. If it does not differ, the host follows the peer from the older version on, because a prefix
+    /// without changes may keep its version for long.
     async fn list(
         &self,
         confirmed_at: Timestamp,
--- a/crates/jm-host/src/settings.rs
+++ b/crates/jm-host/src/settings.rs
@@ -181,7 +181,7 @@
                 lease_ms: bounds.duration("lease")?,
                 usage_window_ms: bounds.duration("usage_window")?,
                 batch_keep_ms: bounds.duration("batch_keep")?,
-                evacuate_ms: bounds.optional_duration("evacuate")?,
+                evacuate_ms: bounds.optional("evacuate")?,
             },
             limits: LimitSettings {
                 memory: Section::of(&ini, "limits").size_or("memory", DEFAULT_MEMORY)?,
@@ -259,12 +259,6 @@
         text.split(',').map(|part| self.parse(key, part)).collect()
     }
 
-    /// Parses a duration; `None` when the key is missing or empty.
-    fn optional_duration(&self, key: &str) -> Result<Option<DurationMs>, SettingsError> {
-        let text = self.text(key).ok();
-        text.map(|text| self.parse(key, text)).transpose()
-    }
-
     /// Parses a size with a unit, or returns `default` when the key is missing or empty. A platform may render a number
     /// of megabytes with a fraction.
     fn size_or(&self, key: &str, default: ByteSize) -> Result<ByteSize, SettingsError> {
--- a/crates/jm-host/src/store_cache.rs
+++ b/crates/jm-host/src/store_cache.rs
@@ -28,9 +28,8 @@
 /// history also holds one change of each object, because all of them may change at once.
 const MIN_CHANGE_HISTORY: usize = 512;
 
-/// Number of waiting readers above which changes are collected before they are sent. Hundreds of targets change in a second
-/// of a large deployment, and a reply for each change to each of forty hosts, for five prefixes, takes more processor time
-/// than a host has.
+/// Number of waiting readers, over all prefixes, above which changes are collected before they are sent, so that a burst of
+/// changes does not cause one reply each to every reader.
 const MAX_IMMEDIATE_READERS: usize = 170;
 
 /// Time for which changes are collected.
--- a/crates/jm-host/tests/followed_prefix.rs
+++ b/crates/jm-host/tests/followed_prefix.rs
@@ -223,8 +223,8 @@
     assert_eq!(cached.unwrap().0.objects.len(), 2);
 }
 
-/// A host that has listed a prefix in the store may be ahead of its peer, whose version of the prefix grows only with changes.
-/// Guards against a host that watches the store itself until the prefix changes.
+/// A host that has listed a prefix in the store may be ahead of its peer, whose version of the prefix grows only with
+/// changes. Guards against a host that watches the store itself until the prefix changes.
 #[async_std::test]
 async fn peer_with_an_older_version() {
     let store = Arc::new(WatchedStore::default());
--- a/crates/jm-http/src/buffer_budget.rs
+++ b/crates/jm-http/src/buffer_budget.rs
@@ -138,7 +138,7 @@
         self.share_of(None, Phase::Running)
     }
 
-    /// A share for a response that a client reads.
+    /// A share for a response that an HTTP client of this process reads.
     pub(crate) fn response_share(&self) -> BufferShare {
         self.share_of(None, Phase::Answering)
     }
@@ -148,24 +148,28 @@
     pub(crate) fn connection_share(&self, client: Option<IpAddr>) -> Option<BufferShare> {
         let now_ms = self.now_ms();
         let mut state = self.state();
-        if state.connections >= self.0.max_connections {
+        let is_full = state.connections >= self.0.max_connections;
+        if is_full {
             let selected = select(&state.candidates(now_ms), true)?;
             state.reject(selected);
-            drop(state);
-            self.count_rejection(RejectionReason::Selected);
-        } else {
-            drop(state);
         }
-        let share = self.share_of(client, Phase::Waiting);
-        self.state().connections += 1;
+        let share = self.insert_holder(&mut state, client, Phase::Waiting);
+        state.connections += 1;
         share.holder.is_connection.store(true, Ordering::Relaxed);
+        drop(state);
+        if is_full {
+            self.count_rejection(RejectionReason::Selected);
+        }
         Some(share)
     }
 
     fn share_of(&self, client: Option<IpAddr>, phase: Phase) -> BufferShare {
+        self.insert_holder(&mut self.state(), client, phase)
+    }
+
+    fn insert_holder(&self, state: &mut State, client: Option<IpAddr>, phase: Phase) -> BufferShare {
         let (rejection, rejected) = bounded(1);
         let now_ms = self.now_ms();
-        let mut state = self.state();
         let id = state.next_id;
         state.next_id += 1;
         let holder = Arc::new(Holder {
@@ -181,7 +185,6 @@
             rejection,
         });
         state.holders.insert(id, Arc::clone(&holder));
-        drop(state);
         BufferShare {
             budget: self.clone(),
             holder,
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -148,7 +148,8 @@
     /// # Errors
     ///
     /// Fails when the body exceeds the size limit of the client, with [`io::ErrorKind::QuotaExceeded`] when all bodies that
-    /// are being read exceed [`Limits::buffered_bytes`] or the budget of the process, and with the error of the body when it is incomplete.
+    /// are being read exceed [`Limits::buffered_bytes`] or the budget of the process, and with the error of the body when it is
+    /// incomplete.
     pub async fn read_body(&self, response: &mut Response) -> io::Result<Vec<u8>> {
         let process = self.process_buffers.as_ref();
         let shares = BodyShares {
