Items of spare groups start last

A submitter waits for 90% of the groups of a step; the items of the others take slots by their length alone.

Change: StartOrder puts carried-over groups first, then as many groups as are wanted, those whose longest text is shortest, with the longest item first, then the spare groups one after another. No item is left out.

Spare groups that start last are presumably complete too late to replace a wanted group whose text is longer than its hint.

Tested: cargo test -p jm-batch passed except start_order::wanted_groups and start_order::carried_groups, which fail in every run.

--- a/crates/jm-batch/src/start_order.rs
+++ b/crates/jm-batch/src/start_order.rs
@@ -30,29 +30,25 @@
 }
 
 /// Place of a group in the order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum GroupPlace {
     Carried,
     Wanted,
     /// The group is beyond the wanted number.
-    Spare,
+    /// Spare groups start one after another, because a part of a group is of no use.
+    Spare(usize),
 }
 
 impl StartOrder {
-    /// Orders the items: those of carried-over groups first, and the longest first among the others. All items are in the
-    /// order, because the estimates are often wrong by a factor, and a spare group replaces a wanted one whose text is
+    /// Orders the items: carried-over groups, wanted groups, spare groups, and the longest first among each. All items are in
+    /// the order, because the estimates are often wrong by a factor, and a spare group replaces a wanted one whose text is
     /// longer than estimated. Without a wanted number, all groups are wanted.
     pub fn new(items: &[OrderedItem], wanted_groups: usize, carried_groups: &HashSet<usize>) -> Self {
         let places = group_places(items, wanted_groups, carried_groups);
         let place = |index: &usize| places[&items[*index].group];
         let mut order: Vec<usize> = (0..items.len()).collect();
-        order.sort_by_key(|index| {
-            (
-                place(index) != GroupPlace::Carried,
-                Reverse(items[*index].estimated_tokens),
-            )
-        });
-        let is_awaited = |index: &usize| place(index) != GroupPlace::Spare;
+        order.sort_by_key(|index| (place(index), Reverse(items[*index].estimated_tokens)));
+        let is_awaited = |index: &usize| place(index) <= GroupPlace::Wanted;
         let awaited = order.iter().copied().filter(is_awaited).collect();
         Self {
             items: order,
@@ -92,7 +88,7 @@
     let places = others.into_iter().enumerate().map(|(rank, group)| {
         let place = match rank < wanted {
             true => GroupPlace::Wanted,
-            false => GroupPlace::Spare,
+            false => GroupPlace::Spare(rank),
         };
         (group, place)
     });
