--- a/crates/jm-batch/src/engine_load/forecast.rs
+++ b/crates/jm-batch/src/engine_load/forecast.rs
@@ -184,24 +184,6 @@
             .events_left(requirements.estimated_tokens(), requirements.events_done)
     }
 
-    /// Expected number of events that a text of the estimated length still has to generate.
-    pub(crate) fn text_events_left(&self, estimated_tokens: u64, events_done: u64) -> f64 {
-        self.lengths.events_left(estimated_tokens, events_done)
-    }
-
-    /// Mean time between events of the engines, at the load that they had.
-    pub(crate) fn mean_gap_ms<'a>(&self, targets: impl Iterator<Item = &'a Target>) -> f64 {
-        let (sum_ms, count) = targets.fold((0.0, 0_usize), |(sum_ms, count), target| {
-            let observed = self.loads.get(&target.run).and_then(|load| load.speed.gap_ms());
-            let gap_ms = observed.unwrap_or(self.options.initial_gap_ms as f64);
-            (sum_ms + gap_ms, count + 1)
-        });
-        match count {
-            0 => self.options.initial_gap_ms as f64,
-            _ => sum_ms / count as f64,
-        }
-    }
-
     /// Load of an engine beside one of its runs.
     fn load_beside_run(&self, run: &RunKey, slots: usize) -> f64 {
         load_beside(self.running(run).saturating_sub(1), slots)
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -29,7 +29,6 @@
 mod runner;
 mod service;
 mod spec;
-mod start_order;
 mod state;
 mod store;
 mod write_schedule;
@@ -61,7 +60,6 @@
     BatchPeers, BatchService, BatchServiceDependencies, BatchServiceOptions, ReadError, SubmitError,
 };
 pub use spec::{BatchItem, BatchSpec, SpecError, SpecMemory};
-pub use start_order::{BatchUrgency, OrderedItem, StartOrder};
 pub use state::{BatchPhase, BatchState};
 pub use store::{BATCH_STATE_PREFIX, BatchStore, StoreError};
 pub use write_schedule::{UnwrittenResults, WriteScheduleOptions, next_write_at};
--- a/crates/jm-batch/src/plan.rs
+++ b/crates/jm-batch/src/plan.rs
@@ -1,10 +1,14 @@
-//! States of the items of a batch, and which of them may start. `start_order` decides their order.
+//! Order in which the items of a batch start.
+//!
+//! Load pattern: a batch has more items than slots, and a few texts are many times longer than the rest. The batch ends
+//! with its longest text, so the texts with the longest expected length start first. Items that the submitter carried
+//! over from an earlier batch start before all others, because it waits for each of them.
 
-use std::collections::HashSet;
+use std::{cmp::Reverse, collections::HashSet};
 
 use jm_types::{DurationMs, Timestamp};
 
-use crate::{BatchSpec, OrderedItem, StartOrder, groups::Groups};
+use crate::BatchSpec;
 
 /// Retry parameters of a plan.
 #[derive(Debug, Clone, Copy)]
@@ -49,10 +53,8 @@
     max_attempts: usize,
     states: Vec<ItemState>,
     failures: Vec<usize>,
-    ordered_items: Vec<OrderedItem>,
-    wanted_groups: usize,
-    carried_groups: HashSet<usize>,
-    order: StartOrder,
+    /// Indexes of the items in start order.
+    order: Vec<usize>,
     waiting: usize,
     /// Whether no item may start, because another host takes the batch over.
     is_paused: bool,
@@ -61,13 +63,14 @@
 impl BatchPlan {
     /// Creates a plan in which all items wait.
     pub fn new(spec: &BatchSpec, options: PlanOptions) -> Self {
-        let groups = Groups::new(spec);
-        let items = spec.items.iter().enumerate().map(|(index, item)| OrderedItem {
-            group: groups.of(index),
-            estimated_tokens: item.estimated_tokens(),
+        let mut order: Vec<usize> = (0..spec.items.len()).collect();
+        order.sort_by_key(|index| {
+            Reverse(
+                spec.items[*index]
+                    .expected_tokens
+                    .unwrap_or(spec.items[*index].tokens),
+            )
         });
-        let ordered_items: Vec<OrderedItem> = items.collect();
-        let carried_groups = HashSet::new();
         let not_before = Timestamp::new(0);
         let max_attempts = spec.max_attempts.max(1);
         Self {
@@ -76,10 +79,7 @@
             options,
             states: vec![ItemState::Waiting { not_before }; spec.items.len()],
             failures: vec![0; spec.items.len()],
-            order: StartOrder::new(&ordered_items, spec.wanted_groups, &carried_groups),
-            ordered_items,
-            wanted_groups: spec.wanted_groups,
-            carried_groups,
+            order,
             waiting: spec.items.len(),
             is_paused: false,
         }
@@ -88,7 +88,6 @@
     /// Items that may start now, in start order.
     pub fn ready(&self, now: Timestamp) -> impl Iterator<Item = usize> {
         self.order
-            .items()
             .iter()
             .copied()
             .filter(move |index| match self.states[*index] {
@@ -97,11 +96,6 @@
             })
     }
 
-    /// Items of the groups that the submitter is expected to wait for.
-    pub(crate) fn awaited(&self) -> &[usize] {
-        self.order.awaited()
-    }
-
     /// Sets whether no item may start.
     pub fn set_paused(&mut self, is_paused: bool) {
         self.is_paused = is_paused;
@@ -161,12 +155,10 @@
         self.failures[index] = self.failures[index].max(failures.min(max_carried));
     }
 
-    /// Starts the groups of the items before all others, because the submitter carried them over from an earlier batch
-    /// and waits for each of them.
+    /// Moves items to the front of the start order without changing their relative order.
     pub fn prioritize(&mut self, indexes: &[usize]) {
-        let groups = indexes.iter().map(|index| self.ordered_items[*index].group);
-        self.carried_groups.extend(groups);
-        self.order = StartOrder::new(&self.ordered_items, self.wanted_groups, &self.carried_groups);
+        let first: HashSet<usize> = indexes.iter().copied().collect();
+        self.order.sort_by_key(|index| !first.contains(index));
     }
 
     fn set(&mut self, index: usize, state: ItemState) {
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -1,6 +1,5 @@
 //! Runs the batches that this host owns.
 
-mod batch_order;
 mod handover;
 mod monitor;
 mod recover;
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -10,7 +10,6 @@
 
 use super::{
     IDLE_WAIT_MS, Runner, RunnerState,
-    batch_order::sort_batches,
     share::{Shares, item_requirements, item_service},
     write::mark_writing,
 };
@@ -52,12 +51,12 @@
 }
 
 /// Inputs of one scheduling pass over all batches.
-pub(super) struct SchedulingContext<'a> {
-    pub(super) routing: &'a RoutingTable,
-    pub(super) catalog: &'a Catalog,
+struct SchedulingContext<'a> {
+    routing: &'a RoutingTable,
+    catalog: &'a Catalog,
     shares: Shares,
-    pub(super) now: Timestamp,
-    pub(super) unix_ms: u64,
+    now: Timestamp,
+    unix_ms: u64,
 }
 
 impl Runner {
@@ -285,7 +284,13 @@
         .values_mut()
         .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0)
         .collect();
-    sort_batches(&mut batches, loads, context);
+    batches.sort_by_key(|owned| {
+        (
+            owned.spec.priority,
+            owned.spec.submitted_unix_ms,
+            owned.spec.id.clone(),
+        )
+    });
     let mut chosen = Starts::default();
     for owned in batches {
         let spec = Arc::clone(&owned.spec);
--- a/crates/jm-batch/tests/common/virtual_engines.rs
+++ b/crates/jm-batch/tests/common/virtual_engines.rs
@@ -37,8 +37,6 @@
 }
 
 struct VirtualRun {
-    /// Position of the item among those of the step.
-    index: usize,
     item: Item,
     progress: f64,
     events: u64,
@@ -62,7 +60,7 @@
 
 impl VirtualEngine {
     /// Starts a run and returns the tokens that it prefills.
-    fn start(&mut self, index: usize, item: Item, now: u64) -> u64 {
+    fn start(&mut self, item: Item, now: u64) -> u64 {
         let held = self.cache.iter().position(|(prompt, _)| *prompt == item.prompt);
         let uncached_tokens = match held {
             Some(index) => {
@@ -74,7 +72,6 @@
         self.cache.push((item.prompt, item.prompt_tokens));
         self.prefill_tokens_left += uncached_tokens;
         self.runs.push(VirtualRun {
-            index,
             item,
             progress: 0.0,
             events: 0,
@@ -89,8 +86,8 @@
         uncached_tokens
     }
 
-    /// Advances the engine by 1 ms and returns the positions of the items that ended.
-    fn advance(&mut self, loads: &mut EngineLoads, now: u64, is_observed: bool) -> Vec<usize> {
+    /// Advances the engine by 1 ms and returns the items that ended.
+    fn advance(&mut self, loads: &mut EngineLoads, now: u64, is_observed: bool) -> Vec<Item> {
         if self.prefill_tokens_left > 0 {
             self.prefill_tokens_left = self.prefill_tokens_left.saturating_sub(PREFILL_TOKENS_PER_MS);
             return Vec::new();
@@ -115,15 +112,15 @@
         self.runs.retain(|run| {
             let is_open = run.events < run.item.events;
             if !is_open {
-                ended.push((run.index, run.item));
+                ended.push(run.item);
             }
             is_open
         });
-        for (_, item) in &ended {
+        for item in &ended {
             loads.run_ended(&self.target.run, run_tokens(*item));
             loads.record_text(item.events * TOKENS_PER_EVENT, item.events);
         }
-        ended.into_iter().map(|(index, _)| index).collect()
+        ended
     }
 }
 
@@ -155,41 +152,30 @@
 
     /// Runs a step whose items come at once, in the given order.
     pub(crate) fn run(&mut self, items: &[Item]) -> Outcome {
-        let (ends_ms, prefilled_tokens) = self.run_each(items);
-        Outcome {
-            last_end_ms: ends_ms.iter().max().copied().unwrap_or(0),
-            mean_end_ms: ends_ms.iter().sum::<u64>() / ends_ms.len().max(1) as u64,
-            prefilled_tokens,
-        }
-    }
-
-    /// Like `run`, but returns the end of each item and the number of prefilled tokens.
-    pub(crate) fn run_each(&mut self, items: &[Item]) -> (Vec<u64>, u64) {
-        let (begun, mut open) = (self.now, items.len());
-        let mut ends_ms = vec![0; items.len()];
-        let mut waiting: Vec<(usize, Item)> = items.iter().copied().enumerate().collect();
-        let mut prefilled_tokens = 0;
-        while open > 0 {
-            prefilled_tokens += self.start_waiting(&mut waiting);
+        let (begun, mut ends) = (self.now, Vec::new());
+        let mut waiting = items.to_vec();
+        let mut outcome = Outcome::default();
+        while ends.len() < items.len() {
+            outcome.prefilled_tokens += self.start_waiting(&mut waiting);
             self.now += 1;
             let is_observed = self.rule != Rule::SpeedIgnored;
             for engine in &mut self.engines {
-                for index in engine.advance(&mut self.loads, self.now, is_observed) {
-                    ends_ms[index] = self.now - begun;
-                    open -= 1;
-                }
+                let ended = engine.advance(&mut self.loads, self.now, is_observed);
+                ends.extend(ended.iter().map(|_| self.now - begun));
             }
         }
-        (ends_ms, prefilled_tokens)
+        outcome.last_end_ms = ends.iter().max().copied().unwrap_or(0);
+        outcome.mean_end_ms = ends.iter().sum::<u64>() / ends.len().max(1) as u64;
+        outcome
     }
 
-    fn start_waiting(&mut self, waiting: &mut Vec<(usize, Item)>) -> u64 {
+    fn start_waiting(&mut self, waiting: &mut Vec<Item>) -> u64 {
         let (model, now) = (model("m"), Timestamp::new(self.now));
         let targets: Vec<Target> = self.engines.iter().map(|engine| engine.target.clone()).collect();
         let memory_tokens = self.engines[0].memory_tokens;
         let mut placement = None;
         let mut prefilled = 0;
-        waiting.retain(|(position, item)| {
+        waiting.retain(|item| {
             let parts = [PromptPart {
                 id: PromptPartId::new(item.prompt),
                 tokens: item.prompt_tokens,
@@ -228,7 +214,7 @@
                 let index = targets.iter().position(|target| target == placed.target);
                 index.expect("the engine is listed")
             };
-            prefilled += self.engines[index].start(*position, *item, self.now);
+            prefilled += self.engines[index].start(*item, self.now);
             false
         });
         prefilled
