--- a/review/standins-2/src/bin/batch-memory.rs
+++ b/review/standins-2/src/bin/batch-memory.rs
@@ -92,6 +92,7 @@
                 store: store_address,
                 duties: duties_address,
                 seeds: &seeds,
+                announced_peers: None,
             };
             Machine::start(&spec, &scratch.0)
         })
