--- a/review/standins-2/src/bin/batch-memory.rs
+++ b/review/standins-2/src/bin/batch-memory.rs
@@ -9,12 +9,12 @@
 };
 
 use async_std::task;
-use jacinthmoor_platform_standins::{Call, EngineStandIn, StoreStandIn, serve, serve_bodies, signed};
-use jm_http::{Response, StatusCode, channel_body};
+use jacinthmoor_platform_standins::{EngineStandIn, StoreStandIn, serve, serve_bodies, signed};
+use jm_http::{Response, StatusCode};
 use jm_types::ByteSize;
 use review_2::{
     HostSpec, Machine, Record, Scratch, StopFlag, Verdict, batch, call, configuration, has_trouble, lock,
-    loopback, main_of, target_entry, watch_memory,
+    loopback, main_of, stream_text, target_entry, watch_memory,
 };
 
 /// `memory_mb` of the entry machines of Harrowgate Wells.
@@ -42,31 +42,10 @@
 /// The rule counts machines on which processes end by themselves so often.
 const ENDS: usize = 3;
 
-/// Streams the rest of a text, event by event, until the caller closes the connection.
-fn stream_text(call: &Call) -> Response {
-    let first = call.header("last-event-id").and_then(|id| id.parse::<u64>().ok()).map_or(1, |id| id + 1);
-    let mut response = signed(call, StatusCode::Ok, "");
-    response.insert_header("content-type", "text/event-stream");
-    response.insert_header("weight-versions", "1");
-    let (sender, body) = channel_body();
-    response.set_body(body);
-    response.insert_header("content-type", "text/event-stream");
-    task::spawn(async move {
-        for event in first..=EVENTS {
-            task::sleep(EVENT_PAUSE).await;
-            if sender.send(format!("id: {event}\ndata: e{event}\n\n").into_bytes()).await.is_err() {
-                return;
-            }
-        }
-        let _ = sender.finish().await;
-    });
-    response
-}
-
 fn run(record: &Record) -> std::io::Result<Verdict> {
     let scratch = Scratch::create("review-6")?;
     let store = Arc::new(StoreStandIn::default());
-    let engines: Vec<_> = (0..ENGINES).map(|_| EngineStandIn::new(stream_text)).collect();
+    let engines: Vec<_> = (0..ENGINES).map(|_| EngineStandIn::new(|call| stream_text(call, EVENTS, EVENT_PAUSE, &Arc::default()))).collect();
     let desk = EngineStandIn::new(|call| signed(call, StatusCode::Ok, "found"));
     let duties = EngineStandIn::new(|_| Response::new(StatusCode::Ok));
     let (store_address, desk_address, duties_address) = task::block_on(async {
@@ -92,7 +71,7 @@
                 store: store_address,
                 duties: duties_address,
                 seeds: &seeds,
-                announced_peers: None,
+                status_s: 120,
             };
             Machine::start(&spec, &scratch.0)
         })
--- a/review/standins-2/src/bin/foreign-results.rs
+++ b/review/standins-2/src/bin/foreign-results.rs
@@ -98,7 +98,7 @@
                 store: store_address,
                 duties: duties_address,
                 seeds: &seeds,
-                announced_peers: None,
+                status_s: 120,
             };
             Machine::start(&spec, &scratch.0)
         })
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -5,17 +5,20 @@
     fmt::Display,
     fs::{self, File},
     io::{self, Read, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, ExitCode, Stdio},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::{Duration, Instant},
 };
 
+use async_std::task;
+use jacinthmoor_platform_standins::{Call, signed};
+use jm_http::{Response, StatusCode, channel_body};
 use serde_json::{Value, json};
 
 /// Locks a mutex whose data stays valid after a panic of another thread.
@@ -92,8 +95,8 @@
     pub duties: SocketAddr,
     /// Addresses of the seeds, joined by commas.
     pub seeds: &'a str,
-    /// Address that other machines connect to, if it is not that of the process.
-    pub announced_peers: Option<SocketAddr>,
+    /// `status_s` of the bounds.
+    pub status_s: u64,
 }
 
 impl HostSpec<'_> {
@@ -106,16 +109,15 @@
             store,
             duties,
             seeds,
-            announced_peers,
+            status_s,
         } = self;
-        let announce = announced_peers.map_or(String::new(), |peers| format!("[announce]\npeers = {peers}\n"));
         format!(
             "[host]\nid = {name}\nzone = wellgate\nregion = northvale\ncpu = 0.25\n\
              [listen]\ncallers = {ip}:7001\nready = {ip}:7002\naddresses = {ip}:7003\npeers = {ip}:7004\n\
              members = {ip}:7005\nmetrics = {ip}:9464\n\
              [platform]\nstore = {store}\nduties = {duties}\nseeds = {seeds}\n\
-             [bounds]\ngrace = 8s\nlease = 3000ms\nusage_window = 5s\nbatch_keep = 120s\n\
-             [limits]\nmemory = {memory_mb}MB\n{announce}"
+             [bounds]\ngrace = 8s\nlease = 3000ms\nusage_window = 5s\nbatch_keep = {status_s}s\n\
+             [limits]\nmemory = {memory_mb}MB\n"
         )
     }
 }
@@ -312,6 +314,29 @@
     }
 }
 
+/// Streams the rest of a text of `events` events, one event each `pause`, until the caller closes the connection or
+/// `is_dead` is set. The text is cut off then.
+pub fn stream_text(call: &Call, events: u64, pause: Duration, is_dead: &Arc<AtomicBool>) -> Response {
+    let first = call.header("last-event-id").and_then(|id| id.parse::<u64>().ok()).map_or(1, |id| id + 1);
+    let mut response = signed(call, StatusCode::Ok, "");
+    let (sender, body) = channel_body();
+    response.set_body(body);
+    response.insert_header("content-type", "text/event-stream");
+    response.insert_header("weight-versions", "1");
+    let is_dead = Arc::clone(is_dead);
+    task::spawn(async move {
+        for event in first..=events {
+            task::sleep(pause).await;
+            let text = format!("id: {event}\ndata: e{event}\n\n");
+            if is_dead.load(Ordering::SeqCst) || sender.send(text.into_bytes()).await.is_err() {
+                return;
+            }
+        }
+        let _ = sender.finish().await;
+    });
+    response
+}
+
 /// A batch job of one group with `count` items that have bodies of `body_bytes` bytes each.
 pub fn batch(id: &str, model: &str, count: usize, body_bytes: usize) -> Value {
     use base64::{Engine, engine::general_purpose::STANDARD};
@@ -402,58 +427,3 @@
     }
     record.line(format_args!("{}: peak memory {peak_bytes} bytes", machine.name));
 }
-
-/// Relays connections to a target. All connections that are open at some moment can be silenced: their bytes are dropped
-/// from then on, and neither side sees an end or a reset. New connections work.
-pub struct SilentRelay {
-    pub address: SocketAddr,
-    generation: Arc<AtomicU64>,
-}
-
-impl SilentRelay {
-    /// Listens on a free port of `ip`.
-    pub fn start(ip: &str, target: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind((ip, 0))?;
-        let relay = Self {
-            address: listener.local_addr()?,
-            generation: Arc::default(),
-        };
-        let generation = Arc::clone(&relay.generation);
-        thread::spawn(move || {
-            for caller in listener.incoming().flatten() {
-                let Ok(server) = TcpStream::connect(target) else { continue };
-                let opened = generation.load(Ordering::SeqCst);
-                for (from, to) in [(&caller, &server), (&server, &caller)] {
-                    let (Ok(from), Ok(to)) = (from.try_clone(), to.try_clone()) else { continue };
-                    let generation = Arc::clone(&generation);
-                    thread::spawn(move || copy_until_silenced(from, to, opened, &generation));
-                }
-            }
-        });
-        Ok(relay)
-    }
-
-    /// Silences all open connections.
-    pub fn silence(&self) {
-        self.generation.fetch_add(1, Ordering::SeqCst);
-    }
-}
-
-fn copy_until_silenced(mut from: TcpStream, mut to: TcpStream, opened: u64, generation: &AtomicU64) {
-    let _ = to.set_nodelay(true);
-    let mut buffer = [0; 16 * 1024];
-    loop {
-        let read = from.read(&mut buffer);
-        if generation.load(Ordering::SeqCst) != opened {
-            // The bytes and the end are lost. The sockets stay open for the rest of the run.
-            loop {
-                thread::sleep(Duration::from_secs(3_600));
-            }
-        }
-        match read {
-            Ok(amount @ 1..) if to.write_all(&buffer[..amount]).is_ok() => {}
-            _ => break,
-        }
-    }
-    let _ = to.shutdown(Shutdown::Write);
-}
