--- a/review/standins-2/src/bin/batch-memory.rs
+++ b/review/standins-2/src/bin/batch-memory.rs
@@ -45,7 +45,9 @@
 fn run(record: &Record) -> std::io::Result<Verdict> {
     let scratch = Scratch::create("review-6")?;
     let store = Arc::new(StoreStandIn::default());
-    let engines: Vec<_> = (0..ENGINES).map(|_| EngineStandIn::new(|call| stream_text(call, EVENTS, EVENT_PAUSE, &Arc::default()))).collect();
+    let engines: Vec<_> = (0..ENGINES)
+        .map(|_| EngineStandIn::new(|call| stream_text(call, EVENTS, EVENT_PAUSE, &Arc::default())))
+        .collect();
     let desk = EngineStandIn::new(|call| signed(call, StatusCode::Ok, "found"));
     let duties = EngineStandIn::new(|_| Response::new(StatusCode::Ok));
     let (store_address, desk_address, duties_address) = task::block_on(async {
@@ -56,8 +58,15 @@
         )
     });
     for (index, engine) in engines.iter().enumerate() {
-        let address = task::block_on(serve_bodies(Arc::clone(engine) as _, ByteSize::new(MAX_BODY_BYTES)));
-        store.write("servers", &format!("i-engine-{index}"), target_entry("engines", address, SLOTS, &MODELS));
+        let address = task::block_on(serve_bodies(
+            Arc::clone(engine) as _,
+            ByteSize::new(MAX_BODY_BYTES),
+        ));
+        store.write(
+            "servers",
+            &format!("i-engine-{index}"),
+            target_entry("engines", address, SLOTS, &MODELS),
+        );
     }
     store.write("servers", "i-desk", target_entry("desk", desk_address, 6, &[]));
     store.write("config", "main", configuration(MAX_BODY_BYTES, &MODELS));
@@ -77,7 +86,10 @@
         })
         .collect();
     let machines = machines?;
-    if !machines.iter().all(|machine| machine.wait_until_ready(Duration::from_secs(10))) {
+    if !machines
+        .iter()
+        .all(|machine| machine.wait_until_ready(Duration::from_secs(10)))
+    {
         record.line("a machine did not become ready");
         return Ok(Verdict::NotRun);
     }
@@ -115,7 +127,10 @@
     })
 }
 
-const HEADERS: [(&str, &str); 2] = [("Authorization", "Bearer key-parish"), ("Content-Type", "application/json")];
+const HEADERS: [(&str, &str); 2] = [
+    ("Authorization", "Bearer key-parish"),
+    ("Content-Type", "application/json"),
+];
 
 /// Submits the batch jobs one after the other, each at the next machine. Like any client, it sends a job that was not
 /// acknowledged again at another machine.
@@ -131,7 +146,14 @@
         for attempt in 0..2 {
             let machine = &machines[(number * 3 + attempt) % machines.len()];
             let headers = [HEADERS[0], HEADERS[1], ("Request-Id", id.as_str())];
-            let answer = call(machine.callers, "POST", "/drafts/b", &headers, body.as_bytes(), Duration::from_secs(4));
+            let answer = call(
+                machine.callers,
+                "POST",
+                "/drafts/b",
+                &headers,
+                body.as_bytes(),
+                Duration::from_secs(4),
+            );
             let status = answer.map(|(status, _)| status);
             record.line(format_args!(
                 "sent batch job {id} of {model} with {} bytes to {}: {status:?}",
@@ -151,7 +173,15 @@
 fn results(machines: &[Machine], id: &str) -> usize {
     let counts = machines.iter().filter_map(|machine| {
         let path = format!("/api/lots/{id}?after=0");
-        let (status, body) = call(machine.callers, "GET", &path, &HEADERS, b"", Duration::from_secs(2)).ok()?;
+        let (status, body) = call(
+            machine.callers,
+            "GET",
+            &path,
+            &HEADERS,
+            b"",
+            Duration::from_secs(2),
+        )
+        .ok()?;
         let page: serde_json::Value = serde_json::from_slice(&body).ok()?;
         (status == 200).then(|| page["results"].as_array().map_or(0, Vec::len))
     });
@@ -164,9 +194,22 @@
 
 fn report_unfinished(machines: &[Machine], accepted: &[String], record: &Record) {
     let unfinished = accepted.iter().filter(|id| results(machines, id) < ITEMS).count();
-    record.line(format_args!("{} batch jobs accepted, {unfinished} of them unfinished", accepted.len()));
-    let answer = call(machines[0].callers, "POST", "/orders/1", &HEADERS, b"which", Duration::from_secs(2));
-    record.line(format_args!("ordinary request: {:?}", answer.map(|(status, _)| status)));
+    record.line(format_args!(
+        "{} batch jobs accepted, {unfinished} of them unfinished",
+        accepted.len()
+    ));
+    let answer = call(
+        machines[0].callers,
+        "POST",
+        "/orders/1",
+        &HEADERS,
+        b"which",
+        Duration::from_secs(2),
+    );
+    record.line(format_args!(
+        "ordinary request: {:?}",
+        answer.map(|(status, _)| status)
+    ));
 }
 
 fn main() -> ExitCode {
--- a/review/standins-2/src/bin/foreign-results.rs
+++ b/review/standins-2/src/bin/foreign-results.rs
@@ -31,9 +31,19 @@
 fn submit(machine: &Machine, id: &str, key: (&str, &str), record: &Record) -> bool {
     let body = batch(id, "m0", ITEMS, 200).to_string();
     let headers = [key, ("Content-Type", "application/json"), ("Request-Id", id)];
-    let answer = call(machine.callers, "POST", "/drafts/b", &headers, body.as_bytes(), Duration::from_secs(4));
+    let answer = call(
+        machine.callers,
+        "POST",
+        "/drafts/b",
+        &headers,
+        body.as_bytes(),
+        Duration::from_secs(4),
+    );
     let status = answer.map(|(status, _)| status);
-    record.line(format_args!("sent batch job {id} to {}: {status:?}", machine.name));
+    record.line(format_args!(
+        "sent batch job {id} to {}: {status:?}",
+        machine.name
+    ));
     matches!(status, Ok(202))
 }
 
@@ -85,7 +95,11 @@
             serve(Arc::clone(&duties) as _).await,
         ]
     });
-    store.write("servers", "i-engine", target_entry("engines", engine_address, 16, &["m0"]));
+    store.write(
+        "servers",
+        "i-engine",
+        target_entry("engines", engine_address, 16, &["m0"]),
+    );
     store.write("servers", "i-desk", target_entry("desk", desk_address, 6, &[]));
     store.write("config", "main", configuration(MAX_BODY_BYTES, &["m0"]));
     let seeds = format!("{}:7004", loopback(1));
@@ -104,7 +118,10 @@
         })
         .collect();
     let machines = machines?;
-    if !machines.iter().all(|machine| machine.wait_until_ready(Duration::from_secs(10))) {
+    if !machines
+        .iter()
+        .all(|machine| machine.wait_until_ready(Duration::from_secs(10)))
+    {
         record.line("a machine did not become ready");
         return Ok(Verdict::NotRun);
     }
@@ -112,11 +129,17 @@
     if !submit(&machines[0], JOB, PARISH, record) || !submit(&machines[1], OTHER_JOB, ABBEY, record) {
         return Ok(Verdict::NotRun);
     }
-    let (Some(first), Some(_)) = (read_all(&machines[0], JOB, PARISH), read_all(&machines[1], OTHER_JOB, ABBEY)) else {
+    let (Some(first), Some(_)) = (
+        read_all(&machines[0], JOB, PARISH),
+        read_all(&machines[1], OTHER_JOB, ABBEY),
+    ) else {
         record.line("the batch jobs did not finish");
         return Ok(Verdict::NotRun);
     };
-    record.line(format_args!("{JOB} was read with {} results: {first:?}", first.len()));
+    record.line(format_args!(
+        "{JOB} was read with {} results: {first:?}",
+        first.len()
+    ));
     record.line(format_args!("the engine ran {} items", engine.requests().len()));
     let Some(owner) = owner(&store, JOB) else {
         record.line("the owner of the batch job is not known");
--- a/review/standins-2/src/bin/long-job.rs
+++ b/review/standins-2/src/bin/long-job.rs
@@ -46,18 +46,26 @@
 const KEY: (&str, &str) = ("Authorization", "Bearer key-parish");
 
 fn run(record: &Record) -> std::io::Result<Verdict> {
-    let scratch = Scratch::create("review-9")?;
+    let scratch = Scratch::create("review-7")?;
     let store = Arc::new(StoreStandIn::default());
     let duties = EngineStandIn::new(|_| Response::new(StatusCode::Ok));
-    let [store_address, duties_address] =
-        task::block_on(async { [serve(Arc::clone(&store) as _).await, serve(Arc::clone(&duties) as _).await] });
+    let [store_address, duties_address] = task::block_on(async {
+        [
+            serve(Arc::clone(&store) as _).await,
+            serve(Arc::clone(&duties) as _).await,
+        ]
+    });
     let mut engines = Vec::new();
     for index in 0..ENGINES {
         let is_dead = Arc::<AtomicBool>::default();
         let flag = Arc::clone(&is_dead);
         let engine = EngineStandIn::new(move |call| stream_text(call, EVENTS, EVENT_PAUSE, &flag));
         let address = task::block_on(serve(Arc::clone(&engine) as _));
-        store.write("servers", &format!("i-engine-{index}"), target_entry("engines", address, SLOTS, &["m0"]));
+        store.write(
+            "servers",
+            &format!("i-engine-{index}"),
+            target_entry("engines", address, SLOTS, &["m0"]),
+        );
         engines.push((engine, is_dead));
     }
     let mut config = configuration(MAX_BODY_BYTES, &["m0"]);
@@ -80,16 +88,28 @@
         })
         .collect();
     let machines = machines?;
-    if !machines.iter().all(|machine| machine.wait_until_ready(Duration::from_secs(10))) {
+    if !machines
+        .iter()
+        .all(|machine| machine.wait_until_ready(Duration::from_secs(10)))
+    {
         record.line("a machine did not become ready");
         return Ok(Verdict::NotRun);
     }
     thread::sleep(Duration::from_secs(3));
     let body = batch(JOB, "m0", ITEMS, 200).to_string();
     let headers = [KEY, ("Content-Type", "application/json"), ("Request-Id", JOB)];
-    let answer = call(machines[0].callers, "POST", "/drafts/b", &headers, body.as_bytes(), Duration::from_secs(4));
+    let answer = call(
+        machines[0].callers,
+        "POST",
+        "/drafts/b",
+        &headers,
+        body.as_bytes(),
+        Duration::from_secs(4),
+    );
     let status = answer.map(|(status, _)| status);
-    record.line(format_args!("sent batch job {JOB} with {ITEMS} items: {status:?}"));
+    record.line(format_args!(
+        "sent batch job {JOB} with {ITEMS} items: {status:?}"
+    ));
     if !matches!(status, Ok(202)) {
         return Ok(Verdict::NotRun);
     }
@@ -121,7 +141,11 @@
                     machine.name
                 ));
             }
-            answer => record.line(format_args!("{}: {:?}", machine.name, answer.map(|(status, _)| status))),
+            answer => record.line(format_args!(
+                "{}: {:?}",
+                machine.name,
+                answer.map(|(status, _)| status)
+            )),
         }
         if number % 20 == 0 {
             record.line(format_args!("{listed} of {ITEMS} results read"));
@@ -129,7 +153,9 @@
         thread::sleep(READ_PAUSE);
     }
     let ran: usize = engines.iter().map(|(engine, _)| engine.requests().len()).sum();
-    record.line(format_args!("the engines ran items {ran} times; {listed} of {ITEMS} results were read"));
+    record.line(format_args!(
+        "the engines ran items {ran} times; {listed} of {ITEMS} results were read"
+    ));
     Ok(match not_found >= MIN_NOT_FOUND {
         true => Verdict::Broken,
         false => Verdict::Held,
--- a/review/standins-2/src/bin/many-callers.rs
+++ b/review/standins-2/src/bin/many-callers.rs
@@ -53,7 +53,9 @@
     let mut clients: Vec<Option<TcpStream>> = (0..CLIENTS_OF_GROUP).map(|_| None).collect();
     while !stop.is_set() {
         for client in &mut clients {
-            let is_open = client.as_mut().is_some_and(|stream| stream.write_all(b"x").is_ok());
+            let is_open = client
+                .as_mut()
+                .is_some_and(|stream| stream.write_all(b"x").is_ok());
             if !is_open && !stop.is_set() {
                 *client = connect(address);
             }
@@ -63,7 +65,7 @@
 }
 
 fn run(record: &Record) -> std::io::Result<Verdict> {
-    let scratch = Scratch::create("review-10")?;
+    let scratch = Scratch::create("review-9")?;
     let store = Arc::new(StoreStandIn::default());
     let engine = EngineStandIn::new(|call| events(call, 4));
     let desk = EngineStandIn::new(|call| signed(call, StatusCode::Ok, "found"));
@@ -76,7 +78,11 @@
             serve(Arc::clone(&duties) as _).await,
         ]
     });
-    store.write("servers", "i-engine", target_entry("engines", engine_address, 16, &["m0"]));
+    store.write(
+        "servers",
+        "i-engine",
+        target_entry("engines", engine_address, 16, &["m0"]),
+    );
     store.write("servers", "i-desk", target_entry("desk", desk_address, 6, &[]));
     store.write("config", "main", configuration(MAX_BODY_BYTES, &["m0"]));
     let seeds = format!("{}:7004", loopback(1));
@@ -95,7 +101,10 @@
         })
         .collect();
     let machines = machines?;
-    if !machines.iter().all(|machine| machine.wait_until_ready(Duration::from_secs(10))) {
+    if !machines
+        .iter()
+        .all(|machine| machine.wait_until_ready(Duration::from_secs(10)))
+    {
         record.line("a machine did not become ready");
         return Ok(Verdict::NotRun);
     }
@@ -126,7 +135,10 @@
                 let answer = call(machine.callers, "POST", "/orders/1", &headers, b"which", limit);
                 let status = answer.map(|(status, _)| status);
                 let memory_bytes = machine.memory_bytes();
-                record.line(format_args!("ordinary request to {}: {status:?}; memory {memory_bytes:?}", machine.name));
+                record.line(format_args!(
+                    "ordinary request to {}: {status:?}; memory {memory_bytes:?}",
+                    machine.name
+                ));
             }
         }
         stop.set();
--- a/review/standins-2/src/bin/many-items.rs
+++ b/review/standins-2/src/bin/many-items.rs
@@ -23,7 +23,7 @@
 /// Number of entry machines of the same site.
 const MACHINES: u8 = 8;
 /// Batch jobs, each sent at most twice.
-const BATCHES: usize = 24;
+const BATCHES: usize = 32;
 /// Items of a batch job: about 6.5 MB as it is sent.
 const MANY_ITEMS: usize = 200_000;
 /// Items without the disruption.
@@ -33,7 +33,10 @@
 /// Time for which the machines are watched after the last batch job.
 const SETTLE: Duration = Duration::from_secs(10);
 
-const HEADERS: [(&str, &str); 2] = [("Authorization", "Bearer key-parish"), ("Content-Type", "application/json")];
+const HEADERS: [(&str, &str); 2] = [
+    ("Authorization", "Bearer key-parish"),
+    ("Content-Type", "application/json"),
+];
 
 fn small_items(count: usize) -> String {
     let items: Vec<String> = (0..count)
@@ -43,7 +46,7 @@
 }
 
 fn run(record: &Record) -> std::io::Result<Verdict> {
-    let scratch = Scratch::create("review-7")?;
+    let scratch = Scratch::create("review-10")?;
     let store = Arc::new(StoreStandIn::default());
     let engine = EngineStandIn::new(|call| events(call, 4));
     let desk = EngineStandIn::new(|call| signed(call, StatusCode::Ok, "found"));
@@ -56,7 +59,11 @@
             serve(Arc::clone(&duties) as _).await,
         ]
     });
-    store.write("servers", "i-engine", target_entry("engines", engine_address, 16, &["m0"]));
+    store.write(
+        "servers",
+        "i-engine",
+        target_entry("engines", engine_address, 16, &["m0"]),
+    );
     store.write("servers", "i-desk", target_entry("desk", desk_address, 6, &[]));
     store.write("config", "main", configuration(MAX_BODY_BYTES, &["m0"]));
     let seeds = format!("{}:7004", loopback(1));
@@ -75,7 +82,10 @@
         })
         .collect();
     let machines = machines?;
-    if !machines.iter().all(|machine| machine.wait_until_ready(Duration::from_secs(10))) {
+    if !machines
+        .iter()
+        .all(|machine| machine.wait_until_ready(Duration::from_secs(10)))
+    {
         record.line("a machine did not become ready");
         return Ok(Verdict::NotRun);
     }
@@ -96,17 +106,38 @@
             for attempt in 0..2 {
                 let machine = &machines[(number + attempt) % machines.len()];
                 let headers = [HEADERS[0], HEADERS[1], ("Request-Id", id.as_str())];
-                let answer = call(machine.callers, "POST", "/drafts/b", &headers, body.as_bytes(), Duration::from_secs(4));
+                let answer = call(
+                    machine.callers,
+                    "POST",
+                    "/drafts/b",
+                    &headers,
+                    body.as_bytes(),
+                    Duration::from_secs(4),
+                );
                 let status = answer.map(|(status, _)| status);
-                record.line(format_args!("sent batch job {id} of {} bytes to {}: {status:?}", body.len(), machine.name));
+                record.line(format_args!(
+                    "sent batch job {id} of {} bytes to {}: {status:?}",
+                    body.len(),
+                    machine.name
+                ));
                 if matches!(status, Ok(202)) {
                     break;
                 }
             }
         }
         thread::sleep(SETTLE);
-        let answer = call(machines[0].callers, "POST", "/orders/1", &HEADERS, b"which", Duration::from_secs(2));
-        record.line(format_args!("ordinary request: {:?}", answer.map(|(status, _)| status)));
+        let answer = call(
+            machines[0].callers,
+            "POST",
+            "/orders/1",
+            &HEADERS,
+            b"which",
+            Duration::from_secs(2),
+        );
+        record.line(format_args!(
+            "ordinary request: {:?}",
+            answer.map(|(status, _)| status)
+        ));
         stop.set();
     });
     let ends = lock(&ends);
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -175,7 +175,9 @@
     /// Whether the process has ended by itself. It is forgotten then.
     pub fn has_ended(&self) -> bool {
         let mut child = lock(&self.child);
-        let ended = child.as_mut().is_some_and(|child| !matches!(child.try_wait(), Ok(None)));
+        let ended = child
+            .as_mut()
+            .is_some_and(|child| !matches!(child.try_wait(), Ok(None)));
         if ended {
             *child = None;
         }
@@ -195,7 +197,10 @@
     pub fn wait_until_ready(&self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         while Instant::now() < until {
-            if matches!(call(self.ready, "GET", "/api/readyz", &[], b"", Duration::from_secs(1)), Ok((200, _))) {
+            if matches!(
+                call(self.ready, "GET", "/api/readyz", &[], b"", Duration::from_secs(1)),
+                Ok((200, _))
+            ) {
                 return true;
             }
             thread::sleep(Duration::from_millis(20));
@@ -317,7 +322,10 @@
 /// Streams the rest of a text of `events` events, one event each `pause`, until the caller closes the connection or
 /// `is_dead` is set. The text is cut off then.
 pub fn stream_text(call: &Call, events: u64, pause: Duration, is_dead: &Arc<AtomicBool>) -> Response {
-    let first = call.header("last-event-id").and_then(|id| id.parse::<u64>().ok()).map_or(1, |id| id + 1);
+    let first = call
+        .header("last-event-id")
+        .and_then(|id| id.parse::<u64>().ok())
+        .map_or(1, |id| id + 1);
     let mut response = signed(call, StatusCode::Ok, "");
     let (sender, body) = channel_body();
     response.set_body(body);
@@ -370,7 +378,9 @@
 
 /// Entry of an engine or of a plain service in the store.
 pub fn target_entry(service: &str, address: SocketAddr, slots: usize, models: &[&str]) -> Value {
-    let models = models.iter().map(|name| json!({"name": name, "version": 1, "adapters": []}));
+    let models = models
+        .iter()
+        .map(|name| json!({"name": name, "version": 1, "adapters": []}));
     let models: Vec<Value> = models.collect();
     json!({"service": service, "address": address.to_string(), "zone": "wellgate", "version": "v1",
         "slots": slots, "state": "ready", "cold_left_ms": 0, "born": 1_700_000_000_000_u64, "models": models, "seq": 1})
@@ -418,7 +428,10 @@
             true => "exceeded its memory and was killed by its machine",
             false => "ended by itself",
         };
-        record.line(format_args!("process of {} {why} at {memory_bytes} bytes", machine.name));
+        record.line(format_args!(
+            "process of {} {why} at {memory_bytes} bytes",
+            machine.name
+        ));
         *lock(ends).entry(machine.name.clone()).or_default() += 1;
         thread::sleep(RESTART_DELAY);
         if !stop.is_set() && machine.spawn().is_ok() {
