--- a/review/standins-2/src/bin/many-items.rs
+++ b/review/standins-2/src/bin/many-items.rs
@@ -23,7 +23,9 @@
 /// Number of entry machines of the same site.
 const MACHINES: u8 = 8;
 /// Batch jobs, each sent at most twice.
-const BATCHES: usize = 32;
+const BATCHES: usize = 36;
+/// Pause of the client between two jobs.
+const JOB_PAUSE: Duration = Duration::from_millis(500);
 /// Items of a batch job: about 6.5 MB as it is sent.
 const MANY_ITEMS: usize = 200_000;
 /// Items without the disruption.
@@ -102,6 +104,7 @@
             scope.spawn(move || watch_memory(machine, MEMORY_MB, ends, record, stop));
         }
         for number in 0..BATCHES {
+            thread::sleep(JOB_PAUSE);
             let id = format!("{:016x}", 0x7c41_e09b_52d6_0000_u64 + number as u64);
             for attempt in 0..2 {
                 let machine = &machines[(number + attempt) % machines.len()];
