Second review: the words of the platform in one file, and runs in the records

Change: the drivers take these words from wire.json by their meaning; the test is unchanged. The records also say what the engines and the plain service ran.

--- a/review/standins-2/src/bin/batch-memory.rs
+++ b/review/standins-2/src/bin/batch-memory.rs
@@ -14,7 +14,7 @@
 use jm_types::ByteSize;
 use review_2::{
     HostSpec, Machine, Record, Scratch, StopFlag, Verdict, batch, call, configuration, has_trouble, lock,
-    loopback, main_of, stream_text, target_entry, watch_memory,
+    loopback, main_of, stream_text, target_entry, watch_memory, word,
 };
 
 /// `memory_mb` of the entry machines of Harrowgate Wells.
@@ -118,6 +118,8 @@
         record.line("no batch job was accepted");
         return Ok(Verdict::NotRun);
     }
+    let runs: usize = engines.iter().map(|engine| engine.requests().len()).sum();
+    record.line(format_args!("the engines ran items {runs} times"));
     let ends = lock(&ends);
     record.line(format_args!("ends by machine: {ends:?}"));
     let often = ends.values().filter(|count| **count >= ENDS).count();
@@ -145,7 +147,7 @@
         let body = batch(&id, model, ITEMS, body_bytes).to_string();
         for attempt in 0..2 {
             let machine = &machines[(number * 3 + attempt) % machines.len()];
-            let headers = [HEADERS[0], HEADERS[1], ("Request-Id", id.as_str())];
+            let headers = [HEADERS[0], HEADERS[1], (word("request id"), id.as_str())];
             let answer = call(
                 machine.callers,
                 "POST",
@@ -172,7 +174,7 @@
 /// Number of results of a batch job that can be read at any machine.
 fn results(machines: &[Machine], id: &str) -> usize {
     let counts = machines.iter().filter_map(|machine| {
-        let path = format!("/api/lots/{id}?after=0");
+        let path = format!("{}{id}?after=0", word("jobs path"));
         let (status, body) = call(
             machine.callers,
             "GET",
--- a/review/standins-2/src/bin/foreign-results.rs
+++ b/review/standins-2/src/bin/foreign-results.rs
@@ -8,7 +8,7 @@
 use jm_http::{Response, StatusCode};
 use review_2::{
     HostSpec, Machine, Record, Scratch, Verdict, batch, call, configuration, has_trouble, loopback, main_of,
-    target_entry,
+    target_entry, word,
 };
 use serde_json::Value;
 
@@ -30,7 +30,11 @@
 
 fn submit(machine: &Machine, id: &str, key: (&str, &str), record: &Record) -> bool {
     let body = batch(id, "m0", ITEMS, 200).to_string();
-    let headers = [key, ("Content-Type", "application/json"), ("Request-Id", id)];
+    let headers = [
+        key,
+        ("Content-Type", "application/json"),
+        (word("request id"), id),
+    ];
     let answer = call(
         machine.callers,
         "POST",
@@ -49,7 +53,7 @@
 
 /// The results of a job from its start, as `id state output`.
 fn read(machine: &Machine, id: &str, key: (&str, &str)) -> Result<Vec<String>, String> {
-    let path = format!("/api/lots/{id}?after=0");
+    let path = format!("{}{id}?after=0", word("jobs path"));
     let answer = call(machine.callers, "GET", &path, &[key], b"", Duration::from_secs(3));
     let (status, body) = answer.map_err(|error| error.to_string())?;
     if status != 200 {
--- a/review/standins-2/src/bin/long-job.rs
+++ b/review/standins-2/src/bin/long-job.rs
@@ -16,7 +16,7 @@
 use jm_http::{Response, StatusCode};
 use review_2::{
     HostSpec, Machine, Record, Scratch, Verdict, batch, call, configuration, has_trouble, loopback, main_of,
-    stream_text, target_entry,
+    stream_text, target_entry, word,
 };
 use serde_json::{Value, json};
 
@@ -69,7 +69,7 @@
         engines.push((engine, is_dead));
     }
     let mut config = configuration(MAX_BODY_BYTES, &["m0"]);
-    config["routes"][0]["item_ttl_s"] = json!(ITEM_TTL_S);
+    config["routes"][0][word("item time limit")] = json!(ITEM_TTL_S);
     config["routes"][0]["result_deadline_ms"] = json!(ITEM_TTL_S * 1_000.0);
     store.write("config", "main", config);
     let seeds = format!("{}:7004", loopback(1));
@@ -97,7 +97,11 @@
     }
     thread::sleep(Duration::from_secs(3));
     let body = batch(JOB, "m0", ITEMS, 200).to_string();
-    let headers = [KEY, ("Content-Type", "application/json"), ("Request-Id", JOB)];
+    let headers = [
+        KEY,
+        ("Content-Type", "application/json"),
+        (word("request id"), JOB),
+    ];
     let answer = call(
         machines[0].callers,
         "POST",
@@ -126,7 +130,7 @@
         }
         number += 1;
         let machine = &machines[number % machines.len()];
-        let path = format!("/api/lots/{JOB}?after={listed}");
+        let path = format!("{}{JOB}?after={listed}", word("jobs path"));
         let answer = call(machine.callers, "GET", &path, &[KEY], b"", Duration::from_secs(2));
         match answer {
             Ok((200, body)) => {
--- a/review/standins-2/src/bin/many-callers.rs
+++ b/review/standins-2/src/bin/many-callers.rs
@@ -15,7 +15,7 @@
 use jm_http::{Response, StatusCode};
 use review_2::{
     HostSpec, Machine, Record, Scratch, StopFlag, Verdict, call, configuration, has_trouble, lock, loopback,
-    main_of, target_entry, watch_memory,
+    main_of, target_entry, watch_memory, word,
 };
 
 /// `memory_mb` of the entry machines of Harrowgate Wells. `run.sh` sets their `max_fds`.
@@ -40,8 +40,10 @@
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
     stream.set_write_timeout(Some(Duration::from_secs(1))).ok()?;
     let head = format!(
-        "POST /orders/1 HTTP/1.1\r\nHost: desk.example\r\n{}: {}\r\nRequest-Id: r1\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n",
-        KEY.0, KEY.1
+        "POST /orders/1 HTTP/1.1\r\nHost: desk.example\r\n{}: {}\r\n{}: r1\r\nContent-Length: {MAX_BODY_BYTES}\r\n\r\n",
+        KEY.0,
+        KEY.1,
+        word("request id")
     );
     stream.write_all(head.as_bytes()).ok()?;
     stream.write_all(&vec![b'x'; FIRST_PIECE_BYTES]).ok()?;
@@ -130,7 +132,7 @@
         while record.elapsed() < RUN {
             thread::sleep(Duration::from_secs(3));
             for machine in &machines {
-                let headers = [KEY, ("Request-Id", "ordinary"), ("Deadline-Ms", "1500")];
+                let headers = [KEY, (word("request id"), "ordinary"), ("Deadline-Ms", "1500")];
                 let limit = Duration::from_secs(2);
                 let answer = call(machine.callers, "POST", "/orders/1", &headers, b"which", limit);
                 let status = answer.map(|(status, _)| status);
@@ -143,6 +145,10 @@
         }
         stop.set();
     });
+    record.line(format_args!(
+        "the plain service ran {} requests",
+        desk.requests().len()
+    ));
     let ends = lock(&ends);
     record.line(format_args!("ends by machine: {ends:?}"));
     let often = ends.values().filter(|count| **count >= ENDS).count();
--- a/review/standins-2/src/bin/many-items.rs
+++ b/review/standins-2/src/bin/many-items.rs
@@ -13,7 +13,7 @@
 use jm_http::{Response, StatusCode};
 use review_2::{
     HostSpec, Machine, Record, Scratch, StopFlag, Verdict, call, configuration, has_trouble, lock, loopback,
-    main_of, target_entry, watch_memory,
+    main_of, target_entry, watch_memory, word,
 };
 
 /// `memory_mb` of the entry machines of Harrowgate Wells.
@@ -108,7 +108,7 @@
             let id = format!("{:016x}", 0x7c41_e09b_52d6_0000_u64 + number as u64);
             for attempt in 0..2 {
                 let machine = &machines[(number + attempt) % machines.len()];
-                let headers = [HEADERS[0], HEADERS[1], ("Request-Id", id.as_str())];
+                let headers = [HEADERS[0], HEADERS[1], (word("request id"), id.as_str())];
                 let answer = call(
                     machine.callers,
                     "POST",
@@ -143,6 +143,10 @@
         ));
         stop.set();
     });
+    let (items, lookups) = (engine.requests().len(), desk.requests().len());
+    record.line(format_args!(
+        "the engine ran items {items} times, the plain service {lookups} requests"
+    ));
     let ends = lock(&ends);
     record.line(format_args!("ends by machine: {ends:?}"));
     let often = ends.values().filter(|count| **count >= ENDS).count();
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -9,7 +9,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, ExitCode, Stdio},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError,
+        Arc, LazyLock, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
     },
     thread,
@@ -21,6 +21,16 @@
 use jm_http::{Response, StatusCode, channel_body};
 use serde_json::{Value, json};
 
+/// The words of the platform's wire that the drivers use, by their meaning. They stand in one file beside the sources, as
+/// the words of the platform stay out of the project's sources.
+static WORDS: LazyLock<BTreeMap<String, String>> =
+    LazyLock::new(|| serde_json::from_str(include_str!("../wire.json")).expect("the words are a JSON table"));
+
+/// The word of the platform's wire for a meaning that `wire.json` lists.
+pub fn word(meaning: &str) -> &'static str {
+    &WORDS[meaning]
+}
+
 /// Locks a mutex whose data stays valid after a panic of another thread.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
@@ -155,7 +165,7 @@
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new("target/release/jacinthmoor-host")
             .arg("entry")
-            .env("JACINTHMOOR_SETTINGS", &self.settings)
+            .env(word("settings variable"), &self.settings)
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
             .spawn()?;
@@ -198,7 +208,14 @@
         let until = Instant::now() + limit;
         while Instant::now() < until {
             if matches!(
-                call(self.ready, "GET", "/api/readyz", &[], b"", Duration::from_secs(1)),
+                call(
+                    self.ready,
+                    "GET",
+                    word("readiness path"),
+                    &[],
+                    b"",
+                    Duration::from_secs(1)
+                ),
                 Ok((200, _))
             ) {
                 return true;
@@ -330,7 +347,7 @@
     let (sender, body) = channel_body();
     response.set_body(body);
     response.insert_header("content-type", "text/event-stream");
-    response.insert_header("weight-versions", "1");
+    response.insert_header(word("weight version"), "1");
     let is_dead = Arc::clone(is_dead);
     task::spawn(async move {
         for event in first..=events {
@@ -350,11 +367,11 @@
     use base64::{Engine, engine::general_purpose::STANDARD};
     let items = (0..count).map(|index| {
         json!({"id": format!("{id}-i{index}"), "path": format!("/drafts/{index}"),
-            "headers": {"Model": model, "Token-Count": "10,40", "Length-Hint": "40"},
+            "headers": {"Model": model, "Token-Count": "10,40", (word("length estimate")): "40"},
             "body": STANDARD.encode(vec![b'x'; body_bytes]), "token_count": 50, "group_id": "g"})
     });
     let items: Vec<Value> = items.collect();
-    json!({"step": 0, "model": model, "min_version": 1, "desired_count": 1, "items": items})
+    json!({"step": 0, "model": model, "min_version": 1, (word("groups waited for")): 1, "items": items})
 }
 
 /// A configuration with one batch route and one idempotent route, which keys of two tenants may use.
@@ -363,7 +380,7 @@
     let route = |name: &str, prefix: &str, kind: &str, service: &str| {
         json!({"name": name, "host": "desk.example", "path_prefix": prefix, "route_type": kind,
             "timeout_ms": 10000, "latency_goal_ms": 500, "priority": 1, "service": service, "max_attempts": 3,
-            "item_ttl_s": 40.0, "result_deadline_ms": 7500, "public": false})
+            (word("item time limit")): 40.0, "result_deadline_ms": 7500, "public": false})
     };
     json!({
         "version": 1,
