Log how results of a batch are read from the store

Change: event 5118 (BatchResultsRead) counts the pieces of one listing, the objects of other batches in it and the pieces that were read one by one. The keys of numbered objects stand in store/keys.rs, which decides to which batch a key belongs. What is read is unchanged.

The tests of jm-batch pass.

--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -3,7 +3,7 @@
 use jm_forward::RunKey;
 use jm_types::{BatchId, DurationMs, MemberId};
 
-use crate::{GenerationEnd, HandoverReply, RewardEnd};
+use crate::{GenerationEnd, HandoverReply, ResultsRead, RewardEnd};
 
 /// A run that ended before its text was complete.
 #[derive(Debug)]
@@ -149,6 +149,9 @@
     /// A reward call was also sent to `second`, because `first` had not answered within `waited`.
     fn reward_hedged(&self, batch: &BatchId, item: &str, first: &RunKey, second: &RunKey, waited: DurationMs);
 
+    /// Results were read from the store for a reader, because no live host has them in memory.
+    fn results_read(&self, batch: &BatchId, read: &ResultsRead);
+
     /// An item was given up.
     fn expired(&self, batch: &BatchId, item: &str, reason: &str);
 
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -61,5 +61,5 @@
 };
 pub use spec::{BatchItem, BatchSpec, SpecError, SpecMemory};
 pub use state::{BatchPhase, BatchState};
-pub use store::{BATCH_STATE_PREFIX, BatchStore, StoreError};
+pub use store::{BATCH_STATE_PREFIX, BatchStore, ResultsRead, StoreError};
 pub use write_schedule::{UnwrittenResults, WriteScheduleOptions, next_write_at};
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -150,7 +150,10 @@
             return Ok(cached);
         }
         let mut listed = cached.as_ref().clone();
-        self.deps.store.load_new_results(batch, &mut listed).await?;
+        let read = self.deps.store.load_new_results(batch, &mut listed).await?;
+        if read.results > 0 {
+            self.deps.events.results_read(batch, &read);
+        }
         let listed = Arc::new(listed);
         insert_bounded(
             &mut self.state().results,
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -3,16 +3,18 @@
 //! Each piece is created under the position of its first result. Two owners can therefore not store different results
 //! at one position: the second create fails, and its writer reads the existing piece.
 
+mod keys;
 mod spec;
 
 use std::sync::Arc;
 
 use futures::future::try_join_all;
-use jm_platform::{Condition, ObjectError, ObjectStore, Version};
+use jm_platform::{Condition, KeyedObject, ObjectError, ObjectStore, Version};
 use jm_types::BatchId;
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::Snafu;
 
+use self::keys::NumberedKeys;
 use crate::{BatchResult, BatchState, ItemText, ResultPiece};
 
 /// Key prefix of the state objects.
@@ -63,6 +65,19 @@
     Conflict,
 }
 
+/// How results were read from the store, for the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ResultsRead {
+    /// Pieces of the batch that one listing returned.
+    pub listed_pieces: usize,
+    /// Objects of other batches that the same listing returned.
+    pub foreign_objects: usize,
+    /// Pieces that were read one by one.
+    pub single_pieces: usize,
+    /// Results that were not known before.
+    pub results: usize,
+}
+
 /// Reads and writes the objects of batches.
 #[derive(Clone)]
 pub struct BatchStore {
@@ -134,15 +149,24 @@
         &self,
         batch: &BatchId,
         listed: &mut Vec<BatchResult>,
-    ) -> Result<(), StoreError> {
-        let is_whole = listed.is_empty() && self.list_results(batch, listed).await?;
-        if is_whole {
-            return Ok(());
+    ) -> Result<ResultsRead, StoreError> {
+        let known = listed.len();
+        let mut read = ResultsRead::default();
+        let is_whole = listed.is_empty() && self.list_results(batch, listed, &mut read).await?;
+        if !is_whole {
+            read.single_pieces = self.append_pieces(batch, listed).await?;
         }
-        self.append_pieces(batch, listed).await
+        read.results = listed.len() - known;
+        Ok(read)
     }
 
-    async fn append_pieces(&self, batch: &BatchId, listed: &mut Vec<BatchResult>) -> Result<(), StoreError> {
+    /// Returns the number of pieces.
+    async fn append_pieces(
+        &self,
+        batch: &BatchId,
+        listed: &mut Vec<BatchResult>,
+    ) -> Result<usize, StoreError> {
+        let mut pieces = 0;
         while let Some(piece) = self.load_piece(batch, listed.len()).await? {
             if piece.results.is_empty() {
                 return Err(corrupt(
@@ -151,15 +175,25 @@
                 ));
             }
             listed.extend(piece.results);
+            pieces += 1;
         }
-        Ok(())
+        Ok(pieces)
     }
 
     /// Reads all pieces in one listing, which needs far fewer calls than reading them sequentially. Returns whether the
     /// pieces are contiguous.
-    async fn list_results(&self, batch: &BatchId, listed: &mut Vec<BatchResult>) -> Result<bool, StoreError> {
-        let listing = self.objects.list(&piece_prefix(batch)).await;
+    async fn list_results(
+        &self,
+        batch: &BatchId,
+        listed: &mut Vec<BatchResult>,
+        read: &mut ResultsRead,
+    ) -> Result<bool, StoreError> {
+        let keys = NumberedKeys::pieces(batch);
+        let listing = self.objects.list(keys.prefix()).await;
         let listing = listing.map_err(StoreError::unavailable)?;
+        let is_own = |object: &&KeyedObject| keys.number_of(&object.key).is_some();
+        read.listed_pieces = listing.objects.iter().filter(is_own).count();
+        read.foreign_objects = listing.objects.len() - read.listed_pieces;
         for object in listing.objects {
             let piece: ResultPiece = decode(&object.key, &object.object.value)?;
             if piece.first != listed.len() {
@@ -208,7 +242,7 @@
             self.delete(&piece_key(batch, first)).await?;
             first += piece.results.len().max(1);
         }
-        let saved = self.objects.list(&texts_prefix(batch)).await;
+        let saved = self.objects.list(NumberedKeys::texts(batch).prefix()).await;
         for object in saved.map_err(StoreError::unavailable)?.objects {
             self.delete(&object.key).await?;
         }
@@ -265,18 +299,10 @@
     format!("{BATCH_STATE_PREFIX}{batch}")
 }
 
-fn texts_prefix(batch: &BatchId) -> String {
-    format!("batch-texts/{batch}.")
-}
-
 fn texts_key(batch: &BatchId, earlier_owners: u32) -> String {
-    format!("{}{earlier_owners:04}", texts_prefix(batch))
-}
-
-fn piece_prefix(batch: &BatchId) -> String {
-    format!("batch-result/{batch}.")
+    NumberedKeys::texts(batch).key(earlier_owners as usize)
 }
 
 fn piece_key(batch: &BatchId, first: usize) -> String {
-    format!("{}{first:06}", piece_prefix(batch))
+    NumberedKeys::pieces(batch).key(first)
 }
--- a/crates/jm-batch/tests/common/events.rs
+++ b/crates/jm-batch/tests/common/events.rs
@@ -7,7 +7,7 @@
 
 use jm_batch::{
     BatchEvents, BatchProgress, CarriedOver, GenerationEnd, HandoverEvents, HandoverReply, PlacedItems,
-    RewardAttempt, RewardEnd, RunEnd,
+    ResultsRead, RewardAttempt, RewardEnd, RunEnd,
 };
 use jm_forward::RunKey;
 use jm_types::{BatchId, DurationMs, MemberId};
@@ -28,6 +28,7 @@
     pub(crate) pauses: AtomicU64,
     pub(crate) confirmed: AtomicU64,
     pub(crate) overruled: AtomicU64,
+    pub(crate) results_reads: Mutex<Vec<ResultsRead>>,
 }
 
 impl HandoverEvents for RecordedEvents {
@@ -87,6 +88,9 @@
     ) {
         self.hedged_rewards.fetch_add(1, Ordering::SeqCst);
     }
+    fn results_read(&self, _batch: &BatchId, read: &ResultsRead) {
+        self.results_reads.lock().unwrap().push(*read);
+    }
     fn expired(&self, _batch: &BatchId, _item: &str, _reason: &str) {
         self.expired.fetch_add(1, Ordering::SeqCst);
     }
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -5,7 +5,8 @@
 use std::sync::Arc;
 
 use jm_batch::{
-    BatchEvents, BatchProgress, CarriedOver, GenerationEnd, PlacedItems, RewardAttempt, RewardEnd, RunEnd,
+    BatchEvents, BatchProgress, CarriedOver, GenerationEnd, PlacedItems, ResultsRead, RewardAttempt,
+    RewardEnd, RunEnd,
 };
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
 use jm_http::BufferBudget;
@@ -426,6 +427,19 @@
         );
     }
 
+    fn results_read(&self, batch: &BatchId, read: &ResultsRead) {
+        LogEvent::BatchResultsRead.write_fields(
+            "results of the batch were read from the store",
+            &[
+                ("batch", &batch.as_str()),
+                ("listed_pieces", &read.listed_pieces),
+                ("foreign_objects", &read.foreign_objects),
+                ("single_pieces", &read.single_pieces),
+                ("results", &read.results),
+            ],
+        );
+    }
+
     fn placed(&self, batch: &BatchId, placed: &PlacedItems) {
         self.placement.record_placed(placed);
         LogEvent::ItemsPlaced.write_fields(
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -171,6 +171,8 @@
     ProcessPaused = 5116, Warn;
     /// A batch was to be started on a host that already runs it. The second start has no effect.
     BatchStartRepeated = 5117, Info;
+    /// Results of a batch were read from the store, because no live host has them in memory.
+    BatchResultsRead = 5118, Info;
     /// The next owner accepted a batch from a host that stops.
     BatchHandedOver = 5120, Info;
     /// A host did not accept a batch from a host that stops.
