Take only a batch's own objects from a listing of its prefix

Cause: pieces are stored as batch-result/ID.POSITION and were listed by batch-result/ID. with whatever the listing returned taken for the batch. Ids may hold dots, so the prefix of draws-7 is also that of draws-7.0, whose first piece sorts first. The removal of a batch deleted the saved texts of the other one in the same way.

Change: a key belongs to a batch only if what follows the prefix is its number as keys write it. A longer id leaves a dot there, so this holds for every id. Listings ask for the longest prefix that all positions of the batch share.

--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -150,7 +150,11 @@
             return Ok(cached);
         }
         let mut listed = cached.as_ref().clone();
-        let read = self.deps.store.load_new_results(batch, &mut listed).await?;
+        let read = self
+            .deps
+            .store
+            .load_new_results(batch, total, &mut listed)
+            .await?;
         if read.results > 0 {
             self.deps.events.results_read(batch, &read);
         }
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use futures::future::try_join_all;
-use jm_platform::{Condition, KeyedObject, ObjectError, ObjectStore, Version};
+use jm_platform::{Condition, ObjectError, ObjectStore, Version};
 use jm_types::BatchId;
 use serde::{Serialize, de::DeserializeOwned};
 use snafu::Snafu;
@@ -144,15 +144,16 @@
         Ok(listed)
     }
 
-    /// Reads the pieces that follow `listed` and appends their results.
+    /// Reads the pieces of a batch with `items` items that follow `listed`, and appends their results.
     pub(crate) async fn load_new_results(
         &self,
         batch: &BatchId,
+        items: usize,
         listed: &mut Vec<BatchResult>,
     ) -> Result<ResultsRead, StoreError> {
         let known = listed.len();
         let mut read = ResultsRead::default();
-        let is_whole = listed.is_empty() && self.list_results(batch, listed, &mut read).await?;
+        let is_whole = listed.is_empty() && self.list_results(batch, items, listed, &mut read).await?;
         if !is_whole {
             read.single_pieces = self.append_pieces(batch, listed).await?;
         }
@@ -185,22 +186,26 @@
     async fn list_results(
         &self,
         batch: &BatchId,
+        items: usize,
         listed: &mut Vec<BatchResult>,
         read: &mut ResultsRead,
     ) -> Result<bool, StoreError> {
         let keys = NumberedKeys::pieces(batch);
-        let listing = self.objects.list(keys.prefix()).await;
+        let prefix = keys.prefix_up_to(items.saturating_sub(1));
+        let listing = self.objects.list(&prefix).await;
         let listing = listing.map_err(StoreError::unavailable)?;
-        let is_own = |object: &&KeyedObject| keys.number_of(&object.key).is_some();
-        read.listed_pieces = listing.objects.iter().filter(is_own).count();
-        read.foreign_objects = listing.objects.len() - read.listed_pieces;
         for object in listing.objects {
-            let piece: ResultPiece = decode(&object.key, &object.object.value)?;
-            if piece.first != listed.len() {
+            let Some(position) = keys.number_of(&object.key) else {
+                read.foreign_objects += 1;
+                continue;
+            };
+            if position != listed.len() {
                 // A page that was read before a piece was created may lack that piece. The caller reads the rest
                 // sequentially.
                 return Ok(false);
             }
+            let piece: ResultPiece = decode(&object.key, &object.object.value)?;
+            read.listed_pieces += 1;
             listed.extend(piece.results);
         }
         Ok(true)
@@ -242,9 +247,12 @@
             self.delete(&piece_key(batch, first)).await?;
             first += piece.results.len().max(1);
         }
-        let saved = self.objects.list(NumberedKeys::texts(batch).prefix()).await;
+        let keys = NumberedKeys::texts(batch);
+        let saved = self.objects.list(keys.prefix()).await;
         for object in saved.map_err(StoreError::unavailable)?.objects {
-            self.delete(&object.key).await?;
+            if keys.number_of(&object.key).is_some() {
+                self.delete(&object.key).await?;
+            }
         }
         self.remove_spec(batch).await?;
         self.delete(&state_key(batch)).await
--- a/crates/jm-batch/src/store/keys.rs
+++ b/crates/jm-batch/src/store/keys.rs
@@ -40,6 +40,14 @@
         &self.prefix
     }
 
+    /// The longest prefix of the keys with the numbers up to `last`. A listing of it returns fewer objects of other batches
+    /// than one of [`Self::prefix`].
+    pub(super) fn prefix_up_to(&self, last: usize) -> String {
+        let (first, last) = (self.key(0), self.key(last));
+        let common = first.bytes().zip(last.bytes()).take_while(|(a, b)| a == b);
+        first[..common.count()].to_owned()
+    }
+
     /// The number of the object with this key. `None` if the key belongs to another batch, whose id begins with this one.
     pub(super) fn number_of(&self, key: &str) -> Option<usize> {
         // The rest of a foreign key has a dot, because the other id continues after the dot of this prefix.
