Compare a stored part of a specification before it counts as the own one

What callers would see: a batch answered 202 that never runs and cannot be read.

Cause: a create of batch-part/ID.DIGEST.N that meets an existing object took it for the same part, because the digest is in the key. Earlier releases named parts batch-part/ID.N, so the parts of their batch ID.DIGEST have these keys.

Ruled out: two batches of this release cannot meet, because the digest has a fixed length and stands before the last dot.

Change: the content of the existing part is compared. If it differs, the submission is refused as not stored, and succeeds once the object is gone.

Measured: repeated_submission part_of_another_batch was accepted before (Ok(()) in place of NotStored) and passes now; the other four tests pass on both.

--- a/crates/jm-batch/src/store/spec.rs
+++ b/crates/jm-batch/src/store/spec.rs
@@ -60,13 +60,22 @@
         let (head, parts) = encoded_spec(spec);
         let pieces = parts.as_ref().map(ItemParts::pieces).unwrap_or_default();
         for (key, piece) in head.part_keys(&spec.id).iter().zip(pieces) {
-            // A conflict means that the same part is stored already.
-            self.create(key, piece.as_bytes().to_vec()).await?;
+            self.create_part(key, piece).await?;
         }
         let key = spec_key(&spec.id);
         self.create(&key, encode(&head).into_bytes()).await
     }
 
+    /// Creates a part unless it is stored already. The key of a part that an earlier release stored for a batch with a longer
+    /// id may be the same, so the content is compared.
+    async fn create_part(&self, key: &str, piece: &str) -> Result<(), StoreError> {
+        match self.create(key, piece.as_bytes().to_vec()).await? {
+            WriteOutcome::Applied(_) => Ok(()),
+            WriteOutcome::Conflict if self.part(key).await? == piece => Ok(()),
+            WriteOutcome::Conflict => Err(corrupt(key, "the object belongs to another batch")),
+        }
+    }
+
     /// Removes the parts of a specification whose head was not stored because there is another one, unless that one
     /// has the same parts.
     pub(crate) async fn remove_unused_parts(&self, unused: &BatchSpec) -> Result<(), StoreError> {
--- a/crates/jm-batch/tests/repeated_submission.rs
+++ b/crates/jm-batch/tests/repeated_submission.rs
@@ -6,7 +6,7 @@
 
 use async_std::task;
 use common::*;
-use jm_batch::BatchSpec;
+use jm_batch::{BatchSpec, SubmitError};
 use jm_platform::{Condition, ObjectStore};
 use jm_types::{BatchId, DurationMs};
 
@@ -128,3 +128,26 @@
     }
     assert_eq!(read_body(&store).await, vec![7; BODY_BYTES]);
 }
+
+/// Guards against a batch that is accepted and can never be read. A part of an earlier release has the same key if the id of its
+/// batch continues with a digest, and was taken for a part of this batch.
+#[async_std::test]
+async fn part_of_another_batch() {
+    let (store, other) = (FaultyStore::new(), FaultyStore::new());
+    let host = start_host("host-a", &other);
+    host.service.submit(large_spec(7_500, 1)).await.unwrap();
+    let parts = other.inner.list(PARTS_PREFIX).await.unwrap().objects;
+    store
+        .put(&parts[0].key, b"of another batch".to_vec(), Condition::Any)
+        .await
+        .unwrap();
+    let host = start_host("host-a", &store);
+    let submitted = host.service.submit(large_spec(7_500, 1)).await;
+    assert!(
+        matches!(submitted, Err(SubmitError::NotStored { .. })),
+        "{submitted:?}"
+    );
+    store.delete(&parts[0].key, Condition::Any).await.unwrap();
+    host.service.submit(large_spec(7_500, 1)).await.unwrap();
+    assert_eq!(read_body(&store).await, vec![1; BODY_BYTES]);
+}
