Drop what is cached under an id when the id names another submission

What callers would see: results and bodies of an earlier batch, also of another organisation, for a batch whose id was used before; or a batch that never runs.

Cause: results, specifications, texts and the runner's batches are cached by id. Only the store's event of the removal dropped them, which a host misses when the history is discarded or the store is away for it.

Ruled out: the store, which holds the objects of the second batch alone.

Change: organisation and time of submission tell submissions apart. A state of another one drops what is cached, and what was read for a state is cached only while the state is current. The event of a removal also stops the runner's batch and drops handed-over texts.

--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -175,6 +175,25 @@
     is_leaving: bool,
 }
 
+impl ServiceState {
+    /// Drops all that is cached under an id.
+    fn forget(&mut self, batch: &BatchId) {
+        self.cached_states.swap_remove(batch);
+        self.results.swap_remove(batch);
+        self.specs.swap_remove(batch);
+        self.handed_over.swap_remove(batch);
+        self.pending_handovers.swap_remove(batch);
+        self.notices.shift_remove(batch);
+        self.handed_to.swap_remove(batch);
+    }
+
+    /// Whether the cached state is of the same submission as `state`, so that what was read for `state` may be cached.
+    fn is_current(&self, state: &BatchState) -> bool {
+        let cached = self.cached_states.get(&state.batch);
+        cached.is_some_and(|cached| cached.state.is_same_batch(state))
+    }
+}
+
 /// Accepts, runs and reads batches, including those that other hosts run.
 pub struct BatchService {
     options: BatchServiceOptions,
@@ -338,15 +357,20 @@
     /// Handles a stored state and partial texts that another host sent. Hosts of the previous release hand batches over
     /// with this message.
     pub fn receive_handover(self: &Arc<Self>, state: BatchState, version: Version, texts: Vec<ItemText>) {
+        let batch = state.batch.clone();
+        // First, because it drops the texts of an earlier batch with this id.
+        let is_new = self.cache_state(state, version);
         if !texts.is_empty() {
             insert_bounded(
                 &mut self.state().handed_over,
-                &state.batch,
+                &batch,
                 texts,
                 MAX_HANDED_OVER_BATCHES,
             );
         }
-        self.apply_state(state, version);
+        if is_new {
+            self.reconcile();
+        }
     }
 
     /// Handles a state object from the store's listing or watch.
@@ -356,14 +380,10 @@
         }
     }
 
-    /// Drops all cached data of a batch whose state object was deleted from the store.
+    /// Drops all data of a batch whose state object was deleted from the store, and stops running it.
     pub fn evict(&self, batch: &BatchId) {
-        let mut state = self.state();
-        state.cached_states.swap_remove(batch);
-        state.pending_handovers.swap_remove(batch);
-        state.notices.shift_remove(batch);
-        state.results.swap_remove(batch);
-        state.specs.swap_remove(batch);
+        self.state().forget(batch);
+        self.runner.release(batch);
     }
 
     async fn state_for(
@@ -393,13 +413,19 @@
         self.state().cached_states.get(batch).cloned()
     }
 
-    /// Caches a state unless a newer one is cached. Returns whether the cache changed.
+    /// Caches a state unless a newer one is cached. Returns whether the cache changed. If the state is of a later submission
+    /// with the same id, all data of the earlier one is dropped, because this host has missed its removal from the store.
     fn cache_state(&self, state: BatchState, version: Version) -> bool {
         let mut service_state = self.state();
         let cached = service_state.cached_states.get(&state.batch);
         if cached.is_some_and(|cached| version <= cached.version) {
             return false;
         }
+        if cached.is_some_and(|cached| !cached.state.is_same_batch(&state)) {
+            service_state.forget(&state.batch);
+            self.runner.release(&state.batch);
+        }
+        let cached = service_state.cached_states.get(&state.batch);
         let is_own =
             |state: &BatchState| state.is_owned_by(&self.options.local_member, self.options.incarnation);
         let was_own = cached.is_some_and(|cached| is_own(&cached.state));
--- a/crates/jm-batch/src/service/read.rs
+++ b/crates/jm-batch/src/service/read.rs
@@ -129,7 +129,7 @@
         let clock = &self.deps.clock;
         let deadline = clock.now().after(wait);
         loop {
-            let listed = self.stored_results(&state.batch, state.items).await?;
+            let listed = self.stored_results(state).await?;
             let page = ResultPage::slice(&listed, after, state.items);
             let left = deadline.since(clock.now());
             let is_open = state.phase == BatchPhase::Running && listed.len() < state.items;
@@ -140,31 +140,32 @@
         }
     }
 
-    async fn stored_results(
-        &self,
-        batch: &BatchId,
-        total: usize,
-    ) -> Result<Arc<Vec<BatchResult>>, ReadError> {
-        let cached = self.state().results.get(batch).cloned().unwrap_or_default();
-        if cached.len() >= total {
+    async fn stored_results(&self, state: &BatchState) -> Result<Arc<Vec<BatchResult>>, ReadError> {
+        let batch = &state.batch;
+        let cached = {
+            let service_state = self.state();
+            let cached = service_state.results.get(batch);
+            let current = cached.filter(|_| service_state.is_current(state));
+            current.cloned().unwrap_or_default()
+        };
+        if cached.len() >= state.items {
             return Ok(cached);
         }
         let mut listed = cached.as_ref().clone();
         let read = self
             .deps
             .store
-            .load_new_results(batch, total, &mut listed)
+            .load_new_results(batch, state.items, &mut listed)
             .await?;
         if read.results > 0 {
             self.deps.events.results_read(batch, &read);
         }
         let listed = Arc::new(listed);
-        insert_bounded(
-            &mut self.state().results,
-            batch,
-            Arc::clone(&listed),
-            MAX_CACHED_RESULTS,
-        );
+        let mut service_state = self.state();
+        if service_state.is_current(state) {
+            let results = &mut service_state.results;
+            insert_bounded(results, batch, Arc::clone(&listed), MAX_CACHED_RESULTS);
+        }
         Ok(listed)
     }
 
@@ -189,7 +190,7 @@
         {
             return Ok(body);
         }
-        let spec = self.spec(batch).await?;
+        let spec = self.spec(&state).await?;
         spec.body(item).ok_or(ReadError::NotFound)
     }
 
@@ -198,24 +199,23 @@
         self.runner.spec(batch)?.body(item)
     }
 
-    async fn spec(&self, batch: &BatchId) -> Result<Arc<BatchSpec>, ReadError> {
-        let cached = self.state().specs.get(batch).cloned();
+    async fn spec(&self, state: &BatchState) -> Result<Arc<BatchSpec>, ReadError> {
+        let batch = &state.batch;
+        let cached = {
+            let service_state = self.state();
+            let cached = service_state.specs.get(batch);
+            cached.filter(|_| service_state.is_current(state)).cloned()
+        };
         if let Some(spec) = cached {
             return Ok(spec);
         }
-        let spec = self
-            .deps
-            .store
-            .load_spec(batch)
-            .await?
-            .ok_or(ReadError::NotFound)?;
-        let spec = Arc::new(spec);
-        insert_bounded(
-            &mut self.state().specs,
-            batch,
-            Arc::clone(&spec),
-            MAX_CACHED_SPECS,
-        );
+        let stored = self.deps.store.load_spec(batch).await?;
+        let spec = Arc::new(stored.ok_or(ReadError::NotFound)?);
+        let mut service_state = self.state();
+        if service_state.is_current(state) {
+            let specs = &mut service_state.specs;
+            insert_bounded(specs, batch, Arc::clone(&spec), MAX_CACHED_SPECS);
+        }
         Ok(spec)
     }
 }
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -130,12 +130,12 @@
 
     pub(super) fn release(&self, state: &BatchState) {
         if let Some(listed) = self.runner.release(&state.batch) {
-            insert_bounded(
-                &mut self.state().results,
-                &state.batch,
-                Arc::new(listed),
-                MAX_CACHED_RESULTS,
-            );
+            let mut service_state = self.state();
+            if service_state.is_current(state) {
+                let results = &mut service_state.results;
+                insert_bounded(results, &state.batch, Arc::new(listed), MAX_CACHED_RESULTS);
+            }
+            drop(service_state);
             self.deps.events.released(&state.batch, &state.owner);
         }
     }
--- a/crates/jm-batch/src/state.rs
+++ b/crates/jm-batch/src/state.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    /// Whether both states are of one submission. An id may be used again after its batch was removed, and then names
+    /// another batch.
+    pub(crate) fn is_same_batch(&self, other: &Self) -> bool {
+        self.batch == other.batch
+            && self.organisation == other.organisation
+            && self.submitted_unix_ms == other.submitted_unix_ms
+    }
+
     /// Whether this incarnation of the host owns the batch.
     pub fn is_owned_by(&self, member: &MemberId, incarnation: Incarnation) -> bool {
         self.owner == *member && self.owner_incarnation == incarnation
