Decode ids in paths and queries

What callers would see: 404 for an accepted batch or a step whose id a client's library encodes in the path (run%3A7), and 404 for the body of an item with a plus sign in its id.

Cause: ids were taken from paths without decoding, and queries were decoded as forms, where a plus sign stands for a space.

Ruled out: store and caches; the plain form of the same calls succeeds.

Change: the new crate jm-uri decodes both with the percent-encoding library, for the host program, steps and services. jm-config uses it in place of a decoder of its own.

--- a/crates/jm-config/src/path.rs
+++ b/crates/jm-config/src/path.rs
@@ -3,6 +3,7 @@
 
 use std::{fmt, str::FromStr};
 
+use jm_uri::decoded_segment;
 use snafu::{OptionExt, Snafu};
 
 /// Error for text that is not a valid path prefix.
@@ -54,35 +55,17 @@
     if rest.is_empty() {
         return (path == "/").then(Vec::new);
     }
-    rest.split('/').map(decoded_segment).collect()
+    rest.split('/').map(unambiguous_segment).collect()
 }
 
-fn decoded_segment(segment: &str) -> Option<String> {
-    let decoded = String::from_utf8(percent_decoded(segment.as_bytes())?).ok()?;
+fn unambiguous_segment(segment: &str) -> Option<String> {
+    // An escape that is not valid stays as it is, so its percent sign makes the segment ambiguous.
+    let decoded = decoded_segment(segment)?;
     let ambiguous = decoded.is_empty()
         || decoded == "."
         || decoded == ".."
         || decoded
             .chars()
             .any(|c| matches!(c, '/' | '\\' | '%' | ';' | '?' | '#') || c.is_control());
-    (!ambiguous).then_some(decoded)
-}
-
-fn percent_decoded(bytes: &[u8]) -> Option<Vec<u8>> {
-    let mut decoded = Vec::with_capacity(bytes.len());
-    let mut rest = bytes;
-    while let Some((first, tail)) = rest.split_first() {
-        rest = tail;
-        if *first != b'%' {
-            decoded.push(*first);
-            continue;
-        }
-        let digits = std::str::from_utf8(rest.get(..2)?).ok()?;
-        if !digits.bytes().all(|byte| byte.is_ascii_hexdigit()) {
-            return None;
-        }
-        decoded.push(u8::from_str_radix(digits, 16).ok()?);
-        rest = &rest[2..];
-    }
-    Some(decoded)
+    (!ambiguous).then(|| decoded.into_owned())
 }
--- a/crates/jm-entry/src/services.rs
+++ b/crates/jm-entry/src/services.rs
@@ -9,6 +9,7 @@
 };
 use jm_link::{ExecuteRequest, HeaderLine, RequestHead, TrafficClass};
 use jm_types::{DurationMs, ResultCode, ServiceId};
+use jm_uri::decoded_segment;
 
 use crate::{
     CallerHead, Entry, ForwardedHead,
@@ -101,9 +102,9 @@
         Some((service, path)) => (service, format!("/{path}")),
         None => (path_after_prefix, "/".to_owned()),
     };
-    let service = ServiceId::new(service);
-    let unknown = |_| Refusal::new(ResultCode::UnknownService, "the service does not exist");
-    Ok((service.map_err(unknown)?, path))
+    let service = decoded_segment(service).and_then(|service| ServiceId::new(service).ok());
+    let unknown = || Refusal::new(ResultCode::UnknownService, "the service does not exist");
+    Ok((service.ok_or_else(unknown)?, path))
 }
 
 fn target_head(request: &Request, path: &str, secret: Option<&str>) -> Result<RequestHead, Refusal> {
--- a/crates/jm-entry/src/steps.rs
+++ b/crates/jm-entry/src/steps.rs
@@ -8,6 +8,7 @@
 use jm_http::{BodySender, Method, Request, Response, StatusCode};
 use jm_link::{PeerReply, PeerRequest, ReplyStream, StepOperation};
 use jm_types::{DurationMs, MemberId, ResultCode, Sequence, ServiceId, StepId, Timestamp, WeightVersion};
+use jm_uri::decoded_segment;
 use serde::Deserialize;
 use serde_json::json;
 
@@ -113,8 +114,8 @@
         .unwrap_or((path_after_prefix, ""));
     let method = request.method();
     let caller = authenticate(&entry.node, &request)?;
-    let step = StepId::new(step)
-        .map_err(|_| Refusal::new(ResultCode::UnknownStep, "the path has no valid step id"))?;
+    let step = decoded_segment(step).and_then(|step| StepId::new(step).ok());
+    let step = step.ok_or_else(|| Refusal::new(ResultCode::UnknownStep, "the path has no valid step id"))?;
     let call = StepCall::new(entry, caller, step);
     match (action, method) {
         ("samples", Method::Get) => call.read(read_operation(&request)?).await,
--- a/crates/jm-entry/tests/step_calls.rs
+++ b/crates/jm-entry/tests/step_calls.rs
@@ -138,3 +138,14 @@
         .assert_refused(version, ResultCode::MalformedRequest)
         .await;
 }
+
+/// Guards against an existing step that is unknown because the caller's library encodes its id in the path.
+#[async_std::test]
+async fn encoded_id() {
+    let fixture = Fixture::start(1).await;
+    let path = "/v1/steps/run%3A7%2Ea/samples";
+    fixture.json(get(path, Some(KEY_A))).await;
+    let steps = fixture.dispatchers[0].handler.steps.lock().unwrap();
+    let ids: Vec<&str> = steps.iter().map(|(_, step, _)| step.as_str()).collect();
+    assert_eq!(ids, ["run:7.a"]);
+}
