Begin the text of an item with its first event only

What callers would see: a completed item whose text lacks its first events. No caller reported it; it was found while looking at joined streams.

Cause: a missing event was noticed only after another one. The first event of a text could have any number, such as that of a late answer to an earlier run of the same item, which had resumed.

Ruled out: answers to other items, which name another request.

Change: the first event must have number 1, as an engine resumes after event n with n + 1.

Measured: engine_faults missing_first_event read "e3\ne4" before and the whole text now; the tests of jm-batch pass.

--- a/crates/jm-batch/src/item_text.rs
+++ b/crates/jm-batch/src/item_text.rs
@@ -60,7 +60,8 @@
         data: &str,
         version: Option<WeightVersion>,
     ) -> Result<(), AppendError> {
-        if self.last_event.is_some_and(|last| event != last + 1) {
+        // The first event of a text has number 1, as an engine resumes after event n with event n + 1.
+        if event != self.last_event.unwrap_or(0) + 1 {
             return Err(AppendError::Gap);
         }
         if self.text.len() + data.len() >= MAX_TEXT_BYTES {
--- a/crates/jm-batch/tests/engine_faults.rs
+++ b/crates/jm-batch/tests/engine_faults.rs
@@ -251,3 +251,20 @@
     let failed = host.events.failed_runs.lock().unwrap();
     assert!(failed.iter().any(|end| matches!(end, GenerationEnd::Lost { .. })));
 }
+
+/// Guards against a text without its beginning: the events of a late answer to an earlier run of the item, which resumed, were
+/// taken for the first ones of a new text.
+#[async_std::test]
+async fn missing_first_event() {
+    let runs = AtomicUsize::new(0);
+    let script = Box::new(move |_: &_, request: &GenerationRequest| {
+        match runs.fetch_add(1, Ordering::SeqCst) {
+            0 => vec![data(3), data(4), Step::End(GenerationEnd::Complete)],
+            _ => text(request, 4, 1),
+        }
+    });
+    let (host, _store) = start(vec![engine("e1", 1, 1)], script);
+    host.service.submit(spec("b1", &[1])).await.unwrap();
+    let page = host.listed("b1", 1).await;
+    assert_eq!(page.results[0].text, whole_text(4));
+}
