Keep an open batch, and count retention from its end

Cause: the removing host and the owner's memory compared only the time since the submission. The platform also keeps a batch while it is open.

Ruled out: the lost engine, which only makes the batch longer.

Change: a state says when its batch was finished or ended, and retention counts from then on, in the store and in memory. Items that nobody completes expire, so each batch is closed at last. On the related path, an interrupted removal left pieces for later batches with the id, which could also be acknowledged and then removed: the state says removing first and is deleted last with its version, pieces go from the last one on, and a submission with that id is refused as not stored until then. Event 5119 logs removals. The removal moved from reconcile.rs to a module of its own. similar_ids removes its batch by a later time of day, as an early submission no longer removes it; its assertions are unchanged.

--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -134,6 +134,9 @@
     /// The submitter ended the batch after `listed` results were stored.
     fn ended(&self, batch: &BatchId, listed: usize);
 
+    /// A batch that was closed for `closed_for` was removed from the store.
+    fn removed(&self, batch: &BatchId, closed_for: DurationMs);
+
     /// A run ended before its text was complete.
     fn run_failed(&self, end: &RunEnd<'_>);
 
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -404,19 +404,6 @@
         Some((page, changed))
     }
 
-    /// Removes batches that were submitted before a time of day.
-    pub(crate) fn evict(&self, submitted_before_unix_ms: u64) {
-        let mut state = self.state();
-        let old = state
-            .owned
-            .values()
-            .filter(|owned| owned.spec.submitted_unix_ms < submitted_before_unix_ms);
-        let old: Vec<BatchId> = old.map(|owned| owned.spec.id.clone()).collect();
-        for batch in old {
-            state.remove(&batch);
-        }
-    }
-
     /// Whether no item waits, runs or is scored.
     pub(crate) fn is_idle(&self) -> bool {
         let state = self.state();
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -5,6 +5,7 @@
 mod previous;
 mod read;
 mod reconcile;
+mod removal;
 mod submit;
 
 use std::{
@@ -70,7 +71,7 @@
     pub incarnation: Incarnation,
     /// Intervals and limits of the runner.
     pub runner: RunnerOptions,
-    /// How long a batch is retained after its submission. It is removed from the store afterwards.
+    /// How long a batch is retained after it was finished or ended. It is removed from the store afterwards.
     pub retention_ms: DurationMs,
 }
 
@@ -321,10 +322,9 @@
         if cached.state.phase != BatchPhase::Running {
             return Ok(true);
         }
-        let ended = BatchState {
-            phase: BatchPhase::Ended,
-            ..cached.state
-        };
+        let ended = cached
+            .state
+            .closed(BatchPhase::Ended, self.deps.wall_clock.unix_ms());
         match self.deps.store.update_state(&ended, cached.version).await {
             Ok(WriteOutcome::Applied(version)) => {
                 self.cache_state(ended.clone(), version);
@@ -395,7 +395,8 @@
             Some(cached) => cached.state,
             None => self.load_state(batch).await?,
         };
-        if state.organisation.as_ref() != organisation {
+        let is_removed = state.phase == BatchPhase::Removing;
+        if is_removed || state.organisation.as_ref() != organisation {
             return NotFoundSnafu.fail();
         }
         Ok(state)
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -1,4 +1,4 @@
-//! Takes batches over after failures, and removes old ones.
+//! Takes batches over after failures.
 
 use std::sync::Arc;
 
@@ -6,8 +6,7 @@
 use futures::future::try_join;
 use jm_forward::ItemSender;
 use jm_platform::Version;
-use jm_route::owner_by_key;
-use jm_types::{BatchId, DurationMs, MemberId, Timestamp};
+use jm_types::{BatchId, DurationMs, Timestamp};
 
 use super::{BatchService, CachedState, MAX_CACHED_RESULTS, STATE_RETRY_DELAY_MS, insert_bounded};
 use crate::{
@@ -71,11 +70,11 @@
                         self.release(&state);
                     }
                 }
-                Takeover::None => {
-                    if state.phase == BatchPhase::Ended {
-                        self.runner.end(&state.batch);
-                    }
-                }
+                Takeover::None => match state.phase {
+                    BatchPhase::Ended => self.runner.end(&state.batch),
+                    BatchPhase::Removing => drop(self.runner.release(&state.batch)),
+                    BatchPhase::Running | BatchPhase::Finished => {}
+                },
             }
         }
         self.runner.set_remote_work(remote_work);
@@ -250,76 +249,4 @@
             Err(error) => Err(error),
         }
     }
-
-    /// Marks batches as finished whose results are all stored, and removes batches whose retention has expired.
-    pub async fn clean_up(&self) {
-        for batch in self.runner.finished_batches() {
-            let Some(cached) = self.cached_state(&batch) else {
-                continue;
-            };
-            // A handover is stored first, because it would otherwise replace the finished state.
-            let is_pending = self.state().pending_handovers.contains_key(&batch);
-            if cached.state.phase == BatchPhase::Running && !is_pending {
-                self.mark_finished(cached).await;
-            }
-        }
-        let unix_ms = self.deps.wall_clock.unix_ms();
-        let oldest_unix_ms = unix_ms.saturating_sub(self.options.retention_ms.get());
-        self.runner.evict(oldest_unix_ms);
-        let old: Vec<BatchId> = {
-            let state = self.state();
-            let old = state
-                .cached_states
-                .values()
-                .filter(|cached| self.must_remove(&cached.state, oldest_unix_ms));
-            old.map(|cached| cached.state.batch.clone()).collect()
-        };
-        for batch in old {
-            match self.deps.store.remove(&batch).await {
-                Ok(()) => self.evict(&batch),
-                Err(error) => self
-                    .deps
-                    .events
-                    .store_failed(&batch, "remove", &error.to_string()),
-            }
-        }
-    }
-
-    fn must_remove(&self, state: &BatchState, oldest_unix_ms: u64) -> bool {
-        state.submitted_unix_ms < oldest_unix_ms
-            && self.removing_host(&state.batch).as_ref() == Some(&self.options.local_member)
-    }
-
-    async fn mark_finished(&self, cached: CachedState) {
-        let finished = BatchState {
-            phase: BatchPhase::Finished,
-            ..cached.state
-        };
-        match self.deps.store.update_state(&finished, cached.version).await {
-            Ok(WriteOutcome::Applied(version)) => {
-                self.cache_state(finished, version);
-            }
-            Ok(WriteOutcome::Conflict) => {
-                // The submitter ended the batch concurrently. The watch delivers that state.
-            }
-            Err(error) => {
-                let reason = error.to_string();
-                self.deps
-                    .events
-                    .store_failed(&finished.batch, "mark as finished", &reason);
-            }
-        }
-    }
-
-    /// The host that removes a batch from the store, which may differ from the owner. `None` if no host is live.
-    fn removing_host(&self, batch: &BatchId) -> Option<MemberId> {
-        let live: Vec<MemberId> = self
-            .deps
-            .members
-            .live()
-            .into_iter()
-            .map(|(member, _)| member)
-            .collect();
-        owner_by_key(batch.as_str(), &live).cloned()
-    }
 }
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -20,8 +20,8 @@
     ///
     /// Fails when the batch could not be stored. The error says whether it may run nevertheless.
     pub async fn submit(self: &Arc<Self>, spec: BatchSpec) -> Result<(), SubmitError> {
-        if let Some(cached) = self.cached_state(&spec.id) {
-            return same_organisation(&cached.state, &spec);
+        if let Some(earlier) = self.earlier_submission(&spec).await? {
+            return same_organisation(&earlier, &spec);
         }
         let spec = self.store_spec(spec).await?;
         let (owner, owner_incarnation) = self.first_owner(&spec);
@@ -37,6 +37,7 @@
             min_version: spec.min_version,
             work_tokens: spec.work_tokens(),
             submitted_unix_ms: spec.submitted_unix_ms,
+            closed_unix_ms: None,
         };
         let store = &self.deps.store;
         match self.create(|| store.create_state(&state).boxed()).await? {
@@ -103,6 +104,7 @@
     async fn accepted_before(self: &Arc<Self>, spec: &BatchSpec) -> Result<(), SubmitError> {
         match self.load_state(&spec.id).await {
             Ok(state) => {
+                let state = self.refuse_if_removed(state)?;
                 self.reconcile();
                 same_organisation(&state, spec)
             }
--- a/crates/jm-batch/src/state.rs
+++ b/crates/jm-batch/src/state.rs
@@ -1,6 +1,6 @@
 //! State of a batch. It is a small object separate from the specification, and every host watches it.
 
-use jm_types::{BatchId, Incarnation, MemberId, ModelId, OrganisationId, WeightVersion};
+use jm_types::{BatchId, DurationMs, Incarnation, MemberId, ModelId, OrganisationId, WeightVersion};
 use serde::{Deserialize, Serialize};
 
 /// Phase of a batch.
@@ -13,6 +13,8 @@
     Finished,
     /// The submitter ended the batch.
     Ended,
+    /// The retention of the batch has expired and its objects are being deleted, this state last.
+    Removing,
 }
 
 /// Owner and phase of a batch, with the properties that other hosts need.
@@ -41,6 +43,9 @@
     pub work_tokens: u64,
     /// Time of the submission, in milliseconds since the Unix epoch.
     pub submitted_unix_ms: u64,
+    /// When the batch was finished or ended. `None` while it runs, and in states of earlier releases.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub closed_unix_ms: Option<u64>,
 }
 
 impl BatchState {
@@ -60,6 +65,23 @@
         }
     }
 
+    /// The same batch after it was finished or ended.
+    pub(crate) fn closed(self, phase: BatchPhase, unix_ms: u64) -> Self {
+        Self {
+            phase,
+            closed_unix_ms: Some(unix_ms),
+            ..self
+        }
+    }
+
+    /// Time since the batch was closed, from which its retention counts; `None` while it runs. The clocks of the hosts that
+    /// received and closed it may differ, so the later time counts.
+    pub(crate) fn closed_for(&self, unix_ms: u64) -> Option<DurationMs> {
+        let closed_unix_ms = self.closed_unix_ms.unwrap_or_default();
+        let since = closed_unix_ms.max(self.submitted_unix_ms);
+        (self.phase != BatchPhase::Running).then(|| DurationMs::new(unix_ms.saturating_sub(since)))
+    }
+
     /// Whether both states are of one submission. An id may be used again after its batch was removed, and then names
     /// another batch.
     pub(crate) fn is_same_batch(&self, other: &Self) -> bool {
--- a/crates/jm-batch/src/store.rs
+++ b/crates/jm-batch/src/store.rs
@@ -240,12 +240,11 @@
         Ok(texts.map_or(Vec::new(), |(texts, _)| texts))
     }
 
-    /// Removes all objects of a batch whose retention has expired.
-    pub(crate) async fn remove(&self, batch: &BatchId) -> Result<(), StoreError> {
-        let mut first = 0;
-        while let Some(piece) = self.load_piece(batch, first).await? {
+    /// Deletes all objects of a batch but its state. Pieces are deleted from the last one on, so that a repeated call finds
+    /// those that are left after an interrupted one.
+    pub(crate) async fn delete_content(&self, batch: &BatchId) -> Result<(), StoreError> {
+        for first in self.piece_positions(batch).await?.into_iter().rev() {
             self.delete(&piece_key(batch, first)).await?;
-            first += piece.results.len().max(1);
         }
         let keys = NumberedKeys::texts(batch);
         let saved = self.objects.list(keys.prefix()).await;
@@ -254,8 +253,30 @@
                 self.delete(&object.key).await?;
             }
         }
-        self.remove_spec(batch).await?;
-        self.delete(&state_key(batch)).await
+        self.remove_spec(batch).await
+    }
+
+    async fn piece_positions(&self, batch: &BatchId) -> Result<Vec<usize>, StoreError> {
+        let mut positions = Vec::new();
+        let mut next = 0;
+        while let Some(piece) = self.load_piece(batch, next).await? {
+            positions.push(next);
+            next += piece.results.len().max(1);
+        }
+        Ok(positions)
+    }
+
+    /// Deletes a state if it still has `version`.
+    pub(crate) async fn delete_state(&self, batch: &BatchId, version: Version) -> Result<(), StoreError> {
+        let deleted = self
+            .objects
+            .delete(&state_key(batch), Condition::Version(version))
+            .await;
+        match deleted {
+            // The answer to an earlier attempt was lost.
+            Ok(()) | Err(ObjectError::Conflict { current: None }) => Ok(()),
+            Err(error) => Err(StoreError::unavailable(error)),
+        }
     }
 
     async fn delete(&self, key: &str) -> Result<(), StoreError> {
--- a/crates/jm-batch/tests/batch_takeover.rs
+++ b/crates/jm-batch/tests/batch_takeover.rs
@@ -204,6 +204,7 @@
         min_version: WeightVersion::new(0),
         work_tokens: 0,
         submitted_unix_ms: 0,
+        closed_unix_ms: None,
     }
 }
 
--- a/crates/jm-batch/tests/common/events.rs
+++ b/crates/jm-batch/tests/common/events.rs
@@ -63,6 +63,7 @@
     fn progress(&self, _batch: &BatchId, _progress: &BatchProgress) {}
     fn finished(&self, _batch: &BatchId, _took: DurationMs) {}
     fn ended(&self, _batch: &BatchId, _listed: usize) {}
+    fn removed(&self, _batch: &BatchId, _closed_for: DurationMs) {}
     fn run_failed(&self, end: &RunEnd<'_>) {
         self.failed_runs.lock().unwrap().push(end.end.clone());
     }
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicI64, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -48,6 +48,9 @@
     name.parse().unwrap()
 }
 
+/// Time for which closed batches are kept.
+pub(crate) const RETENTION_MS: DurationMs = DurationMs::new(600_000);
+
 /// A batch of items of model `m` with the given expected tokens. Each item forms its own group.
 pub(crate) fn spec(id: &str, expected_tokens: &[u64]) -> BatchSpec {
     let item = |(index, tokens): (usize, &u64)| BatchItem {
@@ -297,12 +300,27 @@
 #[derive(Default)]
 pub(crate) struct JumpingClock {
     ahead_ms: AtomicU64,
+    /// Difference of the host's time of day.
+    wall_ahead_ms: AtomicI64,
 }
 
 impl JumpingClock {
     pub(crate) fn jump(&self, ms: u64) {
         self.ahead_ms.fetch_add(ms, Ordering::SeqCst);
     }
+
+    /// Moves the time of day, which does not count as a pause.
+    pub(crate) fn move_wall(&self, ms: i64) {
+        self.wall_ahead_ms.fetch_add(ms, Ordering::SeqCst);
+    }
+}
+
+impl WallClock for JumpingClock {
+    fn unix_ms(&self) -> u64 {
+        SystemClock
+            .unix_ms()
+            .saturating_add_signed(self.wall_ahead_ms.load(Ordering::SeqCst))
+    }
 }
 
 impl Clock for JumpingClock {
@@ -384,11 +402,11 @@
                 first_event_stall_ms: DurationMs::new(stall_ms),
                 ..RunnerOptions::default()
             },
-            retention_ms: DurationMs::new(600_000),
+            retention_ms: RETENTION_MS,
         };
         let parts = BatchServiceDependencies {
             clock: Arc::clone(&clock) as _,
-            wall_clock: Arc::new(SystemClock),
+            wall_clock: Arc::clone(&clock) as _,
             store: BatchStore::new(Arc::clone(store) as _),
             generator: Arc::clone(&engines) as _,
             rewards: Arc::clone(&scorers) as _,
--- a/crates/jm-batch/tests/common/store.rs
+++ b/crates/jm-batch/tests/common/store.rs
@@ -33,6 +33,8 @@
     pub(crate) reads: AtomicU64,
     /// Writes of batch states, also those without a response yet.
     pub(crate) state_writes: AtomicU64,
+    /// Number of deletes that are still applied. Later ones fail.
+    pub(crate) deletes_left: AtomicU64,
     held_calls: Mutex<Vec<HeldPrefix>>,
 }
 
@@ -61,6 +63,7 @@
             is_silent: AtomicBool::new(false),
             reads: AtomicU64::new(0),
             state_writes: AtomicU64::new(0),
+            deletes_left: AtomicU64::new(u64::MAX),
             held_calls: Mutex::default(),
         })
     }
@@ -158,6 +161,13 @@
     }
 
     async fn delete(&self, key: &str, condition: Condition) -> Result<(), ObjectError> {
+        let left = self.deletes_left.load(Ordering::SeqCst);
+        if left == 0 || self.is_down.load(Ordering::SeqCst) {
+            return Err(ObjectError::Unavailable {
+                reason: "down".to_owned(),
+            });
+        }
+        self.deletes_left.store(left - 1, Ordering::SeqCst);
         self.inner.delete(key, condition).await
     }
 
--- a/crates/jm-batch/tests/engine_faults.rs
+++ b/crates/jm-batch/tests/engine_faults.rs
@@ -257,12 +257,13 @@
 #[async_std::test]
 async fn missing_first_event() {
     let runs = AtomicUsize::new(0);
-    let script = Box::new(move |_: &_, request: &GenerationRequest| {
-        match runs.fetch_add(1, Ordering::SeqCst) {
-            0 => vec![data(3), data(4), Step::End(GenerationEnd::Complete)],
-            _ => text(request, 4, 1),
-        }
-    });
+    let script =
+        Box::new(
+            move |_: &_, request: &GenerationRequest| match runs.fetch_add(1, Ordering::SeqCst) {
+                0 => vec![data(3), data(4), Step::End(GenerationEnd::Complete)],
+                _ => text(request, 4, 1),
+            },
+        );
     let (host, _store) = start(vec![engine("e1", 1, 1)], script);
     host.service.submit(spec("b1", &[1])).await.unwrap();
     let page = host.listed("b1", 1).await;
--- a/crates/jm-batch/tests/similar_ids.rs
+++ b/crates/jm-batch/tests/similar_ids.rs
@@ -66,15 +66,15 @@
     for suffix in SUFFIXES {
         let store = FaultyStore::new();
         let host = start_host("owner", &Arc::new(Hosts::default()), &store);
-        let mut old = spec(ID, &[1]);
-        old.submitted_unix_ms = 1;
-        host.service.submit(old).await.unwrap();
+        host.service.submit(spec(ID, &[1])).await.unwrap();
         host.listed(ID, 1).await;
+        host.service.clean_up().await;
         let own = format!("batch-texts/{ID}.0000");
         let other = format!("batch-texts/{ID}{suffix}.0001");
         for key in [&own, &other] {
             store.put(key, b"[]".to_vec(), Condition::Any).await.unwrap();
         }
+        host.clock.move_wall(RETENTION_MS.get() as i64 + 1);
         host.service.clean_up().await;
         let left = store.inner.list("batch-").await.unwrap().objects;
         let left: Vec<&str> = left.iter().map(|object| object.key.as_str()).collect();
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -399,6 +399,14 @@
         );
     }
 
+    fn removed(&self, batch: &BatchId, closed_for: DurationMs) {
+        self.batches.with_label_values(&["removed"]).inc();
+        LogEvent::BatchRemoved.write_fields(
+            "the batch was removed after its retention",
+            &[("batch", &batch.as_str()), ("closed_for_ms", &closed_for.get())],
+        );
+    }
+
     fn run_failed(&self, end: &RunEnd<'_>) {
         let (name, reason) = end_name(end.end);
         self.item_runs.with_label_values(&[name]).inc();
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -173,6 +173,8 @@
     BatchStartRepeated = 5117, Info;
     /// Results of a batch were read from the store, because no live host has them in memory.
     BatchResultsRead = 5118, Info;
+    /// A closed batch was removed from the store after its retention.
+    BatchRemoved = 5119, Info;
     /// The next owner accepted a batch from a host that stops.
     BatchHandedOver = 5120, Info;
     /// A host did not accept a batch from a host that stops.
