--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -59,7 +59,7 @@
 pub use service::{
     BatchPeers, BatchService, BatchServiceDependencies, BatchServiceOptions, ReadError, SubmitError,
 };
-pub use spec::{BatchItem, BatchSpec, SpecError, SpecMemory};
+pub use spec::{BatchItem, BatchSpec, HEADER_BYTES, ITEM_BYTES, SpecError, SpecMemory};
 pub use state::{BatchPhase, BatchState};
 pub use store::{BATCH_STATE_PREFIX, BatchStore, ResultsRead, StoreError};
 pub use write_schedule::{UnwrittenResults, WriteScheduleOptions, next_write_at};
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -91,8 +91,9 @@
                 let stored = stored.map_err(|error| SubmitError::MayBeStored {
                     reason: error.to_string(),
                 })?;
-                let stored = stored.unwrap_or(spec.clone());
-                if stored.organisation != spec.organisation {
+                let organisation = spec.organisation.clone();
+                let stored = stored.unwrap_or(spec);
+                if stored.organisation != organisation {
                     return IdInUseSnafu.fail();
                 }
                 Ok(Arc::new(stored))
--- a/crates/jm-batch/src/spec.rs
+++ b/crates/jm-batch/src/spec.rs
@@ -12,7 +12,14 @@
 use serde::{Deserialize, Serialize};
 use snafu::{Snafu, ensure};
 
-use crate::{PromptPart, RewardCall};
+use crate::{ItemText, PromptPart, RewardCall};
+
+/// Memory that an item takes beside its texts: the item, the state of its run and its text, and the overhead of the
+/// allocator for its id and path.
+pub const ITEM_BYTES: usize = size_of::<BatchItem>() + 2 * size_of::<ItemText>() + 64;
+
+/// Memory that a header of an item takes beside its texts: its entry in the map, and the overhead of the allocator.
+pub const HEADER_BYTES: usize = 2 * size_of::<String>() + 64;
 
 /// One request of a batch.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -192,6 +199,19 @@
         Ok(())
     }
 
+    /// Memory that the item takes, with the state of its run and its text.
+    fn memory_bytes(&self) -> u64 {
+        let headers = self.headers.iter();
+        let header_bytes: usize = headers
+            .map(|(name, value)| HEADER_BYTES + name.capacity() + value.capacity())
+            .sum();
+        let reward = self.reward.as_ref();
+        let reward_bytes = reward.map_or(0, |call| call.body.capacity() + call.path.capacity());
+        let text_bytes = self.id.capacity() + self.path.capacity() + self.body.capacity();
+        let part_bytes = self.prompt_parts.capacity() * size_of::<PromptPart>();
+        (ITEM_BYTES + header_bytes + reward_bytes + text_bytes + part_bytes) as u64
+    }
+
     /// Estimated number of generated tokens.
     pub(crate) fn estimated_tokens(&self) -> u64 {
         let max_generated = self.tokens.saturating_sub(self.prompt_tokens);
@@ -211,6 +231,24 @@
         found.map(|item| item.body.clone())
     }
 
+    /// The specification without its items.
+    pub(crate) fn without_items(&self) -> Self {
+        Self {
+            id: self.id.clone(),
+            organisation: self.organisation.clone(),
+            host: self.host.clone(),
+            model: self.model.clone(),
+            items: Vec::new(),
+            memory: SpecMemory::default(),
+            ..*self
+        }
+    }
+
+    /// Memory that the specification and the state of its items take while the batch runs.
+    pub fn memory_bytes(&self) -> u64 {
+        self.items.iter().map(BatchItem::memory_bytes).sum()
+    }
+
     /// Sum of the expected sizes of all items in tokens.
     pub fn work_tokens(&self) -> u64 {
         self.items.iter().map(BatchItem::work_tokens).sum()
--- a/crates/jm-batch/src/store/spec.rs
+++ b/crates/jm-batch/src/store/spec.rs
@@ -151,13 +151,9 @@
     // A large batch is not held in two encodings at the same time.
     drop(text);
     let parts = ItemParts::new(&spec.items);
-    let header = BatchSpec {
-        items: Vec::new(),
-        ..spec.clone()
-    };
     let head = SpecHead {
         parts: 1 + parts.pieces().len(),
-        text: encode(&header),
+        text: encode(&spec.without_items()),
         items: Some(parts.digest.clone()),
     };
     (head, Some(parts))
--- a/crates/jm-http/src/buffer_budget.rs
+++ b/crates/jm-http/src/buffer_budget.rs
@@ -94,6 +94,8 @@
     /// Rejected holders will release enough memory.
     Wait,
     Refused,
+    /// The buffer exceeds the whole budget.
+    Impossible,
 }
 
 impl BufferBudget {
@@ -340,7 +342,8 @@
 
 impl BufferShare {
     /// Counts a buffer before it grows to `size_bytes`, and rejects others if the budget is exhausted. Waits up to
-    /// `max_wait` until they have released their memory. A small buffer is always counted.
+    /// `max_wait` until they have released their memory. A small buffer is always counted, and one that exceeds the whole
+    /// budget fails at once, without a rejection of others.
     ///
     /// # Errors
     ///
@@ -358,7 +361,7 @@
                     task::sleep(interval).await;
                     interval = (interval * 2).min(MAX_WAIT_INTERVAL);
                 }
-                Attempt::Wait | Attempt::Refused => break,
+                Attempt::Wait | Attempt::Refused | Attempt::Impossible => break,
             }
         }
         self.budget.count_rejection(RejectionReason::NoMemory);
@@ -373,6 +376,9 @@
         let added_bytes = size_bytes.saturating_sub(self.holder.held());
         let excess_bytes = (state.used_bytes + added_bytes).saturating_sub(budget.0.limit.get());
         let is_small = size_bytes <= SMALL_BYTES;
+        if size_bytes > budget.0.limit.get() && !is_small {
+            return Attempt::Impossible;
+        }
         if self.phase() == Phase::Answering && !is_small {
             let limit_bytes = budget.0.limit.get() / 100 * RESPONSE_PERCENT;
             let (rejected, has_room) = state.make_room_for_response(added_bytes, limit_bytes, now_ms);
--- a/crates/jm-http/tests/buffer_budget.rs
+++ b/crates/jm-http/tests/buffer_budget.rs
@@ -15,8 +15,8 @@
 use common::{long_limits, with_hang_timeout};
 use futures::{AsyncRead, future::join_all, io::BufReader};
 use http_types::{Body, Response};
-use jm_http::{Client, Limits};
-use jm_types::ByteSize;
+use jm_http::{BufferBudget, Client, Limits, RejectionReason};
+use jm_types::{ByteSize, DurationMs};
 
 const BODY_BYTES: usize = 4_000_000;
 const BUDGET_BYTES: usize = 8_000_000;
@@ -113,3 +113,17 @@
     let error = client().read_body(&mut large).await.unwrap_err();
     assert_eq!(error.kind(), io::ErrorKind::FileTooLarge);
 }
+
+/// Guards against a body that can never fit and ends others, or is refused only after a wait.
+#[async_std::test]
+async fn larger_than_the_budget() {
+    let budget = BufferBudget::new(ByteSize::new(BUDGET_BYTES as u64));
+    let other = budget.share();
+    other.set(BUDGET_BYTES as u64 / 2);
+    let share = budget.share();
+    let never = DurationMs::new(u64::MAX);
+    let refused = with_hang_timeout(share.grow_to(BUDGET_BYTES as u64 + 1, never)).await;
+    assert_eq!(refused.unwrap_err().kind(), io::ErrorKind::QuotaExceeded);
+    assert_eq!(budget.rejected(RejectionReason::Selected), 0);
+    share.grow_to(BUDGET_BYTES as u64 / 2, never).await.unwrap();
+}
