Bound small buffers, and count a declared large body as large at once

Cause: buffers up to 96 KiB were counted without a limit, connections that hold less and make progress were never selected, and the declared size played no part.

Ruled out: stalled connections, which are selected, and descriptors.

Change: a declared large body counts as large from its first byte. Small buffers exceed the budget by a reserve only: 50% up to 32 KiB, which holds an ordinary request, 5% up to 96 KiB. A small body that has not arrived after 2 s may be selected.

--- a/crates/jm-http/src/buffer_budget.rs
+++ b/crates/jm-http/src/buffer_budget.rs
@@ -36,6 +36,14 @@
 /// requests. On the smallest machines, the part holds the largest answers of the store (16 MB).
 const RESPONSE_PERCENT: u64 = 60;
 
+/// Part of the limit by which small buffers may exceed it, in percent.
+const SMALL_RESERVE_PERCENT: u64 = 5;
+/// Size up to which a buffer may use the larger reserve: a body of some KiB with the buffers of its connection. Callers
+/// with such requests are answered while others release their memory.
+const ORDINARY_BYTES: u64 = 32 * 1024;
+/// Part of the limit by which buffers up to [`ORDINARY_BYTES`] may exceed it, in percent.
+const ORDINARY_RESERVE_PERCENT: u64 = 50;
+
 /// Why a body was rejected, for the metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RejectionReason {
@@ -79,6 +87,7 @@
     client: Option<IpAddr>,
     phase: Mutex<Phase>,
     held_bytes: AtomicU64,
+    declared_bytes: AtomicU64,
     moved_bytes: AtomicU64,
     phase_began_ms: AtomicU64,
     progress_at_ms: AtomicU64,
@@ -165,6 +174,18 @@
         Some(share)
     }
 
+    /// Bytes by which a buffer that is expected to grow to `expected_bytes` may exceed the budget.
+    fn reserve_bytes(&self, expected_bytes: u64) -> u64 {
+        let percent = if expected_bytes <= ORDINARY_BYTES {
+            ORDINARY_RESERVE_PERCENT
+        } else if expected_bytes <= SMALL_BYTES {
+            SMALL_RESERVE_PERCENT
+        } else {
+            0
+        };
+        self.0.limit.get() / 100 * percent
+    }
+
     fn share_of(&self, client: Option<IpAddr>, phase: Phase) -> BufferShare {
         self.insert_holder(&mut self.state(), client, phase)
     }
@@ -179,6 +200,7 @@
             client,
             phase: Mutex::new(phase),
             held_bytes: AtomicU64::new(0),
+            declared_bytes: AtomicU64::new(0),
             moved_bytes: AtomicU64::new(0),
             phase_began_ms: AtomicU64::new(now_ms),
             progress_at_ms: AtomicU64::new(now_ms),
@@ -325,6 +347,7 @@
             client: self.client,
             phase: *self.phase(),
             held: ByteSize::new(self.held()),
+            declared: ByteSize::new(self.declared_bytes.load(Ordering::Relaxed)),
             moved: ByteSize::new(self.moved_bytes.load(Ordering::Relaxed)),
             age_ms: since(&self.phase_began_ms),
             idle_ms: since(&self.progress_at_ms),
@@ -342,8 +365,8 @@
 
 impl BufferShare {
     /// Counts a buffer before it grows to `size_bytes`, and rejects others if the budget is exhausted. Waits up to
-    /// `max_wait` until they have released their memory. A small buffer is always counted, and one that exceeds the whole
-    /// budget fails at once, without a rejection of others.
+    /// `max_wait` until they have released their memory. Small buffers may exceed the budget by a reserve. A buffer that
+    /// exceeds the whole budget fails at once, without a rejection of others.
     ///
     /// # Errors
     ///
@@ -375,7 +398,9 @@
         let mut state = budget.state();
         let added_bytes = size_bytes.saturating_sub(self.holder.held());
         let excess_bytes = (state.used_bytes + added_bytes).saturating_sub(budget.0.limit.get());
-        let is_small = size_bytes <= SMALL_BYTES;
+        let expected_bytes = size_bytes.max(self.holder.declared_bytes.load(Ordering::Relaxed));
+        let is_small = expected_bytes <= SMALL_BYTES;
+        let is_reserved = excess_bytes <= budget.reserve_bytes(expected_bytes);
         if size_bytes > budget.0.limit.get() && !is_small {
             return Attempt::Impossible;
         }
@@ -388,13 +413,13 @@
                 return if has_room { Attempt::Wait } else { Attempt::Refused };
             }
         }
-        if excess_bytes == 0 || is_small {
+        if is_reserved {
             state.set_held(&self.holder, size_bytes);
         }
         let (rejected, has_room) = state.make_room(excess_bytes, &self.holder, is_small, now_ms);
         drop(state);
         budget.count_rejections(rejected);
-        match (excess_bytes == 0 || is_small, has_room) {
+        match (is_reserved, has_room) {
             (true, _) => Attempt::Counted,
             (false, true) => Attempt::Wait,
             (false, false) => Attempt::Refused,
@@ -433,12 +458,18 @@
             return false;
         }
         *self.holder.phase() = phase;
+        self.holder.declared_bytes.store(0, Ordering::Relaxed);
         self.holder.moved_bytes.store(0, Ordering::Relaxed);
         self.holder.phase_began_ms.store(now_ms, Ordering::Relaxed);
         self.holder.progress_at_ms.store(now_ms, Ordering::Relaxed);
         true
     }
 
+    /// Records the size that the client declares for the body that it sends in this phase.
+    pub(crate) fn declare(&self, size_bytes: u64) {
+        self.holder.declared_bytes.store(size_bytes, Ordering::Relaxed);
+    }
+
     /// Limit of the budget to which this share belongs.
     pub(crate) fn limit(&self) -> ByteSize {
         self.budget.0.limit
--- a/crates/jm-http/src/connection.rs
+++ b/crates/jm-http/src/connection.rs
@@ -98,7 +98,9 @@
     }
 
     async fn refuse(&mut self, refusal: Refusal) {
-        // The body has been dropped.
+        // The body has been dropped, and what has arrived of it is not needed either.
+        self.stream.consume(self.stream.data().len());
+        self.stream.release_buffer();
         self.count_buffers(0);
         let stall_timeout = self.limits.get().body_timeout_ms.as_std();
         refuse(&mut self.stream, self.connection.peer, refusal, stall_timeout).await;
@@ -147,6 +149,9 @@
         if !self.share.begin(Phase::Receiving) {
             return Err(memory_refusal());
         }
+        if let Framing::Length(length) = head.framing {
+            self.share.declare(length);
+        }
         let body = self.read_body(head.framing).await?;
         if !self.share.begin(Phase::Running) {
             return Err(memory_refusal());
@@ -252,6 +257,8 @@
 
     async fn read_piece(&mut self) -> Result<(), Refusal> {
         let time = self.limits.get().body_timeout_ms;
+        // A client may pause for long, and the next read may bring a few bytes only.
+        self.stream.release_buffer();
         match timeout(time.as_std(), self.stream.fill()).await {
             Ok(Ok(1..)) => Ok(()),
             Ok(_) => Err(body_refusal(BodyError::Truncated)),
--- a/crates/jm-http/src/rejection.rs
+++ b/crates/jm-http/src/rejection.rs
@@ -1,7 +1,8 @@
 //! Selects the connection to close when the buffers of a process exceed their budget.
 //!
 //! Load pattern: untrusted clients send many large bodies of permitted size at once, and most stop just before the end
-//! and stay open, while ordinary callers send and receive a few bodies that make progress.
+//! and stay open, or send the beginning of a body and then a byte now and then, while ordinary callers send and receive a
+//! few bodies that make progress.
 
 use std::net::IpAddr;
 
@@ -10,6 +11,9 @@
 
 /// Size up to which buffers that make progress are always accepted: a body of 64 KiB with the buffers of its connection.
 pub(crate) const SMALL_BYTES: u64 = 96 * 1024;
+/// Time within which the small body of an ordinary caller arrives. After it, a connection that still receives one is
+/// rejected like one with a large body.
+const SMALL_BODY_TIME_MS: DurationMs = DurationMs::new(2_000);
 /// Time without progress after which a connection counts as stalled. Ordinary callers pause for less than this, even
 /// after the loss of a packet, and the budget is only exhausted while many others send.
 const STALL_MS: DurationMs = DurationMs::new(1_000);
@@ -46,6 +50,8 @@
     pub(crate) phase: Phase,
     /// Memory that the connection holds.
     pub(crate) held: ByteSize,
+    /// Size that the client declared for the body that it sends; zero if it declared none.
+    pub(crate) declared: ByteSize,
     /// Bytes that were received or sent in this phase.
     pub(crate) moved: ByteSize,
     /// Time since the phase began.
@@ -59,8 +65,9 @@
         self.idle_ms >= STALL_MS
     }
 
+    /// A body that is declared as large counts as large before it has arrived.
     fn is_small(&self) -> bool {
-        self.held.get() <= SMALL_BYTES
+        self.held.max(self.declared).get() <= SMALL_BYTES
     }
 
     /// A request that may run is never rejected, because the rejection would not be true. A response is only given up
@@ -68,7 +75,7 @@
     fn may_be_rejected(&self) -> bool {
         match self.phase {
             Phase::Running | Phase::Answering => false,
-            Phase::Receiving => self.is_stalled() || !self.is_small(),
+            Phase::Receiving => self.is_stalled() || !self.is_small() || self.age_ms >= SMALL_BODY_TIME_MS,
             Phase::Waiting | Phase::Sending => self.is_stalled(),
         }
     }
