--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -1,6 +1,7 @@
 //! In-memory engines, hosts and store for the batch tests.
 #![allow(dead_code, reason = "each test file uses a part of these helpers")]
 
+mod clock;
 mod events;
 mod peers;
 mod scorers;
@@ -10,7 +11,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicI64, AtomicU64, Ordering},
+        atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -30,10 +31,11 @@
 };
 use jm_platform::ObjectStore;
 use jm_types::{
-    BatchId, ByteSize, Clock, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, Timestamp,
-    WallClock, WeightVersion,
+    BatchId, ByteSize, DurationMs, Incarnation, MemberId, ModelId, Revision, SystemClock, WallClock,
+    WeightVersion,
 };
 
+pub(crate) use clock::JumpingClock;
 pub(crate) use events::RecordedEvents;
 pub(crate) use peers::SilentPeers;
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
@@ -296,40 +298,6 @@
     pub(crate) clock: Arc<JumpingClock>,
 }
 
-/// The system's clock, which a test can set forward. The host then counts as paused.
-#[derive(Default)]
-pub(crate) struct JumpingClock {
-    ahead_ms: AtomicU64,
-    /// Difference of the host's time of day.
-    wall_ahead_ms: AtomicI64,
-}
-
-impl JumpingClock {
-    pub(crate) fn jump(&self, ms: u64) {
-        self.ahead_ms.fetch_add(ms, Ordering::SeqCst);
-    }
-
-    /// Moves the time of day, which does not count as a pause.
-    pub(crate) fn move_wall(&self, ms: i64) {
-        self.wall_ahead_ms.fetch_add(ms, Ordering::SeqCst);
-    }
-}
-
-impl WallClock for JumpingClock {
-    fn unix_ms(&self) -> u64 {
-        SystemClock
-            .unix_ms()
-            .saturating_add_signed(self.wall_ahead_ms.load(Ordering::SeqCst))
-    }
-}
-
-impl Clock for JumpingClock {
-    fn now(&self) -> Timestamp {
-        let ahead_ms = DurationMs::new(self.ahead_ms.load(Ordering::SeqCst));
-        SystemClock.now().after(ahead_ms)
-    }
-}
-
 impl TestHost {
     pub(crate) fn start(
         name: &str,
