Decode the software version of targets and log it

The next parts of the work need it as a type.

Change: `SoftwareVersion` in jm-types, the field `software` of a target, and the same field in the line E4004, which is also written when only the software of a listed target changes. An entry whose version is not a text comes from another writer and names no target, as for every other field of another type; an entry without a version stays valid. No decision reads the field yet.

Measured: object_reading covers the decoded version, an entry without one, and one of another type, which the code before accepted.

--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -97,6 +97,7 @@
         slots,
         state: TargetState::Serving,
         models: IndexMap::from([(model("m"), WeightVersion::new(version))]),
+        software: None,
         cold_left_ms: DurationMs::new(0),
     }
 }
--- a/crates/jm-forward/src/target.rs
+++ b/crates/jm-forward/src/target.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use indexmap::IndexMap;
-use jm_types::{DurationMs, ModelId, ServiceId, TargetId, WeightVersion, ZoneId};
+use jm_types::{DurationMs, ModelId, ServiceId, SoftwareVersion, TargetId, WeightVersion, ZoneId};
 
 /// Whether a target accepts new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +43,8 @@
     pub state: TargetState,
     /// Loaded weight version by model. The list lags behind the target.
     pub models: IndexMap<ModelId, WeightVersion>,
+    /// Version of the target's software; `None` if its entry names none.
+    pub software: Option<SoftwareVersion>,
     /// Time for which the target stayed cold when it wrote its entry; zero if it was warm or does not report it.
     pub cold_left_ms: DurationMs,
 }
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -30,6 +30,7 @@
         slots: 6,
         state: TargetState::Serving,
         models: IndexMap::new(),
+        software: None,
         cold_left_ms: DurationMs::new(0),
     }
 }
--- a/crates/jm-host/src/cluster_state.rs
+++ b/crates/jm-host/src/cluster_state.rs
@@ -11,7 +11,8 @@
 };
 use jm_platform::{Change, KeyedObject, Listing, Version};
 use jm_types::{
-    Clock, DurationMs, LogEvent, ModelId, Revision, TargetId, Timestamp, WallClock, WeightVersion, ZoneId,
+    Clock, DurationMs, LogEvent, ModelId, Revision, SoftwareVersion, TargetId, Timestamp, WallClock,
+    WeightVersion, ZoneId,
 };
 
 use crate::{cold_entries::ColdEntries, platform::PlatformObjects, prefix_watch::WatchHandler};
@@ -184,8 +185,9 @@
     }
 
     fn log_target(before: Option<&Target>, after: &Target) {
-        let is_unchanged =
-            before.is_some_and(|before| before.run == after.run && before.state == after.state);
+        let is_unchanged = before.is_some_and(|before| {
+            before.run == after.run && before.state == after.state && before.software == after.software
+        });
         if is_unchanged {
             return;
         }
@@ -200,6 +202,10 @@
                 ("target", &after.run.id.as_str()),
                 ("service", &after.service.as_str()),
                 ("started_unix_ms", &after.run.started_unix_ms),
+                (
+                    "software",
+                    &after.software.as_ref().map_or("", SoftwareVersion::as_str),
+                ),
             ],
         );
     }
--- a/crates/jm-host/tests/common/mod.rs
+++ b/crates/jm-host/tests/common/mod.rs
@@ -68,6 +68,7 @@
             slots: 1,
             state,
             models: Default::default(),
+            software: None,
             cold_left_ms: DurationMs::new(0),
         })
     }
--- a/crates/jm-types/src/lib.rs
+++ b/crates/jm-types/src/lib.rs
@@ -9,6 +9,7 @@
 mod event;
 mod id;
 mod number;
+mod software;
 
 pub use clock::{Clock, ManualClock, SystemClock, WallClock};
 pub use code::{Execution, ParseCodeError, ResultCode};
@@ -21,3 +22,4 @@
     AttemptId, ByteSize, DurationMs, FencingNumber, Incarnation, ParseNumberError, Rate, RequestId, Revision,
     Sequence, Share, SlotIndex, Timestamp, TokenCount, WeightVersion,
 };
+pub use software::{MAX_SOFTWARE_VERSION_BYTES, ParseSoftwareVersionError, SoftwareVersion};
