Count pages of listings and log those that repeat

Cause: the hypotheses on the processes that ended by themselves cannot be told apart. A host logs that entries are unreadable, but nothing says how many pages and bytes a listing has, or that the store answers the same pages again.

Change: event E2103 ListingFaulty with the prefix, the name after which the page was to continue, pages and bytes; the metrics jm_listing_pages_total, jm_listing_bytes_total and jm_listing_faults_total by fault, with what operators do about them. A listing repeats when a page has a name after which it was already continued; the order of names in the store does not matter for that. No decision depends on it yet. Listings are read in a module of their own.

Measured: listing_bounds::counts: one fault "repeated" for a store that answers the same page for ever, none for a listing of 61 pages; store_calls and odd_entries pass.

--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -178,7 +178,11 @@
             Arc::clone(&wall),
             settings.bounds.usage_window_ms,
         ));
-        let observer = Arc::new(HostObserver::new(Arc::clone(&usage), platform.buffers.clone()));
+        let observer = Arc::new(HostObserver::new(
+            Arc::clone(&usage),
+            platform.buffers.clone(),
+            Arc::clone(&platform.listings),
+        ));
         let relayed = |direct: &Arc<dyn ObjectStore>, space| -> Arc<RelayedStore> {
             let client = Arc::clone(&peers);
             let relay = Arc::new(PeerRelay { client, space });
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -7,6 +7,7 @@
 
 use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
 use jm_http::BufferBudget;
+use jm_platform::ListingCounts;
 use jm_types::{DurationMs, LogEvent, OrganisationId, ResultCode, Revision};
 use prometheus::{Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 
@@ -14,6 +15,7 @@
     buffer_metrics::BufferMetrics,
     duty::UsageCounter,
     instrumented_store::STORE_CALL_LABELS,
+    listing_metrics::ListingMetrics,
     metric::{counter, gauge, histogram, plain_counter},
     placement_metrics::PlacementMetrics,
 };
@@ -24,6 +26,7 @@
     usage: Arc<UsageCounter>,
     registry: Registry,
     buffers: BufferMetrics,
+    listings: ListingMetrics,
     requests: IntCounterVec,
     latency: HistogramVec,
     attempts: IntCounterVec,
@@ -53,12 +56,13 @@
 
 impl HostObserver {
     /// Registers all metrics in a new registry. Executed requests are also counted in `usage`. The memory metrics show
-    /// `buffers`.
-    pub fn new(usage: Arc<UsageCounter>, buffers: BufferBudget) -> Self {
+    /// `buffers`, those of listings `listings`.
+    pub fn new(usage: Arc<UsageCounter>, buffers: BufferBudget, listings: Arc<ListingCounts>) -> Self {
         let registry = Registry::new();
         Self {
             usage,
             buffers: BufferMetrics::new(&registry, buffers),
+            listings: ListingMetrics::new(&registry, listings),
             requests: counter(
                 &registry,
                 "jm_requests_total",
@@ -231,6 +235,7 @@
     /// Renders the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         self.buffers.update();
+        self.listings.update();
         let mut text = Vec::new();
         let encoder = TextEncoder::new();
         if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
--- a/crates/jm-host/src/platform.rs
+++ b/crates/jm-host/src/platform.rs
@@ -9,7 +9,7 @@
 use jm_http::BufferBudget;
 use jm_lease::LeaseGuard;
 use jm_plan::DesiredTargets;
-use jm_platform::ObjectStore;
+use jm_platform::{ListingCounts, ObjectStore};
 use jm_types::{ModelId, OrganisationId, WeightVersion, ZoneId};
 use jm_usage::WindowId;
 use snafu::Snafu;
@@ -181,4 +181,6 @@
     pub rewards: Arc<dyn RewardClient>,
     /// Memory budget that the connections to the platform share with the servers of the host.
     pub buffers: BufferBudget,
+    /// Counts of the listings that the clients of both stores read.
+    pub listings: Arc<ListingCounts>,
 }
--- a/crates/jm-platform/src/lib.rs
+++ b/crates/jm-platform/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod host;
 mod http;
+mod listing;
 mod memory;
 mod object;
 mod target;
@@ -15,6 +16,7 @@
 
 pub use host::{Host, HostList, HostState};
 pub use http::{HttpPlatform, MAX_WATCH_WAIT_MS};
+pub use listing::{ListingCounts, ListingFault, PageSequence};
 pub use memory::{MemoryOptions, MemoryPlatform, SpareTarget};
 pub use object::{
     Change, Changes, Condition, KeyedObject, Listing, MAX_KEY_BYTES, MAX_VALUE_BYTES, Object, ObjectError,
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -75,6 +75,8 @@
     StoreUnavailable = 2101, Warn;
     /// The object API responds again.
     StoreAvailable = 2102, Info;
+    /// The store answers a listing in a way that makes it unusable. The listing has no effect.
+    ListingFaulty = 2103, Warn;
     /// A lease was acquired.
     LeaseAcquired = 3001, Info;
     /// A lease was lost or expired.
