End a listing at once when its pages do not advance

What callers saw: a host that reads the same 63 pages again and again is never ready, and its memory grows with each page.

Cause: the client trusted that each page goes on behind the name that was asked for. Only the limit of 1,000 pages ended a listing that does not, after up to 1 GB of repeated objects. The failure then counted as a store that does not answer: the host asked two other hosts to read the same listing, preferred the way through them for all its calls for 1.5 s, and began again after 0.2 s.

Change: a page that has a name after which the listing was already continued ends it with an error of its own, FaultyListing. This holds for every order of names in the store, and does not depend on where in the listing the store continues. The error is not relayed, because the store answers all hosts in the same way. The pause before the next attempt of a watched prefix is at least as long as the failed listing took, so a listing that fails late takes at most half of the time. Hosts go on with the objects that they know, as during an outage of the store.

--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -97,9 +97,12 @@
 }
 
 impl StoreBackoff {
-    fn record_failure(&mut self, now: Timestamp) {
+    /// Starts the backoff after a listing that took `took`. The backoff is at least as long, because a listing that fails
+    /// late may have cost many calls.
+    fn record_failure(&mut self, now: Timestamp, took: DurationMs) {
         let factor = 1_u64 << self.failures.min(MAX_BACKOFF_DOUBLINGS);
-        self.next_at = now.after(DurationMs::new(INITIAL_STORE_BACKOFF_MS.get() * factor));
+        let backoff = DurationMs::new(INITIAL_STORE_BACKOFF_MS.get() * factor);
+        self.next_at = now.after(backoff.max(took));
         self.failures += 1;
     }
 }
@@ -202,13 +205,15 @@
                     .to_owned(),
             );
         }
+        let started = self.clock.now();
         match self.store.list(self.prefix).await {
             Ok(listing) => {
                 *store_backoff = StoreBackoff::default();
                 Ok(listing)
             }
             Err(error) => {
-                store_backoff.record_failure(self.clock.now());
+                let now = self.clock.now();
+                store_backoff.record_failure(now, now.since(started));
                 Err(error.to_string())
             }
         }
--- a/crates/jm-host/src/relay.rs
+++ b/crates/jm-host/src/relay.rs
@@ -126,6 +126,7 @@
         self.direct.delete(key, condition).await
     }
 
+    /// A listing that the store answers in a faulty way is not relayed, because each host would read all of its pages.
     async fn list(&self, prefix: &str) -> Result<Listing, ReadError> {
         if self.prefers_relay()
             && let Some(Ok(listing)) = self.relay.list(prefix).await
--- a/crates/jm-host/tests/relayed_store.rs
+++ b/crates/jm-host/tests/relayed_store.rs
@@ -11,8 +11,8 @@
 use async_trait::async_trait;
 use jm_host::{RelayPeer, RelayedStore};
 use jm_platform::{
-    Changes, Condition, Listing, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError, Version,
-    WatchError,
+    Changes, Condition, Listing, ListingFault, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError,
+    Version, WatchError,
 };
 use jm_types::{DurationMs, SystemClock};
 
@@ -22,6 +22,8 @@
     inner: MemoryPlatform,
     is_disconnected: AtomicBool,
     loses_answers: AtomicBool,
+    /// Listings repeat their pages.
+    repeats_pages: AtomicBool,
 }
 
 impl DirectStore {
@@ -60,7 +62,13 @@
     }
     async fn list(&self, prefix: &str) -> Result<Listing, ReadError> {
         self.check()?;
-        self.inner.list(prefix).await
+        match self.repeats_pages.load(Ordering::SeqCst) {
+            true => Err(ReadError::FaultyListing {
+                prefix: prefix.to_owned(),
+                fault: ListingFault::Repeated,
+            }),
+            false => self.inner.list(prefix).await,
+        }
     }
     async fn watch(&self, prefix: &str, after: Version, wait: DurationMs) -> Result<Changes, WatchError> {
         self.check()?;
@@ -194,3 +202,13 @@
         .unwrap_err();
     assert!(error.may_be_applied(), "{error:?}");
 }
+
+/// Guards against a faulty listing that each host reads through all others, and that turns other calls away from the store.
+#[async_std::test]
+async fn faulty_listing() {
+    let (store, direct, other) = stores();
+    direct.repeats_pages.store(true, Ordering::SeqCst);
+    store.list("kind/").await.unwrap_err();
+    store.get("kind/a").await.unwrap();
+    assert_eq!(other.calls.load(Ordering::SeqCst), 0);
+}
--- a/crates/jm-platform/src/object.rs
+++ b/crates/jm-platform/src/object.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
 
+use crate::ListingFault;
+
 /// Maximum size of a value. This is a limit of the platform.
 pub const MAX_VALUE_BYTES: usize = 1_000_000;
 
@@ -166,6 +168,14 @@
         /// Why the read failed, as text.
         reason: String,
     },
+    /// The store answers the listing, but its pages make no listing. It answers other hosts in the same way.
+    #[snafu(display("the listing of {prefix} cannot be used: {fault}"))]
+    FaultyListing {
+        /// Prefix of the listing.
+        prefix: String,
+        /// What is wrong with the pages.
+        fault: ListingFault,
+    },
     /// The key or prefix is not valid according to [`is_valid_key`] or [`is_valid_prefix`].
     #[snafu(display("{key:?} is not a valid object key or prefix"))]
     InvalidReadKey {
