--- a/crates/jm-platform/src/listing.rs
+++ b/crates/jm-platform/src/listing.rs
@@ -14,17 +14,23 @@
     Repeated,
     /// The listing has more pages than any listing of a sound store.
     TooManyPages,
+    /// The objects of the listing exceed the memory for one listing.
+    TooLarge,
+    /// The listing takes longer than any listing of a sound store.
+    TooSlow,
 }
 
 impl ListingFault {
     /// Every fault.
-    pub const ALL: [Self; 2] = [Self::Repeated, Self::TooManyPages];
+    pub const ALL: [Self; 4] = [Self::Repeated, Self::TooManyPages, Self::TooLarge, Self::TooSlow];
 
     /// The value of a metric's label.
     pub const fn label(self) -> &'static str {
         match self {
             Self::Repeated => "repeated",
             Self::TooManyPages => "too_many_pages",
+            Self::TooLarge => "too_large",
+            Self::TooSlow => "too_slow",
         }
     }
 }
@@ -34,6 +40,8 @@
         f.write_str(match self {
             Self::Repeated => "a page does not continue after the name that was asked for",
             Self::TooManyPages => "the listing does not end",
+            Self::TooLarge => "the objects exceed the memory for one listing",
+            Self::TooSlow => "the listing does not end in time",
         })
     }
 }
