Cut texts in log lines that exceed 2 KiB

Cause: a log line quotes what others wrote in full, for example a text where a target's entry should be, or a name. Up to 2,000 lines wait for a reader of standard output, and 100 lines of one event are written a second, so lines of 64 KiB take up to 128 MB while nobody reads, more than the whole memory of the smallest machine.

Change: the logger cuts each text of a line after 2,048 bytes and adds the length of the whole.

--- a/crates/jm-host/src/logging.rs
+++ b/crates/jm-host/src/logging.rs
@@ -5,6 +5,7 @@
 //! many were suppressed.
 
 use std::{
+    borrow::Cow,
     collections::HashMap,
     io::Write,
     sync::{
@@ -28,6 +29,10 @@
 /// Maximum number of lines that wait for the writer thread.
 const LOG_QUEUE_CAPACITY: usize = 2_000;
 
+/// Maximum length of a text in a line. Messages quote ids and entries of other systems, which may be as large as the store
+/// accepts, and all lines of the queue are in memory.
+const MAX_TEXT_BYTES: usize = 2_048;
+
 /// The logger cannot be installed.
 #[derive(Debug, Snafu)]
 #[snafu(display("cannot install the logger: {source}"))]
@@ -139,8 +144,8 @@
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
         let json = match (value.to_u64(), value.to_borrowed_str()) {
             (Some(number), _) => json!(number),
-            (None, Some(text)) => json!(text),
-            (None, None) => json!(value.to_string()),
+            (None, Some(text)) => json!(shortened(text)),
+            (None, None) => json!(shortened(&value.to_string())),
         };
         self.0.insert(key.as_str().to_owned(), json);
         Ok(())
@@ -194,7 +199,7 @@
             Some(event) => (event.as_str().unwrap_or_default().to_owned(), message),
             None => split_event(&mut fields, message),
         };
-        fields.insert("message".to_owned(), json!(message));
+        fields.insert("message".to_owned(), json!(shortened(&message)));
         let decision = {
             let mut rate_limiter = self.rate_limiter.lock().unwrap_or_else(PoisonError::into_inner);
             rate_limiter.check(&event, unix_ms / 1_000)
@@ -208,6 +213,15 @@
     fn flush(&self) {}
 }
 
+/// The beginning of a text that exceeds [`MAX_TEXT_BYTES`], with the length of the whole.
+fn shortened(text: &str) -> Cow<'_, str> {
+    if text.len() <= MAX_TEXT_BYTES {
+        return Cow::Borrowed(text);
+    }
+    let end = text.floor_char_boundary(MAX_TEXT_BYTES);
+    Cow::Owned(format!("{}... ({} bytes)", &text[..end], text.len()))
+}
+
 /// Splits the event number and name off a message that was logged without fields.
 fn split_event(fields: &mut Map<String, serde_json::Value>, message: String) -> (String, String) {
     let Some((head, rest)) = message.split_once(": ") else {
