Bound the history of cached changes by its size

Cause: the cache keeps the last 512 changes of each prefix with their values, however large they are. A value has up to 1 MB, so an object that is rewritten often, such as a large configuration in quick succession, fills the memory of a host.

Change: the history of a prefix holds at most 8 MB. A reader that lags further behind lists again, as it does when the history is too short by number, and gets each object once.

--- a/crates/jm-host/src/store_cache.rs
+++ b/crates/jm-host/src/store_cache.rs
@@ -28,6 +28,10 @@
 /// history also holds one change of each object, because all of them may change at once.
 const MIN_CHANGE_HISTORY: usize = 512;
 
+/// Maximum size of the changes that are kept of a prefix. A reader that lags further behind lists again, which costs the values of
+/// the objects once instead of once for each change.
+const MAX_HISTORY_BYTES: usize = 8_000_000;
+
 /// Number of waiting readers, over all prefixes, above which changes are collected before they are sent, so that a burst of
 /// changes does not cause one reply each to every reader.
 const MAX_IMMEDIATE_READERS: usize = 170;
@@ -76,6 +80,8 @@
     /// History, with the store version at which each change was observed. Readers resume from that version. The
     /// object's own version is older when a listing revealed the change.
     changes: VecDeque<(Version, Change)>,
+    /// Size of `changes`.
+    changes_bytes: usize,
     confirmed_at: Timestamp,
     waiters: Vec<Sender<()>>,
 }
@@ -94,12 +100,15 @@
                 self.objects.swap_remove(&change.key);
             }
         }
+        self.changes_bytes += size_of_change(&change);
         self.changes.push_back((observed_at, change));
         let limit = self.objects.len().max(MIN_CHANGE_HISTORY);
-        while self.changes.len() > limit {
-            if let Some((observed_at, _)) = self.changes.pop_front() {
-                self.history_start = observed_at;
-            }
+        while self.changes.len() > limit || self.changes_bytes > MAX_HISTORY_BYTES {
+            let Some((observed_at, change)) = self.changes.pop_front() else {
+                return;
+            };
+            self.changes_bytes -= size_of_change(&change);
+            self.history_start = observed_at;
         }
     }
 
@@ -133,6 +142,10 @@
     }
 }
 
+fn size_of_change(change: &Change) -> usize {
+    change.key.len() + change.value.as_ref().map_or(0, Vec::len)
+}
+
 /// Cached objects and recent changes of all watched prefixes.
 pub struct StoreCache {
     clock: Arc<dyn Clock>,
@@ -175,6 +188,7 @@
         if is_first {
             cached.history_start = listing.version;
             cached.changes.clear();
+            cached.changes_bytes = 0;
         }
         cached.version = listing.version;
         cached.confirmed_at = cached.confirmed_at.max(confirmed_at);
--- a/crates/jm-host/tests/store_cache.rs
+++ b/crates/jm-host/tests/store_cache.rs
@@ -150,3 +150,28 @@
     assert_eq!(changed, 2_000);
     assert_eq!(changed_keys(&watch(&cache, 3_000)).len(), 2_000);
 }
+
+/// Guards against a history of large values, such as configurations in quick succession, that fills the memory of a host.
+#[test]
+fn history_of_large_values() {
+    let (cache, _clock) = cache();
+    cache.apply_listing(SPACE, PREFIX, &listing(10, &[("a", 5)]), NO_AGE);
+    for version in 11..=110 {
+        let change = Change {
+            key: format!("{PREFIX}a"),
+            version: Version::new(version),
+            value: Some(vec![b'x'; 1_000_000]),
+        };
+        let changes = Changes {
+            changes: vec![change],
+            version: Version::new(version),
+        };
+        cache.apply_changes(SPACE, PREFIX, &changes, NO_AGE);
+    }
+    let replies = (10..=110).map(|after| watch(&cache, after));
+    let held = replies.filter(|reply| *reply != CachedChanges::Relist);
+    let most = held.map(|reply| changed_keys(&reply).len()).max();
+    assert!(most <= Some(8), "the history holds {most:?} values of 1 MB");
+    let (listing, _) = cache.listing(SPACE, PREFIX, MAX_AGE).unwrap();
+    assert_eq!(listing.objects[0].object.version, Version::new(110));
+}
