Pause between watches that end at once

Cause: the host trusted that a watch waits for a change, and that a listing after a lost history can be followed from. A store that answers watches at once without changes, or always that the history is gone, was called again without any pause.

A watch that fails later is followed by a listing at once, as before.

Measured: followed_prefix::watches_without_a_wait before: "69533 calls in the time of 20 pauses" (at most 400); after: passes, with the other 7 tests of the file.

--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -253,7 +253,10 @@
                     .await
                 {
                     Some(changes) => (changes, DurationMs::new(0)),
-                    None => return position.confirmed_at,
+                    None => {
+                        self.pause_since(position.listed_at).await;
+                        return position.confirmed_at;
+                    }
                 },
             };
             if changes.version < position.version {
@@ -270,6 +273,12 @@
         }
     }
 
+    /// Waits until the time `retry_ms` after `earlier`, so that a store which answers at once is not called without a pause.
+    async fn pause_since(&self, earlier: Timestamp) {
+        let passed = self.clock.now().since(earlier);
+        task::sleep(self.options.retry_ms.saturating_sub(passed).as_std()).await;
+    }
+
     /// Time until the next listing when no peer has recent data.
     fn time_until_next_list(&self, position: &Position) -> DurationMs {
         let now = self.clock.now();
@@ -285,8 +294,15 @@
             task::sleep(time_until_relist.as_std()).await;
             return None;
         }
+        let started = self.clock.now();
         match self.store.watch(self.prefix, after, wait).await {
-            Ok(changes) => Some(changes),
+            Ok(changes) => {
+                if changes.changes.is_empty() && self.clock.now().since(started) < wait {
+                    // A store that does not wait for changes would be called without a pause.
+                    self.pause_since(started).await;
+                }
+                Some(changes)
+            }
             Err(WatchError::Relist { .. }) => None,
             Err(error) => {
                 let reason = error.to_string();
--- a/crates/jm-host/tests/followed_prefix.rs
+++ b/crates/jm-host/tests/followed_prefix.rs
@@ -20,6 +20,10 @@
     inner: MemoryPlatform,
     silent: AtomicBool,
     is_down: AtomicBool,
+    /// Watches answer at once without changes.
+    answers_at_once: AtomicBool,
+    /// Watches answer that their history is gone.
+    forgets_history: AtomicBool,
     calls: AtomicUsize,
 }
 
@@ -44,6 +48,15 @@
     }
     async fn watch(&self, prefix: &str, after: Version, wait: DurationMs) -> Result<Changes, WatchError> {
         self.calls.fetch_add(1, Ordering::SeqCst);
+        if self.forgets_history.load(Ordering::SeqCst) {
+            return Err(WatchError::Relist { current: after });
+        }
+        if self.answers_at_once.load(Ordering::SeqCst) {
+            return Ok(Changes {
+                changes: Vec::new(),
+                version: after,
+            });
+        }
         if self.silent.load(Ordering::SeqCst) {
             // Behaves like a watch without changes and reports the reader as up to date.
             task::sleep(wait.as_std()).await;
@@ -265,3 +278,22 @@
     store.is_down.store(false, Ordering::SeqCst);
     observed.wait_for("kind/b").await;
 }
+
+/// Guards against a host that calls the store without a pause, because its watches end at once or its history is always gone.
+#[async_std::test]
+async fn watches_without_a_wait() {
+    for forgets_history in [false, true] {
+        let store = Arc::new(WatchedStore::default());
+        store.answers_at_once.store(!forgets_history, Ordering::SeqCst);
+        store.forgets_history.store(forgets_history, Ordering::SeqCst);
+        write(&store, "kind/a").await;
+        let (observed, _mirror) = start(&store, None, 20);
+        observed.wait_for("kind/a").await;
+        for _ in 0..20 {
+            // As long as the pause between two calls.
+            task::sleep(std::time::Duration::from_millis(5)).await;
+        }
+        let calls = store.calls.load(Ordering::SeqCst);
+        assert!(calls <= 400, "{calls} calls in the time of 20 pauses");
+    }
+}
