Treat a page that names no object as a faulty listing

Cause: a page that has a next one and names no object cannot be continued. It counted as a store that does not answer, so the host asked other hosts for the same listing, and preferred the way through them for its other calls.

Change: such a page is a fault of the listing, with the value nameless in E2103 and jm_listing_faults_total.

--- a/crates/jm-platform/src/listing.rs
+++ b/crates/jm-platform/src/listing.rs
@@ -12,6 +12,8 @@
 pub enum ListingFault {
     /// A page has a name after which the listing was already continued, so the listing does not advance.
     Repeated,
+    /// A page with a next one names no object after which the listing could continue.
+    Nameless,
     /// The listing has more pages than any listing of a sound store.
     TooManyPages,
     /// The objects of the listing exceed the memory for one listing.
@@ -22,12 +24,19 @@
 
 impl ListingFault {
     /// Every fault.
-    pub const ALL: [Self; 4] = [Self::Repeated, Self::TooManyPages, Self::TooLarge, Self::TooSlow];
+    pub const ALL: [Self; 5] = [
+        Self::Repeated,
+        Self::Nameless,
+        Self::TooManyPages,
+        Self::TooLarge,
+        Self::TooSlow,
+    ];
 
     /// The value of a metric's label.
     pub const fn label(self) -> &'static str {
         match self {
             Self::Repeated => "repeated",
+            Self::Nameless => "nameless",
             Self::TooManyPages => "too_many_pages",
             Self::TooLarge => "too_large",
             Self::TooSlow => "too_slow",
@@ -39,6 +48,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Repeated => "a page does not continue after the name that was asked for",
+            Self::Nameless => "a page names none of its objects",
             Self::TooManyPages => "the listing does not end",
             Self::TooLarge => "the objects exceed the memory for one listing",
             Self::TooSlow => "the listing does not end in time",
