Log a write error that is followed by a response

When the connection fails while a request is being written, the response that is readable already is returned and the error was dropped without a line. The record of a cut answer then looks like that of a whole one.

--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -4,7 +4,7 @@
 
 use async_std::io;
 use http_types::{Body, Method, Request, Response};
-use jm_types::DurationMs;
+use jm_types::{DurationMs, LogEvent};
 use snafu::Snafu;
 
 use crate::{
@@ -197,8 +197,17 @@
         prepared: &PreparedRequest,
     ) -> Result<Response, ExchangeError> {
         let target = prepared.target.as_ref();
-        let ExchangeResponse { head, reusable } =
-            exchange(&mut connection.stream, request, target, &self.limits).await?;
+        let ExchangeResponse {
+            head,
+            reusable,
+            write_error,
+        } = exchange(&mut connection.stream, request, target, &self.limits).await?;
+        if let Some(error) = write_error {
+            LogEvent::ConnectionFailed.write(format!(
+                "{} responded, and the connection failed while the request was being written: {error}",
+                prepared.address
+            ));
+        }
         connection.set_idle_timeout(head.idle_timeout);
         let reuse_pool = reusable.then(|| (Arc::clone(&self.pool), prepared.address.clone()));
         let piece_timeout = self.limits.body_timeout_ms.as_std();
--- a/crates/jm-http/src/exchange.rs
+++ b/crates/jm-http/src/exchange.rs
@@ -70,11 +70,14 @@
     }
 }
 
-/// The head of a response, and whether the connection can be reused after the response body.
+/// The head of a response, and the state of its connection.
 #[derive(Debug)]
 pub(crate) struct ExchangeResponse {
     pub(crate) head: ResponseHead,
+    /// Whether the connection can be reused after the response body.
     pub(crate) reusable: bool,
+    /// Error with which the connection failed while the request was being written.
+    pub(crate) write_error: Option<io::Error>,
 }
 
 /// Writes `request` and reads the head of the response. When the peer responds before it has read the complete request,
@@ -113,23 +116,30 @@
             let head = timeout(limits.answer_timeout_ms.as_std(), read)
                 .await
                 .map_err(timed_out)??;
-            let reusable = head.keep_alive;
-            Ok(ExchangeResponse { head, reusable })
+            Ok(ExchangeResponse {
+                reusable: head.keep_alive,
+                head,
+                write_error: None,
+            })
         }
         Either::Left((Err(WriteError::Body(error)), _)) => Err(Cause::Io(error)),
         Either::Left((Err(WriteError::Socket(error)), read)) => {
             // A peer that rejects a request may close its side while the request is still being written. A response
             // can therefore be readable although the write failed.
             let response = timeout(limits.head_timeout_ms.as_std(), read).await;
-            let head = response.ok().and_then(Result::ok).ok_or(Cause::Io(error))?;
-            Ok(ExchangeResponse {
-                head,
-                reusable: false,
-            })
+            match response {
+                Ok(Ok(head)) => Ok(ExchangeResponse {
+                    head,
+                    reusable: false,
+                    write_error: Some(error),
+                }),
+                _ => Err(Cause::Io(error)),
+            }
         }
         Either::Right((head, _)) => Ok(ExchangeResponse {
             head: head?,
             reusable: false,
+            write_error: None,
         }),
     }
 }
