Don't take a body as whole after its connection failed

Callers got a part of an engine's answer as the complete one: the engine answered an upload at once without a length and reset the connection while the upload was still being written.

Cause: a socket reports a reset once. The writer of the request met it first, so that the reader got the data that had arrived and then an end that looks like an orderly close, and a body without a length ends with its connection. A trial with two sockets shows this: after a failed write, reads return the data and an end without an error; without the write, they return ECONNRESET. That the kernel drops received data was ruled out there, and a reset that arrives after the head of the response was reported before.

A response whose connection failed during the request still counts with a declared length or in chunks, because its end is then proven. Without one, its body now ends with an error, whatever the write error was: whole answers become lost ones, streams are cut.

--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -202,7 +202,9 @@
             reusable,
             write_error,
         } = exchange(&mut connection.stream, request, target, &self.limits).await?;
+        let mut framing = head.framing;
         if let Some(error) = write_error {
+            framing = framing.after_write_error();
             LogEvent::ConnectionFailed.write(format!(
                 "{} responded, and the connection failed while the request was being written: {error}",
                 prepared.address
@@ -212,7 +214,7 @@
         let reuse_pool = reusable.then(|| (Arc::clone(&self.pool), prepared.address.clone()));
         let piece_timeout = self.limits.body_timeout_ms.as_std();
         let mut response = head.response;
-        let body = response_body(connection, head.framing, piece_timeout, reuse_pool);
+        let body = response_body(connection, framing, piece_timeout, reuse_pool);
         set_body(&mut response, body);
         Ok(response)
     }
--- a/crates/jm-http/src/connection.rs
+++ b/crates/jm-http/src/connection.rs
@@ -225,7 +225,9 @@
         let mut body = Vec::new();
         let max_bytes = match framing {
             Framing::Length(length) => length,
-            Framing::Chunked | Framing::UntilClose => self.limits.get().body_bytes.get(),
+            Framing::Chunked | Framing::UntilClose | Framing::Unfinished => {
+                self.limits.get().body_bytes.get()
+            }
         };
         loop {
             match decoder.step(self.stream.data()).map_err(body_refusal)? {
@@ -347,7 +349,7 @@
 
 fn body_refusal(error: BodyError) -> Refusal {
     let code = match error {
-        BodyError::Truncated => ResultCode::CutBody,
+        BodyError::Truncated | BodyError::Unfinished => ResultCode::CutBody,
         BodyError::BadChunk { .. } => ResultCode::MalformedRequest,
     };
     Refusal::new(code, error)
--- a/crates/jm-http/src/framing.rs
+++ b/crates/jm-http/src/framing.rs
@@ -14,6 +14,22 @@
     Chunked,
     /// The body ends when the peer closes the connection. Only valid for responses.
     UntilClose,
+    /// Like [`Framing::UntilClose`], on a connection that has failed already. No end of the connection proves that the body is
+    /// complete.
+    Unfinished,
+}
+
+impl Framing {
+    /// Returns the framing of a body whose connection failed while the request was being written.
+    ///
+    /// A socket reports a reset once. After a write has returned it, reads return what was received before the reset and then an end
+    /// that looks like an orderly close.
+    pub(crate) fn after_write_error(self) -> Self {
+        match self {
+            Self::UntilClose => Self::Unfinished,
+            declared => declared,
+        }
+    }
 }
 
 /// The head of a message does not determine the length of its body.
@@ -76,6 +92,8 @@
 pub(crate) enum BodyError {
     #[snafu(display("the body ended before its declared length"))]
     Truncated,
+    #[snafu(display("the connection failed before the end of a body without a declared length"))]
+    Unfinished,
     #[snafu(display("invalid chunk: {reason}"))]
     BadChunk { reason: &'static str },
 }
@@ -83,7 +101,7 @@
 impl From<BodyError> for io::Error {
     fn from(error: BodyError) -> Self {
         let kind = match error {
-            BodyError::Truncated => io::ErrorKind::UnexpectedEof,
+            BodyError::Truncated | BodyError::Unfinished => io::ErrorKind::UnexpectedEof,
             BodyError::BadChunk { .. } => io::ErrorKind::InvalidData,
         };
         Self::new(kind, error.to_string())
@@ -107,6 +125,7 @@
     Length { remaining_bytes: u64 },
     Chunked(ChunkDecoder),
     UntilClose,
+    Unfinished,
 }
 
 impl BodyDecoder {
@@ -115,6 +134,7 @@
             Framing::Length(remaining_bytes) => Self::Length { remaining_bytes },
             Framing::Chunked => Self::Chunked(ChunkDecoder::default()),
             Framing::UntilClose => Self::UntilClose,
+            Framing::Unfinished => Self::Unfinished,
         }
     }
 
@@ -122,7 +142,9 @@
     pub(crate) fn step(&mut self, input: &[u8]) -> Result<BodyStep, BodyError> {
         match self {
             Self::Length { remaining_bytes: 0 } => Ok(BodyStep::Done),
-            Self::Length { .. } | Self::UntilClose if input.is_empty() => Ok(BodyStep::NeedMore),
+            Self::Length { .. } | Self::UntilClose | Self::Unfinished if input.is_empty() => {
+                Ok(BodyStep::NeedMore)
+            }
             Self::Length { remaining_bytes } => {
                 let amount = input
                     .len()
@@ -130,7 +152,7 @@
                 *remaining_bytes -= amount as u64;
                 Ok(BodyStep::Data(amount))
             }
-            Self::UntilClose => Ok(BodyStep::Data(input.len())),
+            Self::UntilClose | Self::Unfinished => Ok(BodyStep::Data(input.len())),
             Self::Chunked(decoder) => decoder.step(input).map(|step| match step {
                 ChunkStep::NeedMore => BodyStep::NeedMore,
                 ChunkStep::Skip(amount) => BodyStep::Skip(amount),
@@ -144,6 +166,7 @@
     pub(crate) fn check_close(&self) -> Result<(), BodyError> {
         match self {
             Self::UntilClose => Ok(()),
+            Self::Unfinished => UnfinishedSnafu.fail(),
             _ => TruncatedSnafu.fail(),
         }
     }
--- a/crates/jm-http/src/response_body.rs
+++ b/crates/jm-http/src/response_body.rs
@@ -39,7 +39,7 @@
     };
     let length = match framing {
         Framing::Length(length) => usize::try_from(length).ok(),
-        Framing::Chunked | Framing::UntilClose => None,
+        Framing::Chunked | Framing::UntilClose | Framing::Unfinished => None,
     };
     reader.release_if_read();
     Body::from_reader(reader, length)
