Check chunk extensions and trailers of bodies

An answer whose trailers held a blank or a control character in a name, or were no header fields at all, was passed on as complete, as was one with control characters in a chunk extension. They are discarded and not passed on, but such a message is malformed, and an engine that writes a second answer in place of its trailers is in trouble. Both are errors of the body now, for answers and requests.

--- a/crates/jm-http/src/chunk.rs
+++ b/crates/jm-http/src/chunk.rs
@@ -1,6 +1,9 @@
-//! Decoder for the chunked transfer coding. Chunk extensions and trailers are parsed and discarded.
+//! Decoder for the chunked transfer coding. Chunk extensions and trailers are checked and discarded.
 
-use crate::framing::{BadChunkSnafu, BodyError};
+use crate::{
+    framing::{BadChunkSnafu, BodyError},
+    validate::{is_field_value, is_token},
+};
 
 /// Maximum length of a chunk-size line including extensions. Extensions are ignored, so the line only needs room for a
 /// size.
@@ -93,6 +96,8 @@
         self.trailer_bytes += line.len();
         if line.is_empty() {
             self.state = State::Done;
+        } else if !is_field(line) {
+            return bad_chunk("a trailer is not a header field");
         }
         Ok(ChunkStep::Skip(line.len() + 2))
     }
@@ -111,7 +116,16 @@
     }
 }
 
+fn is_field(line: &[u8]) -> bool {
+    let mut parts = line.splitn(2, |byte| *byte == b':');
+    let name = parts.next().unwrap_or_default();
+    is_token(name) && parts.next().is_some_and(is_field_value)
+}
+
 fn parse_size(line: &[u8]) -> Result<u64, BodyError> {
+    if !is_field_value(line) {
+        return bad_chunk("a chunk extension has a control character");
+    }
     let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
     let digits = size.trim_ascii_end();
     let is_size = (1..=MAX_SIZE_DIGITS).contains(&digits.len()) && digits.iter().all(u8::is_ascii_hexdigit);
--- a/crates/jm-http/src/validate.rs
+++ b/crates/jm-http/src/validate.rs
@@ -72,7 +72,7 @@
 /// names and values, including line breaks.
 pub(crate) fn invalid_header(headers: &Headers) -> Option<&HeaderName> {
     let is_invalid = |name: &HeaderName, value: &str| {
-        !is_token(name.as_str()) || value.bytes().any(|byte| byte != b'\t' && byte.is_ascii_control())
+        !is_token(name.as_str().as_bytes()) || !is_field_value(value.as_bytes())
     };
     headers
         .iter()
@@ -80,7 +80,13 @@
         .map(|(name, _)| name)
 }
 
-fn is_token(name: &str) -> bool {
-    let is_token_byte = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
-    !name.is_empty() && name.bytes().all(is_token_byte)
+/// Whether `name` can be the name of a header (RFC 9110, section 5.6.2).
+pub(crate) fn is_token(name: &[u8]) -> bool {
+    let is_token_byte = |byte: &u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(byte);
+    !name.is_empty() && name.iter().all(is_token_byte)
+}
+
+/// Whether `value` has no control characters, apart from tabs.
+pub(crate) fn is_field_value(value: &[u8]) -> bool {
+    !value.iter().any(|byte| *byte != b'\t' && byte.is_ascii_control())
 }
