Refuse a response that begins with an empty line

An answer with empty lines in front of its status line was returned. The parser skips them, which RFC 9112 allows servers in front of a request, and nobody in front of a response. Bytes before the head are no part of the answer, so it counts as none.

On the code before, `status_lines` with the two added cases returned:

["\r\n\r\nHTTP/1.1 200 X", "\r\nHTTP/1.1 200 X"]

--- a/crates/jm-http/src/head.rs
+++ b/crates/jm-http/src/head.rs
@@ -217,6 +217,10 @@
     limit_bytes: usize,
     method: Method,
 ) -> Result<Option<ResponseHead>, ResponseHeadError> {
+    // `httparse` skips empty lines. Only servers may do so, and only in front of a request.
+    if input.first().is_some_and(|byte| b"\r\n".contains(byte)) {
+        return response_syntax("the head begins with an empty line");
+    }
     let mut headers = [EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
     let status = parsed.parse(input).or_else(response_syntax)?;
--- a/crates/jm-http/tests/response_syntax.rs
+++ b/crates/jm-http/tests/response_syntax.rs
@@ -145,6 +145,8 @@
         "http/1.1 200 X",
         "HTTP/11 200 X",
         "HTTP/1.10 200 X",
+        "\r\n\r\nHTTP/1.1 200 X",
+        "\r\nHTTP/1.1 200 X",
         "\nHTTP/1.1 200 X",
     ];
     let mut returned = Vec::new();
