Pass on the status of an engine that no specification names

An engine's answer with status 499 reached the caller as 400, with the signature of the engine, and 299 as 200. http-types has only the codes that specifications name, and the client replaced others by the first code of their class, which is right for a client and wrong for a proxy (RFC 9110, section 15).

The response keeps the code as it was sent, and the server writes it. This holds for the hosts and for the plain services of the daemons.

The daemons have no test of it.

--- a/crates/jm-dispatch/src/plain.rs
+++ b/crates/jm-dispatch/src/plain.rs
@@ -2,7 +2,7 @@
 
 use futures::AsyncReadExt;
 use jm_config::Target;
-use jm_http::{Body, ClientError, Method, Request, Response, Url};
+use jm_http::{Body, ClientError, Method, Request, Response, SentStatus, Url};
 use jm_link::{ExecuteRequest, HeaderLine, RequestHead};
 use jm_node::Node;
 use jm_types::ResultCode;
@@ -107,7 +107,7 @@
     };
     let mut response = sent.map_err(|error| CallError::from_client(&error, false))?;
     let headers = answer_headers(&response, target);
-    sink.head(u16::from(response.status()), headers)
+    sink.head(SentStatus::of(&response).get(), headers)
         .await
         .map_err(CallError::caller_disconnected)?;
     let mut body = response.take_body();
--- a/crates/jm-entry/src/services.rs
+++ b/crates/jm-entry/src/services.rs
@@ -4,7 +4,7 @@
 
 use jm_config::ServiceKind;
 use jm_http::{
-    BodySender, Request, Response, StatusCode,
+    BodySender, Request, Response, SentStatus, StatusCode,
     headers::{HeaderName, HeaderValue},
 };
 use jm_link::{ExecuteRequest, HeaderLine, RequestHead, TrafficClass};
@@ -158,8 +158,8 @@
     live: LiveRequest,
 ) -> Response {
     let Answer { call, head, first } = answer;
-    let status = StatusCode::try_from(head.status).unwrap_or(StatusCode::BadGateway);
-    let mut response = Response::new(status);
+    let status = SentStatus::new(head.status).unwrap_or(StatusCode::BadGateway.into());
+    let mut response = status.response();
     match first {
         None => live.record_answer(head.status),
         Some(first) => {
--- a/crates/jm-forward/src/client.rs
+++ b/crates/jm-forward/src/client.rs
@@ -3,7 +3,7 @@
 use std::{fmt, sync::Arc};
 
 use async_trait::async_trait;
-use jm_http::{Body, StatusCode, headers::Headers};
+use jm_http::{Body, SentStatus, headers::Headers};
 use jm_types::{DurationMs, OrganisationId};
 
 use crate::{CallerRequest, RunKey, Target};
@@ -42,8 +42,8 @@
 /// Response of a target that ran the request.
 #[derive(Debug)]
 pub struct TargetAnswer {
-    /// HTTP status.
-    pub status: StatusCode,
+    /// HTTP status as the target sent it.
+    pub status: SentStatus,
     /// Headers without the hop-by-hop ones.
     pub headers: Headers,
     /// Body, complete or streamed.
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -173,7 +173,7 @@
 
 fn answer() -> AttemptOutcome {
     AttemptOutcome::Answered(TargetAnswer {
-        status: StatusCode::Ok,
+        status: StatusCode::Ok.into(),
         headers: empty_headers(),
         body: AnswerBody::Whole(b"answer".to_vec()),
     })
@@ -186,7 +186,7 @@
     });
     let reader = futures::io::BufReader::new(Box::pin(events).into_async_read());
     AttemptOutcome::Answered(TargetAnswer {
-        status: StatusCode::Ok,
+        status: StatusCode::Ok.into(),
         headers: empty_headers(),
         body: AnswerBody::Stream(Body::from_reader(reader, None)),
     })
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -174,7 +174,7 @@
                     &[
                         ("request", &request.id.as_str()),
                         ("route", &route_name),
-                        ("status", &u16::from(answer.answer.status)),
+                        ("status", &answer.answer.status.get()),
                         ("attempts", &answer.attempts),
                         ("took_ms", &took.get()),
                     ],
--- a/crates/jm-http/src/head.rs
+++ b/crates/jm-http/src/head.rs
@@ -10,7 +10,11 @@
 use jm_types::ResultCode;
 use snafu::Snafu;
 
-use crate::framing::{Framing, FramingError, declared_framing, has_token, header_values};
+use crate::{
+    SentStatus,
+    framing::{Framing, FramingError, declared_framing, has_token, header_values},
+    status::known_status,
+};
 
 /// Maximum number of headers in one head.
 const MAX_HEADERS: usize = 128;
@@ -264,6 +268,9 @@
         return response_syntax("transfer-encoding is not valid in HTTP/1.0");
     }
     let mut response = Response::new(status);
+    if let Some(sent) = SentStatus::new(code) {
+        sent.keep_in(&mut response);
+    }
     for (name, value) in copy_headers(headers).or_else(response_syntax)? {
         response.append_header(name, value);
     }
@@ -293,14 +300,6 @@
     Some(Duration::from_secs(seconds.trim().parse().ok()?))
 }
 
-/// Converts a status code. A code that `http-types` does not support becomes the first code of its class (RFC 9110,
-/// section 15).
-fn known_status(code: u16) -> Option<StatusCode> {
-    let first_of_class = code - code % 100;
-    let status = StatusCode::try_from(code).or_else(|_| StatusCode::try_from(first_of_class));
-    status.ok()
-}
-
 /// Whether a response with `status` to a request with `method` never has a body.
 pub(crate) fn has_no_body(status: StatusCode, method: Method) -> bool {
     let bodiless = [StatusCode::NoContent, StatusCode::NotModified];
--- a/crates/jm-http/src/lib.rs
+++ b/crates/jm-http/src/lib.rs
@@ -24,6 +24,7 @@
 mod response_body;
 mod server;
 mod shared_bytes;
+mod status;
 mod stream;
 mod validate;
 
@@ -39,3 +40,4 @@
 pub use response::error_response;
 pub use server::{Connection, Handler, Server};
 pub use shared_bytes::SharedBytes;
+pub use status::SentStatus;
--- a/crates/jm-http/src/response.rs
+++ b/crates/jm-http/src/response.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 
 use crate::{
+    SentStatus,
     head::has_no_body,
     stream::write_all,
     validate::{FRAMING_HEADERS, invalid_header, length_checked_body},
@@ -105,6 +106,7 @@
     stall_timeout: Duration,
     mut on_progress: impl FnMut(usize),
 ) -> io::Result<()> {
+    let mut sent_status = Some(SentStatus::of(&response)).filter(|sent| *sent != response.status().into());
     let mut encoder = async_h1::server::Encoder::new(response, method);
     let mut buffer = vec![0; ENCODE_BUFFER_BYTES];
     loop {
@@ -112,10 +114,22 @@
         if amount == 0 {
             return Ok(());
         }
-        write_all(&mut stream, &buffer[..amount], stall_timeout, &mut on_progress).await?;
+        let bytes = match sent_status.take() {
+            Some(sent) => &with_status(&buffer[..amount], sent),
+            None => &buffer[..amount],
+        };
+        write_all(&mut stream, bytes, stall_timeout, &mut on_progress).await?;
         if amount == buffer.len() {
             // A body that always has more bytes, read by a peer that is as fast, must not keep other tasks from running.
             task::yield_now().await;
         }
     }
 }
+
+/// Replaces the status line of an encoded head, because the encoder writes the status of `http-types`.
+fn with_status(head: &[u8], status: SentStatus) -> Vec<u8> {
+    let line_end = head.windows(2).position(|pair| pair == b"\r\n").unwrap_or(0);
+    let mut bytes = format!("HTTP/1.1 {status} ").into_bytes();
+    bytes.extend_from_slice(&head[line_end..]);
+    bytes
+}
