Don't take other codes of a class for 500 and 200 of items

An item that an engine answered with 520 or 599 counted as one that failed with 500, and is given up after a few of these; one answered with 299 was completed with the body of that answer. The same held for reward calls and 5xx. The status was replaced by the first of its class. Items, reward calls and health checks compare the code that was sent now; other codes are lost answers, as other codes of the specifications have been.

The client of the store still takes a code that it doesn't know for the first of its class. The comparison of health checks has no test of its own.

--- a/crates/jm-http/src/status.rs
+++ b/crates/jm-http/src/status.rs
@@ -34,6 +34,11 @@
         response
     }
 
+    /// Returns the status if a specification names it.
+    pub fn named(self) -> Option<StatusCode> {
+        StatusCode::try_from(self.0).ok()
+    }
+
     /// Returns the code.
     pub fn get(self) -> u16 {
         self.0
--- a/crates/jm-http/src/whole_response.rs
+++ b/crates/jm-http/src/whole_response.rs
@@ -32,10 +32,8 @@
     };
     let head = input.final_head(method, limits).await?;
     let sent = SentStatus::of(&head.response);
-    let status = head.response.status();
-    if sent != status.into() {
-        return Err(invalid(format!("unknown status {sent}")));
-    }
+    let unknown = || invalid(format!("unknown status {sent}"));
+    let status = sent.named().ok_or_else(unknown)?;
     let body = input.body(&head, limits).await?;
     Ok((status, body))
 }
