Log the software version of runs of batch items

Cause: a result that is joined from two software versions cannot be told from a sound one by the logs. E5107 names the engine of a run that ended early, but not its software, and nothing is logged when another run resumes the text.

Change: E5107 names the version of the target's software as it was when the target was chosen, and the new line E5131 names it where an item resumes its text, with the number of events of the text. The outcome `resumed` of jm_item_runs_total counts these runs. No decision changes.

Measured: the tests of jm-types and jm-batch pass. The lines need no test of their own.

--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -1,7 +1,7 @@
 //! Reporting of batch events to logs and metrics.
 
-use jm_forward::RunKey;
-use jm_types::{BatchId, DurationMs, MemberId};
+use jm_forward::{RunKey, Target};
+use jm_types::{BatchId, DurationMs, MemberId, SoftwareVersion};
 
 use crate::{GenerationEnd, HandoverReply, ResultsRead, RewardEnd};
 
@@ -14,6 +14,8 @@
     pub item: &'a str,
     /// Target that executed the run.
     pub target: &'a RunKey,
+    /// Version of the target's software when the target was chosen.
+    pub software: Option<&'a SoftwareVersion>,
     /// Outcome of the run.
     pub end: &'a GenerationEnd,
     /// Duration of the run.
@@ -140,6 +142,9 @@
     /// A run ended before its text was complete.
     fn run_failed(&self, end: &RunEnd<'_>);
 
+    /// An item resumes its text of `events` events at `target`.
+    fn resumed(&self, batch: &BatchId, item: &str, target: &Target, events: u64);
+
     /// Items were placed on engines, to be started there.
     fn placed(&self, batch: &BatchId, placed: &PlacedItems);
 
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -7,8 +7,8 @@
 use async_std::channel::{Receiver, Sender, bounded};
 use futures::future::AbortHandle;
 use indexmap::IndexMap;
-use jm_forward::RunKey;
-use jm_types::{DurationMs, Timestamp, WeightVersion};
+use jm_forward::{RunKey, Target};
+use jm_types::{DurationMs, SoftwareVersion, Timestamp, WeightVersion};
 
 use crate::{
     BatchPlan, BatchResult, BatchSpec, CheckpointState, GenerationEvent, ItemState, PlanOptions, ResultState,
@@ -24,6 +24,8 @@
 pub(crate) struct Run {
     pub(crate) serial: u64,
     pub(crate) target: RunKey,
+    /// Version of the target's software when the target was chosen.
+    pub(crate) software: Option<SoftwareVersion>,
     /// Expected size of the item at its end, in tokens.
     pub(crate) tokens: u64,
     /// Prompt tokens that the engine was expected to have cached.
@@ -263,7 +265,7 @@
         &mut self,
         index: usize,
         serial: u64,
-        target: RunKey,
+        target: &Target,
         cached_tokens: u64,
         now: Timestamp,
         abort: AbortHandle,
@@ -271,7 +273,8 @@
         self.plan.mark_running(index);
         let run = Run {
             serial,
-            target,
+            target: target.run.clone(),
+            software: target.software.clone(),
             tokens: self.spec.items[index].work_tokens(),
             cached_tokens,
             begun: now,
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -416,7 +416,7 @@
         &self,
         batch: &BatchId,
         item: &str,
-        target: &RunKey,
+        run: &Run,
         end: &GenerationEnd,
         took: DurationMs,
         events: u64,
@@ -424,7 +424,8 @@
         self.deps.events.run_failed(&RunEnd {
             batch,
             item,
-            target,
+            target: &run.target,
+            software: run.software.as_ref(),
             end,
             took,
             events,
--- a/crates/jm-batch/src/runner/monitor.rs
+++ b/crates/jm-batch/src/runner/monitor.rs
@@ -89,7 +89,7 @@
         for (batch, item, run, events) in stopped {
             let reason = format!("no event for {}", now.since(run.last_progress));
             let end = GenerationEnd::Lost { reason };
-            self.report_failed_run(&batch, &item, &run.target, &end, now.since(run.begun), events);
+            self.report_failed_run(&batch, &item, &run, &end, now.since(run.begun), events);
         }
     }
 
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -64,6 +64,12 @@
     pub(super) fn start_ready(self: &Arc<Self>) {
         let Starts { starts, placed } = self.schedule(choose_starts);
         for start in starts {
+            if let Some(events) = start.request.resume_after {
+                let item = &start.request.spec.items[start.item].id;
+                self.deps
+                    .events
+                    .resumed(&start.batch, item, &start.target, events);
+            }
             self.spawn_run(start);
         }
         for (batch, placed) in placed {
@@ -156,7 +162,7 @@
             // The runner stopped the run and has released its capacity.
             Err(Aborted) => return,
         };
-        self.on_end(&batch, item, serial, &target, end);
+        self.on_end(&batch, item, serial, end);
     }
 
     fn on_event(
@@ -188,14 +194,7 @@
         outcome
     }
 
-    fn on_end(
-        self: &Arc<Self>,
-        batch: &BatchId,
-        item: usize,
-        serial: u64,
-        target: &Target,
-        end: GenerationEnd,
-    ) {
+    fn on_end(self: &Arc<Self>, batch: &BatchId, item: usize, serial: u64, end: GenerationEnd) {
         let now = self.now();
         let mut guard = self.state();
         let RunnerState {
@@ -257,7 +256,7 @@
             self.deps.events.expired(batch, &id, reason);
         }
         if end != GenerationEnd::Complete {
-            self.report_failed_run(batch, &id, &target.run, &end, now.since(run.begun), events);
+            self.report_failed_run(batch, &id, &run, &end, now.since(run.begun), events);
         }
         if must_write {
             task::spawn(Arc::clone(self).write_results(batch.clone()));
@@ -431,14 +430,7 @@
         time_left_ms: time_left(&owned.spec, context.unix_ms),
     };
     let target = placed.target;
-    owned.start(
-        item,
-        serial,
-        target.run.clone(),
-        placed.cached_tokens,
-        context.now,
-        abort,
-    );
+    owned.start(item, serial, target, placed.cached_tokens, context.now, abort);
     Start {
         batch: owned.spec.id.clone(),
         item,
--- a/crates/jm-batch/tests/common/events.rs
+++ b/crates/jm-batch/tests/common/events.rs
@@ -9,7 +9,7 @@
     BatchEvents, BatchProgress, CarriedOver, GenerationEnd, HandoverEvents, HandoverReply, PlacedItems,
     ResultsRead, RewardAttempt, RewardEnd, RunEnd,
 };
-use jm_forward::RunKey;
+use jm_forward::{RunKey, Target};
 use jm_types::{BatchId, DurationMs, MemberId};
 
 #[derive(Default)]
@@ -67,6 +67,7 @@
     fn run_failed(&self, end: &RunEnd<'_>) {
         self.failed_runs.lock().unwrap().push(end.end.clone());
     }
+    fn resumed(&self, _batch: &BatchId, _item: &str, _target: &Target, _events: u64) {}
     fn placed(&self, _batch: &BatchId, placed: &PlacedItems) {
         let items = (placed.fastest + placed.cached_prompt) as u64;
         self.placed.fetch_add(items, Ordering::SeqCst);
--- a/crates/jm-host/src/observer/batch.rs
+++ b/crates/jm-host/src/observer/batch.rs
@@ -4,8 +4,8 @@
     BatchEvents, BatchProgress, CarriedOver, GenerationEnd, PlacedItems, ResultsRead, RewardAttempt,
     RewardEnd, RunEnd,
 };
-use jm_forward::RunKey;
-use jm_types::{BatchId, DurationMs, LogEvent, MemberId};
+use jm_forward::{RunKey, Target};
+use jm_types::{BatchId, DurationMs, LogEvent, MemberId, SoftwareVersion};
 
 use super::HostObserver;
 
@@ -21,6 +21,10 @@
     }
 }
 
+fn software_name(software: Option<&SoftwareVersion>) -> &str {
+    software.map_or("", SoftwareVersion::as_str)
+}
+
 fn reward_end_name(end: &RewardEnd) -> (&'static str, &str) {
     match end {
         RewardEnd::Scored(_) => ("scored", "the text was scored"),
@@ -124,6 +128,7 @@
                 ("batch", &end.batch.as_str()),
                 ("item", &end.item),
                 ("target", &end.target.id.as_str()),
+                ("software", &software_name(end.software)),
                 ("outcome", &name),
                 ("events", &end.events),
                 ("took_ms", &end.took.get()),
@@ -156,6 +161,20 @@
         );
     }
 
+    fn resumed(&self, batch: &BatchId, item: &str, target: &Target, events: u64) {
+        self.item_runs.with_label_values(&["resumed"]).inc();
+        LogEvent::ItemResumed.write_fields(
+            "the item resumes its text",
+            &[
+                ("batch", &batch.as_str()),
+                ("item", &item),
+                ("target", &target.run.id.as_str()),
+                ("software", &software_name(target.software.as_ref())),
+                ("events", &events),
+            ],
+        );
+    }
+
     fn placed(&self, batch: &BatchId, placed: &PlacedItems) {
         self.placement.record_placed(placed);
         LogEvent::ItemsPlaced.write_fields(
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -187,6 +187,8 @@
     BatchHandoverOverruled = 5124, Warn;
     /// Items of a batch were placed on engines.
     ItemsPlaced = 5130, Debug;
+    /// A batch item resumes its text at an engine.
+    ItemResumed = 5131, Info;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
