--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the batches that this host owns.
 
+mod choose;
 mod handover;
 mod monitor;
 mod recover;
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -3,62 +3,21 @@
 use std::sync::Arc;
 
 use async_std::task;
-use futures::future::{AbortHandle, AbortRegistration, Abortable, Aborted};
-use indexmap::IndexMap;
-use jm_forward::{Catalog, RoutingTable, RunKey, SendKind, Target};
-use jm_types::{BatchId, DurationMs, ModelId, ServiceId, Timestamp};
+use futures::future::{Abortable, Aborted};
+use jm_forward::{SendKind, Target};
+use jm_types::{BatchId, DurationMs, ModelId};
 
 use super::{
     IDLE_WAIT_MS, Runner, RunnerState,
-    share::{Shares, item_requirements, item_service},
+    choose::{Move, SchedulingContext, Start, Starts, choose_moves, choose_starts},
+    share::Shares,
     write::mark_writing,
 };
-use crate::{
-    BatchSpec, EngineLoads, GenerationEnd, GenerationEvent, GenerationRequest, ItemRequirements, PlacedItems,
-    RewardKey,
-    owned::{EventOutcome, OwnedBatch},
-    placement::{Placed, Placement, PlacementReason},
-};
-
-/// Minimum number of events of a run before its item may move to a faster engine. It keeps items from moving back and
-/// forth.
-const EVENTS_BEFORE_MOVE: u64 = 3;
+use crate::{BatchSpec, GenerationEnd, GenerationEvent, RewardKey, owned::EventOutcome};
 
 /// Minimum time between passes that cold engines cause. Dozens of them become ready at different times.
 const MIN_PASS_INTERVAL_MS: DurationMs = DurationMs::new(10);
 
-struct Start {
-    batch: BatchId,
-    item: usize,
-    serial: u64,
-    target: Target,
-    request: GenerationRequest,
-    registration: AbortRegistration,
-}
-
-/// An item that moves to a faster engine.
-struct Move {
-    from: RunKey,
-    saving: DurationMs,
-    start: Start,
-}
-
-/// The items that a pass starts, and how they were placed.
-#[derive(Default)]
-struct Starts {
-    starts: Vec<Start>,
-    placed: Vec<(BatchId, PlacedItems)>,
-}
-
-/// Inputs of one scheduling pass over all batches.
-struct SchedulingContext<'a> {
-    routing: &'a RoutingTable,
-    catalog: &'a Catalog,
-    shares: Shares,
-    now: Timestamp,
-    unix_ms: u64,
-}
-
 impl Runner {
     /// Starts the items that engines have room for.
     pub(super) fn start_ready(self: &Arc<Self>) {
@@ -272,175 +231,6 @@
     }
 }
 
-fn choose_starts(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Starts {
-    let RunnerState {
-        owned,
-        loads,
-        next_serial,
-        ..
-    } = state;
-    let mut batches: Vec<&mut OwnedBatch> = owned
-        .values_mut()
-        .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0)
-        .collect();
-    batches.sort_by_key(|owned| {
-        (
-            owned.spec.priority,
-            owned.spec.submitted_unix_ms,
-            owned.spec.id.clone(),
-        )
-    });
-    let mut chosen = Starts::default();
-    for owned in batches {
-        let spec = Arc::clone(&owned.spec);
-        let mut placements: IndexMap<&ServiceId, Placement<'_>> = IndexMap::new();
-        let mut counts = PlacedItems::default();
-        let ready: Vec<usize> = owned.plan.ready(context.now).collect();
-        for item in ready {
-            let Some(service) = item_service(&spec, item, context.routing) else {
-                break;
-            };
-            let requirements = open_requirements(&spec, owned, item, context);
-            let placement = placements.entry(service).or_insert_with(|| {
-                Placement::new(loads, context.catalog.serving(service), requirements, context.now)
-            });
-            let Some(placed) = placement.start(loads, requirements, context.now) else {
-                break;
-            };
-            count(&mut counts, &placed, requirements);
-            chosen
-                .starts
-                .push(start(owned, item, next_serial, placed, context));
-        }
-        if counts != PlacedItems::default() {
-            chosen.placed.push((spec.id.clone(), counts));
-        }
-    }
-    chosen
-}
-
-fn count(counts: &mut PlacedItems, placed: &Placed<'_>, requirements: ItemRequirements<'_>) {
-    match placed.reason {
-        PlacementReason::Fastest => counts.fastest += 1,
-        PlacementReason::CachedPrompt => counts.cached_prompt += 1,
-    }
-    counts.cached_tokens += placed.cached_tokens;
-    counts.uncached_tokens += requirements.prompt_tokens.saturating_sub(placed.cached_tokens);
-}
-
-/// Requirements of an item that continues its text so far.
-fn open_requirements<'a>(
-    spec: &'a BatchSpec,
-    owned: &OwnedBatch,
-    item: usize,
-    context: &'a SchedulingContext<'_>,
-) -> ItemRequirements<'a> {
-    ItemRequirements {
-        events_done: owned.events(item),
-        ..item_requirements(spec, item, context.routing, &context.shares)
-    }
-}
-
-/// Selects items that would end much earlier on another engine with free capacity. The longest text determines when a
-/// step ends, so the items with the most work left are moved first.
-fn choose_moves(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Vec<Move> {
-    let RunnerState {
-        owned,
-        loads,
-        next_serial,
-        ..
-    } = state;
-    loads.retain(|run| {
-        let listed = context.catalog.get(&run.id);
-        listed.is_some_and(|target| target.run == *run)
-    });
-    let mut moves = Vec::new();
-    for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
-        let spec = Arc::clone(&owned.spec);
-        let mut placements: IndexMap<&ServiceId, Placement<'_>> = IndexMap::new();
-        for item in movable_items(&spec, owned, loads, context) {
-            let Some(service) = item_service(&spec, item, context.routing) else {
-                break;
-            };
-            let Some(run) = owned.runs.get(&item) else {
-                continue;
-            };
-            let requirements = open_requirements(&spec, owned, item, context);
-            let placement = placements.entry(service).or_insert_with(|| {
-                Placement::new(loads, context.catalog.serving(service), requirements, context.now)
-            });
-            let Some(placed) = placement.choose(loads, requirements, context.now) else {
-                break;
-            };
-            let listed = context.catalog.get(&run.target.id);
-            let slots = listed.map_or(placed.target.slots, |current| current.slots);
-            let saving = loads.move_saving(&run.target, slots, &placed, requirements);
-            let Some(saving) = saving else { continue };
-            let Some(run) = owned.stop_run(item, context.now) else {
-                continue;
-            };
-            loads.run_ended(&run.target, run.tokens);
-            loads.record_send(placed.target, context.now);
-            loads.start_item(&placed.target.run, requirements, context.now);
-            moves.push(Move {
-                from: run.target,
-                saving,
-                start: start(owned, item, next_serial, placed, context),
-            });
-        }
-    }
-    moves
-}
-
-/// The running items that may move, those with the most work left first.
-fn movable_items(
-    spec: &BatchSpec,
-    owned: &OwnedBatch,
-    loads: &EngineLoads,
-    context: &SchedulingContext<'_>,
-) -> Vec<usize> {
-    let movable = owned
-        .runs
-        .iter()
-        .filter(|(_, run)| run.events >= EVENTS_BEFORE_MOVE);
-    let mut movable: Vec<(f64, usize)> = movable
-        .map(|(item, _)| {
-            let requirements = open_requirements(spec, owned, *item, context);
-            (loads.events_left(requirements), *item)
-        })
-        .collect();
-    movable.sort_by(|a, b| b.0.total_cmp(&a.0));
-    movable.into_iter().map(|(_, item)| item).collect()
-}
-
-fn start(
-    owned: &mut OwnedBatch,
-    item: usize,
-    next_serial: &mut u64,
-    placed: Placed<'_>,
-    context: &SchedulingContext<'_>,
-) -> Start {
-    let serial = *next_serial;
-    *next_serial += 1;
-    let (abort, registration) = AbortHandle::new_pair();
-    let request = GenerationRequest {
-        spec: Arc::clone(&owned.spec),
-        item,
-        resume_after: owned.resume_after(item),
-        time_left_ms: time_left(&owned.spec, context.unix_ms),
-    };
-    let target = placed.target;
-    owned.start(item, serial, target, placed.cached_tokens, context.now, abort);
-    Start {
-        batch: owned.spec.id.clone(),
-        item,
-        serial,
-        target: target.clone(),
-        request,
-        registration,
-    }
-}
-
 /// Time until the items of a batch may be given up.
 pub(super) fn time_left(spec: &BatchSpec, unix_ms: u64) -> DurationMs {
     let end_unix_ms = spec.submitted_unix_ms.saturating_add(spec.give_up_ms.get());
