Continue texts of batch items only at their software version

Seen by callers: engines of two software versions serve side by side, and results of batches are joined from both.

The saved text of an item has its events and weight versions, but not the software that wrote them, and no decision asks for it: any engine of the service resumes a text after a broken run, a takeover, a handover, a late report, in the next step, and by a move to a faster engine. Class: a property that binds two parts of a stream is decided for each part by itself, and is not kept with the stream.

Ruled out: wrong merges of texts by several owners. longest_texts, merge_texts and continue_carried replace a text as a whole, so that the origin, which is now a part of it, always belongs to all of its events.

Change: a text has its origin, the service and the software version, set with its first event from the entry with which the engine was chosen. It travels with the text in checkpoints, handovers, reports and carried items. The constraint is an input of the placement (AllowedSoftware in ItemRequirements), which keeps one heap of engines for each version.

* While engines of the version serve, the item waits for one with room; once the wait since others could take it exceeds the time that the text took, at most 2 s, the item begins anew elsewhere (resumption.rs).
If none serves, it begins anew at once.
* Beginning anew costs no failed attempt.
The old text is kept until the first event of the new one replaces it with its events, weight versions and time.
* A text without an origin, as earlier releases saved them, goes on only at engines whose entries name no version.
* A stalled run is stopped early only if an engine that can continue the text has room, or the silence has lasted as long as the text took.
Moves stay within the version.
* E5132 and the outcome `begun_anew` of jm_item_runs_total report what begins anew, with both versions.

With one version all decisions are as before: an item with a text that finds no room at its version, which is then all engines, ends the pass as it did. `software_versions` (random engines and items) compares with the placement that looks at no version, and the replays of item_order and engine_choice are unchanged.

--- a/crates/jm-batch/src/engine_load.rs
+++ b/crates/jm-batch/src/engine_load.rs
@@ -14,7 +14,7 @@
 use jm_types::{DurationMs, ModelId, Timestamp, WeightVersion};
 
 use crate::{
-    EngineSpeed, PromptPart,
+    AllowedSoftware, EngineSpeed, PromptPart,
     engine_speed::LoadSlope,
     expected_end::{PrefillTime, TextLengths},
     held_prompts::HeldPrompts,
@@ -118,6 +118,8 @@
     pub prompt_parts: &'a [PromptPart],
     /// Events that earlier runs of the item generated.
     pub events_done: u64,
+    /// Engines at which the item may run because of its text so far.
+    pub software: AllowedSoftware<'a>,
 }
 
 impl ItemRequirements<'_> {
@@ -166,7 +168,9 @@
     }
 
     fn can_take(&self, target: &Target, requirements: ItemRequirements<'_>, now: Timestamp) -> bool {
-        self.has_slot(target, requirements, now) && self.has_memory(target, requirements)
+        requirements.software.accepts_target(target)
+            && self.has_slot(target, requirements, now)
+            && self.has_memory(target, requirements)
     }
 
     /// Whether the engine has a free slot and sufficiently new weights, is not avoided, and may receive a request if it is
--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -3,7 +3,7 @@
 use jm_forward::{RunKey, Target};
 use jm_types::{BatchId, DurationMs, MemberId, SoftwareVersion};
 
-use crate::{GenerationEnd, HandoverReply, ResultsRead, RewardEnd};
+use crate::{GenerationEnd, HandoverReply, ResultsRead, RewardEnd, TextOrigin};
 
 /// A run that ended before its text was complete.
 #[derive(Debug)]
@@ -24,6 +24,25 @@
     pub events: u64,
 }
 
+/// An item that begins anew although it has a text.
+#[derive(Debug)]
+pub struct BegunAnew<'a> {
+    /// Batch of the item.
+    pub batch: &'a BatchId,
+    /// Id of the item.
+    pub item: &'a str,
+    /// Target that generates the new text.
+    pub target: &'a Target,
+    /// The software that generated the text so far; `None` if it is unknown.
+    pub origin: Option<&'a TextOrigin>,
+    /// Number of events of the text so far.
+    pub events: u64,
+    /// Time that engines took to generate them.
+    pub took: DurationMs,
+    /// Time for which the item waited for engines of the text's version; `None` if none of them serves.
+    pub waited: Option<DurationMs>,
+}
+
 /// Progress of a batch, and how many engines can accept its waiting items.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct BatchProgress {
@@ -145,6 +164,9 @@
     /// An item resumes its text of `events` events at `target`.
     fn resumed(&self, batch: &BatchId, item: &str, target: &Target, events: u64);
 
+    /// An item begins anew, because no engine of its text's version can continue the text soon.
+    fn begun_anew(&self, begun: &BegunAnew<'_>);
+
     /// Items were placed on engines, to be started there.
     fn placed(&self, batch: &BatchId, placed: &PlacedItems);
 
--- a/crates/jm-batch/src/item_text.rs
+++ b/crates/jm-batch/src/item_text.rs
@@ -3,12 +3,15 @@
 use jm_types::{DurationMs, WeightVersion};
 use serde::{Deserialize, Serialize};
 
-use crate::RewardScore;
+use crate::{AllowedSoftware, RewardScore, TextOrigin};
 
 /// Maximum size of the text of an item. A longer one fits neither into an object of the store nor into a page of results,
 /// and only a faulty engine sends it.
 const MAX_TEXT_BYTES: usize = 1_000_000;
 
+/// Number of the first event of a text, as an engine resumes after event n with event n + 1.
+pub(crate) const FIRST_EVENT: u64 = 1;
+
 /// Why an event was not appended to a text.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum AppendError {
@@ -29,6 +32,9 @@
     pub last_event: Option<u64>,
     /// The weight versions that generated an event of the text.
     pub versions: Vec<WeightVersion>,
+    /// The software that generated the text. `None` if it is unknown, as in texts of earlier releases.
+    #[serde(default)]
+    pub origin: Option<TextOrigin>,
     /// Number of failed runs of the item.
     #[serde(default)]
     pub failures: usize,
@@ -53,6 +59,25 @@
 }
 
 impl ItemText {
+    /// The item without its text, which begins anew. What was counted of the item remains.
+    pub(crate) fn begun_anew(&self, origin: Option<TextOrigin>) -> Self {
+        Self {
+            item: self.item,
+            failures: self.failures,
+            reward_failures: self.reward_failures,
+            origin,
+            ..Self::default()
+        }
+    }
+
+    /// The engines at which the item may run.
+    pub(crate) fn allowed_software(&self) -> AllowedSoftware<'_> {
+        match self.last_event {
+            Some(_) => AllowedSoftware::Same(self.origin.as_ref()),
+            None => AllowedSoftware::Any,
+        }
+    }
+
     /// Appends the data of an event.
     pub(crate) fn append(
         &mut self,
@@ -60,8 +85,7 @@
         data: &str,
         version: Option<WeightVersion>,
     ) -> Result<(), AppendError> {
-        // The first event of a text has number 1, as an engine resumes after event n with event n + 1.
-        if event != self.last_event.unwrap_or(0) + 1 {
+        if event != self.last_event.map_or(FIRST_EVENT, |last| last + 1) {
             return Err(AppendError::Gap);
         }
         if self.text.len() + data.len() >= MAX_TEXT_BYTES {
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -24,6 +24,7 @@
 mod placement;
 mod plan;
 mod result;
+mod resumption;
 mod reward;
 mod reward_queue;
 mod runner;
@@ -37,7 +38,7 @@
 pub use engine_load::{EngineLoads, ItemRequirements, LoadOptions, RemoteWork};
 pub use engine_speed::{EngineSpeed, ObservedSpeed};
 pub use events::{
-    BatchEvents, BatchProgress, CarriedOver, HandoverEvents, PlacedItems, RewardAttempt, RunEnd,
+    BatchEvents, BatchProgress, BegunAnew, CarriedOver, HandoverEvents, PlacedItems, RewardAttempt, RunEnd,
 };
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
 pub use handover::{
@@ -51,6 +52,7 @@
 pub use placement::{Placed, Placement, PlacementReason};
 pub use plan::{BatchPlan, ItemState, PlanOptions};
 pub use result::{BatchResult, ResultPage, ResultPiece, ResultState};
+pub use resumption::{AllowedSoftware, TextOrigin, begins_anew};
 pub use reward::{InvalidScore, RewardCall, RewardClient, RewardEnd, RewardScore};
 pub use reward_queue::{
     EndedAttempt, RewardKey, RewardOptions, RewardPass, RewardQueue, RewardStart, RewardUrgency,
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -34,6 +34,8 @@
     pub(crate) runs: IndexMap<usize, Run>,
     /// Number of runs of an item that were stopped as stalled since its last event.
     stalls: IndexMap<usize, u32>,
+    /// Since when items wait for engines of their text's version although others have room.
+    bound_since: IndexMap<usize, Timestamp>,
     /// Results that are in the store.
     pub(crate) listed: Vec<BatchResult>,
     /// For each item, whether its result is in the store.
@@ -81,6 +83,7 @@
             spec,
             runs: IndexMap::new(),
             stalls: IndexMap::new(),
+            bound_since: IndexMap::new(),
             listed,
             is_listed,
             unlisted: Vec::new(),
@@ -211,11 +214,6 @@
         items.map(urgency).collect()
     }
 
-    /// Number of the event after which a new run of the item continues.
-    pub(crate) fn resume_after(&self, index: usize) -> Option<u64> {
-        self.texts[index].last_event
-    }
-
     /// Prompt tokens that the engine of a running item was expected to prefill.
     pub(crate) fn uncached_tokens(&self, index: usize) -> u64 {
         let cached_tokens = self.runs.get(&index).map_or(0, |run| run.cached_tokens);
--- a/crates/jm-batch/src/owned/run.rs
+++ b/crates/jm-batch/src/owned/run.rs
@@ -4,19 +4,21 @@
 
 use futures::future::AbortHandle;
 use jm_forward::{RunKey, Target};
-use jm_types::{DurationMs, SoftwareVersion, Timestamp, WeightVersion};
+use jm_types::{DurationMs, Timestamp, WeightVersion};
 
 use super::OwnedBatch;
 use crate::{
-    GenerationEvent,
-    item_text::{AppendError, ItemText},
+    AllowedSoftware, GenerationEvent, TextOrigin, begins_anew,
+    item_text::{AppendError, FIRST_EVENT, ItemText},
 };
 
 pub(crate) struct Run {
     pub(crate) serial: u64,
     pub(crate) target: RunKey,
-    /// Version of the target's software when the target was chosen.
-    pub(crate) software: Option<SoftwareVersion>,
+    /// Origin of the events, as the target's entry said when the target was chosen.
+    pub(crate) origin: Option<TextOrigin>,
+    /// Number of the event after which the run resumes the text; `None` if the text begins.
+    resume_after: Option<u64>,
     /// Expected size of the item at its end, in tokens.
     pub(crate) tokens: u64,
     /// Prompt tokens that the engine was expected to have cached.
@@ -29,6 +31,13 @@
     pub(super) abort: AbortHandle,
 }
 
+impl Run {
+    /// Whether the next event begins the text anew, whatever the item has.
+    pub(crate) fn replaces_text(&self) -> bool {
+        self.resume_after.is_none() && self.events == 0
+    }
+}
+
 /// How an event of a run was handled.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EventOutcome {
@@ -52,6 +61,8 @@
 }
 
 impl OwnedBatch {
+    /// Starts a run and returns the number of the event after which it resumes the text. A text that `target` may not
+    /// continue begins anew, and is replaced by the first event of the run.
     pub(crate) fn start(
         &mut self,
         index: usize,
@@ -60,12 +71,17 @@
         cached_tokens: u64,
         now: Timestamp,
         abort: AbortHandle,
-    ) {
+    ) -> Option<u64> {
         self.plan.mark_running(index);
+        self.bound_since.swap_remove(&index);
+        let text = &self.texts[index];
+        let may_resume = text.allowed_software().accepts_target(target);
+        let resume_after = text.last_event.filter(|_| may_resume);
         let run = Run {
             serial,
             target: target.run.clone(),
-            software: target.software.clone(),
+            origin: TextOrigin::of(target),
+            resume_after,
             tokens: self.spec.items[index].work_tokens(),
             cached_tokens,
             begun: now,
@@ -75,6 +91,27 @@
             abort,
         };
         self.runs.insert(index, run);
+        resume_after
+    }
+
+    /// The engines that could run a running item instead, which has had no event for `silent_for`.
+    pub(crate) fn alternatives(&self, index: usize, silent_for: DurationMs) -> AllowedSoftware<'_> {
+        let text = &self.texts[index];
+        let is_replaced = self.runs.get(&index).is_some_and(Run::replaces_text);
+        match is_replaced || begins_anew(text.took_ms, silent_for) {
+            true => AllowedSoftware::Any,
+            false => text.allowed_software(),
+        }
+    }
+
+    /// Since when the item waits for engines of its text's version although others have room.
+    pub(crate) fn bound_since(&self, index: usize) -> Option<Timestamp> {
+        self.bound_since.get(&index).copied()
+    }
+
+    /// How long the item could have begun anew on other engines while it waits for those of its text's version.
+    pub(crate) fn bound_for(&mut self, index: usize, now: Timestamp) -> DurationMs {
+        now.since(*self.bound_since.entry(index).or_insert(now))
     }
 
     /// Handles an event of a run. Events of a replaced run are discarded.
@@ -93,11 +130,18 @@
             GenerationEvent::Data { index: event, data } => {
                 let gap = now.since(run.last_progress);
                 let is_first = run.events == 0;
+                let begins = run.replaces_text();
                 run.last_progress = now;
                 run.events += 1;
                 self.stalls.swap_remove(&index);
                 let version = run.version;
                 let text = &mut self.texts[index];
+                if begins {
+                    if event != FIRST_EVENT {
+                        return EventOutcome::Discarded;
+                    }
+                    *text = text.begun_anew(run.origin.clone());
+                }
                 text.took_ms = text.took_ms.saturating_add(gap);
                 match text.append(event, &data, version) {
                     Ok(()) => EventOutcome::Event { gap, is_first },
@@ -117,13 +161,15 @@
         if version < self.spec.min_version {
             return EventOutcome::Discarded;
         }
-        let is_mixed = text.versions.iter().any(|earlier| *earlier != version);
+        let run = self.runs.get_mut(&index);
+        let is_replaced = run.as_ref().is_some_and(|run| run.replaces_text());
+        let is_mixed = !is_replaced && text.versions.iter().any(|earlier| *earlier != version);
         if self.spec.is_single_version && is_mixed {
             // The text has to restart so that a single version generates all of it.
             *text = ItemText::default();
             return EventOutcome::Discarded;
         }
-        if let Some(run) = self.runs.get_mut(&index) {
+        if let Some(run) = run {
             run.version = Some(version);
         }
         EventOutcome::Version(version)
--- a/crates/jm-batch/src/placement.rs
+++ b/crates/jm-batch/src/placement.rs
@@ -13,10 +13,10 @@
 
 use indexmap::IndexMap;
 use jm_forward::{RunKey, Target};
-use jm_types::Timestamp;
+use jm_types::{ServiceId, SoftwareVersion, Timestamp};
 
 use crate::{
-    EngineLoads, ItemRequirements,
+    AllowedSoftware, EngineLoads, ItemRequirements,
     engine_speed::SpeedScale,
     held_prompts::{Prefix, prefixes},
 };
@@ -78,9 +78,12 @@
 
 impl Eq for Candidate<'_> {}
 
+type Candidates<'a> = BinaryHeap<Reverse<Candidate<'a>>>;
+
 /// The engines that can take items with the same model and weights, the one that finishes an item first on top.
 pub struct Placement<'a> {
-    candidates: BinaryHeap<Reverse<Candidate<'a>>>,
+    /// Engines that may take an item, by service and software version. Versions whose engines all lack a slot are included.
+    candidates: IndexMap<(&'a ServiceId, Option<&'a SoftwareVersion>), Candidates<'a>>,
     targets: IndexMap<&'a RunKey, &'a Target>,
     scale: SpeedScale,
 }
@@ -93,23 +96,32 @@
         requirements: ItemRequirements<'_>,
         now: Timestamp,
     ) -> Self {
-        let open = targets.filter(|target| loads.has_slot(target, requirements, now));
+        let mut candidates: IndexMap<_, Candidates<'a>> = IndexMap::new();
+        let open = targets.filter(|target| {
+            candidates.entry(software_of(target)).or_default();
+            loads.has_slot(target, requirements, now)
+        });
         let targets: IndexMap<&RunKey, &Target> = open.map(|target| (&target.run, target)).collect();
         let scale = loads.scale(targets.values().copied());
-        let candidates = targets.values().enumerate().map(|(index, target)| {
-            Reverse(Candidate {
-                cost: loads.event_ms(target, &scale),
-                index,
-                target,
-            })
-        });
+        for (index, target) in targets.values().copied().enumerate() {
+            let cost = loads.event_ms(target, &scale);
+            let candidate = Candidate { cost, index, target };
+            let same_software = candidates.entry(software_of(target)).or_default();
+            same_software.push(Reverse(candidate));
+        }
         Self {
-            candidates: candidates.collect(),
+            candidates,
             targets,
             scale,
         }
     }
 
+    /// Whether engines that may run the item serve, with or without room for it.
+    pub(crate) fn serves(&self, software: AllowedSoftware<'_>) -> bool {
+        let mut served = self.candidates.keys();
+        served.any(|(service, version)| software.accepts(service, *version))
+    }
+
     /// Starts an item on the engine that finishes it first. `None` if no engine has a slot and memory for it.
     pub fn start(
         &mut self,
@@ -123,14 +135,18 @@
         Some(placed)
     }
 
-    /// The engine that finishes the item first, without starting it there.
+    /// The engine that finishes the item first, without starting it there. If there is none for an item that is bound to one
+    /// version, that version gets no other item, so that many waiting texts do not compare its engines again and again.
     pub(crate) fn choose(
         &mut self,
         loads: &EngineLoads,
         requirements: ItemRequirements<'_>,
         now: Timestamp,
     ) -> Option<Placed<'a>> {
-        let target = self.fastest(loads, requirements, now)?;
+        let Some(target) = self.fastest(loads, requirements, now) else {
+            self.close(requirements.software);
+            return None;
+        };
         let prompt: Vec<Prefix> = prefixes(requirements.prompt_parts).collect();
         let cached_tokens = loads.cached_tokens(&target.run, &prompt, now);
         let fastest = Placed {
@@ -142,34 +158,32 @@
         Some(holder.unwrap_or(fastest))
     }
 
-    /// The engine with the shortest time between events among those with a slot and memory for the item.
+    fn close(&mut self, software: AllowedSoftware<'_>) {
+        if software == AllowedSoftware::Any {
+            return;
+        }
+        for ((service, version), candidates) in &mut self.candidates {
+            if software.accepts(service, *version) {
+                candidates.clear();
+            }
+        }
+    }
+
+    /// The engine with the shortest time between events among those that may run the item and have a slot and memory for it.
     fn fastest(
         &mut self,
         loads: &EngineLoads,
         requirements: ItemRequirements<'_>,
         now: Timestamp,
     ) -> Option<&'a Target> {
-        let mut too_small = Vec::new();
-        let mut chosen = None;
-        while let Some(Reverse(candidate)) = self.candidates.pop() {
-            let target = candidate.target;
-            if !loads.has_slot(target, requirements, now) {
-                continue;
-            }
-            // Costs only grow during a pass, so an entry with its present cost is the smallest.
-            let cost = loads.event_ms(target, &self.scale);
-            if cost.total_cmp(&candidate.cost).is_ne() {
-                self.candidates.push(Reverse(Candidate { cost, ..candidate }));
-                continue;
-            }
-            too_small.push(Reverse(candidate));
-            if loads.has_memory(target, requirements) {
-                chosen = Some(target);
-                break;
-            }
-        }
-        self.candidates.extend(too_small);
-        chosen
+        let scale = &self.scale;
+        let allowed = self
+            .candidates
+            .iter_mut()
+            .filter(|((service, version), _)| requirements.software.accepts(service, *version));
+        let fastest =
+            allowed.filter_map(|(_, candidates)| first(candidates, loads, scale, requirements, now));
+        fastest.min().map(|candidate| candidate.target)
     }
 
     /// The holder of the prompt that finishes the item before `fastest`. Only engines with a free slot are compared, so an
@@ -197,6 +211,7 @@
         let holders = loads.holders(prompt).into_iter();
         let open = holders
             .filter_map(|run| self.targets.get(run).copied())
+            .filter(|target| requirements.software.accepts_target(target))
             .filter(|target| loads.event_ms(target, &self.scale) < max_event_ms)
             .filter(|target| loads.has_slot(target, requirements, now))
             .filter(|target| loads.has_memory(target, requirements));
@@ -213,3 +228,38 @@
         (best_ms < fastest_ms).then_some(best)
     }
 }
+
+fn software_of(target: &Target) -> (&ServiceId, Option<&SoftwareVersion>) {
+    (&target.service, target.software.as_ref())
+}
+
+/// The first candidate with a slot and memory for the item. It remains among the candidates.
+fn first<'a>(
+    candidates: &mut Candidates<'a>,
+    loads: &EngineLoads,
+    scale: &SpeedScale,
+    requirements: ItemRequirements<'_>,
+    now: Timestamp,
+) -> Option<Candidate<'a>> {
+    let mut too_small = Vec::new();
+    let mut chosen = None;
+    while let Some(Reverse(candidate)) = candidates.pop() {
+        let target = candidate.target;
+        if !loads.has_slot(target, requirements, now) {
+            continue;
+        }
+        // Costs only grow during a pass, so an entry with its present cost is the smallest.
+        let cost = loads.event_ms(target, scale);
+        if cost.total_cmp(&candidate.cost).is_ne() {
+            candidates.push(Reverse(Candidate { cost, ..candidate }));
+            continue;
+        }
+        too_small.push(Reverse(candidate));
+        if loads.has_memory(target, requirements) {
+            chosen = Some(candidate);
+            break;
+        }
+    }
+    candidates.extend(too_small);
+    chosen
+}
--- a/crates/jm-batch/src/reward_queue.rs
+++ b/crates/jm-batch/src/reward_queue.rs
@@ -14,7 +14,7 @@
 use jm_route::RetryBudget;
 use jm_types::{BatchId, DurationMs, ServiceId, Timestamp, WeightVersion};
 
-use crate::{EngineLoads, ItemRequirements, LoadOptions, RemoteWork, RewardEnd};
+use crate::{AllowedSoftware, EngineLoads, ItemRequirements, LoadOptions, RemoteWork, RewardEnd};
 
 /// Parameters of reward calls.
 #[derive(Debug, Clone, Copy)]
@@ -322,6 +322,7 @@
             prompt_tokens: 0,
             prompt_parts: &[],
             events_done: 0,
+            software: AllowedSoftware::Any,
         };
         let is_open = |run: &RunKey| call.open.iter().any(|attempt| attempt.target == *run);
         let closed = || {
--- a/crates/jm-batch/src/runner/choose.rs
+++ b/crates/jm-batch/src/runner/choose.rs
@@ -13,7 +13,8 @@
     start::time_left,
 };
 use crate::{
-    BatchSpec, EngineLoads, GenerationRequest, ItemRequirements, PlacedItems,
+    AllowedSoftware, BatchSpec, EngineLoads, GenerationRequest, ItemRequirements, PlacedItems, TextOrigin,
+    begins_anew,
     owned::OwnedBatch,
     placement::{Placed, Placement, PlacementReason},
 };
@@ -29,6 +30,16 @@
     pub(super) target: Target,
     pub(super) request: GenerationRequest,
     pub(super) registration: AbortRegistration,
+    pub(super) replaced: Option<ReplacedText>,
+}
+
+/// The text of an item that begins anew.
+pub(super) struct ReplacedText {
+    pub(super) origin: Option<TextOrigin>,
+    pub(super) events: u64,
+    pub(super) took: DurationMs,
+    /// Time for which the item waited for engines of the text's version; `None` if none of them serves.
+    pub(super) waited: Option<DurationMs>,
 }
 
 /// An item that moves to a faster engine.
@@ -82,17 +93,20 @@
             let Some(service) = item_service(&spec, item, context.routing) else {
                 break;
             };
-            let requirements = open_requirements(&spec, owned, item, context);
+            let beginning = item_requirements(&spec, item, context.routing, &context.shares);
             let placement = placements.entry(service).or_insert_with(|| {
-                Placement::new(loads, context.catalog.serving(service), requirements, context.now)
+                Placement::new(loads, context.catalog.serving(service), beginning, context.now)
             });
-            let Some(placed) = placement.start(loads, requirements, context.now) else {
-                break;
-            };
-            count(&mut counts, &placed, requirements);
-            chosen
-                .starts
-                .push(start(owned, item, next_serial, placed, context));
+            match place(placement, loads, owned, item, beginning, context) {
+                Place::On(placed) => {
+                    count(&mut counts, &placed, beginning);
+                    chosen
+                        .starts
+                        .push(start(owned, item, next_serial, placed, context));
+                }
+                Place::Later => continue,
+                Place::Nowhere => break,
+            }
         }
         if counts != PlacedItems::default() {
             chosen.placed.push((spec.id.clone(), counts));
@@ -101,6 +115,47 @@
     chosen
 }
 
+/// Where an item starts in this pass.
+enum Place<'a> {
+    On(Placed<'a>),
+    /// It waits for engines of its text's version, while others have room.
+    Later,
+    /// No engine has room for it.
+    Nowhere,
+}
+
+/// Places an item where its text goes on, or else where it begins anew.
+fn place<'a>(
+    placement: &mut Placement<'a>,
+    loads: &mut EngineLoads,
+    owned: &mut OwnedBatch,
+    item: usize,
+    beginning: ItemRequirements<'_>,
+    context: &SchedulingContext<'_>,
+) -> Place<'a> {
+    let now = context.now;
+    let text = owned.text(item);
+    let took = text.took_ms;
+    let resuming = ItemRequirements {
+        events_done: owned.events(item),
+        software: text.allowed_software(),
+        ..beginning
+    };
+    if placement.serves(resuming.software) {
+        if let Some(placed) = placement.start(loads, resuming, now) {
+            return Place::On(placed);
+        }
+        if resuming.software == AllowedSoftware::Any || placement.choose(loads, beginning, now).is_none() {
+            return Place::Nowhere;
+        }
+        if !begins_anew(took, owned.bound_for(item, now)) {
+            return Place::Later;
+        }
+    }
+    let placed = placement.start(loads, beginning, now);
+    placed.map_or(Place::Nowhere, Place::On)
+}
+
 fn count(counts: &mut PlacedItems, placed: &Placed<'_>, requirements: ItemRequirements<'_>) {
     match placed.reason {
         PlacementReason::Fastest => counts.fastest += 1,
@@ -113,12 +168,13 @@
 /// Requirements of an item that continues its text so far.
 fn open_requirements<'a>(
     spec: &'a BatchSpec,
-    owned: &OwnedBatch,
+    owned: &'a OwnedBatch,
     item: usize,
     context: &'a SchedulingContext<'_>,
 ) -> ItemRequirements<'a> {
     ItemRequirements {
         events_done: owned.events(item),
+        software: owned.text(item).allowed_software(),
         ..item_requirements(spec, item, context.routing, &context.shares)
     }
 }
@@ -151,19 +207,21 @@
             let placement = placements.entry(service).or_insert_with(|| {
                 Placement::new(loads, context.catalog.serving(service), requirements, context.now)
             });
+            // Texts of other versions may move nevertheless.
             let Some(placed) = placement.choose(loads, requirements, context.now) else {
-                break;
+                continue;
             };
             let listed = context.catalog.get(&run.target.id);
             let slots = listed.map_or(placed.target.slots, |current| current.slots);
             let saving = loads.move_saving(&run.target, slots, &placed, requirements);
             let Some(saving) = saving else { continue };
+            let size = item_requirements(&spec, item, context.routing, &context.shares);
             let Some(run) = owned.stop_run(item, context.now) else {
                 continue;
             };
             loads.run_ended(&run.target, run.tokens);
             loads.record_send(placed.target, context.now);
-            loads.start_item(&placed.target.run, requirements, context.now);
+            loads.start_item(&placed.target.run, size, context.now);
             moves.push(Move {
                 from: run.target,
                 saving,
@@ -205,15 +263,17 @@
     let serial = *next_serial;
     *next_serial += 1;
     let (abort, registration) = AbortHandle::new_pair();
+    let target = placed.target;
+    let replaced = replaced_text(owned, item, target, context.now);
+    let resume_after = owned.start(item, serial, target, placed.cached_tokens, context.now, abort);
     let request = GenerationRequest {
         spec: Arc::clone(&owned.spec),
         item,
-        resume_after: owned.resume_after(item),
+        resume_after,
         time_left_ms: time_left(&owned.spec, context.unix_ms),
     };
-    let target = placed.target;
-    owned.start(item, serial, target, placed.cached_tokens, context.now, abort);
     Start {
+        replaced,
         batch: owned.spec.id.clone(),
         item,
         serial,
@@ -222,3 +282,17 @@
         registration,
     }
 }
+
+/// The text of the item if it begins anew on `target`.
+fn replaced_text(owned: &OwnedBatch, item: usize, target: &Target, now: Timestamp) -> Option<ReplacedText> {
+    let text = owned.text(item);
+    if text.allowed_software().accepts_target(target) {
+        return None;
+    }
+    Some(ReplacedText {
+        origin: text.origin.clone(),
+        events: owned.events(item),
+        took: text.took_ms,
+        waited: owned.bound_since(item).map(|since| now.since(since)),
+    })
+}
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -426,7 +426,7 @@
             batch,
             item,
             target: &run.target,
-            software: run.software.as_ref(),
+            software: run.origin.as_ref().map(|origin| &origin.software),
             end,
             took,
             events,
--- a/crates/jm-batch/src/runner/monitor.rs
+++ b/crates/jm-batch/src/runner/monitor.rs
@@ -12,7 +12,7 @@
     write::mark_writing,
 };
 use crate::{
-    BatchProgress, EngineLoads, GenerationEnd, RewardQueue,
+    BatchProgress, EngineLoads, GenerationEnd, ItemRequirements, RewardQueue,
     owned::{OwnedBatch, Run},
 };
 
@@ -117,7 +117,10 @@
         let local_only = Shares::without_remote_work();
         let is_stalled = |(item, run): &(&usize, &Run)| {
             let others = |target: &&Target| target.run != run.target;
-            let requirements = item_requirements(&owned.spec, **item, routing, &local_only);
+            let requirements = ItemRequirements {
+                software: owned.alternatives(**item, now.since(run.last_progress)),
+                ..item_requirements(&owned.spec, **item, routing, &local_only)
+            };
             let has_alternative = service_targets(&owned.spec, **item, routing, catalog)
                 .is_some_and(|targets| loads.pick(targets.filter(others), requirements, now).is_some());
             let extended_ms = limit(**item, run).get() * options.no_alternative_stall_factor;
--- a/crates/jm-batch/src/runner/share.rs
+++ b/crates/jm-batch/src/runner/share.rs
@@ -6,7 +6,7 @@
 use jm_forward::{Catalog, RoutingTable, Target};
 use jm_types::{BatchId, ServiceId};
 
-use crate::{BatchSpec, ItemRequirements, RemoteWork, owned::OwnedBatch};
+use crate::{AllowedSoftware, BatchSpec, ItemRequirements, RemoteWork, owned::OwnedBatch};
 
 /// Work of this host and of other hosts, which determines this host's share of each engine.
 pub(super) struct Shares {
@@ -61,6 +61,7 @@
         prompt_tokens: spec.items[item].prompt_tokens,
         prompt_parts: &spec.items[item].prompt_parts,
         events_done: 0,
+        software: AllowedSoftware::Any,
     }
 }
 
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -13,7 +13,7 @@
     share::Shares,
     write::mark_writing,
 };
-use crate::{BatchSpec, GenerationEnd, GenerationEvent, RewardKey, owned::EventOutcome};
+use crate::{BatchSpec, BegunAnew, GenerationEnd, GenerationEvent, RewardKey, owned::EventOutcome};
 
 /// Minimum time between passes that cold engines cause. Dozens of them become ready at different times.
 const MIN_PASS_INTERVAL_MS: DurationMs = DurationMs::new(10);
@@ -23,12 +23,7 @@
     pub(super) fn start_ready(self: &Arc<Self>) {
         let Starts { starts, placed } = self.schedule(choose_starts);
         for start in starts {
-            if let Some(events) = start.request.resume_after {
-                let item = &start.request.spec.items[start.item].id;
-                self.deps
-                    .events
-                    .resumed(&start.batch, item, &start.target, events);
-            }
+            self.report_text(&start);
             self.spawn_run(start);
         }
         for (batch, placed) in placed {
@@ -47,6 +42,26 @@
         }
     }
 
+    /// Reports what becomes of the text so far of an item that starts.
+    fn report_text(&self, start: &Start) {
+        let (batch, target) = (&start.batch, &start.target);
+        let item = &start.request.spec.items[start.item].id;
+        if let Some(events) = start.request.resume_after {
+            self.deps.events.resumed(batch, item, target, events);
+        }
+        if let Some(replaced) = &start.replaced {
+            self.deps.events.begun_anew(&BegunAnew {
+                batch,
+                item,
+                target,
+                origin: replaced.origin.as_ref(),
+                events: replaced.events,
+                took: replaced.took,
+                waited: replaced.waited,
+            });
+        }
+    }
+
     /// What `choose` decides to do now: nothing without a configuration, or while the owners of the batches are unknown.
     fn schedule<T: Default>(&self, choose: impl FnOnce(&mut RunnerState, &SchedulingContext<'_>) -> T) -> T {
         let Some(routing) = self.deps.routing_source.routing() else {
@@ -100,6 +115,7 @@
             target,
             request,
             registration,
+            replaced: _,
         } = start;
         let sink_runner = Arc::clone(&self);
         let (sink_batch, sink_target) = (batch.clone(), target.clone());
@@ -167,6 +183,8 @@
             return;
         };
         loads.run_ended(&run.target, run.tokens);
+        let is_without_text = end == GenerationEnd::Complete && run.replaces_text() && owned.events(item) > 0;
+        let end = if is_without_text { text_missing() } else { end };
         let parts = &owned.spec.items[item].prompt_parts;
         let expired = match &end {
             GenerationEnd::Complete => {
@@ -224,6 +242,13 @@
     }
 }
 
+/// The end of a run that was to begin a text anew. The text so far stems from another version and is not complete.
+fn text_missing() -> GenerationEnd {
+    GenerationEnd::Lost {
+        reason: "the run ended without an event".to_owned(),
+    }
+}
+
 /// The end of a run whose engine sends events without end.
 fn text_too_long() -> GenerationEnd {
     GenerationEnd::Lost {
--- a/crates/jm-batch/tests/common/events.rs
+++ b/crates/jm-batch/tests/common/events.rs
@@ -6,8 +6,8 @@
 };
 
 use jm_batch::{
-    BatchEvents, BatchProgress, CarriedOver, GenerationEnd, HandoverEvents, HandoverReply, PlacedItems,
-    ResultsRead, RewardAttempt, RewardEnd, RunEnd,
+    BatchEvents, BatchProgress, BegunAnew, CarriedOver, GenerationEnd, HandoverEvents, HandoverReply,
+    PlacedItems, ResultsRead, RewardAttempt, RewardEnd, RunEnd,
 };
 use jm_forward::{RunKey, Target};
 use jm_types::{BatchId, DurationMs, MemberId};
@@ -16,6 +16,8 @@
 pub(crate) struct RecordedEvents {
     pub(crate) failed_runs: Mutex<Vec<GenerationEnd>>,
     pub(crate) expired: AtomicU64,
+    /// Events of each text that began anew, and how long its item had waited.
+    pub(crate) begun_anew: Mutex<Vec<(u64, Option<DurationMs>)>>,
     pub(crate) moved: AtomicU64,
     pub(crate) placed: AtomicU64,
     pub(crate) cached_tokens: AtomicU64,
@@ -68,6 +70,9 @@
         self.failed_runs.lock().unwrap().push(end.end.clone());
     }
     fn resumed(&self, _batch: &BatchId, _item: &str, _target: &Target, _events: u64) {}
+    fn begun_anew(&self, begun: &BegunAnew<'_>) {
+        self.begun_anew.lock().unwrap().push((begun.events, begun.waited));
+    }
     fn placed(&self, _batch: &BatchId, placed: &PlacedItems) {
         let items = (placed.fastest + placed.cached_prompt) as u64;
         self.placed.fetch_add(items, Ordering::SeqCst);
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -408,6 +408,11 @@
             .insert(name.parse().unwrap(), next);
     }
 
+    /// Replaces the listed targets, as a change of the platform's list would.
+    pub(crate) fn set_targets(&self, targets: Vec<Target>) {
+        *self.routing.catalog.lock().unwrap() = Arc::new(targets.into_iter().collect());
+    }
+
     /// Waits until runs of `count` items have started.
     pub(crate) async fn started(&self, count: usize) {
         with_timeout(async {
--- a/crates/jm-batch/tests/common/virtual_engines.rs
+++ b/crates/jm-batch/tests/common/virtual_engines.rs
@@ -1,6 +1,8 @@
 //! Engines in virtual time: speed, load, prefill and a cache of prompts in a shared memory.
 
-use jm_batch::{EngineLoads, ItemRequirements, LoadOptions, Placement, PromptPart, PromptPartId};
+use jm_batch::{
+    AllowedSoftware, EngineLoads, ItemRequirements, LoadOptions, Placement, PromptPart, PromptPartId,
+};
 use jm_forward::Target;
 use jm_types::{DurationMs, Timestamp, WeightVersion};
 
@@ -194,6 +196,7 @@
                     &parts
                 },
                 events_done: 0,
+                software: AllowedSoftware::Any,
             };
             let last_holder = self.engines.iter().position(|engine| {
                 let mut held = engine.cache.iter();
--- a/crates/jm-batch/tests/engine_choice.rs
+++ b/crates/jm-batch/tests/engine_choice.rs
@@ -8,7 +8,8 @@
     virtual_engines::{Item, Outcome, Rule, VirtualFleet},
 };
 use jm_batch::{
-    EngineLoads, ItemRequirements, LoadOptions, Placed, Placement, PlacementReason, PromptPart, PromptPartId,
+    AllowedSoftware, EngineLoads, ItemRequirements, LoadOptions, Placed, Placement, PlacementReason,
+    PromptPart, PromptPartId,
 };
 use jm_forward::Target;
 use jm_types::{DurationMs, ModelId, Timestamp, WeightVersion};
@@ -111,6 +112,7 @@
         prompt_tokens: 1_000,
         prompt_parts: parts,
         events_done: 0,
+        software: AllowedSoftware::Any,
     }
 }
 
--- a/crates/jm-batch/tests/placement.rs
+++ b/crates/jm-batch/tests/placement.rs
@@ -6,7 +6,10 @@
 use std::cell::Cell;
 
 use common::{engine, model};
-use jm_batch::{EngineLoads, ItemRequirements, LoadOptions, Placement, PromptPart, PromptPartId};
+use jm_batch::{
+    AllowedSoftware, EngineLoads, ItemRequirements, LoadOptions, Placement, PromptPart, PromptPartId,
+    TextOrigin,
+};
 use jm_forward::Target;
 use jm_types::{ModelId, Timestamp, WeightVersion};
 use quickcheck::quickcheck;
@@ -30,6 +33,7 @@
         prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
         prompt_parts: parts,
         events_done: 0,
+        software: AllowedSoftware::Any,
     }
 }
 
@@ -54,6 +58,27 @@
     }
 }
 
+/// Places items in one pass, of which some have a text of version `1.0`.
+fn place_texts(targets: &[Target], items: &[(u16, bool)]) -> Vec<String> {
+    let (model, mut loads) = (model("m"), EngineLoads::new(LoadOptions::default()));
+    let origin = TextOrigin {
+        service: "engines".parse().unwrap(),
+        software: "1.0".parse().unwrap(),
+    };
+    let mut placement = Placement::new(&loads, targets.iter(), requirements(&model, 0, &[]), NOW);
+    let placed = items.iter().map_while(|(tokens, has_text)| {
+        let beginning = requirements(&model, u64::from(tokens % 700), &[]);
+        let resuming = ItemRequirements {
+            software: AllowedSoftware::Same(Some(&origin)),
+            ..beginning
+        };
+        let requirements = if *has_text { resuming } else { beginning };
+        let placed = placement.start(&mut loads, requirements, NOW)?;
+        Some(placed.target.run.id.to_string())
+    });
+    placed.collect()
+}
+
 /// Compares all engines for each item.
 fn place_each(targets: &[Target], items: &[u64]) -> Placed {
     let (model, comparisons) = (model("m"), Cell::new(0));
@@ -105,4 +130,19 @@
         let items: Vec<u64> = items.iter().map(|tokens| u64::from(tokens % 700)).collect();
         place_in_one_pass(&targets, &items, &[]).engines == place_each(&targets, &items).engines
     }
+
+    /// The version of the engines' software changes nothing for items without a text, nor for any item if all engines run the
+    /// same version.
+    fn software_versions(slots: Vec<u8>, items: Vec<(u16, bool)>) -> bool {
+        let mut targets = engines(slots.len().min(12), |index| usize::from(slots[index] % 8));
+        let sizes: Vec<u64> = items.iter().map(|(tokens, _)| u64::from(tokens % 700)).collect();
+        let without_versions = place_each(&targets, &sizes).engines;
+        for (index, target) in targets.iter_mut().enumerate() {
+            target.software = Some(["1.0", "2.0", "3.0"][index % 3].parse().unwrap());
+        }
+        let several_versions = place_in_one_pass(&targets, &sizes, &[]).engines;
+        targets.iter_mut().for_each(|target| target.software = Some("1.0".parse().unwrap()));
+        let one_version = place_texts(&targets, &items);
+        several_versions == without_versions && one_version == without_versions
+    }
 }
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -80,7 +80,7 @@
             item_runs: counter(
                 &registry,
                 "jm_item_runs_total",
-                "Runs of batch items that ended early, by outcome, and runs that resumed a text.",
+                "Runs of batch items that ended early, by outcome, and runs that resumed a text or began it anew.",
                 &["outcome"],
             ),
             placement: PlacementMetrics::new(&registry),
--- a/crates/jm-host/src/observer/batch.rs
+++ b/crates/jm-host/src/observer/batch.rs
@@ -1,8 +1,8 @@
 //! Log lines and metrics of batches.
 
 use jm_batch::{
-    BatchEvents, BatchProgress, CarriedOver, GenerationEnd, PlacedItems, ResultsRead, RewardAttempt,
-    RewardEnd, RunEnd,
+    BatchEvents, BatchProgress, BegunAnew, CarriedOver, GenerationEnd, PlacedItems, ResultsRead,
+    RewardAttempt, RewardEnd, RunEnd,
 };
 use jm_forward::{RunKey, Target};
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, SoftwareVersion};
@@ -175,6 +175,34 @@
         );
     }
 
+    fn begun_anew(&self, begun: &BegunAnew<'_>) {
+        self.item_runs.with_label_values(&["begun_anew"]).inc();
+        let message = match begun.waited {
+            Some(_) => "no engine of the text's software version had room in time; the item begins anew",
+            None => "no engine of the text's software version serves; the item begins anew",
+        };
+        LogEvent::ItemBegunAnew.write_fields(
+            message,
+            &[
+                ("batch", &begun.batch.as_str()),
+                ("item", &begun.item),
+                ("target", &begun.target.run.id.as_str()),
+                ("software", &software_name(begun.target.software.as_ref())),
+                (
+                    "text_software",
+                    &software_name(begun.origin.map(|origin| &origin.software)),
+                ),
+                (
+                    "text_service",
+                    &begun.origin.map_or("", |origin| origin.service.as_str()),
+                ),
+                ("events", &begun.events),
+                ("text_took_ms", &begun.took.get()),
+                ("waited_ms", &begun.waited.unwrap_or_default().get()),
+            ],
+        );
+    }
+
     fn placed(&self, batch: &BatchId, placed: &PlacedItems) {
         self.placement.record_placed(placed);
         LogEvent::ItemsPlaced.write_fields(
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -189,6 +189,8 @@
     ItemsPlaced = 5130, Debug;
     /// A batch item resumes its text at an engine.
     ItemResumed = 5131, Info;
+    /// A batch item begins anew, because no engine of its text's software version can continue the text soon.
+    ItemBegunAnew = 5132, Info;
     /// A usage window was sealed.
     WindowSealed = 6001, Info;
     /// A usage window was reported and acknowledged.
