Begin a text anew when its engine may have changed its software

Seen: in a test only. An engine that starts again under its id and address with other software accepts items that were sent for its former process.

Cause: the entry lags behind the restart, the condition on the engine's instance names its id only, and no answer names the version. Class: a decision by a listed state that has changed by the time it takes effect.

Change: the engine's entry is compared with the one of the choice when the first event of a run arrives, at its end, and with the periodic checks. If service or version differ, a run that resumed stops; the text is kept if the run had no event, else it may be joined and its item begins anew, without a failed attempt. A text that the run began is whole, as a run is one connection and a connection ends with its process; its origin becomes unknown, so that nothing continues it. A process that started more than 1 s after the run began wrote none of its events and changes nothing.

Measured: `late_entry` on the code before:

left: ("old:1…old:50", [None, Some(3)]) right: ("new:1…new:50", [None, Some(3), None])

It passes now, as does `later_start`, which guards against texts that are dropped without need; jm-batch twice. Not covered: an entry that arrives after the end of the run.

--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -19,7 +19,7 @@
 
 use merge::HeldItems;
 pub(crate) use merge::UsedCapacity;
-pub(crate) use run::{EventOutcome, Run};
+pub(crate) use run::{EventOutcome, Run, RunStart};
 
 pub(crate) struct OwnedBatch {
     pub(crate) spec: Arc<BatchSpec>,
--- a/crates/jm-batch/src/owned/run.rs
+++ b/crates/jm-batch/src/owned/run.rs
@@ -3,13 +3,14 @@
 use std::ops::ControlFlow;
 
 use futures::future::AbortHandle;
-use jm_forward::{RunKey, Target};
+use jm_forward::{Catalog, RunKey, Target};
 use jm_types::{DurationMs, Timestamp, WeightVersion};
 
 use super::OwnedBatch;
 use crate::{
     AllowedSoftware, GenerationEvent, TextOrigin, begins_anew,
     item_text::{AppendError, FIRST_EVENT, ItemText},
+    resumption::may_differ,
 };
 
 pub(crate) struct Run {
@@ -24,6 +25,7 @@
     /// Prompt tokens that the engine was expected to have cached.
     pub(crate) cached_tokens: u64,
     pub(crate) begun: Timestamp,
+    begun_unix_ms: u64,
     pub(crate) last_progress: Timestamp,
     /// Number of events that this run produced.
     pub(crate) events: u64,
@@ -31,6 +33,16 @@
     pub(super) abort: AbortHandle,
 }
 
+/// A run that is about to start.
+pub(crate) struct RunStart<'a> {
+    pub(crate) serial: u64,
+    pub(crate) target: &'a Target,
+    /// Prompt tokens that the engine is expected to have cached.
+    pub(crate) cached_tokens: u64,
+    /// Time of day.
+    pub(crate) unix_ms: u64,
+}
+
 impl Run {
     /// Whether the next event begins the text anew, whatever the item has.
     pub(crate) fn replaces_text(&self) -> bool {
@@ -66,12 +78,11 @@
     pub(crate) fn start(
         &mut self,
         index: usize,
-        serial: u64,
-        target: &Target,
-        cached_tokens: u64,
+        start: RunStart<'_>,
         now: Timestamp,
         abort: AbortHandle,
     ) -> Option<u64> {
+        let RunStart { serial, target, .. } = start;
         self.plan.mark_running(index);
         self.bound_since.swap_remove(&index);
         let text = &self.texts[index];
@@ -83,8 +94,9 @@
             origin: TextOrigin::of(target),
             resume_after,
             tokens: self.spec.items[index].work_tokens(),
-            cached_tokens,
+            cached_tokens: start.cached_tokens,
             begun: now,
+            begun_unix_ms: start.unix_ms,
             last_progress: now,
             events: 0,
             version: None,
@@ -114,6 +126,39 @@
         now.since(*self.bound_since.entry(index).or_insert(now))
     }
 
+    /// Compares the entry of the engine that runs an item with the one with which it was chosen. If the engine may run other
+    /// software, a run that resumed has to stop, and a text that it continued is dropped because it may be joined. A text that
+    /// the run began stems from one process, but it is unknown from which. Returns whether the run has to stop.
+    pub(crate) fn verify_origin(&mut self, index: usize, catalog: &Catalog) -> bool {
+        let Some(run) = self.runs.get_mut(&index) else {
+            return false;
+        };
+        let listed = catalog.get(&run.target.id);
+        let has_changed =
+            listed.is_some_and(|listed| may_differ(run.origin.as_ref(), run.begun_unix_ms, listed));
+        if !has_changed {
+            return false;
+        }
+        let text = &mut self.texts[index];
+        let has_resumed = run.resume_after.is_some();
+        if !has_resumed {
+            run.origin = None;
+        }
+        match (has_resumed, run.events) {
+            (_, 0) => {}
+            (true, _) => *text = text.begun_anew(None),
+            (false, _) => text.origin = None,
+        }
+        has_resumed
+    }
+
+    /// The running items whose runs have to stop, see [`Self::verify_origin`].
+    pub(crate) fn changed_runs(&mut self, catalog: &Catalog) -> Vec<usize> {
+        let mut running: Vec<usize> = self.runs.keys().copied().collect();
+        running.retain(|index| self.verify_origin(*index, catalog));
+        running
+    }
+
     /// Handles an event of a run. Events of a replaced run are discarded.
     pub(crate) fn on_event(
         &mut self,
@@ -175,13 +220,16 @@
         EventOutcome::Version(version)
     }
 
+    /// Whether the item is running, and by this run.
+    pub(crate) fn is_current(&self, index: usize, serial: u64) -> bool {
+        self.runs.get(&index).is_some_and(|run| run.serial == serial)
+    }
+
     /// Removes a run that ended; `None` when it was replaced or had ended before.
     pub(crate) fn finish_run(&mut self, index: usize, serial: u64) -> Option<Run> {
-        let is_current = self.runs.get(&index).is_some_and(|run| run.serial == serial);
-        if is_current {
-            self.runs.swap_remove(&index)
-        } else {
-            None
+        match self.is_current(index, serial) {
+            true => self.runs.swap_remove(&index),
+            false => None,
         }
     }
 
--- a/crates/jm-batch/src/resumption.rs
+++ b/crates/jm-batch/src/resumption.rs
@@ -14,6 +14,9 @@
 /// that stands still for seconds beside free engines for lost.
 const MAX_WAIT_MS: DurationMs = DurationMs::new(2_000);
 
+/// Difference between the clocks of a host and an engine up to which a later start of the engine is not certain.
+const MAX_CLOCK_DIFFERENCE_MS: DurationMs = DurationMs::new(1_000);
+
 /// The software that generated a text.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct TextOrigin {
@@ -60,6 +63,15 @@
     }
 }
 
+/// Whether the events of a run may stem from other software than its engine's entry named when the engine was chosen. `listed`
+/// is the present entry of the engine, which lags behind a restart.
+pub(crate) fn may_differ(chosen: Option<&TextOrigin>, begun_unix_ms: u64, listed: &Target) -> bool {
+    // The connection of a run ends with the engine's process, so a process that started later wrote none of its events.
+    let begun_at_most = begun_unix_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS.get());
+    let has_started_later = listed.run.started_unix_ms > begun_at_most;
+    TextOrigin::of(listed).as_ref() != chosen && !has_started_later
+}
+
 /// Whether an item begins anew elsewhere, after it could have done so for `waited`. Its text took `text_took`.
 pub fn begins_anew(text_took: DurationMs, waited: DurationMs) -> bool {
     waited >= text_took.min(MAX_WAIT_MS)
--- a/crates/jm-batch/src/runner/choose.rs
+++ b/crates/jm-batch/src/runner/choose.rs
@@ -15,7 +15,7 @@
 use crate::{
     AllowedSoftware, BatchSpec, EngineLoads, GenerationRequest, ItemRequirements, PlacedItems, TextOrigin,
     begins_anew,
-    owned::OwnedBatch,
+    owned::{OwnedBatch, RunStart},
     placement::{Placed, Placement, PlacementReason},
 };
 
@@ -265,7 +265,13 @@
     let (abort, registration) = AbortHandle::new_pair();
     let target = placed.target;
     let replaced = replaced_text(owned, item, target, context.now);
-    let resume_after = owned.start(item, serial, target, placed.cached_tokens, context.now, abort);
+    let run = RunStart {
+        serial,
+        target,
+        cached_tokens: placed.cached_tokens,
+        unix_ms: context.unix_ms,
+    };
+    let resume_after = owned.start(item, run, context.now, abort);
     let request = GenerationRequest {
         spec: Arc::clone(&owned.spec),
         item,
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -220,6 +220,7 @@
 
     /// Handles stalled and slow runs, overdue batches, checkpoints and reports.
     fn check_batches(self: &Arc<Self>) {
+        self.stop_changed();
         self.stop_stalled();
         self.expire_overdue();
         self.move_to_faster();
--- a/crates/jm-batch/src/runner/monitor.rs
+++ b/crates/jm-batch/src/runner/monitor.rs
@@ -9,6 +9,7 @@
 use super::{
     Runner, RunnerState, end_runs,
     share::{Shares, item_requirements, service_targets},
+    start::other_software,
     write::mark_writing,
 };
 use crate::{
@@ -59,6 +60,30 @@
         }
     }
 
+    /// Stops runs that resumed a text at an engine which may run other software by now, so that their items begin anew.
+    pub(super) fn stop_changed(&self) {
+        let now = self.now();
+        let catalog = self.deps.routing_source.catalog();
+        let mut stopped = Vec::new();
+        let mut guard = self.state();
+        let RunnerState { owned, loads, .. } = &mut *guard;
+        for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
+            for item in owned.changed_runs(&catalog) {
+                let Some(run) = owned.stop_run(item, now) else {
+                    continue;
+                };
+                loads.run_ended(&run.target, run.tokens);
+                let id = owned.spec.items[item].id.clone();
+                stopped.push((owned.spec.id.clone(), id, run, owned.events(item)));
+            }
+        }
+        drop(guard);
+        for (batch, item, run, events) in stopped {
+            let took = now.since(run.begun);
+            self.report_failed_run(&batch, &item, &run, &other_software(), took, events);
+        }
+    }
+
     /// Stops runs that produce no events, so that their items continue on other engines.
     pub(super) fn stop_stalled(&self) {
         let now = self.now();
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -1,6 +1,6 @@
 //! Starts runs, handles their events, and decides what happens when they end.
 
-use std::sync::Arc;
+use std::{ops::ControlFlow, sync::Arc};
 
 use async_std::task;
 use futures::future::{Abortable, Aborted};
@@ -120,26 +120,42 @@
         let sink_runner = Arc::clone(&self);
         let (sink_batch, sink_target) = (batch.clone(), target.clone());
         let model = request.spec.model.clone();
-        let mut is_too_long = false;
-        let is_last_too_long = &mut is_too_long;
+        let mut must_stop = None;
+        let stop = &mut must_stop;
+        let mut has_begun = false;
         let mut sink = move |event: GenerationEvent| {
+            let begins = !has_begun && matches!(event, GenerationEvent::Data { .. });
+            has_begun |= begins;
+            if begins && sink_runner.has_changed(&sink_batch, item, serial) {
+                *stop = Some(other_software());
+                return ControlFlow::Break(());
+            }
             let outcome =
                 sink_runner.on_event(&sink_batch, item, serial, event, &sink_target, model.as_ref());
-            *is_last_too_long = outcome == EventOutcome::TooLong;
+            if outcome == EventOutcome::TooLong {
+                *stop = Some(text_too_long());
+            }
             outcome.flow()
         };
         let generation = self.deps.generator.generate(&target, &request, &mut sink);
         let ended = Abortable::new(generation, registration).await;
         drop(sink);
         let end = match ended {
-            Ok(_) if is_too_long => text_too_long(),
-            Ok(end) => end,
+            Ok(end) => must_stop.unwrap_or(end),
             // The runner stopped the run and has released its capacity.
             Err(Aborted) => return,
         };
         self.on_end(&batch, item, serial, end);
     }
 
+    /// Whether the engine of a run may run other software than its entry named when it was chosen, so that the run has to stop.
+    fn has_changed(&self, batch: &BatchId, item: usize, serial: u64) -> bool {
+        let catalog = self.deps.routing_source.catalog();
+        let mut state = self.state();
+        let owned = state.owned.get_mut(batch);
+        owned.is_some_and(|owned| owned.is_current(item, serial) && owned.verify_origin(item, &catalog))
+    }
+
     fn on_event(
         &self,
         batch: &BatchId,
@@ -171,6 +187,7 @@
 
     fn on_end(self: &Arc<Self>, batch: &BatchId, item: usize, serial: u64, end: GenerationEnd) {
         let now = self.now();
+        let has_changed = self.has_changed(batch, item, serial);
         let mut guard = self.state();
         let RunnerState {
             owned,
@@ -183,8 +200,12 @@
             return;
         };
         loads.run_ended(&run.target, run.tokens);
-        let is_without_text = end == GenerationEnd::Complete && run.replaces_text() && owned.events(item) > 0;
-        let end = if is_without_text { text_missing() } else { end };
+        let is_without_text = run.replaces_text() && owned.events(item) > 0;
+        let end = match end {
+            GenerationEnd::Complete if has_changed => other_software(),
+            GenerationEnd::Complete if is_without_text => text_missing(),
+            end => end,
+        };
         let parts = &owned.spec.items[item].prompt_parts;
         let expired = match &end {
             GenerationEnd::Complete => {
@@ -242,6 +263,13 @@
     }
 }
 
+/// The end of a run whose engine may have restarted with other software before it received the item.
+pub(super) fn other_software() -> GenerationEnd {
+    GenerationEnd::Lost {
+        reason: "the engine may run other software than it did when it was chosen".to_owned(),
+    }
+}
+
 /// The end of a run that was to begin a text anew. The text so far stems from another version and is not complete.
 fn text_missing() -> GenerationEnd {
     GenerationEnd::Lost {
--- a/crates/jm-batch/tests/two_versions.rs
+++ b/crates/jm-batch/tests/two_versions.rs
@@ -5,11 +5,14 @@
 
 use std::{
     collections::HashSet,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
-use async_std::task::sleep;
+use async_std::{channel::bounded, task::sleep};
 use common::{FaultyStore, Hosts, Script, Step, TestHost, engine, spec, text_version, with_timeout};
 use jm_batch::{
     AllowedSoftware, EngineLoads, GenerationEnd, GenerationEvent, GenerationRequest, ItemRequirements,
@@ -17,7 +20,7 @@
 };
 use jm_forward::Target;
 use jm_platform::{Condition, ObjectStore};
-use jm_types::{DurationMs, Timestamp, WeightVersion};
+use jm_types::{DurationMs, SystemClock, Timestamp, WallClock, WeightVersion};
 use quickcheck::quickcheck;
 use serde_json::{Value, json};
 
@@ -339,6 +342,74 @@
     );
 }
 
+/// The only engine changes its software at the given moment of the text's second run.
+async fn changed_entry(moment: Moment, started_unix_ms: u64) -> (String, Vec<Option<u64>>) {
+    let (told, reached) = bounded(1);
+    let (gate, open) = bounded(1);
+    gate.send(()).await.unwrap();
+    let broken = breaking(3);
+    let runs = AtomicUsize::new(0);
+    let script: Script = Box::new(move |target, request| {
+        let run = runs.fetch_add(1, Ordering::SeqCst);
+        let mut steps = match moment {
+            Moment::FirstRun => events(&name(target), request, EVENTS),
+            _ => broken(target, request),
+        };
+        let (paused_run, position) = match moment {
+            Moment::FirstRun => (0, 2),
+            Moment::BeforeEvents => (1, 0),
+            Moment::AfterEvent => (1, 2),
+        };
+        if run == paused_run {
+            // The second signal waits for the test.
+            let pause = [Step::Signal(told.clone()), Step::Signal(gate.clone())];
+            steps.splice(position..position, pause);
+        }
+        steps
+    });
+    let (store, hosts) = (FaultyStore::new(), Arc::default());
+    let targets = vec![versioned("e1", "old")];
+    let scoring = Box::new(|_: &_, _: &_| common::scored());
+    let host = TestHost::start_patient("host-a", &hosts, &store, targets, script, scoring, 10_000);
+    host.service.submit(spec("b1", &[1])).await.unwrap();
+    with_timeout(reached.recv()).await.unwrap();
+    let mut changed = versioned("e1", "new");
+    changed.run.started_unix_ms = started_unix_ms;
+    host.set_targets(vec![changed]);
+    open.recv().await.unwrap();
+    let text = texts(&host, "b1", 1).await.remove(0);
+    (text, resumed_after(&host, "b1-0"))
+}
+
+#[derive(Clone, Copy)]
+enum Moment {
+    /// In the first run, so that one process writes the whole text.
+    FirstRun,
+    /// Before the first event of the run that resumes the text.
+    BeforeEvents,
+    /// After the first event of that run.
+    AfterEvent,
+}
+
+/// An engine restarts under its id with other software, and its entry is late, so that a text that resumed may be joined.
+#[async_std::test]
+async fn late_entry() {
+    let anew = (whole("new"), vec![None, Some(3), None]);
+    assert_eq!(changed_entry(Moment::BeforeEvents, 1).await, anew);
+    assert_eq!(changed_entry(Moment::AfterEvent, 1).await, anew);
+    let first_run = changed_entry(Moment::FirstRun, 1).await;
+    assert_eq!(first_run, (whole("old"), vec![None]));
+}
+
+/// A process that starts after a run began wrote none of its events.
+#[async_std::test]
+async fn later_start() {
+    let in_a_minute = SystemClock.unix_ms() + 60_000;
+    let resumed = (whole("old"), vec![None, Some(3)]);
+    assert_eq!(changed_entry(Moment::BeforeEvents, in_a_minute).await, resumed);
+    assert_eq!(changed_entry(Moment::AfterEvent, in_a_minute).await, resumed);
+}
+
 /// The number of a version means nothing in another service.
 #[test]
 fn other_service() {
