Keep the text that replaced another one, not the longest

Seen: in a test only. An owner saves a long text of a software version that then leaves. The next owner begins the item anew and saves the new text. At the following takeover the first text is found again, is longer and wins, and as none of its engines serves, the item begins anew once more. With several takeovers the item never ends.

Cause: what earlier owners saved was always a beginning of what later ones have, so the longest text was the newest. Since texts begin anew at another version, this does not hold.

Change: a text counts how many texts of its item it replaced (`replaced_texts`, 0 in texts of earlier releases). A text with events and a higher count precedes a longer one, at takeovers, in reports of former owners and among carried items. Complete texts still come first, and nothing changes for items that never began anew.

Measured: `replaced_texts` with the count left out of the comparison: left: 60 events, `replaced_texts: 0`; right: 45 events, `replaced_texts: 1`.

--- a/crates/jm-batch/src/checkpoint.rs
+++ b/crates/jm-batch/src/checkpoint.rs
@@ -108,10 +108,9 @@
 }
 
 /// The longest text of each item with its highest failure counts, among all texts that earlier owners handed over or
-/// saved.
+/// saved. Texts that were replaced by others are left out.
 pub fn longest_texts(texts: impl IntoIterator<Item = ItemText>) -> Vec<ItemText> {
     let mut longest: indexmap::IndexMap<usize, ItemText> = indexmap::IndexMap::new();
-    let length = |text: &ItemText| (text.is_complete, text.last_event);
     for text in texts {
         let Some(current) = longest.get_mut(&text.item) else {
             longest.insert(text.item, text);
@@ -119,7 +118,7 @@
         };
         let failures = current.failures.max(text.failures);
         let reward_failures = current.reward_failures.max(text.reward_failures);
-        if length(current) < length(&text) {
+        if text.precedes(current) {
             *current = text;
         }
         current.failures = failures;
--- a/crates/jm-batch/src/item_text.rs
+++ b/crates/jm-batch/src/item_text.rs
@@ -35,6 +35,9 @@
     /// The software that generated the text. `None` if it is unknown, as in texts of earlier releases.
     #[serde(default)]
     pub origin: Option<TextOrigin>,
+    /// Number of earlier texts of the item that were replaced by a new one.
+    #[serde(default)]
+    pub replaced_texts: u32,
     /// Number of failed runs of the item.
     #[serde(default)]
     pub failures: usize,
@@ -59,12 +62,25 @@
 }
 
 impl ItemText {
+    /// Whether this text of the item is to be kept rather than `other`. Texts are never joined. A text that replaced another
+    /// one precedes it, however short, because the engines of the replaced one had left or were full.
+    pub(crate) fn precedes(&self, other: &Self) -> bool {
+        let rank = |text: &Self| {
+            let has_events = text.last_event.is_some();
+            (text.is_complete, has_events, text.replaced_texts, text.last_event)
+        };
+        rank(self) > rank(other)
+    }
+
     /// The item without its text, which begins anew. What was counted of the item remains.
     pub(crate) fn begun_anew(&self, origin: Option<TextOrigin>) -> Self {
         Self {
             item: self.item,
             failures: self.failures,
             reward_failures: self.reward_failures,
+            replaced_texts: self
+                .replaced_texts
+                .saturating_add(u32::from(self.last_event.is_some())),
             origin,
             ..Self::default()
         }
--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -134,7 +134,7 @@
                     Some(score) => self.finish(index, Some(score)),
                     None => drop(self.complete(index)),
                 }
-            } else if text.last_event > self.texts[index].last_event {
+            } else if text.precedes(&self.texts[index]) {
                 self.texts[index] = text;
             }
         }
--- a/crates/jm-batch/src/owned/merge.rs
+++ b/crates/jm-batch/src/owned/merge.rs
@@ -79,7 +79,7 @@
                 if self.complete(index) {
                     merged.scoring.push(index);
                 }
-            } else if !self.runs.contains_key(&index) && text.last_event > self.texts[index].last_event {
+            } else if !self.runs.contains_key(&index) && text.precedes(&self.texts[index]) {
                 self.texts[index] = text;
             }
         }
--- a/crates/jm-batch/tests/saved_texts.rs
+++ b/crates/jm-batch/tests/saved_texts.rs
@@ -139,6 +139,23 @@
     assert_eq!(longest[1].failures, 2);
 }
 
+/// Guards against a new text that is replaced by the longer one that it replaced, whose engines have left, at each takeover.
+#[test]
+fn replaced_texts() {
+    let replaced = item_text(0, 60, 1);
+    let new = ItemText {
+        replaced_texts: 1,
+        ..item_text(0, 45, 1)
+    };
+    let complete = ItemText {
+        is_complete: true,
+        ..replaced.clone()
+    };
+    let found = [replaced.clone(), new.clone(), replaced];
+    assert_eq!(longest_texts(found), vec![new.clone()]);
+    assert_eq!(longest_texts(vec![new, complete.clone()]), [complete]);
+}
+
 /// While the store is unavailable, the interval between checkpoints grows, because their calls are billed and load the
 /// store.
 #[test]
