Compare the origin of a run with an entry without copies

Cause: the check of all running items each 100 ms copied the service and the version of each listed engine.

Change: the comparison that the placement uses.

--- a/crates/jm-batch/src/resumption.rs
+++ b/crates/jm-batch/src/resumption.rs
@@ -69,7 +69,7 @@
     // The connection of a run ends with the engine's process, so a process that started later wrote none of its events.
     let begun_at_most = begun_unix_ms.saturating_add(MAX_CLOCK_DIFFERENCE_MS.get());
     let has_started_later = listed.run.started_unix_ms > begun_at_most;
-    TextOrigin::of(listed).as_ref() != chosen && !has_started_later
+    !AllowedSoftware::Same(chosen).accepts_target(listed) && !has_started_later
 }
 
 /// Whether an item begins anew elsewhere, after it could have done so for `waited`. Its text took `text_took`.
