--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -1,5 +1,6 @@
 //! Runs the batches that this host owns.
 
+mod choose;
 mod handover;
 mod monitor;
 mod recover;
@@ -219,6 +220,7 @@
 
     /// Handles stalled and slow runs, overdue batches, checkpoints and reports.
     fn check_batches(self: &Arc<Self>) {
+        self.stop_changed();
         self.stop_stalled();
         self.expire_overdue();
         self.move_to_faster();
@@ -416,7 +418,7 @@
         &self,
         batch: &BatchId,
         item: &str,
-        target: &RunKey,
+        run: &Run,
         end: &GenerationEnd,
         took: DurationMs,
         events: u64,
@@ -424,7 +426,8 @@
         self.deps.events.run_failed(&RunEnd {
             batch,
             item,
-            target,
+            target: &run.target,
+            software: run.origin.as_ref().map(|origin| &origin.software),
             end,
             took,
             events,
--- a/crates/jm-batch/src/runner/monitor.rs
+++ b/crates/jm-batch/src/runner/monitor.rs
@@ -9,10 +9,11 @@
 use super::{
     Runner, RunnerState, end_runs,
     share::{Shares, item_requirements, service_targets},
+    start::other_software,
     write::mark_writing,
 };
 use crate::{
-    BatchProgress, EngineLoads, GenerationEnd, RewardQueue,
+    BatchProgress, EngineLoads, GenerationEnd, ItemRequirements, RewardQueue,
     owned::{OwnedBatch, Run},
 };
 
@@ -59,6 +60,30 @@
         }
     }
 
+    /// Stops runs that resumed a text at an engine which may run other software by now, so that their items begin anew.
+    pub(super) fn stop_changed(&self) {
+        let now = self.now();
+        let catalog = self.deps.routing_source.catalog();
+        let mut stopped = Vec::new();
+        let mut guard = self.state();
+        let RunnerState { owned, loads, .. } = &mut *guard;
+        for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
+            for item in owned.changed_runs(&catalog) {
+                let Some(run) = owned.stop_run(item, now) else {
+                    continue;
+                };
+                loads.run_ended(&run.target, run.tokens);
+                let id = owned.spec.items[item].id.clone();
+                stopped.push((owned.spec.id.clone(), id, run, owned.events(item)));
+            }
+        }
+        drop(guard);
+        for (batch, item, run, events) in stopped {
+            let took = now.since(run.begun);
+            self.report_failed_run(&batch, &item, &run, &other_software(), took, events);
+        }
+    }
+
     /// Stops runs that produce no events, so that their items continue on other engines.
     pub(super) fn stop_stalled(&self) {
         let now = self.now();
@@ -89,7 +114,7 @@
         for (batch, item, run, events) in stopped {
             let reason = format!("no event for {}", now.since(run.last_progress));
             let end = GenerationEnd::Lost { reason };
-            self.report_failed_run(&batch, &item, &run.target, &end, now.since(run.begun), events);
+            self.report_failed_run(&batch, &item, &run, &end, now.since(run.begun), events);
         }
     }
 
@@ -117,7 +142,10 @@
         let local_only = Shares::without_remote_work();
         let is_stalled = |(item, run): &(&usize, &Run)| {
             let others = |target: &&Target| target.run != run.target;
-            let requirements = item_requirements(&owned.spec, **item, routing, &local_only);
+            let requirements = ItemRequirements {
+                software: owned.alternatives(**item, now.since(run.last_progress)),
+                ..item_requirements(&owned.spec, **item, routing, &local_only)
+            };
             let has_alternative = service_targets(&owned.spec, **item, routing, catalog)
                 .is_some_and(|targets| loads.pick(targets.filter(others), requirements, now).is_some());
             let extended_ms = limit(**item, run).get() * options.no_alternative_stall_factor;
--- a/crates/jm-batch/src/runner/start.rs
+++ b/crates/jm-batch/src/runner/start.rs
@@ -1,69 +1,29 @@
 //! Starts runs, handles their events, and decides what happens when they end.
 
-use std::sync::Arc;
+use std::{ops::ControlFlow, sync::Arc};
 
 use async_std::task;
-use futures::future::{AbortHandle, AbortRegistration, Abortable, Aborted};
-use indexmap::IndexMap;
-use jm_forward::{Catalog, RoutingTable, RunKey, SendKind, Target};
-use jm_types::{BatchId, DurationMs, ModelId, ServiceId, Timestamp};
+use futures::future::{Abortable, Aborted};
+use jm_forward::{SendKind, Target};
+use jm_types::{BatchId, DurationMs, ModelId};
 
 use super::{
     IDLE_WAIT_MS, Runner, RunnerState,
-    share::{Shares, item_requirements, item_service},
+    choose::{Move, SchedulingContext, Start, Starts, choose_moves, choose_starts},
+    share::Shares,
     write::mark_writing,
 };
-use crate::{
-    BatchSpec, EngineLoads, GenerationEnd, GenerationEvent, GenerationRequest, ItemRequirements, PlacedItems,
-    RewardKey,
-    owned::{EventOutcome, OwnedBatch},
-    placement::{Placed, Placement, PlacementReason},
-};
-
-/// Minimum number of events of a run before its item may move to a faster engine. It keeps items from moving back and
-/// forth.
-const EVENTS_BEFORE_MOVE: u64 = 3;
+use crate::{BatchSpec, BegunAnew, GenerationEnd, GenerationEvent, RewardKey, owned::EventOutcome};
 
 /// Minimum time between passes that cold engines cause. Dozens of them become ready at different times.
 const MIN_PASS_INTERVAL_MS: DurationMs = DurationMs::new(10);
 
-struct Start {
-    batch: BatchId,
-    item: usize,
-    serial: u64,
-    target: Target,
-    request: GenerationRequest,
-    registration: AbortRegistration,
-}
-
-/// An item that moves to a faster engine.
-struct Move {
-    from: RunKey,
-    saving: DurationMs,
-    start: Start,
-}
-
-/// The items that a pass starts, and how they were placed.
-#[derive(Default)]
-struct Starts {
-    starts: Vec<Start>,
-    placed: Vec<(BatchId, PlacedItems)>,
-}
-
-/// Inputs of one scheduling pass over all batches.
-struct SchedulingContext<'a> {
-    routing: &'a RoutingTable,
-    catalog: &'a Catalog,
-    shares: Shares,
-    now: Timestamp,
-    unix_ms: u64,
-}
-
 impl Runner {
     /// Starts the items that engines have room for.
     pub(super) fn start_ready(self: &Arc<Self>) {
         let Starts { starts, placed } = self.schedule(choose_starts);
         for start in starts {
+            self.report_text(&start);
             self.spawn_run(start);
         }
         for (batch, placed) in placed {
@@ -82,6 +42,26 @@
         }
     }
 
+    /// Reports what becomes of the text so far of an item that starts.
+    fn report_text(&self, start: &Start) {
+        let (batch, target) = (&start.batch, &start.target);
+        let item = &start.request.spec.items[start.item].id;
+        if let Some(events) = start.request.resume_after {
+            self.deps.events.resumed(batch, item, target, events);
+        }
+        if let Some(replaced) = &start.replaced {
+            self.deps.events.begun_anew(&BegunAnew {
+                batch,
+                item,
+                target,
+                origin: replaced.origin.as_ref(),
+                events: replaced.events,
+                took: replaced.took,
+                waited: replaced.waited,
+            });
+        }
+    }
+
     /// What `choose` decides to do now: nothing without a configuration, or while the owners of the batches are unknown.
     fn schedule<T: Default>(&self, choose: impl FnOnce(&mut RunnerState, &SchedulingContext<'_>) -> T) -> T {
         let Some(routing) = self.deps.routing_source.routing() else {
@@ -135,28 +115,45 @@
             target,
             request,
             registration,
+            replaced: _,
         } = start;
         let sink_runner = Arc::clone(&self);
         let (sink_batch, sink_target) = (batch.clone(), target.clone());
         let model = request.spec.model.clone();
-        let mut is_too_long = false;
-        let is_last_too_long = &mut is_too_long;
+        let mut must_stop = None;
+        let stop = &mut must_stop;
+        let mut has_begun = false;
         let mut sink = move |event: GenerationEvent| {
+            let begins = !has_begun && matches!(event, GenerationEvent::Data { .. });
+            has_begun |= begins;
+            if begins && sink_runner.has_changed(&sink_batch, item, serial) {
+                *stop = Some(other_software());
+                return ControlFlow::Break(());
+            }
             let outcome =
                 sink_runner.on_event(&sink_batch, item, serial, event, &sink_target, model.as_ref());
-            *is_last_too_long = outcome == EventOutcome::TooLong;
+            if outcome == EventOutcome::TooLong {
+                *stop = Some(text_too_long());
+            }
             outcome.flow()
         };
         let generation = self.deps.generator.generate(&target, &request, &mut sink);
         let ended = Abortable::new(generation, registration).await;
         drop(sink);
         let end = match ended {
-            Ok(_) if is_too_long => text_too_long(),
-            Ok(end) => end,
+            Ok(end) => must_stop.unwrap_or(end),
             // The runner stopped the run and has released its capacity.
             Err(Aborted) => return,
         };
-        self.on_end(&batch, item, serial, &target, end);
+        self.on_end(&batch, item, serial, end);
+    }
+
+    /// Whether the engine of a run may run other software than its entry named when it was chosen, so that the run has to stop.
+    fn has_changed(&self, batch: &BatchId, item: usize, serial: u64) -> bool {
+        let catalog = self.deps.routing_source.catalog();
+        let mut state = self.state();
+        let owned = state.owned.get_mut(batch);
+        owned.is_some_and(|owned| owned.is_current(item, serial) && owned.verify_origin(item, &catalog))
     }
 
     fn on_event(
@@ -188,15 +185,9 @@
         outcome
     }
 
-    fn on_end(
-        self: &Arc<Self>,
-        batch: &BatchId,
-        item: usize,
-        serial: u64,
-        target: &Target,
-        end: GenerationEnd,
-    ) {
+    fn on_end(self: &Arc<Self>, batch: &BatchId, item: usize, serial: u64, end: GenerationEnd) {
         let now = self.now();
+        let has_changed = self.has_changed(batch, item, serial);
         let mut guard = self.state();
         let RunnerState {
             owned,
@@ -209,6 +200,12 @@
             return;
         };
         loads.run_ended(&run.target, run.tokens);
+        let is_without_text = run.replaces_text() && owned.events(item) > 0;
+        let end = match end {
+            GenerationEnd::Complete if has_changed => other_software(),
+            GenerationEnd::Complete if is_without_text => text_missing(),
+            end => end,
+        };
         let parts = &owned.spec.items[item].prompt_parts;
         let expired = match &end {
             GenerationEnd::Complete => {
@@ -257,7 +254,7 @@
             self.deps.events.expired(batch, &id, reason);
         }
         if end != GenerationEnd::Complete {
-            self.report_failed_run(batch, &id, &target.run, &end, now.since(run.begun), events);
+            self.report_failed_run(batch, &id, &run, &end, now.since(run.begun), events);
         }
         if must_write {
             task::spawn(Arc::clone(self).write_results(batch.clone()));
@@ -266,186 +263,24 @@
     }
 }
 
-/// The end of a run whose engine sends events without end.
-fn text_too_long() -> GenerationEnd {
+/// The end of a run whose engine may have restarted with other software before it received the item.
+pub(super) fn other_software() -> GenerationEnd {
     GenerationEnd::Lost {
-        reason: "the text exceeds the maximum size of a result".to_owned(),
+        reason: "the engine may run other software than it did when it was chosen".to_owned(),
     }
 }
 
-fn choose_starts(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Starts {
-    let RunnerState {
-        owned,
-        loads,
-        next_serial,
-        ..
-    } = state;
-    let mut batches: Vec<&mut OwnedBatch> = owned
-        .values_mut()
-        .filter(|owned| !owned.is_ended && owned.plan.waiting() > 0)
-        .collect();
-    batches.sort_by_key(|owned| {
-        (
-            owned.spec.priority,
-            owned.spec.submitted_unix_ms,
-            owned.spec.id.clone(),
-        )
-    });
-    let mut chosen = Starts::default();
-    for owned in batches {
-        let spec = Arc::clone(&owned.spec);
-        let mut placements: IndexMap<&ServiceId, Placement<'_>> = IndexMap::new();
-        let mut counts = PlacedItems::default();
-        let ready: Vec<usize> = owned.plan.ready(context.now).collect();
-        for item in ready {
-            let Some(service) = item_service(&spec, item, context.routing) else {
-                break;
-            };
-            let requirements = open_requirements(&spec, owned, item, context);
-            let placement = placements.entry(service).or_insert_with(|| {
-                Placement::new(loads, context.catalog.serving(service), requirements, context.now)
-            });
-            let Some(placed) = placement.start(loads, requirements, context.now) else {
-                break;
-            };
-            count(&mut counts, &placed, requirements);
-            chosen
-                .starts
-                .push(start(owned, item, next_serial, placed, context));
-        }
-        if counts != PlacedItems::default() {
-            chosen.placed.push((spec.id.clone(), counts));
-        }
-    }
-    chosen
-}
-
-fn count(counts: &mut PlacedItems, placed: &Placed<'_>, requirements: ItemRequirements<'_>) {
-    match placed.reason {
-        PlacementReason::Fastest => counts.fastest += 1,
-        PlacementReason::CachedPrompt => counts.cached_prompt += 1,
-    }
-    counts.cached_tokens += placed.cached_tokens;
-    counts.uncached_tokens += requirements.prompt_tokens.saturating_sub(placed.cached_tokens);
-}
-
-/// Requirements of an item that continues its text so far.
-fn open_requirements<'a>(
-    spec: &'a BatchSpec,
-    owned: &OwnedBatch,
-    item: usize,
-    context: &'a SchedulingContext<'_>,
-) -> ItemRequirements<'a> {
-    ItemRequirements {
-        events_done: owned.events(item),
-        ..item_requirements(spec, item, context.routing, &context.shares)
-    }
-}
-
-/// Selects items that would end much earlier on another engine with free capacity. The longest text determines when a
-/// step ends, so the items with the most work left are moved first.
-fn choose_moves(state: &mut RunnerState, context: &SchedulingContext<'_>) -> Vec<Move> {
-    let RunnerState {
-        owned,
-        loads,
-        next_serial,
-        ..
-    } = state;
-    loads.retain(|run| {
-        let listed = context.catalog.get(&run.id);
-        listed.is_some_and(|target| target.run == *run)
-    });
-    let mut moves = Vec::new();
-    for owned in owned.values_mut().filter(|owned| !owned.is_ended) {
-        let spec = Arc::clone(&owned.spec);
-        let mut placements: IndexMap<&ServiceId, Placement<'_>> = IndexMap::new();
-        for item in movable_items(&spec, owned, loads, context) {
-            let Some(service) = item_service(&spec, item, context.routing) else {
-                break;
-            };
-            let Some(run) = owned.runs.get(&item) else {
-                continue;
-            };
-            let requirements = open_requirements(&spec, owned, item, context);
-            let placement = placements.entry(service).or_insert_with(|| {
-                Placement::new(loads, context.catalog.serving(service), requirements, context.now)
-            });
-            let Some(placed) = placement.choose(loads, requirements, context.now) else {
-                break;
-            };
-            let listed = context.catalog.get(&run.target.id);
-            let slots = listed.map_or(placed.target.slots, |current| current.slots);
-            let saving = loads.move_saving(&run.target, slots, &placed, requirements);
-            let Some(saving) = saving else { continue };
-            let Some(run) = owned.stop_run(item, context.now) else {
-                continue;
-            };
-            loads.run_ended(&run.target, run.tokens);
-            loads.record_send(placed.target, context.now);
-            loads.start_item(&placed.target.run, requirements, context.now);
-            moves.push(Move {
-                from: run.target,
-                saving,
-                start: start(owned, item, next_serial, placed, context),
-            });
-        }
+/// The end of a run that was to begin a text anew. The text so far stems from another version and is not complete.
+fn text_missing() -> GenerationEnd {
+    GenerationEnd::Lost {
+        reason: "the run ended without an event".to_owned(),
     }
-    moves
 }
 
-/// The running items that may move, those with the most work left first.
-fn movable_items(
-    spec: &BatchSpec,
-    owned: &OwnedBatch,
-    loads: &EngineLoads,
-    context: &SchedulingContext<'_>,
-) -> Vec<usize> {
-    let movable = owned
-        .runs
-        .iter()
-        .filter(|(_, run)| run.events >= EVENTS_BEFORE_MOVE);
-    let mut movable: Vec<(f64, usize)> = movable
-        .map(|(item, _)| {
-            let requirements = open_requirements(spec, owned, *item, context);
-            (loads.events_left(requirements), *item)
-        })
-        .collect();
-    movable.sort_by(|a, b| b.0.total_cmp(&a.0));
-    movable.into_iter().map(|(_, item)| item).collect()
-}
-
-fn start(
-    owned: &mut OwnedBatch,
-    item: usize,
-    next_serial: &mut u64,
-    placed: Placed<'_>,
-    context: &SchedulingContext<'_>,
-) -> Start {
-    let serial = *next_serial;
-    *next_serial += 1;
-    let (abort, registration) = AbortHandle::new_pair();
-    let request = GenerationRequest {
-        spec: Arc::clone(&owned.spec),
-        item,
-        resume_after: owned.resume_after(item),
-        time_left_ms: time_left(&owned.spec, context.unix_ms),
-    };
-    let target = placed.target;
-    owned.start(
-        item,
-        serial,
-        target.run.clone(),
-        placed.cached_tokens,
-        context.now,
-        abort,
-    );
-    Start {
-        batch: owned.spec.id.clone(),
-        item,
-        serial,
-        target: target.clone(),
-        request,
-        registration,
+/// The end of a run whose engine sends events without end.
+fn text_too_long() -> GenerationEnd {
+    GenerationEnd::Lost {
+        reason: "the text exceeds the maximum size of a result".to_owned(),
     }
 }
 
--- a/crates/jm-host/src/observer/batch.rs
+++ b/crates/jm-host/src/observer/batch.rs
@@ -1,11 +1,11 @@
 //! Log lines and metrics of batches.
 
 use jm_batch::{
-    BatchEvents, BatchProgress, CarriedOver, GenerationEnd, PlacedItems, ResultsRead, RewardAttempt,
-    RewardEnd, RunEnd,
+    BatchEvents, BatchProgress, BegunAnew, CarriedOver, GenerationEnd, PlacedItems, ResultsRead,
+    RewardAttempt, RewardEnd, RunEnd,
 };
-use jm_forward::RunKey;
-use jm_types::{BatchId, DurationMs, LogEvent, MemberId};
+use jm_forward::{RunKey, Target};
+use jm_types::{BatchId, DurationMs, LogEvent, MemberId, SoftwareVersion};
 
 use super::HostObserver;
 
@@ -21,6 +21,10 @@
     }
 }
 
+fn software_name(software: Option<&SoftwareVersion>) -> &str {
+    software.map_or("", SoftwareVersion::as_str)
+}
+
 fn reward_end_name(end: &RewardEnd) -> (&'static str, &str) {
     match end {
         RewardEnd::Scored(_) => ("scored", "the text was scored"),
@@ -124,6 +128,7 @@
                 ("batch", &end.batch.as_str()),
                 ("item", &end.item),
                 ("target", &end.target.id.as_str()),
+                ("software", &software_name(end.software)),
                 ("outcome", &name),
                 ("events", &end.events),
                 ("took_ms", &end.took.get()),
@@ -156,6 +161,48 @@
         );
     }
 
+    fn resumed(&self, batch: &BatchId, item: &str, target: &Target, events: u64) {
+        self.item_runs.with_label_values(&["resumed"]).inc();
+        LogEvent::ItemResumed.write_fields(
+            "the item resumes its text",
+            &[
+                ("batch", &batch.as_str()),
+                ("item", &item),
+                ("target", &target.run.id.as_str()),
+                ("software", &software_name(target.software.as_ref())),
+                ("events", &events),
+            ],
+        );
+    }
+
+    fn begun_anew(&self, begun: &BegunAnew<'_>) {
+        self.item_runs.with_label_values(&["begun_anew"]).inc();
+        let message = match begun.waited {
+            Some(_) => "no engine of the text's software version had room in time; the item begins anew",
+            None => "no engine of the text's software version serves; the item begins anew",
+        };
+        LogEvent::ItemBegunAnew.write_fields(
+            message,
+            &[
+                ("batch", &begun.batch.as_str()),
+                ("item", &begun.item),
+                ("target", &begun.target.run.id.as_str()),
+                ("software", &software_name(begun.target.software.as_ref())),
+                (
+                    "text_software",
+                    &software_name(begun.origin.map(|origin| &origin.software)),
+                ),
+                (
+                    "text_service",
+                    &begun.origin.map_or("", |origin| origin.service.as_str()),
+                ),
+                ("events", &begun.events),
+                ("text_took_ms", &begun.took.get()),
+                ("waited_ms", &begun.waited.unwrap_or_default().get()),
+            ],
+        );
+    }
+
     fn placed(&self, batch: &BatchId, placed: &PlacedItems) {
         self.placement.record_placed(placed);
         LogEvent::ItemsPlaced.write_fields(
