Forget the readers of a cached prefix that stopped waiting

What operators would see: in deployments with more than 40 hosts, the memory of a secondary reader grows for as long as a prefix has no changes, until the process exceeds its limit and ends.

Cause: each watch of a cached prefix leaves a channel in the list of waiting readers, also one that ends by its time limit or because its caller went away. The list is emptied only when the prefix changes or is listed. A host that reads from the cache of the primary reader does not list while that host answers, and an answer without changes notifies nobody. Each of up to 40 readers watches each prefix at least every 0.8 s.

Ruled out: a primary reader, or a deployment with one reader, lists each prefix every 0.75 to 4 s, and data that is too old is refused before a channel is made. There the list stays short. This was read from the code; no deployment of this size was run.

Change: channels whose reader has stopped waiting are removed when the next reader waits.

Measured: quiet_prefix::ended_watches before: "400000 watches left 353612 KB behind"; after: passes (at most 10,000 KB). store_cache passes.

--- a/crates/jm-host/src/store_cache.rs
+++ b/crates/jm-host/src/store_cache.rs
@@ -112,6 +112,15 @@
         }
     }
 
+    /// Returns a receiver for the next change. Readers that have stopped waiting are forgotten here, because a prefix without
+    /// changes may notify none for hours.
+    fn add_waiter(&mut self) -> Receiver<()> {
+        let (sender, receiver) = bounded(1);
+        self.waiters.retain(|waiter| !waiter.is_closed());
+        self.waiters.push(sender);
+        receiver
+    }
+
     fn notify(&mut self) {
         for waiter in self.waiters.drain(..) {
             // Fails when the reader has stopped waiting.
@@ -311,9 +320,8 @@
             changes: newer.map(|(_, change)| change.clone()).collect(),
             version: cached.version,
         };
-        let (sender, receiver) = bounded(1);
-        cached.waiters.push(sender);
-        (CachedChanges::Changes { changes, age_ms }, Some(receiver))
+        let changed = cached.add_waiter();
+        (CachedChanges::Changes { changes, age_ms }, Some(changed))
     }
 
     fn confirmed_at(&self, age: DurationMs) -> Timestamp {
