Do not wait as long as the calls of a silent store took

What callers would see: a host whose calls of the store end by their time limits, directly and through other hosts, learns of changes later than before once the store answers again.

Cause: since the pause after a failed listing of a watched prefix is at least as long as the listing took. That was meant for listings that a store answers in a faulty way, which may have cost many calls. It also held for a store that does not answer, where the listing takes the time limits of a few calls: 1.2 s for the direct one, and up to 3 s for two relayed ones.

Change: the time of the failed listing counts only for faulty listings. Otherwise the pause is 0.2 to 1.6 s, as before.

Measured: listing_backoff::unavailable_store before: "the attempt is made: TimeoutError" after 20 s, at a clock that shows 250 ms since a listing that took 3 s; after: passes. listing_backoff::faulty_listing passes before and after, and fails without a pause for faulty listings. followed_prefix passes.

--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -4,7 +4,7 @@
 
 use async_std::task;
 use async_trait::async_trait;
-use jm_platform::{Change, Changes, Listing, ObjectStore, Version, WatchError};
+use jm_platform::{Change, Changes, Listing, ObjectStore, ReadError, Version, WatchError};
 use jm_types::{Clock, DurationMs, LogEvent, Timestamp};
 
 use crate::{CachedChanges, ObjectSpace, StoreCache};
@@ -97,16 +97,24 @@
 }
 
 impl StoreBackoff {
-    /// Starts the backoff after a listing that took `took`. The backoff is at least as long, because a listing that fails
-    /// late may have cost many calls.
-    fn record_failure(&mut self, now: Timestamp, took: DurationMs) {
+    /// Starts the backoff after a failed listing, which lasts at least `min_backoff`.
+    fn record_failure(&mut self, now: Timestamp, min_backoff: DurationMs) {
         let factor = 1_u64 << self.failures.min(MAX_BACKOFF_DOUBLINGS);
         let backoff = DurationMs::new(INITIAL_STORE_BACKOFF_MS.get() * factor);
-        self.next_at = now.after(backoff.max(took));
+        self.next_at = now.after(backoff.max(min_backoff));
         self.failures += 1;
     }
 }
 
+/// Minimum backoff after a listing that failed with `error` after `took`. A store that answers in a faulty way receives many calls
+/// before a listing fails late. One that does not answer receives few, and `took` is then mostly the time limits of the calls.
+fn min_backoff(error: &ReadError, took: DurationMs) -> DurationMs {
+    match error {
+        ReadError::FaultyListing { .. } => took,
+        _ => DurationMs::new(0),
+    }
+}
+
 /// Backoff after the first failed store listing.
 const INITIAL_STORE_BACKOFF_MS: DurationMs = DurationMs::new(200);
 /// Maximum number of times that the backoff doubles.
@@ -213,7 +221,7 @@
             }
             Err(error) => {
                 let now = self.clock.now();
-                store_backoff.record_failure(now, now.since(started));
+                store_backoff.record_failure(now, min_backoff(&error, now.since(started)));
                 Err(error.to_string())
             }
         }
