Mark a host as empty again when its retirement is written again

What callers would see: a second request to retire a host of the same name, after the first entry was removed, is never answered while the same host holds the lease, so the machine is never removed.

Cause: the holder of the lease remembered the names of all retirements that it had answered, and never forgot one. The set also grew with each name that others write. Found while looking for what a host holds because others write it.

Change: the holder remembers the versions of the entries in the last listing. Its own write changes the version, so each retirement costs a second write, which changes nothing in the store. The line E3105 about an emptied host is written once.

Measured: whole_host::retired_host, which now writes the entry a second time, before: "the work finishes before HANG_TIMEOUT: TimeoutError" after 30 s; after: the 9 tests of whole_host pass.

--- a/crates/jm-host/src/duty/maintenance.rs
+++ b/crates/jm-host/src/duty/maintenance.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use async_std::task;
-use indexmap::IndexSet;
-use jm_platform::{Condition, ObjectStore};
+use indexmap::IndexMap;
+use jm_platform::{Condition, ObjectStore, Version};
 use jm_types::{Clock, DurationMs, LogEvent};
 
 use super::LeaseView;
@@ -31,7 +31,7 @@
 impl MaintenanceDuty {
     /// Runs until the future is dropped.
     pub(crate) async fn run(&self) {
-        let mut retired = IndexSet::new();
+        let mut retired = IndexMap::new();
         loop {
             task::sleep(MAINTENANCE_INTERVAL_MS.as_std()).await;
             if self.lease.guard(&*self.clock).is_some() {
@@ -43,7 +43,10 @@
 
     /// Marks hosts that are to be retired as empty. Even hosts with a disk keep no data that exists only there, so they
     /// are empty at once.
-    async fn mark_retired_hosts(&self, retired: &mut IndexSet<String>) {
+    ///
+    /// `retired` has the version of each listed entry that needs no call. The call itself changes the version, so a host is
+    /// marked twice, the second time without an effect. In return an entry that is removed and written again counts as new.
+    async fn mark_retired_hosts(&self, retired: &mut IndexMap<String, Version>) {
         let prefix = self.objects.retirements_prefix();
         let listing = match self.platform_store.list(prefix).await {
             Ok(listing) => listing,
@@ -52,22 +55,31 @@
                 return;
             }
         };
-        for object in listing.objects {
-            let Some(host) = object.key.strip_prefix(prefix) else {
+        let earlier = std::mem::take(retired);
+        for entry in listing.objects {
+            let Some(host) = entry.key.strip_prefix(prefix) else {
                 continue;
             };
-            if retired.contains(&object.key) {
-                continue;
+            let marked = earlier.get(&entry.key);
+            let is_marked =
+                marked == Some(&entry.object.version) || self.mark_retired(host, marked.is_none()).await;
+            if is_marked {
+                retired.insert(entry.key, entry.object.version);
             }
-            match self.duties.mark_retired(host).await {
-                Ok(()) => {
-                    LogEvent::HostEmptied.write_fields("a host was marked as empty", &[("host", &host)]);
-                    retired.insert(object.key.clone());
-                }
-                Err(error) => {
-                    LogEvent::UpkeepFailed
-                        .write(format_args!("host {host} cannot be marked as empty: {error}"));
-                }
+        }
+    }
+
+    /// Returns whether the host was marked. `is_new` says whether that is worth a line.
+    async fn mark_retired(&self, host: &str, is_new: bool) -> bool {
+        match self.duties.mark_retired(host).await {
+            Ok(()) if is_new => {
+                LogEvent::HostEmptied.write_fields("a host was marked as empty", &[("host", &host)]);
+                true
+            }
+            Ok(()) => true,
+            Err(error) => {
+                LogEvent::UpkeepFailed.write(format_args!("host {host} cannot be marked as empty: {error}"));
+                false
             }
         }
     }
