Bind the takeup of a stream to the version that began it

Cause: the forwarder kept nothing about a stream after its answer, and chose the target of a takeup by load alone.

Change, in the forwarder only: a takeup is a typed field of the request. The host records the service and the version of the target when the head of an answer arrives, under a digest of the organisation and the request's id, in a table that is bounded and expires. A takeup uses only targets of that version, in retries as well, and is refused as not run if the origin is not known, ambiguous, or has no target. The version is assumed only if it is the only one that the store holds for the service, read after the takeup arrived. An entry that changes between the choice and the answer makes a new stream ambiguous and a takeup lost. New streams use versions that the store holds. The host does not pass this in yet, so nothing changes for callers.

--- a/crates/jm-forward/src/caller.rs
+++ b/crates/jm-forward/src/caller.rs
@@ -25,6 +25,15 @@
     /// How long the caller waits for the response. `None` if the caller does not specify it; the timeout of the route
     /// then applies and is the upper limit in any case.
     pub timeout_ms: Option<DurationMs>,
+    /// Set if the caller has events of the stream already and wants those that follow.
+    pub takeup: Option<Takeup>,
+}
+
+/// The stream that a request takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Takeup {
+    /// Id of the caller's request that brought the first event. `None` if the caller does not name it.
+    pub first_request: Option<String>,
 }
 
 impl CallerRequest {
--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -10,14 +10,16 @@
     stream::FuturesUnordered,
 };
 use jm_route::RetryBudget;
-use jm_types::{Clock, DurationMs, OrganisationId, ResultCode, Timestamp, ZoneId};
+use jm_types::{Clock, DurationMs, OrganisationId, ResultCode, ServiceId, Timestamp, ZoneId};
 
 use crate::{
-    Access, AccessRefusal, AnswerBody, AttemptOptions, AttemptOutcome, CallerRequest, Catalog, ColdGate,
-    ForwardAnswer, ForwardRefusal, ForwardResult, RetryDecision, RetryOptions, RetryState, Route, RouteKind,
-    RoutingTable, RunKey, SelectionOptions, SendKind, Target, TargetClient, TargetLoads,
+    Access, AnswerBody, AttemptOptions, AttemptOutcome, CallerRequest, Catalog, ColdGate, ForwardAnswer,
+    ForwardRefusal, ForwardResult, Origin, RetryDecision, RetryOptions, RetryState, Route, RouteKind,
+    RoutingTable, RunKey, SelectionOptions, SendKind, SoftwareFilter, Streams, TakeupOutcome, Target,
+    TargetAnswer, TargetClient, TargetLoads,
     event_stream::limit_stalls,
-    retry::{evacuated, no_target, refusal},
+    retry::{access_refusal, evacuated, no_target, refusal},
+    stream_attempt::StreamAttempt,
     stream_deadline::limit_duration,
 };
 
@@ -68,17 +70,21 @@
 
     /// A hedged attempt was started after the attempt on `slow` had taken `waited`.
     fn hedged(&self, request: &CallerRequest, slow: &RunKey, waited: DurationMs);
+
+    /// A request that takes up a stream ended. `origin` is set if the version that began the stream is known.
+    fn taken_up(&self, _request: &CallerRequest, _outcome: TakeupOutcome, _origin: Option<&Origin>) {}
 }
 
 /// Forwards admitted requests to targets. Shared by all requests of a host.
 pub struct Forwarder {
     options: ForwarderOptions,
-    clock: Arc<dyn Clock>,
+    pub(crate) clock: Arc<dyn Clock>,
     client: Arc<dyn TargetClient>,
-    observer: Arc<dyn ForwardObserver>,
+    pub(crate) observer: Arc<dyn ForwardObserver>,
     loads: Arc<Mutex<TargetLoads>>,
     hedges: Mutex<RetryBudget>,
     cold: Option<Arc<ColdGate>>,
+    pub(crate) streams: Option<Streams>,
 }
 
 struct EndedAttempt {
@@ -104,6 +110,7 @@
             loads,
             hedges: Mutex::new(RetryBudget::new(HEDGES_PER_THOUSAND, HEDGE_BURST)),
             cold: None,
+            streams: None,
         }
     }
 
@@ -115,6 +122,14 @@
         }
     }
 
+    /// Keeps resumable streams at the software version that began them.
+    pub fn with_streams(self, streams: Streams) -> Self {
+        Self {
+            streams: Some(streams),
+            ..self
+        }
+    }
+
     /// Finds the route of a request and checks its key.
     ///
     /// # Errors
@@ -149,6 +164,7 @@
     ) -> ForwardResult {
         let deadline = self.clock.now().after(request.time_limit(route));
         lock(&self.hedges).deposit();
+        let stream = self.begin_stream(request, route, access, deadline).await?;
         let mut active = ActiveRequest {
             forwarder: self,
             request,
@@ -162,9 +178,14 @@
             open_runs: Vec::new(),
             no_hedge_before: Timestamp::new(0),
             is_counted: false,
+            stream,
         };
         let result = active.run_until(shutdown).await;
         active.release_open();
+        if let Some(origin) = active.stream.as_ref().and_then(StreamAttempt::origin) {
+            let outcome = TakeupOutcome::of(&result);
+            self.observer.taken_up(request, outcome, Some(origin));
+        }
         result
     }
 }
@@ -185,6 +206,8 @@
     no_hedge_before: Timestamp,
     /// Whether the observer was notified that the request runs. A request counts once, however often it runs.
     is_counted: bool,
+    /// Set on routes whose streams may be taken up.
+    stream: Option<StreamAttempt>,
 }
 
 impl<'a> ActiveRequest<'a> {
@@ -213,6 +236,11 @@
             };
             self.open_runs.retain(|(run, _)| *run != ended.target.run);
             match ended.outcome {
+                AttemptOutcome::Answered(answer) if !self.keeps_version(&ended.target, &answer) => {
+                    let reason = "the target has other software than its entry said".to_owned();
+                    let outcome = AttemptOutcome::Lost { reason };
+                    self.failed(ended.target, outcome, ended.started_at).await?;
+                }
                 AttemptOutcome::Answered(mut answer) => {
                     answer.body = self.limit_stream(answer.body, &ended.target.run);
                     self.loads()
@@ -226,6 +254,28 @@
         }
     }
 
+    /// Records the origin of a stream that `target` answers. Returns whether the answer may be passed on.
+    fn keeps_version(&self, target: &Target, answer: &TargetAnswer) -> bool {
+        let Some(stream) = &self.stream else {
+            return true;
+        };
+        let catalog = (self.catalog)();
+        stream.answered(target, catalog.get(&target.run.id), answer.status)
+    }
+
+    fn service(&self) -> Option<&ServiceId> {
+        let origin = self.stream.as_ref().and_then(StreamAttempt::origin);
+        match origin {
+            Some(origin) => Some(&origin.service),
+            None => self.route.service_for(&self.request.id),
+        }
+    }
+
+    fn software_filter(&self, service: &ServiceId, catalog: &Catalog) -> SoftwareFilter {
+        let stream = self.stream.as_ref();
+        stream.map_or(SoftwareFilter::Any, |stream| stream.filter(service, catalog))
+    }
+
     /// Limits the pauses and the whole time of a streamed body. A target that exceeds the time counts as failed.
     fn limit_stream(&self, body: AnswerBody, run: &RunKey) -> AnswerBody {
         let AnswerBody::Stream(body) = body else {
@@ -281,12 +331,13 @@
     /// Starts an attempt on the best target that was not tried yet.
     fn start(&mut self) -> Result<(), ForwardRefusal> {
         let forwarder = self.forwarder;
-        let Some(service) = self.route.service_for(&self.request.id) else {
+        let Some(service) = self.service().cloned() else {
             return Err(no_target(format!("route {} has no service", self.route.name)));
         };
         let now = forwarder.clock.now();
         let catalog = (self.catalog)();
-        let serving = catalog.serving(service);
+        let software = self.software_filter(&service, &catalog);
+        let serving = catalog.serving(&service).filter(|target| software.admits(target));
         let cold = forwarder.cold.as_ref().filter(|gate| gate.has_cold());
         let target = {
             // The lock spans the decision and its record, so that no two requests use the same part of a quota.
@@ -304,11 +355,15 @@
             chosen.cloned()
         };
         let Some(target) = target else {
-            if catalog.serving(service).next().is_none() && catalog.has_evacuated(service) {
+            if catalog.serving(&service).next().is_none() && catalog.has_evacuated(&service) {
                 let message = format!("all targets of service {service} are in evacuated zones");
                 return Err(evacuated(message, rand::random()));
             }
-            return Err(no_target(format!("no target of service {service} is available")));
+            let message = match self.stream.as_ref().and_then(StreamAttempt::origin) {
+                Some(origin) => format!("no target of {origin} is available"),
+                None => format!("no target of service {service} is available"),
+            };
+            return Err(no_target(message));
         };
         self.tried.push(target.run.clone());
         self.open_runs.push((target.run.clone(), now));
@@ -395,10 +450,12 @@
             let now = clock.now();
             let gate = self.forwarder.cold.as_ref();
             let catalog = (self.catalog)();
-            let service = self.route.service_for(&self.request.id);
-            let next_at = gate
-                .zip(service)
-                .and_then(|(gate, service)| gate.next_send_at(catalog.serving(service), SendKind::Live, now));
+            let next_at = gate.zip(self.service()).and_then(|(gate, service)| {
+                let software = self.software_filter(service, &catalog);
+                let serving = catalog.serving(service);
+                let serving = serving.filter(|target| software.admits(target));
+                gate.next_send_at(serving, SendKind::Live, now)
+            });
             let Some(next_at) = next_at.filter(|at| *at < give_up_at) else {
                 return Err(refusal);
             };
@@ -430,16 +487,6 @@
     }
 }
 
-fn access_refusal(reason: AccessRefusal) -> ForwardRefusal {
-    match reason {
-        AccessRefusal::MissingKey => refusal(ResultCode::MissingKey, "the request has no API key".to_owned()),
-        AccessRefusal::UnknownKey => refusal(
-            ResultCode::UnknownKey,
-            "no organisation has this API key".to_owned(),
-        ),
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     // The counters are consistent even if another thread panicked while it held the lock.
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/jm-forward/src/lib.rs
+++ b/crates/jm-forward/src/lib.rs
@@ -20,10 +20,12 @@
 mod retry;
 mod routing;
 mod selection;
+mod stream_attempt;
 mod stream_deadline;
+mod streams;
 mod target;
 
-pub use caller::{CallerRequest, ForwardAnswer, ForwardRefusal, ForwardResult};
+pub use caller::{CallerRequest, ForwardAnswer, ForwardRefusal, ForwardResult, Takeup};
 pub use client::{
     AnswerBody, AttemptOptions, AttemptOutcome, NoticeListener, TargetAnswer, TargetClient, TargetNotices,
 };
@@ -45,4 +47,9 @@
 };
 pub use selection::{SelectionOptions, TargetLoads};
 pub use stream_deadline::limit_duration;
+pub use streams::{
+    AbsentVersions, MAX_ORIGINS, Origin, OriginSource, OriginTable, ParseStreamKeyError, RecentStreams,
+    Recorded, SoftwareFilter, StoredOrigins, StreamKey, StreamRegistry, Streams, TakeupOutcome,
+    TakeupRefusal, VersionsInUse, stream_life,
+};
 pub use target::{Catalog, RunKey, Target, TargetState};
--- a/crates/jm-forward/src/retry.rs
+++ b/crates/jm-forward/src/retry.rs
@@ -6,7 +6,8 @@
 use jm_types::{DurationMs, ResultCode, Timestamp};
 
 use crate::{
-    AttemptOutcome, ForwardRefusal, Route, RouteKind, drain::stopping, evacuation::evacuated_retry_after,
+    AccessRefusal, AttemptOutcome, ForwardRefusal, Route, RouteKind, drain::stopping,
+    evacuation::evacuated_retry_after,
 };
 
 /// Settings for retries and hedged attempts.
@@ -214,3 +215,14 @@
         retry_after_ms: None,
     }
 }
+
+/// The refusal of a request without a valid key.
+pub(crate) fn access_refusal(reason: AccessRefusal) -> ForwardRefusal {
+    match reason {
+        AccessRefusal::MissingKey => refusal(ResultCode::MissingKey, "the request has no API key".to_owned()),
+        AccessRefusal::UnknownKey => refusal(
+            ResultCode::UnknownKey,
+            "no organisation has this API key".to_owned(),
+        ),
+    }
+}
--- /dev/null
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -0,0 +1,152 @@
+//! Finds the origin of a stream that is taken up.
+
+use std::{fmt, sync::Arc};
+
+use async_std::task;
+use async_trait::async_trait;
+use jm_types::{DurationMs, OrganisationId, ResultCode, ServiceId};
+
+use crate::{ForwardResult, Origin, Route, StreamKey, StreamRegistry, Takeup};
+
+/// Reads what the hosts have stored about streams.
+#[async_trait]
+pub trait OriginSource: Send + Sync {
+    /// Reads the versions in use and the stored origins into the registry, at a moment after the call. Returns whether it
+    /// succeeded.
+    async fn refresh(&self) -> bool;
+
+    /// Time within which a running host stores an origin that it has recorded.
+    fn store_delay_ms(&self) -> DurationMs;
+}
+
+/// The streams of a host, with access to what other hosts know.
+#[derive(Clone)]
+pub struct Streams {
+    /// What this host knows.
+    pub registry: Arc<StreamRegistry>,
+    /// Source of what other hosts know.
+    pub source: Arc<dyn OriginSource>,
+}
+
+/// How the takeup of a stream ended, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TakeupOutcome {
+    /// A target of the version that began the stream answered.
+    Continued,
+    /// Refused: it is not known which version began the stream.
+    Unknown,
+    /// Refused: the store could not be asked which version began the stream.
+    Unread,
+    /// Refused: no target of the version that began the stream is available.
+    NoTarget,
+    /// Failed for a reason that has nothing to do with versions.
+    Failed,
+}
+
+impl TakeupOutcome {
+    /// Outcome of a takeup whose origin was known.
+    pub fn of(result: &ForwardResult) -> Self {
+        match result.as_ref().map_err(|refusal| refusal.code) {
+            Ok(_) => Self::Continued,
+            Err(ResultCode::NoTarget | ResultCode::Evacuated) => Self::NoTarget,
+            Err(_) => Self::Failed,
+        }
+    }
+
+    /// Label for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Continued => "continued",
+            Self::Unknown => "unknown",
+            Self::Unread => "unread",
+            Self::NoTarget => "no_target",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// Why the origin of a stream was not found. The takeup has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TakeupRefusal {
+    /// The version that began the stream is not known, or the route no longer leads to its service.
+    Unknown,
+    /// The store could not be read.
+    Unread,
+}
+
+impl TakeupRefusal {
+    /// The outcome of the takeup that is refused.
+    pub fn outcome(self) -> TakeupOutcome {
+        match self {
+            Self::Unknown => TakeupOutcome::Unknown,
+            Self::Unread => TakeupOutcome::Unread,
+        }
+    }
+}
+
+impl fmt::Display for TakeupRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Unknown => "it is not known which software version began the stream",
+            Self::Unread => "the store could not be asked which software version began the stream",
+        })
+    }
+}
+
+impl Streams {
+    /// Returns the origin of a stream that is taken up, and never guesses. Reads the store if this host does not know it,
+    /// twice if a running host may not have stored it yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the origin is not known or the store cannot be read.
+    pub async fn resolve(
+        &self,
+        takeup: &Takeup,
+        organisation: Option<&OrganisationId>,
+        route: &Route,
+    ) -> Result<Origin, TakeupRefusal> {
+        let first = takeup.first_request.as_deref().unwrap_or_default();
+        let key = StreamKey::new(organisation, first);
+        if let Some(known) = self.known(key, route) {
+            return known;
+        }
+        if let Some(found) = self.read(key, first, route).await? {
+            return found;
+        }
+        // A host that runs stores the origin, or the first versions of the fleet, within this time.
+        task::sleep(self.source.store_delay_ms().as_std()).await;
+        let found = self.read(key, first, route).await?;
+        found.unwrap_or(Err(TakeupRefusal::Unknown))
+    }
+
+    /// Reads the store and looks the origin up. `None` if it is not known yet.
+    async fn read(
+        &self,
+        key: Option<StreamKey>,
+        first: &str,
+        route: &Route,
+    ) -> Result<Option<Result<Origin, TakeupRefusal>>, TakeupRefusal> {
+        if !self.source.refresh().await {
+            return Err(TakeupRefusal::Unread);
+        }
+        let known = self.known(key, route);
+        Ok(known.or_else(|| self.single(route, first).map(Ok)))
+    }
+
+    fn known(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, TakeupRefusal>> {
+        let recorded = self.registry.origin(key?)?;
+        let origin = recorded.filter(|origin| leads_to(route, &origin.service));
+        Some(origin.ok_or(TakeupRefusal::Unknown))
+    }
+
+    /// The origin of any stream of the route, if its service has a single version.
+    fn single(&self, route: &Route, first: &str) -> Option<Origin> {
+        let service = route.service_for(first)?;
+        self.registry.single_version(service)
+    }
+}
+
+fn leads_to(route: &Route, service: &ServiceId) -> bool {
+    route.services.iter().any(|part| part.service == *service)
+}
