Keep streams at the version that began them, across hosts and kills

Cause: no host kept the origin of a stream, and nothing outlived the processes.

Change: a task of each host stores which versions are in use, before a new one is used, in one object that outlives all processes. While a service has more than one, the host stores its origins, all unexpired ones in one object of its own, at most once per 250 ms to 4 s depending on the size of the fleet, and only when something is new. A takeup that the host does not know lists these objects, at a moment after its arrival; takeups share listings, whose interval grows with the fleet as well. The holder of the lease removes versions that no target has had for twice the time that a stream lives, and expired objects. E1108, E4008 and jm_stream_takeups_total show takeups and versions.

Ruled out: asking the other hosts, as a takeup would ask up to 349 of them and all would have forgotten after a kill of all; and working the version out from the id (docs/design/stream-versions.md).

--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -1,5 +1,6 @@
 //! A running host: its state, its listeners and its graceful shutdown.
 
+mod metrics;
 mod reconcile;
 mod tasks;
 
@@ -17,15 +18,14 @@
     channel::{Receiver, Sender, bounded},
     task::{self, JoinHandle},
 };
-use async_trait::async_trait;
 use jm_batch::{
     BatchService, BatchServiceDependencies, BatchServiceOptions, BatchStore, RoutingSource, RunnerOptions,
 };
 use jm_forward::{
     Access, CallerLimits, CallerRequest, ColdGate, Drain, ForwardRefusal, ForwardResult, Forwarder,
-    ForwarderOptions, RetryOptions, Route, RoutingTable, SelectionOptions,
+    ForwarderOptions, RetryOptions, Route, RoutingTable, SelectionOptions, StreamRegistry, Streams,
 };
-use jm_http::{BufferBudget, Connection, Handler, Limits, Request, Response, Server, SharedLimits, listen};
+use jm_http::{BufferBudget, Handler, Limits, Server, SharedLimits, listen};
 use jm_member::AgentError;
 use jm_node::{Stop, StopTrigger};
 use jm_platform::ObjectStore;
@@ -34,6 +34,7 @@
 };
 use snafu::{ResultExt, Snafu};
 
+use self::metrics::MetricsHandler;
 use crate::{
     HostObserver, HostSettings, Membership, PlatformParts, RelayedStore, StoreCache,
     cluster_state::ClusterState,
@@ -41,6 +42,7 @@
     instrumented_store::InstrumentedStore,
     peer::{ObjectSpace, PeerClient, PeerRelay},
     peer_server::PeerHandler,
+    streams::StreamStore,
 };
 
 /// The host could not start.
@@ -117,6 +119,7 @@
     usage: Arc<UsageCounter>,
     aggregator: Arc<UsageAggregator>,
     cache: Arc<StoreCache>,
+    streams: Arc<StreamStore>,
     platform: PlatformParts,
 }
 
@@ -185,8 +188,16 @@
             let counted = InstrumentedStore::new(Arc::clone(direct), observer.store_calls.clone());
             Arc::new(RelayedStore::new(Arc::new(counted), relay, Arc::clone(&clock)))
         };
+        let product_store = relayed(&platform.store, ObjectSpace::Product);
+        let registry = Arc::new(StreamRegistry::new(Arc::clone(&clock)));
         let components = HostComponents {
-            product_store: relayed(&platform.store, ObjectSpace::Product),
+            streams: Arc::new(StreamStore::new(
+                Arc::clone(&product_store) as _,
+                Arc::clone(&registry),
+                Arc::clone(&membership),
+                Arc::clone(&clock),
+            )),
+            product_store,
             platform_store: relayed(&platform.platform_store, ObjectSpace::Platform),
             usage,
             aggregator: Arc::default(),
@@ -225,7 +236,11 @@
             Arc::clone(&components.platform.targets),
             Arc::clone(&observer) as _,
         )
-        .with_cold_gate(Arc::clone(&cold));
+        .with_cold_gate(Arc::clone(&cold))
+        .with_streams(Streams {
+            registry,
+            source: Arc::clone(&components.streams) as _,
+        });
         let lease: Arc<LeaseView> = Arc::default();
         let usage_publisher = Arc::new(UsagePublisher {
             counter: Arc::clone(&components.usage),
@@ -481,16 +496,3 @@
         retry_after_ms: Some(DurationMs::new(300)),
     }
 }
-
-/// Serves the metrics on any path.
-struct MetricsHandler(Arc<HostObserver>);
-
-#[async_trait]
-impl Handler for MetricsHandler {
-    async fn handle(&self, _request: Request, _connection: &Connection) -> Response {
-        let mut response = Response::new(200);
-        response.set_body(self.0.render());
-        response.insert_header("content-type", "text/plain; version=0.0.4");
-        response
-    }
-}
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -14,6 +14,7 @@
     duty::{CapacityDuty, LeaseLoop, MaintenanceDuty, UsageDuty, WeightDuty},
     membership::MEMBER_PREFIX,
     peer::{ObjectSpace, PeerCacheSource},
+    streams::StreamKeeper,
 };
 
 /// Options for the configuration and the targets. They must take effect within two seconds even when watches fail, so
@@ -65,6 +66,7 @@
         task::spawn(async move { membership.register(&*store).await });
         self.start_watches(&components);
         self.start_duties(&components);
+        self.start_stream_keeper(&components);
         let batches = Arc::clone(&self.batches);
         task::spawn(async move { batches.run().await });
         task::spawn(Arc::clone(self).run_periodic_checks());
@@ -133,6 +135,18 @@
         task::spawn(task.run());
     }
 
+    fn start_stream_keeper(&self, components: &HostComponents) {
+        let keeper = StreamKeeper {
+            store: Arc::clone(&components.streams),
+            cluster: Arc::clone(&self.cluster),
+            lease: Arc::clone(&self.lease),
+            clock: Arc::clone(&self.clock),
+            wall: Arc::clone(&self.wall),
+            observer: Arc::clone(&self.observer),
+        };
+        task::spawn(keeper.run(self.stop.stop_started()));
+    }
+
     fn start_duties(self: &Arc<Self>, components: &HostComponents) {
         let lease = LeaseLoop {
             store: Arc::clone(&components.product_store) as _,
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod status;
 mod store_cache;
+mod streams;
 
 pub use capacity::{CpuCapacity, CpuCapacityError, capable_hosts};
 pub use cluster_state::ClusterState;
@@ -48,3 +49,4 @@
 pub use settings::{BoundSettings, HostSettings, LimitSettings, ListenSettings, SettingsError};
 pub use status::{EvacuatedZone, HostStatus, MemberStatus, OpenBatch, TargetStatus};
 pub use store_cache::{CachedChanges, StoreCache};
+pub use streams::{FlushSchedule, RecordError, StreamRecord, flush_interval, listing_interval};
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -2,10 +2,14 @@
 
 mod batch;
 mod handover;
+mod streams;
 
 use std::sync::Arc;
 
-use jm_forward::{AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Route, RunKey, Target};
+use jm_forward::{
+    AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Origin, Route, RunKey, TakeupOutcome,
+    Target,
+};
 use jm_http::BufferBudget;
 use jm_types::{DurationMs, LogEvent, OrganisationId, ResultCode, Revision};
 use prometheus::{Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
@@ -15,6 +19,7 @@
     duty::UsageCounter,
     instrumented_store::STORE_CALL_LABELS,
     metric::{counter, gauge, histogram, plain_counter},
+    observer::streams::StreamMetrics,
     placement_metrics::PlacementMetrics,
 };
 
@@ -49,6 +54,7 @@
     /// Number of evacuated availability zones.
     pub evacuated_zones: IntGauge,
     evacuation_refusals: IntCounter,
+    streams: StreamMetrics,
 }
 
 impl HostObserver {
@@ -148,6 +154,7 @@
                 "jm_evacuation_refusals_total",
                 "Requests refused because all targets of their service are in evacuated zones.",
             ),
+            streams: StreamMetrics::new(&registry),
             registry,
         }
     }
@@ -296,4 +303,8 @@
             ],
         );
     }
+
+    fn taken_up(&self, request: &CallerRequest, outcome: TakeupOutcome, origin: Option<&Origin>) {
+        self.streams.taken_up(request, outcome, origin);
+    }
 }
--- /dev/null
+++ b/crates/jm-host/src/streams/mod.rs
@@ -0,0 +1,12 @@
+//! What the hosts store about streams, so that a stream goes on at the software version that began it.
+//! `docs/design/stream-versions.md` describes the objects.
+
+mod keeper;
+mod record;
+mod schedule;
+mod store;
+
+pub(crate) use keeper::StreamKeeper;
+pub use record::{RecordError, StreamRecord};
+pub use schedule::{FlushSchedule, flush_interval, listing_interval};
+pub(crate) use store::StreamStore;
--- /dev/null
+++ b/crates/jm-host/src/streams/store.rs
@@ -0,0 +1,255 @@
+//! Reads and writes the objects about streams. Takeups share listings.
+
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use async_std::task;
+use async_trait::async_trait;
+use futures::lock::Mutex;
+use indexmap::IndexMap;
+use jm_batch::MembershipView;
+use jm_forward::{OriginSource, StoredOrigins, StreamRegistry, VersionsInUse};
+use jm_platform::{Condition, Listing, Object, ObjectError, ObjectStore, Version};
+use jm_types::{Clock, DurationMs, LogEvent, ServiceId, Timestamp};
+
+use super::{StreamRecord, flush_interval, listing_interval};
+use crate::membership::Membership;
+
+/// Prefix of all objects about streams. One listing of it reads them at one revision of the store.
+const STREAM_PREFIX: &str = "stream/";
+/// Object with the versions in use.
+const VERSIONS_KEY: &str = "stream/versions";
+/// Time that a write of origins takes in addition to its interval.
+const WRITE_MS: DurationMs = DurationMs::new(150);
+/// Time after the last origin of an object expired until the object is deleted. Clocks of hosts may differ by less.
+const RECORD_MARGIN_MS: u64 = 60_000;
+
+/// The objects about streams in the store of the product.
+pub(crate) struct StreamStore {
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) registry: Arc<StreamRegistry>,
+    pub(crate) membership: Arc<Membership>,
+    pub(crate) clock: Arc<dyn Clock>,
+    /// Number of listings that were started.
+    started: AtomicU64,
+    reads: Mutex<Reads>,
+    written: Mutex<Condition>,
+}
+
+/// Result of the last listing.
+#[derive(Default)]
+struct Reads {
+    /// Number of the listing.
+    number: u64,
+    is_complete: bool,
+    started_at: Timestamp,
+    versions: Option<(Version, VersionsInUse)>,
+    records: IndexMap<String, ReadRecord>,
+}
+
+#[derive(Clone)]
+struct ReadRecord {
+    version: Version,
+    origins: Arc<StoredOrigins>,
+    until_unix_ms: u64,
+}
+
+impl StreamStore {
+    pub(crate) fn new(
+        store: Arc<dyn ObjectStore>,
+        registry: Arc<StreamRegistry>,
+        membership: Arc<Membership>,
+        clock: Arc<dyn Clock>,
+    ) -> Self {
+        Self {
+            store,
+            registry,
+            membership,
+            clock,
+            started: AtomicU64::new(0),
+            reads: Mutex::default(),
+            written: Mutex::new(Condition::Absent),
+        }
+    }
+
+    /// Number of live hosts, with this one.
+    pub(crate) fn hosts(&self) -> usize {
+        self.membership.live().len().max(1)
+    }
+
+    /// The versions in use that the last listing contained.
+    pub(crate) async fn stored_versions(&self) -> VersionsInUse {
+        let reads = self.reads.lock().await;
+        let versions = reads.versions.as_ref();
+        versions.map_or_else(VersionsInUse::default, |(_, versions)| versions.clone())
+    }
+
+    /// Replaces the versions in use if nobody else has since the last listing, and lists again.
+    pub(crate) async fn write_versions(&self, versions: &VersionsInUse) -> bool {
+        let condition = match &self.reads.lock().await.versions {
+            Some((version, _)) => Condition::Version(*version),
+            None => Condition::Absent,
+        };
+        let value = match serde_json::to_vec(versions) {
+            Ok(value) => value,
+            Err(error) => {
+                LogEvent::StoreUnavailable
+                    .write(format_args!("the software versions cannot be encoded: {error}"));
+                return false;
+            }
+        };
+        let result = self.store.put(VERSIONS_KEY, value, condition).await;
+        if let Err(error) = &result {
+            LogEvent::StoreUnavailable.write(format_args!(
+                "the software versions in use were not stored: {error}"
+            ));
+        }
+        self.refresh().await && result.is_ok()
+    }
+
+    /// Stores the origins of this host in services with several versions.
+    pub(crate) async fn write_origins(&self, mixed: &BTreeSet<ServiceId>, unix_ms: u64) -> bool {
+        let (origins, last) = self.registry.own_origins(|service| mixed.contains(service));
+        let until_unix_ms = unix_ms.saturating_add(last.since(self.clock.now()).get());
+        let value = match serde_json::to_vec(&StreamRecord::new(&origins, until_unix_ms)) {
+            Ok(value) => value,
+            Err(error) => {
+                LogEvent::StoreUnavailable
+                    .write(format_args!("the origins of streams cannot be encoded: {error}"));
+                return false;
+            }
+        };
+        let mut condition = self.written.lock().await;
+        match self.store.put(&self.own_key(), value, *condition).await {
+            Ok(version) => {
+                *condition = Condition::Version(version);
+                true
+            }
+            Err(error) => {
+                // Only this process writes the object, so another version is that of an earlier write of it whose
+                // response was lost, or the object was deleted.
+                if let ObjectError::Conflict { current } = error {
+                    *condition = current.map_or(Condition::Absent, Condition::Version);
+                }
+                LogEvent::StoreUnavailable
+                    .write(format_args!("the origins of streams were not stored: {error}"));
+                false
+            }
+        }
+    }
+
+    /// Deletes the objects of processes whose last origin expired long ago.
+    pub(crate) async fn delete_expired(&self, unix_ms: u64) {
+        if !self.refresh().await {
+            return;
+        }
+        let records = self.reads.lock().await.records.clone();
+        let expired = records
+            .iter()
+            .filter(|(_, record)| record.until_unix_ms.saturating_add(RECORD_MARGIN_MS) < unix_ms);
+        for (key, record) in expired {
+            let condition = Condition::Version(record.version);
+            if let Err(error) = self.store.delete(key, condition).await {
+                LogEvent::UpkeepFailed.write(format_args!("{key} cannot be removed: {error}"));
+            }
+        }
+    }
+
+    fn own_key(&self) -> String {
+        let (id, incarnation) = (self.membership.own_id(), self.membership.incarnation());
+        format!("{STREAM_PREFIX}{id}.{incarnation}")
+    }
+}
+
+impl Reads {
+    /// Applies a listing. Returns whether the versions in use could be read.
+    fn apply(&mut self, listing: Listing) -> bool {
+        let before = std::mem::take(&mut self.records);
+        let mut is_complete = true;
+        self.versions = None;
+        for listed in listing.objects {
+            if listed.key == VERSIONS_KEY {
+                match serde_json::from_slice(&listed.object.value) {
+                    Ok(versions) => self.versions = Some((listed.object.version, versions)),
+                    Err(error) => {
+                        is_complete = false;
+                        log_unreadable(&listed.key, &error);
+                    }
+                }
+                continue;
+            }
+            let unchanged = before.get(&listed.key);
+            let unchanged = unchanged.filter(|record| record.version == listed.object.version);
+            let record = unchanged
+                .cloned()
+                .or_else(|| read_record(&listed.key, &listed.object));
+            if let Some(record) = record {
+                self.records.insert(listed.key, record);
+            }
+        }
+        is_complete
+    }
+}
+
+/// An object that cannot be read hides only its own streams, whose takeups are refused.
+fn read_record(key: &str, object: &Object) -> Option<ReadRecord> {
+    match StreamRecord::decode(&object.value) {
+        Ok((origins, until_unix_ms)) => Some(ReadRecord {
+            version: object.version,
+            origins: Arc::new(origins),
+            until_unix_ms,
+        }),
+        Err(error) => {
+            log_unreadable(key, &error);
+            None
+        }
+    }
+}
+
+fn log_unreadable(key: &str, error: &dyn std::error::Error) {
+    LogEvent::ConfigUnreadable.write(format_args!("{key} cannot be read: {error}"));
+}
+
+#[async_trait]
+impl OriginSource for StreamStore {
+    async fn refresh(&self) -> bool {
+        let before = self.started.load(Ordering::SeqCst);
+        let mut reads = self.reads.lock().await;
+        if reads.number > before {
+            return reads.is_complete;
+        }
+        let next_at = reads.started_at.after(listing_interval(self.hosts()));
+        if reads.number > 0 {
+            task::sleep(next_at.since(self.clock.now()).as_std()).await;
+        }
+        let number = self.started.fetch_add(1, Ordering::SeqCst) + 1;
+        reads.started_at = self.clock.now();
+        let listing = self.store.list(STREAM_PREFIX).await;
+        reads.number = number;
+        reads.is_complete = match listing {
+            Ok(listing) => reads.apply(listing),
+            Err(error) => {
+                LogEvent::StoreUnavailable.write(format_args!("{STREAM_PREFIX} cannot be listed: {error}"));
+                false
+            }
+        };
+        if reads.is_complete {
+            let versions = reads.versions.as_ref();
+            let versions = versions.map_or_else(VersionsInUse::default, |(_, versions)| versions.clone());
+            self.registry.set_in_use(versions);
+            let records = reads.records.iter();
+            let stored = records.map(|(key, record)| (key.clone(), Arc::clone(&record.origins)));
+            self.registry.set_stored(stored.collect());
+        }
+        reads.is_complete
+    }
+
+    fn store_delay_ms(&self) -> DurationMs {
+        flush_interval(self.hosts()).saturating_add(WRITE_MS)
+    }
+}
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -55,6 +55,8 @@
     RequestHedged = 1106, Info;
     /// The buffers of the process exceed their memory budget, and a body or a connection was rejected.
     BufferRejected = 1107, Warn;
+    /// A caller took a stream up again.
+    StreamTakenUp = 1108, Info;
     /// Log lines were dropped because one event exceeded its rate limit.
     LogLinesLeftOut = 1201, Warn;
     /// The settings file was reloaded.
@@ -107,6 +109,8 @@
     ZoneReturned = 4006, Info;
     /// A target is listed in an evacuated zone and receives no new requests.
     TargetEvacuated = 4007, Info;
+    /// A software version of a service's targets came into use or was removed.
+    SoftwareVersionsChanged = 4008, Info;
     /// A target is cold and receives only the rate of requests that it tolerates.
     TargetCold = 4011, Info;
     /// A target is no longer cold.
