Bound the origins of streams that a fleet stores

A host keeps the stored origins of all other hosts in memory. With 350 hosts that store 40,000 each, a listing would take 224 MB as text, more than a host has; found when working out the limits, not seen in a run.

Change: all hosts together store 400,000 origins at most, each host those of its streams that expire last. A takeup at another host of a stream beyond the bound is refused while two versions are in use.

Measured: stream_objects `fleet_origins` checks the bound for 1 to 350 hosts.

--- a/crates/jm-forward/src/streams/registry.rs
+++ b/crates/jm-forward/src/streams/registry.rs
@@ -135,13 +135,18 @@
         (state.own.len(), state.own.dropped())
     }
 
-    /// This host's own origins in services for which `is_wanted` holds, and the last time at which one expires.
-    pub fn own_origins(&self, is_wanted: impl Fn(&ServiceId) -> bool) -> (StoredOrigins, Timestamp) {
+    /// This host's own origins in services for which `is_wanted` holds, at most `limit` of those that expire last, and the
+    /// last time at which one expires.
+    pub fn own_origins(
+        &self,
+        limit: usize,
+        is_wanted: impl Fn(&ServiceId) -> bool,
+    ) -> (StoredOrigins, Timestamp) {
         let state = self.lock();
         let now = self.clock.now();
         let (mut origins, mut last) = (StoredOrigins::new(), now);
         let known = state.own.known(now, |origin| is_wanted(&origin.service));
-        for (key, origin, expires_at) in known {
+        for (key, origin, expires_at) in known.rev().take(limit) {
             match origins.get_mut(origin) {
                 Some(keys) => drop(keys.insert(key)),
                 None => drop(origins.insert(origin.clone(), HashSet::from([key]))),
--- a/crates/jm-forward/src/streams/table.rs
+++ b/crates/jm-forward/src/streams/table.rs
@@ -88,12 +88,12 @@
         Some(origin.map_or(Recorded::Ambiguous, Recorded::Known))
     }
 
-    /// Streams whose origin is known and of which `is_wanted` holds, with their expiry.
+    /// Streams whose origin is known and of which `is_wanted` holds, with their expiry. The first to expire come first.
     pub fn known<'a>(
         &'a self,
         now: Timestamp,
         is_wanted: impl Fn(&Origin) -> bool + 'a,
-    ) -> impl Iterator<Item = (StreamKey, &'a Origin, Timestamp)> {
+    ) -> impl DoubleEndedIterator<Item = (StreamKey, &'a Origin, Timestamp)> {
         self.by_expiry.iter().filter_map(move |(expires_at, key)| {
             let Recorded::Known(origin) = self.get(*key, now)? else {
                 return None;
--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -49,4 +49,6 @@
 pub use settings::{BoundSettings, HostSettings, LimitSettings, ListenSettings, SettingsError};
 pub use status::{EvacuatedZone, HostStatus, MemberStatus, OpenBatch, TargetStatus};
 pub use store_cache::{CachedChanges, StoreCache};
-pub use streams::{FlushSchedule, RecordError, StreamRecord, flush_interval, listing_interval};
+pub use streams::{
+    FlushSchedule, RecordError, StreamRecord, flush_interval, listing_interval, stored_origins,
+};
--- a/crates/jm-host/src/streams/mod.rs
+++ b/crates/jm-host/src/streams/mod.rs
@@ -8,5 +8,5 @@
 
 pub(crate) use keeper::StreamKeeper;
 pub use record::{RecordError, StreamRecord};
-pub use schedule::{FlushSchedule, flush_interval, listing_interval};
+pub use schedule::{FlushSchedule, flush_interval, listing_interval, stored_origins};
 pub(crate) use store::StreamStore;
--- a/crates/jm-host/src/streams/schedule.rs
+++ b/crates/jm-host/src/streams/schedule.rs
@@ -6,6 +6,7 @@
 
 use std::collections::BTreeSet;
 
+use jm_forward::MAX_ORIGINS;
 use jm_types::{DurationMs, ServiceId, Timestamp};
 
 /// Interval of writes for each host of the fleet: 50 writes per second together.
@@ -17,6 +18,14 @@
 /// Minimum interval of listings.
 const MIN_LISTING_INTERVAL_MS: u64 = 25;
 
+/// Number of origins that all hosts together store. Each host keeps those of all others in memory.
+const FLEET_ORIGINS: usize = 400_000;
+
+/// Number of origins that each host of a fleet of `hosts` stores.
+pub fn stored_origins(hosts: usize) -> usize {
+    MAX_ORIGINS.min(FLEET_ORIGINS / hosts.max(1))
+}
+
 /// Time between two writes of the origins of a host in a fleet of `hosts`.
 pub fn flush_interval(hosts: usize) -> DurationMs {
     let (min_ms, max_ms) = FLUSH_INTERVAL_MS;
--- a/crates/jm-host/src/streams/store.rs
+++ b/crates/jm-host/src/streams/store.rs
@@ -17,7 +17,7 @@
 use jm_platform::{Condition, Listing, Object, ObjectError, ObjectStore, Version};
 use jm_types::{Clock, DurationMs, LogEvent, ServiceId, Timestamp};
 
-use super::{StreamRecord, flush_interval, listing_interval};
+use super::{StreamRecord, flush_interval, listing_interval, stored_origins};
 use crate::membership::Membership;
 
 /// Prefix of all objects about streams. One listing of it reads them at one revision of the store.
@@ -114,7 +114,10 @@
 
     /// Stores the origins of this host in services with several versions.
     pub(crate) async fn write_origins(&self, mixed: &BTreeSet<ServiceId>, unix_ms: u64) -> bool {
-        let (origins, last) = self.registry.own_origins(|service| mixed.contains(service));
+        let limit = stored_origins(self.hosts());
+        let (origins, last) = self
+            .registry
+            .own_origins(limit, |service| mixed.contains(service));
         let until_unix_ms = unix_ms.saturating_add(last.since(self.clock.now()).get());
         let value = match serde_json::to_vec(&StreamRecord::new(&origins, until_unix_ms)) {
             Ok(value) => value,
--- a/crates/jm-host/tests/stream_objects.rs
+++ b/crates/jm-host/tests/stream_objects.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeSet, HashSet};
 
 use jm_forward::{MAX_ORIGINS, Origin, StoredOrigins, StreamKey};
-use jm_host::{FlushSchedule, StreamRecord, flush_interval, listing_interval};
+use jm_host::{FlushSchedule, StreamRecord, flush_interval, listing_interval, stored_origins};
 use jm_platform::MAX_VALUE_BYTES;
 use jm_types::{ServiceId, Timestamp};
 
@@ -34,6 +34,16 @@
     assert!(StreamRecord::decode(cut.as_bytes()).is_err());
 }
 
+/// Guards against hosts whose memory is filled by the origins of all others.
+#[test]
+fn fleet_origins() {
+    for hosts in 1..=350 {
+        let stored = stored_origins(hosts);
+        assert!(stored * hosts <= 400_000, "{hosts} hosts: {stored}");
+        assert!((1_000..=MAX_ORIGINS).contains(&stored), "{hosts} hosts: {stored}");
+    }
+}
+
 /// Guards against calls of all hosts together that take more than a quarter of what the store allows.
 #[test]
 fn call_rates() {
