Read the versions in use before a new host chooses between versions

A host that had just started used any listed version for new streams until its task had read which ones the store holds. Found by review, not seen in a run of hosts.

Change: such a host reads the versions before it begins a stream, if targets of several versions are listed, for up to half a second. Without an answer of the store the stream begins at any version, as before.

Measured: stream_origins `versions_not_read` failed before, with the stream at the target of the version that was not stored:

assertion `left == right` failed: Some(["v1"]) left: ["t2"] right: ["t1"]

--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -164,7 +164,9 @@
     ) -> ForwardResult {
         let deadline = self.clock.now().after(request.time_limit(route));
         lock(&self.hedges).deposit();
-        let stream = self.begin_stream(request, route, access, deadline).await?;
+        let stream = self
+            .begin_stream(request, route, access, catalog, deadline)
+            .await?;
         let mut active = ActiveRequest {
             forwarder: self,
             request,
--- a/crates/jm-forward/src/stream_attempt.rs
+++ b/crates/jm-forward/src/stream_attempt.rs
@@ -1,5 +1,7 @@
 //! One request on a route whose streams may be taken up: the version that it is bound to, and the record of its origin.
 
+use std::sync::Arc;
+
 use jm_http::StatusCode;
 use jm_types::{OrganisationId, ServiceId, Timestamp};
 
@@ -19,12 +21,18 @@
         request: &CallerRequest,
         route: &Route,
         access: &Access,
+        catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
         deadline: Timestamp,
     ) -> Result<Option<StreamAttempt>, ForwardRefusal> {
         let is_resumable = matches!(route.kind, RouteKind::Streaming { is_resumable: true });
         let Some(streams) = self.streams.as_ref().filter(|_| is_resumable) else {
             return Ok(None);
         };
+        if request.takeup.is_none()
+            && let Some(service) = route.service_for(&request.id)
+        {
+            streams.read_versions(service, &catalog()).await;
+        }
         let begun = StreamAttempt::begin(streams, request, route, access.organisation(), deadline);
         let time_left = deadline.since(self.clock.now()).as_std();
         let refused = match async_std::future::timeout(time_left, begun).await {
--- a/crates/jm-forward/src/streams/registry.rs
+++ b/crates/jm-forward/src/streams/registry.rs
@@ -87,6 +87,11 @@
         self.lock().in_use.clone()
     }
 
+    /// Whether the versions in use were read from the store.
+    pub fn has_versions(&self) -> bool {
+        self.lock().in_use.is_some()
+    }
+
     /// The only version that is in use in a service, as last read from the store.
     pub fn single_version(&self, service: &ServiceId) -> Option<Origin> {
         self.lock().in_use.as_ref()?.single(service)
--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -1,12 +1,15 @@
 //! Finds the origin of a stream that is taken up.
 
-use std::{fmt, sync::Arc};
+use std::{collections::BTreeSet, fmt, sync::Arc};
 
 use async_std::task;
 use async_trait::async_trait;
 use jm_types::{DurationMs, OrganisationId, ResultCode, ServiceId};
 
-use crate::{ForwardResult, Origin, Route, StreamKey, StreamRegistry, Takeup};
+use crate::{Catalog, ForwardResult, Origin, Route, StreamKey, StreamRegistry, Takeup, VersionsInUse};
+
+/// Time for which a new stream waits for the versions in use.
+const MAX_VERSIONS_WAIT_MS: DurationMs = DurationMs::new(500);
 
 /// Reads what the hosts have stored about streams.
 #[async_trait]
@@ -94,6 +97,19 @@
 }
 
 impl Streams {
+    /// Reads the versions in use for a new stream of `service` if this host has not done so yet and has to choose between
+    /// versions. A store that does not answer delays the stream for a limited time.
+    pub async fn read_versions(&self, service: &ServiceId, catalog: &Catalog) {
+        if self.registry.has_versions() {
+            return;
+        }
+        let listed = VersionsInUse::listed(catalog, &BTreeSet::from([service.clone()]));
+        if listed.is_mixed(service) {
+            // Without an answer the stream begins at any version.
+            let _ = async_std::future::timeout(MAX_VERSIONS_WAIT_MS.as_std(), self.source.refresh()).await;
+        }
+    }
+
     /// Returns the origin of a stream that is taken up, and never guesses. Reads the store if this host does not know it,
     /// twice if a running host may not have stored it yet.
     ///
--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -275,6 +275,18 @@
     assert_eq!(lost.code, ResultCode::TargetFailed, "{lost:?}");
 }
 
+/// Guards against a stream of a host that has just started at a version that the store does not hold. Other hosts would take
+/// it for one of the only stored version.
+#[async_std::test]
+async fn versions_not_read() {
+    let both = [written_by("t2", "v2", 1), written_by("t1", "v1", 1)];
+    for (stored, chosen) in [(Some(&["v1"][..]), "t1"), (None, "t2")] {
+        let (parts, _) = fleet(Vec::new(), stored);
+        send(&parts, &request("/orders/1", None), &[&both]).await.unwrap();
+        assert_eq!(ids(&parts), [chosen], "{stored:?}");
+    }
+}
+
 /// Guards against a guess when the store does not answer or holds two versions, and against a refused takeup when it holds
 /// one.
 #[async_std::test]
