Ask the other hosts for the origin of a stream

Callers that took a stream up at another host were refused as not run while the store did not answer, and waited for one write interval when the stream was younger than that.

Cause: a host asked only the store for the origins that other hosts recorded, although these are alive.

Change: if the listing fails or lacks the origin, a host of a fleet of up to 32 asks all others at once, for up to 300 ms and for at most 32 takeups at a time. Hosts that disagree make the origin ambiguous. Hosts of the previous release refuse the request with status 400 and count as not knowing it. Larger fleets go on as before, because a lost target would cause too many calls.

--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -18,6 +18,10 @@
     /// succeeded.
     async fn refresh(&self) -> bool;
 
+    /// Asks the other hosts for the origin that they recorded for a stream: `Some(None)` if it is ambiguous, `None` if no host
+    /// that answers knows it.
+    async fn ask(&self, key: StreamKey) -> Option<Option<Origin>>;
+
     /// Time within which a running host stores an origin that it has recorded.
     fn store_delay_ms(&self) -> DurationMs;
 }
@@ -110,8 +114,8 @@
         }
     }
 
-    /// Returns the origin of a stream that is taken up, and never guesses. Reads the store if this host does not know it,
-    /// twice if a running host may not have stored it yet.
+    /// Returns the origin of a stream that is taken up, and never guesses. If this host does not know it, reads the store,
+    /// asks the other hosts, and reads the store again, because a running host may not have stored it yet.
     ///
     /// # Errors
     ///
@@ -127,9 +131,14 @@
         if let Some(known) = self.known(key, route) {
             return known;
         }
-        if let Some(found) = self.read(key, first, route).await? {
+        let read = self.read(key, first, route).await;
+        if let Ok(Some(found)) = read {
             return found;
         }
+        if let Some(asked) = self.ask(key, route).await {
+            return asked;
+        }
+        read?;
         // A host that runs stores the origin, or the first versions of the fleet, within this time.
         task::sleep(self.source.store_delay_ms().as_std()).await;
         let found = self.read(key, first, route).await?;
@@ -150,10 +159,14 @@
         Ok(known.or_else(|| self.single(route, first).map(Ok)))
     }
 
+    async fn ask(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, TakeupRefusal>> {
+        let recorded = self.source.ask(key?).await?;
+        Some(allowed(recorded, route))
+    }
+
     fn known(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, TakeupRefusal>> {
         let recorded = self.registry.origin(key?)?;
-        let origin = recorded.filter(|origin| leads_to(route, &origin.service));
-        Some(origin.ok_or(TakeupRefusal::Unknown))
+        Some(allowed(recorded, route))
     }
 
     /// The origin of any stream of the route, if its service has a single version.
@@ -163,6 +176,12 @@
     }
 }
 
+/// A recorded origin, unless it is ambiguous or the route no longer leads to its service.
+fn allowed(recorded: Option<Origin>, route: &Route) -> Result<Origin, TakeupRefusal> {
+    let origin = recorded.filter(|origin| leads_to(route, &origin.service));
+    origin.ok_or(TakeupRefusal::Unknown)
+}
+
 fn leads_to(route: &Route, service: &ServiceId) -> bool {
     route.services.iter().any(|part| part.service == *service)
 }
--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -177,6 +177,10 @@
             .is_some()
     }
 
+    async fn ask(&self, _: StreamKey) -> Option<Option<Origin>> {
+        None
+    }
+
     fn store_delay_ms(&self) -> DurationMs {
         DurationMs::new(0)
     }
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -23,7 +23,7 @@
 };
 use jm_forward::{
     Access, CallerLimits, CallerRequest, ColdGate, Drain, ForwardRefusal, ForwardResult, Forwarder,
-    ForwarderOptions, RetryOptions, Route, RoutingTable, SelectionOptions, StreamRegistry, Streams,
+    ForwarderOptions, RetryOptions, Route, RoutingTable, SelectionOptions,
 };
 use jm_http::{BufferBudget, Handler, Limits, Server, SharedLimits, listen};
 use jm_member::AgentError;
@@ -189,11 +189,10 @@
             Arc::new(RelayedStore::new(Arc::new(counted), relay, Arc::clone(&clock)))
         };
         let product_store = relayed(&platform.store, ObjectSpace::Product);
-        let registry = Arc::new(StreamRegistry::new(Arc::clone(&clock)));
         let components = HostComponents {
             streams: Arc::new(StreamStore::new(
                 Arc::clone(&product_store) as _,
-                Arc::clone(&registry),
+                Arc::clone(&peers),
                 Arc::clone(&membership),
                 Arc::clone(&clock),
             )),
@@ -237,10 +236,7 @@
             Arc::clone(&observer) as _,
         )
         .with_cold_gate(Arc::clone(&cold))
-        .with_streams(Streams {
-            registry,
-            source: Arc::clone(&components.streams) as _,
-        });
+        .with_streams(StreamStore::streams(&components.streams));
         let lease: Arc<LeaseView> = Arc::default();
         let usage_publisher = Arc::new(UsagePublisher {
             counter: Arc::clone(&components.usage),
@@ -429,6 +425,7 @@
             wall: Arc::clone(&self.wall),
             product_store: Arc::clone(&components.product_store),
             platform_store: Arc::clone(&components.platform_store),
+            streams: Arc::clone(&components.streams),
         };
         let limits = Limits {
             body_bytes: ByteSize::new(8_000_000),
--- a/crates/jm-host/src/peer/message.rs
+++ b/crates/jm-host/src/peer/message.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 use jm_batch::{BatchState, Handover, ItemText, OwnerNotice, ProgressReport, ResultPage};
+use jm_forward::Origin;
 use jm_platform::{Change, Condition, KeyedObject, Object, Version};
 use jm_types::{BatchId, DurationMs, Incarnation, MemberId, OrganisationId};
 use jm_usage::WindowId;
@@ -85,6 +86,10 @@
         space: ObjectSpace,
         prefix: String,
     },
+    /// Asks for the recorded origin of a stream, by its key. Hosts of the previous release refuse it with status 400.
+    StreamOrigin {
+        key: String,
+    },
 }
 
 /// Wire format of [`Condition`].
@@ -165,6 +170,11 @@
     CopyRelist,
     /// The cached data is too old or behind the reader's version, or the prefix is not cached.
     CopyStale,
+    /// `origin` is `None` for a known stream whose origin is ambiguous.
+    StreamOrigin {
+        is_known: bool,
+        origin: Option<Origin>,
+    },
     /// Whether the host runs the batch of a handover or of a report.
     RunsBatch(bool),
     /// The store did not answer the other host either. Nothing was changed.
--- a/crates/jm-host/src/peer/mod.rs
+++ b/crates/jm-host/src/peer/mod.rs
@@ -119,6 +119,16 @@
         self.call(address, request, wait).await
     }
 
+    /// Calls all live hosts at once, each for up to `limit`, and returns the replies that arrived.
+    pub(crate) async fn call_all(&self, request: &PeerRequest, limit: DurationMs) -> Vec<PeerReply> {
+        let others = self.membership.live_peers();
+        let addresses = others
+            .iter()
+            .filter_map(|(member, _)| self.membership.peer_address(member));
+        let calls = addresses.map(|address| self.call_within(address, request, limit));
+        join_all(calls).await.into_iter().flatten().collect()
+    }
+
     /// Calls up to two random live hosts, one after the other, and returns the first usable reply.
     async fn call_any(&self, request: &PeerRequest) -> Option<PeerReply> {
         let others = self.membership.live_peers();
--- a/crates/jm-host/src/peer_server/mod.rs
+++ b/crates/jm-host/src/peer_server/mod.rs
@@ -19,6 +19,7 @@
     duty::{LeaseView, UsageAggregator},
     membership::Membership,
     peer::{ObjectSpace, PEER_PATH, PeerReply, PeerRequest, WireCondition, wire_change, wire_object},
+    streams::StreamStore,
 };
 
 /// HTTP handler for the calls of other hosts.
@@ -32,6 +33,7 @@
     pub(crate) wall: Arc<dyn WallClock>,
     pub(crate) product_store: Arc<RelayedStore>,
     pub(crate) platform_store: Arc<RelayedStore>,
+    pub(crate) streams: Arc<StreamStore>,
 }
 
 impl PeerHandler {
@@ -98,6 +100,13 @@
                 let changes = self.cache.watch(space, &prefix, after, wait_ms, max_age_ms).await;
                 cached_changes_reply(changes)
             }
+            PeerRequest::StreamOrigin { key } => {
+                let recorded = key.parse().ok().and_then(|key| self.streams.registry.origin(key));
+                PeerReply::StreamOrigin {
+                    is_known: recorded.is_some(),
+                    origin: recorded.flatten(),
+                }
+            }
             PeerRequest::GetObject { space, key } => match self.direct_store(space) {
                 Some(store) => relay_get(store, key).await,
                 None => PeerReply::StoreUnavailable,
--- a/crates/jm-host/src/streams/store.rs
+++ b/crates/jm-host/src/streams/store.rs
@@ -4,7 +4,7 @@
     collections::BTreeSet,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -13,12 +13,15 @@
 use futures::lock::Mutex;
 use indexmap::IndexMap;
 use jm_batch::MembershipView;
-use jm_forward::{OriginSource, StoredOrigins, StreamRegistry, VersionsInUse};
+use jm_forward::{Origin, OriginSource, StoredOrigins, StreamKey, StreamRegistry, Streams, VersionsInUse};
 use jm_platform::{Condition, Listing, Object, ObjectError, ObjectStore, Version};
 use jm_types::{Clock, DurationMs, LogEvent, ServiceId, Timestamp};
 
 use super::{StreamRecord, flush_interval, listing_interval, stored_origins};
-use crate::membership::Membership;
+use crate::{
+    membership::Membership,
+    peer::{PeerClient, PeerReply, PeerRequest},
+};
 
 /// Prefix of all objects about streams. One listing of it reads them at one revision of the store.
 const STREAM_PREFIX: &str = "stream/";
@@ -26,6 +29,12 @@
 const VERSIONS_KEY: &str = "stream/versions";
 /// Time that a write of origins takes in addition to its interval.
 const WRITE_MS: DurationMs = DurationMs::new(150);
+/// Maximum number of hosts in a fleet whose hosts ask each other. In a larger one too many calls would follow a lost target.
+const MAX_ASKED_HOSTS: usize = 32;
+/// Maximum number of takeups for which a host asks the others at the same time.
+const MAX_ASKING: usize = 32;
+/// Time for which a host waits for the others.
+const ASK_TIMEOUT_MS: DurationMs = DurationMs::new(300);
 /// Time after the last origin of an object expired until the object is deleted. Clocks of hosts may differ by less.
 const RECORD_MARGIN_MS: u64 = 60_000;
 
@@ -33,12 +42,15 @@
 pub(crate) struct StreamStore {
     pub(crate) store: Arc<dyn ObjectStore>,
     pub(crate) registry: Arc<StreamRegistry>,
+    pub(crate) peers: Arc<PeerClient>,
     pub(crate) membership: Arc<Membership>,
     pub(crate) clock: Arc<dyn Clock>,
     /// Number of listings that were started.
     started: AtomicU64,
     reads: Mutex<Reads>,
     written: Mutex<Condition>,
+    /// Takeups for which the other hosts are being asked.
+    asking: AtomicUsize,
 }
 
 /// Result of the last listing.
@@ -62,21 +74,49 @@
 impl StreamStore {
     pub(crate) fn new(
         store: Arc<dyn ObjectStore>,
-        registry: Arc<StreamRegistry>,
+        peers: Arc<PeerClient>,
         membership: Arc<Membership>,
         clock: Arc<dyn Clock>,
     ) -> Self {
         Self {
             store,
-            registry,
+            registry: Arc::new(StreamRegistry::new(Arc::clone(&clock))),
+            peers,
             membership,
             clock,
             started: AtomicU64::new(0),
             reads: Mutex::default(),
             written: Mutex::new(Condition::Absent),
+            asking: AtomicUsize::new(0),
+        }
+    }
+
+    /// What the requests of the host use.
+    pub(crate) fn streams(store: &Arc<Self>) -> Streams {
+        Streams {
+            registry: Arc::clone(&store.registry),
+            source: Arc::clone(store) as _,
         }
     }
 
+    async fn ask_hosts(&self, key: StreamKey) -> Option<Option<Origin>> {
+        let request = PeerRequest::StreamOrigin { key: key.to_string() };
+        let replies = self.peers.call_all(&request, ASK_TIMEOUT_MS).await;
+        let recorded: Vec<Option<Origin>> = replies
+            .into_iter()
+            .filter_map(|reply| match reply {
+                PeerReply::StreamOrigin {
+                    is_known: true,
+                    origin,
+                } => Some(origin),
+                _ => None,
+            })
+            .collect();
+        let first = recorded.first()?.clone();
+        let all_agree = recorded.iter().all(|other| *other == first);
+        Some(first.filter(|_| all_agree))
+    }
+
     /// Number of live hosts, with this one.
     pub(crate) fn hosts(&self) -> usize {
         self.membership.live().len().max(1)
@@ -218,8 +258,33 @@
     LogEvent::ConfigUnreadable.write(format_args!("{key} cannot be read: {error}"));
 }
 
+/// Counts a takeup for which the other hosts are being asked, until it is dropped.
+struct Asking<'a>(&'a AtomicUsize);
+
+impl<'a> Asking<'a> {
+    fn start(count: &'a AtomicUsize) -> Option<Self> {
+        let before = count.fetch_add(1, Ordering::SeqCst);
+        let asking = Self(count);
+        (before < MAX_ASKING).then_some(asking)
+    }
+}
+
+impl Drop for Asking<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
 #[async_trait]
 impl OriginSource for StreamStore {
+    async fn ask(&self, key: StreamKey) -> Option<Option<Origin>> {
+        if self.hosts() > MAX_ASKED_HOSTS {
+            return None;
+        }
+        let _asking = Asking::start(&self.asking)?;
+        self.ask_hosts(key).await
+    }
+
     async fn refresh(&self) -> bool {
         let before = self.started.load(Ordering::SeqCst);
         let mut reads = self.reads.lock().await;
