--- a/crates/jm-forward/src/stream_attempt.rs
+++ b/crates/jm-forward/src/stream_attempt.rs
@@ -1,8 +1,8 @@
 //! One request on a route whose streams may be taken up: the version that it is bound to, and the record of its origin.
 
-use std::sync::Arc;
+use std::{ops::Range, sync::Arc};
 
-use jm_http::StatusCode;
+use jm_http::SentStatus;
 use jm_types::{OrganisationId, ServiceId, Timestamp};
 
 use crate::{
@@ -10,6 +10,9 @@
     StreamKey, Streams, TakeupRefusal, Target, retry::no_target, stream_life,
 };
 
+/// Status codes of answers that may bring events.
+const SUCCESS: Range<u16> = 200..300;
+
 impl Forwarder {
     /// Finds the origin of the stream if a request on a route with resumable streams takes one up. `None` on other routes.
     ///
@@ -100,12 +103,12 @@
     /// Records the origin of the stream when the head of an answer has arrived. `chosen` is the entry with which the target
     /// was chosen, `current` the entry under the same id now. Returns whether the answer may be passed on: not if the
     /// stream is taken up and the target may have other software by now.
-    pub(crate) fn answered(&self, chosen: &Target, current: Option<&Target>, status: StatusCode) -> bool {
+    pub(crate) fn answered(&self, chosen: &Target, current: Option<&Target>, status: SentStatus) -> bool {
         let is_changed = current.is_some_and(|current| current.software != chosen.software);
         if is_changed && self.origin.is_some() {
             return false;
         }
-        if !status.is_success() {
+        if !SUCCESS.contains(&status.get()) {
             return true;
         }
         let registry = &self.streams.registry;
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -11,6 +11,7 @@
     Target,
 };
 use jm_http::BufferBudget;
+use jm_platform::ListingCounts;
 use jm_types::{DurationMs, LogEvent, OrganisationId, ResultCode, Revision};
 use prometheus::{Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder};
 
@@ -18,6 +19,7 @@
     buffer_metrics::BufferMetrics,
     duty::UsageCounter,
     instrumented_store::STORE_CALL_LABELS,
+    listing_metrics::ListingMetrics,
     metric::{counter, gauge, histogram, plain_counter},
     observer::streams::StreamMetrics,
     placement_metrics::PlacementMetrics,
@@ -29,6 +31,7 @@
     usage: Arc<UsageCounter>,
     registry: Registry,
     buffers: BufferMetrics,
+    listings: ListingMetrics,
     requests: IntCounterVec,
     latency: HistogramVec,
     attempts: IntCounterVec,
@@ -59,12 +62,13 @@
 
 impl HostObserver {
     /// Registers all metrics in a new registry. Executed requests are also counted in `usage`. The memory metrics show
-    /// `buffers`.
-    pub fn new(usage: Arc<UsageCounter>, buffers: BufferBudget) -> Self {
+    /// `buffers`, those of listings `listings`.
+    pub fn new(usage: Arc<UsageCounter>, buffers: BufferBudget, listings: Arc<ListingCounts>) -> Self {
         let registry = Registry::new();
         Self {
             usage,
             buffers: BufferMetrics::new(&registry, buffers),
+            listings: ListingMetrics::new(&registry, listings),
             requests: counter(
                 &registry,
                 "jm_requests_total",
@@ -181,7 +185,7 @@
                     &[
                         ("request", &request.id.as_str()),
                         ("route", &route_name),
-                        ("status", &u16::from(answer.answer.status)),
+                        ("status", &answer.answer.status.get()),
                         ("attempts", &answer.attempts),
                         ("took_ms", &took.get()),
                     ],
@@ -238,6 +242,7 @@
     /// Renders the metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         self.buffers.update();
+        self.listings.update();
         let mut text = Vec::new();
         let encoder = TextEncoder::new();
         if let Err(error) = encoder.encode(&self.registry.gather(), &mut text) {
--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -97,9 +97,12 @@
 }
 
 impl StoreBackoff {
-    fn record_failure(&mut self, now: Timestamp) {
+    /// Starts the backoff after a listing that took `took`. The backoff is at least as long, because a listing that fails
+    /// late may have cost many calls.
+    fn record_failure(&mut self, now: Timestamp, took: DurationMs) {
         let factor = 1_u64 << self.failures.min(MAX_BACKOFF_DOUBLINGS);
-        self.next_at = now.after(DurationMs::new(INITIAL_STORE_BACKOFF_MS.get() * factor));
+        let backoff = DurationMs::new(INITIAL_STORE_BACKOFF_MS.get() * factor);
+        self.next_at = now.after(backoff.max(took));
         self.failures += 1;
     }
 }
@@ -202,13 +205,15 @@
                     .to_owned(),
             );
         }
+        let started = self.clock.now();
         match self.store.list(self.prefix).await {
             Ok(listing) => {
                 *store_backoff = StoreBackoff::default();
                 Ok(listing)
             }
             Err(error) => {
-                store_backoff.record_failure(self.clock.now());
+                let now = self.clock.now();
+                store_backoff.record_failure(now, now.since(started));
                 Err(error.to_string())
             }
         }
@@ -248,7 +253,10 @@
                     .await
                 {
                     Some(changes) => (changes, DurationMs::new(0)),
-                    None => return position.confirmed_at,
+                    None => {
+                        self.pause_since(position.listed_at).await;
+                        return position.confirmed_at;
+                    }
                 },
             };
             if changes.version < position.version {
@@ -265,6 +273,12 @@
         }
     }
 
+    /// Waits until the time `retry_ms` after `earlier`, so that a store which answers at once is not called without a pause.
+    async fn pause_since(&self, earlier: Timestamp) {
+        let passed = self.clock.now().since(earlier);
+        task::sleep(self.options.retry_ms.saturating_sub(passed).as_std()).await;
+    }
+
     /// Time until the next listing when no peer has recent data.
     fn time_until_next_list(&self, position: &Position) -> DurationMs {
         let now = self.clock.now();
@@ -280,8 +294,15 @@
             task::sleep(time_until_relist.as_std()).await;
             return None;
         }
+        let started = self.clock.now();
         match self.store.watch(self.prefix, after, wait).await {
-            Ok(changes) => Some(changes),
+            Ok(changes) => {
+                if changes.changes.is_empty() && self.clock.now().since(started) < wait {
+                    // A store that does not wait for changes would be called without a pause.
+                    self.pause_since(started).await;
+                }
+                Some(changes)
+            }
             Err(WatchError::Relist { .. }) => None,
             Err(error) => {
                 let reason = error.to_string();
--- a/crates/jm-http/src/client.rs
+++ b/crates/jm-http/src/client.rs
@@ -4,7 +4,7 @@
 
 use async_std::io;
 use http_types::{Body, Method, Request, Response};
-use jm_types::DurationMs;
+use jm_types::{DurationMs, LogEvent};
 use snafu::Snafu;
 
 use crate::{
@@ -197,13 +197,24 @@
         prepared: &PreparedRequest,
     ) -> Result<Response, ExchangeError> {
         let target = prepared.target.as_ref();
-        let ExchangeResponse { head, reusable } =
-            exchange(&mut connection.stream, request, target, &self.limits).await?;
+        let ExchangeResponse {
+            head,
+            reusable,
+            write_error,
+        } = exchange(&mut connection.stream, request, target, &self.limits).await?;
+        let mut framing = head.framing;
+        if let Some(error) = write_error {
+            framing = framing.after_write_error();
+            LogEvent::ConnectionFailed.write(format!(
+                "{} responded, and the connection failed while the request was being written: {error}",
+                prepared.address
+            ));
+        }
         connection.set_idle_timeout(head.idle_timeout);
         let reuse_pool = reusable.then(|| (Arc::clone(&self.pool), prepared.address.clone()));
         let piece_timeout = self.limits.body_timeout_ms.as_std();
         let mut response = head.response;
-        let body = response_body(connection, head.framing, piece_timeout, reuse_pool);
+        let body = response_body(connection, framing, piece_timeout, reuse_pool);
         set_body(&mut response, body);
         Ok(response)
     }
--- a/crates/jm-http/src/lib.rs
+++ b/crates/jm-http/src/lib.rs
@@ -24,8 +24,10 @@
 mod response_body;
 mod server;
 mod shared_bytes;
+mod status;
 mod stream;
 mod validate;
+mod whole_response;
 
 pub use body::{BodySender, channel_body};
 pub use buffer_budget::{BufferBudget, BufferShare, RejectionReason};
@@ -39,3 +41,5 @@
 pub use response::error_response;
 pub use server::{Connection, Handler, Server};
 pub use shared_bytes::SharedBytes;
+pub use status::SentStatus;
+pub use whole_response::read_whole_response;
