--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -1,5 +1,6 @@
 //! A running host: its state, its listeners and its graceful shutdown.
 
+mod metrics;
 mod reconcile;
 mod tasks;
 
@@ -17,7 +18,6 @@
     channel::{Receiver, Sender, bounded},
     task::{self, JoinHandle},
 };
-use async_trait::async_trait;
 use jm_batch::{
     BatchService, BatchServiceDependencies, BatchServiceOptions, BatchStore, RoutingSource, RunnerOptions,
 };
@@ -25,7 +25,7 @@
     Access, CallerLimits, CallerRequest, ColdGate, Drain, ForwardRefusal, ForwardResult, Forwarder,
     ForwarderOptions, RetryOptions, Route, RoutingTable, SelectionOptions,
 };
-use jm_http::{BufferBudget, Connection, Handler, Limits, Request, Response, Server, SharedLimits, listen};
+use jm_http::{BufferBudget, Handler, Limits, Server, SharedLimits, listen};
 use jm_member::AgentError;
 use jm_node::{Stop, StopTrigger};
 use jm_platform::ObjectStore;
@@ -34,6 +34,7 @@
 };
 use snafu::{ResultExt, Snafu};
 
+use self::metrics::MetricsHandler;
 use crate::{
     HostObserver, HostSettings, Membership, PlatformParts, RelayedStore, StoreCache,
     cluster_state::ClusterState,
@@ -41,6 +42,7 @@
     instrumented_store::InstrumentedStore,
     peer::{ObjectSpace, PeerClient, PeerRelay},
     peer_server::PeerHandler,
+    streams::StreamStore,
 };
 
 /// The host could not start.
@@ -117,6 +119,7 @@
     usage: Arc<UsageCounter>,
     aggregator: Arc<UsageAggregator>,
     cache: Arc<StoreCache>,
+    streams: Arc<StreamStore>,
     platform: PlatformParts,
 }
 
@@ -189,8 +192,15 @@
             let counted = InstrumentedStore::new(Arc::clone(direct), observer.store_calls.clone());
             Arc::new(RelayedStore::new(Arc::new(counted), relay, Arc::clone(&clock)))
         };
+        let product_store = relayed(&platform.store, ObjectSpace::Product);
         let components = HostComponents {
-            product_store: relayed(&platform.store, ObjectSpace::Product),
+            streams: Arc::new(StreamStore::new(
+                Arc::clone(&product_store) as _,
+                Arc::clone(&peers),
+                Arc::clone(&membership),
+                Arc::clone(&clock),
+            )),
+            product_store,
             platform_store: relayed(&platform.platform_store, ObjectSpace::Platform),
             usage,
             aggregator: Arc::default(),
@@ -229,7 +239,8 @@
             Arc::clone(&components.platform.targets),
             Arc::clone(&observer) as _,
         )
-        .with_cold_gate(Arc::clone(&cold));
+        .with_cold_gate(Arc::clone(&cold))
+        .with_streams(StreamStore::streams(&components.streams));
         let lease: Arc<LeaseView> = Arc::default();
         let usage_publisher = Arc::new(UsagePublisher {
             counter: Arc::clone(&components.usage),
@@ -418,6 +429,7 @@
             wall: Arc::clone(&self.wall),
             product_store: Arc::clone(&components.product_store),
             platform_store: Arc::clone(&components.platform_store),
+            streams: Arc::clone(&components.streams),
         };
         let limits = Limits {
             body_bytes: ByteSize::new(8_000_000),
@@ -485,16 +497,3 @@
         retry_after_ms: Some(DurationMs::new(300)),
     }
 }
-
-/// Serves the metrics on any path.
-struct MetricsHandler(Arc<HostObserver>);
-
-#[async_trait]
-impl Handler for MetricsHandler {
-    async fn handle(&self, _request: Request, _connection: &Connection) -> Response {
-        let mut response = Response::new(200);
-        response.set_body(self.0.render());
-        response.insert_header("content-type", "text/plain; version=0.0.4");
-        response
-    }
-}
