Forget the readers of a batch that stopped waiting

What operators would see: the memory of the owner of a batch grows with each read of results that finds none, until the next result is listed.

Cause: each such read leaves a channel in the list of waiting readers, also a read that does not wait. The list is emptied only when results change.

Ruled out: reads of batches that other hosts run; they poll and leave nothing behind.

Change: channels whose reader has stopped waiting are removed when the next reader waits.

--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -309,9 +309,11 @@
         stopped
     }
 
-    /// A receiver that is notified of the next change of the results.
+    /// A receiver that is notified of the next change of the results. Readers that have stopped waiting are forgotten here,
+    /// because the next change may take long.
     pub(crate) fn wait(&mut self) -> Receiver<()> {
         let (sender, receiver) = bounded(1);
+        self.waiters.retain(|waiter| !waiter.is_closed());
         self.waiters.push(sender);
         receiver
     }
