Take no stream for one of the only stored version beside an unstored one

Callers could get a joined stream: a host that has not read the store yet, or that lists no target of a stored version, begins new streams at a version which is not stored. A takeup at another host read the store, found one version, and took it for the origin although a second one was listed.

Cause: the only stored version was taken for the only one in use. The two exceptions under which an unstored version is used break the rule that a version is stored before its first stream. Both occur after a kill of all hosts during a rollout: the store holds the old version, and a slow store lets the first host begin streams of the new one.

Ruled out: to refuse new streams until their version is stored, as nothing would begin while the store is away.

Now the only stored version is the origin of an unknown stream only if the host lists no target of another version in the service. Otherwise the takeup asks the other hosts and waits for one interval of writes, as with two stored versions. A host that does not list the new version yet either is still mistaken until the version is stored.

--- a/crates/jm-forward/src/stream_attempt.rs
+++ b/crates/jm-forward/src/stream_attempt.rs
@@ -3,7 +3,7 @@
 use std::{ops::Range, sync::Arc};
 
 use jm_http::SentStatus;
-use jm_types::{OrganisationId, ServiceId, Timestamp};
+use jm_types::{ServiceId, Timestamp};
 
 use crate::{
     Access, CallerRequest, Catalog, ForwardRefusal, Forwarder, Origin, Route, RouteKind, SoftwareFilter,
@@ -36,7 +36,7 @@
         {
             streams.read_versions(service, &catalog()).await;
         }
-        let begun = StreamAttempt::begin(streams, request, route, access.organisation(), deadline);
+        let begun = StreamAttempt::begin(streams, request, route, access, catalog, deadline);
         let time_left = deadline.since(self.clock.now()).as_std();
         let refused = match async_std::future::timeout(time_left, begun).await {
             Ok(Ok(attempt)) => return Ok(Some(attempt)),
@@ -68,11 +68,13 @@
         streams: &Streams,
         request: &CallerRequest,
         route: &Route,
-        organisation: Option<&OrganisationId>,
+        access: &Access,
+        catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
         deadline: Timestamp,
     ) -> Result<Self, TakeupRefusal> {
+        let organisation = access.organisation();
         let origin = match &request.takeup {
-            Some(takeup) => Some(streams.resolve(takeup, organisation, route).await?),
+            Some(takeup) => Some(streams.resolve(takeup, organisation, route, catalog).await?),
             None => None,
         };
         let first = request.takeup.as_ref();
--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -125,13 +125,14 @@
         takeup: &Takeup,
         organisation: Option<&OrganisationId>,
         route: &Route,
+        catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
     ) -> Result<Origin, TakeupRefusal> {
         let first = takeup.first_request.as_deref().unwrap_or_default();
         let key = StreamKey::new(organisation, first);
         if let Some(known) = self.known(key, route) {
             return known;
         }
-        let read = self.read(key, first, route).await;
+        let read = self.read(key, first, route, catalog).await;
         if let Ok(Some(found)) = read {
             return found;
         }
@@ -141,7 +142,7 @@
         read?;
         // A host that runs stores the origin, or the first versions of the fleet, within this time.
         task::sleep(self.source.store_delay_ms().as_std()).await;
-        let found = self.read(key, first, route).await?;
+        let found = self.read(key, first, route, catalog).await?;
         found.unwrap_or(Err(TakeupRefusal::Unknown))
     }
 
@@ -151,12 +152,13 @@
         key: Option<StreamKey>,
         first: &str,
         route: &Route,
+        catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
     ) -> Result<Option<Result<Origin, TakeupRefusal>>, TakeupRefusal> {
         if !self.source.refresh().await {
             return Err(TakeupRefusal::Unread);
         }
         let known = self.known(key, route);
-        Ok(known.or_else(|| self.single(route, first).map(Ok)))
+        Ok(known.or_else(|| self.single(route, first, &catalog()).map(Ok)))
     }
 
     async fn ask(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, TakeupRefusal>> {
@@ -169,10 +171,15 @@
         Some(allowed(recorded, route))
     }
 
-    /// The origin of any stream of the route, if its service has a single version.
-    fn single(&self, route: &Route, first: &str) -> Option<Origin> {
+    /// The origin of any stream of the route, if its service has a single version. A listed version that is not stored counts
+    /// as well: hosts that could not read the store, or that listed no target of a stored version, use it already.
+    fn single(&self, route: &Route, first: &str, catalog: &Catalog) -> Option<Origin> {
         let service = route.service_for(first)?;
-        self.registry.single_version(service)
+        let single = self.registry.single_version(service)?;
+        let mut listed = catalog.iter().filter(|target| target.service == *service);
+        listed
+            .all(|target| target.software == single.software)
+            .then_some(single)
     }
 }
 
--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -311,3 +311,22 @@
         }
     }
 }
+
+/// Guards against a joined stream that began at a version which is not stored yet: at a host that could not read the store, or
+/// that listed no target of a stored version. Another host must not take the only stored version for its origin.
+#[async_std::test]
+async fn unstored_origin() {
+    let (old, new) = (written_by("t1", "v1", 1), written_by("t2", "v2", 1));
+    let (only_new, both) = ([new.clone()], [new, old]);
+    for (stored, listed) in [(None, &both[..]), (Some(&["v1"][..]), &only_new)] {
+        let (first, _) = fleet(Vec::new(), stored);
+        send(&first, &request("/orders/1", None), &[listed])
+            .await
+            .unwrap();
+        assert_eq!(ids(&first), ["t2"], "{stored:?}");
+        let (second, _) = fleet(Vec::new(), Some(&["v1"]));
+        let refused = send(&second, &takeup("r2", "r1"), &[&both]).await;
+        assert!(refused.is_err(), "{stored:?}: joined at {:?}", ids(&second));
+        assert!(ids(&second).is_empty(), "{stored:?}");
+    }
+}
