Write the versions in use under the condition of the read they came from

No caller was seen to suffer from this; it was found by reading.

Cause: the keeper took the stored versions, computed the new ones, and asked for the condition of the write afterwards under a second lock. Takeups list under the same lock. If one listed in between, the new versions came from the older listing and the condition from the newer one, so that the write would succeed and drop a version that another host had just stored. Until a host that lists this version stores it again, the others see a single version in the store and may take a stream of the dropped version for one of it.

Ruled out: a lost response of the write, because the list that follows shows what the store holds.

Now versions and condition are read together, so such a write is a conflict and is tried again from a new read.

Not shown by a test: it needs a listing between two steps of one task without a wait between them, which no test can arrange from outside.

--- a/crates/jm-host/src/streams/keeper.rs
+++ b/crates/jm-host/src/streams/keeper.rs
@@ -106,11 +106,11 @@
             progress.retry_at = now.after(RETRY_MS);
             return;
         }
-        let stored = self.store.stored_versions().await;
+        let (stored, condition) = self.store.stored_versions().await;
         if stored.covers(listed) {
             return;
         }
-        match self.store.write_versions(&stored.union(listed)).await {
+        match self.store.write_versions(&stored.union(listed), condition).await {
             true => log_versions(listed.iter().filter(|origin| !stored.contains(origin)), "in use"),
             false => progress.retry_at = now.after(RETRY_MS),
         }
@@ -149,7 +149,7 @@
         listed: &VersionsInUse,
         now: Timestamp,
     ) {
-        let stored = self.store.stored_versions().await;
+        let (stored, condition) = self.store.stored_versions().await;
         progress.absent.update(&stored, listed, now);
         let life = longest_life(table);
         self.store
@@ -161,7 +161,7 @@
         if rest == stored || !self.holds_lease() {
             return;
         }
-        match self.store.write_versions(&rest).await {
+        match self.store.write_versions(&rest, condition).await {
             true => log_versions(stored.iter().filter(|origin| !rest.contains(origin)), "removed"),
             false => progress.retry_at = now.after(RETRY_MS),
         }
--- a/crates/jm-host/src/streams/store.rs
+++ b/crates/jm-host/src/streams/store.rs
@@ -122,19 +122,17 @@
         self.membership.live().len().max(1)
     }
 
-    /// The versions in use that the last listing contained.
-    pub(crate) async fn stored_versions(&self) -> VersionsInUse {
-        let reads = self.reads.lock().await;
-        let versions = reads.versions.as_ref();
-        versions.map_or_else(VersionsInUse::default, |(_, versions)| versions.clone())
+    /// The versions in use that the last listing contained, and the condition under which they may be replaced.
+    pub(crate) async fn stored_versions(&self) -> (VersionsInUse, Condition) {
+        match &self.reads.lock().await.versions {
+            Some((version, versions)) => (versions.clone(), Condition::Version(*version)),
+            None => (VersionsInUse::default(), Condition::Absent),
+        }
     }
 
-    /// Replaces the versions in use if nobody else has since the last listing, and lists again.
-    pub(crate) async fn write_versions(&self, versions: &VersionsInUse) -> bool {
-        let condition = match &self.reads.lock().await.versions {
-            Some((version, _)) => Condition::Version(*version),
-            None => Condition::Absent,
-        };
+    /// Replaces the versions in use under the condition of the read from which `versions` was made, and lists again. A takeup
+    /// may have listed since, so the condition of the last listing would overwrite what other hosts stored in between.
+    pub(crate) async fn write_versions(&self, versions: &VersionsInUse, condition: Condition) -> bool {
         let value = match serde_json::to_vec(versions) {
             Ok(value) => value,
             Err(error) => {
