Show that a takeup uses an origin that was withdrawn

Callers may get a joined stream: a target starts again under its id with other software and begins a stream before its new entry is listed. The host records and stores the version of the old entry; another host lists that. The first host reads the new entry and makes the stream ambiguous, which takes it out of its object. The other host still takes the stream up at the old version, because its last listing is used like its own memory, however old it is.

The design says that only a listing which starts after the takeup counts.

Not mended here: a listing before each such takeup delays it, by up to 1.75 s with 350 hosts, and must not refuse it while the store is slow.

The stand-in of the store now replaces the stored origins at each listing, as the real one does.

--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     future::pending,
     sync::{
         Arc, Mutex,
@@ -13,10 +13,11 @@
 
 use async_trait::async_trait;
 use common::{Does, TestForwarder, forwarder, request, route, target};
+use indexmap::IndexMap;
 use jm_forward::{
     AbsentVersions, Access, CallerRequest, Catalog, ForwardRefusal, Origin, OriginSource, OriginTable,
-    RecentStreams, Recorded, RouteKind, SoftwareFilter, StreamKey, StreamRegistry, Streams, Takeup, Target,
-    VersionsInUse,
+    RecentStreams, Recorded, RouteKind, SoftwareFilter, StoredOrigins, StreamKey, StreamRegistry, Streams,
+    Takeup, Target, VersionsInUse,
 };
 use jm_types::{DurationMs, ResultCode, SystemClock, Timestamp};
 use quickcheck::{TestResult, quickcheck};
@@ -172,6 +173,9 @@
     async fn refresh(&self) -> bool {
         self.listings.fetch_add(1, Ordering::SeqCst);
         let stored = self.stored.lock().unwrap().clone();
+        if stored.is_some() {
+            self.registry.set_stored(IndexMap::new());
+        }
         stored
             .map(|versions| self.registry.set_in_use(versions))
             .is_some()
@@ -330,3 +334,15 @@
         assert!(ids(&second).is_empty(), "{stored:?}");
     }
 }
+
+/// Guards against an origin from an old listing that its host has withdrawn since, because the target had other software.
+#[async_std::test]
+async fn withdrawn_origin() {
+    let (parts, source) = fleet(Vec::new(), Some(&["v1", "v2"]));
+    let listed = StoredOrigins::from([(origin("v1"), HashSet::from([key("r1")]))]);
+    let listed = IndexMap::from([("h1.1".to_owned(), Arc::new(listed))]);
+    source.registry.set_stored(listed);
+    let both = [written_by("t1", "v1", 1), written_by("t2", "v2", 1)];
+    let refused = send(&parts, &takeup("r2", "r1"), &[&both]).await;
+    assert!(refused.is_err(), "went on at {:?}", ids(&parts));
+}
