Take an origin from an old listing only if the store does not answer

What callers would see: a takeup goes on at a version that did not begin the stream.

Cause: the origins of this host's last listing counted as its own records, however old the listing was. The host that stored an origin withdraws it when the target turns out to have had other software; other hosts went on using it.

Ruled out: to refuse without a listing. While the store is slow, every takeup at another host would be refused.

Change: a host's own records come first, then a listing that starts after the takeup. An earlier listing that names the origin bounds the wait for the new one to 0.5 s, and counts only if neither the store nor another host answers.

--- a/crates/jm-forward/src/streams/registry.rs
+++ b/crates/jm-forward/src/streams/registry.rs
@@ -72,14 +72,17 @@
         }
     }
 
-    /// The recorded origin of a stream: `Some(None)` if it is ambiguous, `None` if none is known.
+    /// The origin of a stream that this host began or took up: `Some(None)` if it is ambiguous, `None` if it has no record.
+    pub fn own_origin(&self, key: StreamKey) -> Option<Option<Origin>> {
+        self.lock().own_origin(key, self.clock.now())
+    }
+
+    /// The recorded origin of a stream, also in the last listing of what hosts have stored: `Some(None)` if it is ambiguous,
+    /// `None` if none is known.
     pub fn origin(&self, key: StreamKey) -> Option<Option<Origin>> {
         let state = self.lock();
-        match state.own.get(key, self.clock.now()) {
-            Some(Recorded::Known(origin)) => Some(Some(origin.clone())),
-            Some(Recorded::Ambiguous) => Some(None),
-            None => state.stored_origin(key),
-        }
+        let own = state.own_origin(key, self.clock.now());
+        own.or_else(|| state.stored_origin(key))
     }
 
     /// Versions in use as last read from the store; `None` before the first read.
@@ -168,6 +171,13 @@
 }
 
 impl State {
+    fn own_origin(&self, key: StreamKey, now: Timestamp) -> Option<Option<Origin>> {
+        match self.own.get(key, now)? {
+            Recorded::Known(origin) => Some(Some(origin.clone())),
+            Recorded::Ambiguous => Some(None),
+        }
+    }
+
     /// Several hosts may have stored a stream that was taken up at several. It is ambiguous if they disagree.
     fn stored_origin(&self, key: StreamKey) -> Option<Option<Origin>> {
         let groups = self.stored.values().flat_map(|stored| stored.iter());
--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -11,6 +11,9 @@
 /// Time for which a new stream waits for the versions in use.
 const MAX_VERSIONS_WAIT_MS: DurationMs = DurationMs::new(500);
 
+/// Time for which a takeup whose origin an earlier listing names waits for a new listing.
+const MAX_LISTING_WAIT_MS: DurationMs = DurationMs::new(500);
+
 /// Reads what the hosts have stored about streams.
 #[async_trait]
 pub trait OriginSource: Send + Sync {
@@ -114,8 +117,9 @@
         }
     }
 
-    /// Returns the origin of a stream that is taken up, and never guesses. If this host does not know it, reads the store,
-    /// asks the other hosts, and reads the store again, because a running host may not have stored it yet.
+    /// Returns the origin of a stream that is taken up, and never guesses. If this host has no record of its own, it reads the
+    /// store, asks the other hosts, and reads the store again, because a running host may not have stored it yet. An earlier
+    /// listing counts only if the store does not answer: a host may have withdrawn an origin since.
     ///
     /// # Errors
     ///
@@ -129,16 +133,26 @@
     ) -> Result<Origin, TakeupRefusal> {
         let first = takeup.first_request.as_deref().unwrap_or_default();
         let key = StreamKey::new(organisation, first);
-        if let Some(known) = self.known(key, route) {
-            return known;
+        if let Some(own) = key.and_then(|key| self.registry.own_origin(key)) {
+            return allowed(own, route);
         }
-        let read = self.read(key, first, route, catalog).await;
+        let listed = self.known(key, route);
+        let read = self.read(key, first, route, catalog);
+        let read = match listed {
+            Some(_) => async_std::future::timeout(MAX_LISTING_WAIT_MS.as_std(), read)
+                .await
+                .unwrap_or(Err(TakeupRefusal::Unread)),
+            None => read.await,
+        };
         if let Ok(Some(found)) = read {
             return found;
         }
         if let Some(asked) = self.ask(key, route).await {
             return asked;
         }
+        if let Some(listed) = listed.filter(|_| read.is_err()) {
+            return listed;
+        }
         read?;
         // A host that runs stores the origin, or the first versions of the fleet, within this time.
         task::sleep(self.source.store_delay_ms().as_std()).await;
