Answer a host that asks for an origin from own records only

Ruled out: a living host that withdrew the origin; it answers that the origin is ambiguous, and the two answers contradict each other.

Change: the answer comes from the records of the host that is asked.

--- a/crates/jm-host/src/peer_server/mod.rs
+++ b/crates/jm-host/src/peer_server/mod.rs
@@ -101,7 +101,8 @@
                 cached_changes_reply(changes)
             }
             PeerRequest::StreamOrigin { key } => {
-                let recorded = key.parse().ok().and_then(|key| self.streams.registry.origin(key));
+                let key = key.parse().ok();
+                let recorded = key.and_then(|key| self.streams.registry.own_origin(key));
                 PeerReply::StreamOrigin {
                     is_known: recorded.is_some(),
                     origin: recorded.flatten(),
