Name the resumption of a stream by the field's term

Cause: the new code and pages called it a "takeup", which is the wording of the users' pages and no term of the field.

Change: Takeup is Resumption everywhere, with the metric jm_stream_resumptions_total and the event StreamResumed (E1108). Both are new in this work, so no reader of them exists yet. No logic changes.

--- a/crates/jm-forward/src/caller.rs
+++ b/crates/jm-forward/src/caller.rs
@@ -26,12 +26,12 @@
     /// then applies and is the upper limit in any case.
     pub timeout_ms: Option<DurationMs>,
     /// Set if the caller has events of the stream already and wants those that follow.
-    pub takeup: Option<Takeup>,
+    pub resumption: Option<Resumption>,
 }
 
-/// The stream that a request takes up.
+/// The stream that a request resumes.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Takeup {
+pub struct Resumption {
     /// Id of the caller's request that brought the first event. `None` if the caller does not name it.
     pub first_request: Option<String>,
 }
--- a/crates/jm-forward/src/forwarder.rs
+++ b/crates/jm-forward/src/forwarder.rs
@@ -14,8 +14,8 @@
 
 use crate::{
     Access, AnswerBody, AttemptOptions, AttemptOutcome, CallerRequest, Catalog, ColdGate, ForwardAnswer,
-    ForwardRefusal, ForwardResult, Origin, RetryDecision, RetryOptions, RetryState, Route, RouteKind,
-    RoutingTable, RunKey, SelectionOptions, SendKind, SoftwareFilter, Streams, TakeupOutcome, Target,
+    ForwardRefusal, ForwardResult, Origin, ResumptionOutcome, RetryDecision, RetryOptions, RetryState, Route,
+    RouteKind, RoutingTable, RunKey, SelectionOptions, SendKind, SoftwareFilter, Streams, Target,
     TargetAnswer, TargetClient, TargetLoads,
     event_stream::limit_stalls,
     retry::{access_refusal, evacuated, no_target, refusal},
@@ -71,8 +71,14 @@
     /// A hedged attempt was started after the attempt on `slow` had taken `waited`.
     fn hedged(&self, request: &CallerRequest, slow: &RunKey, waited: DurationMs);
 
-    /// A request that takes up a stream ended. `origin` is set if the version that began the stream is known.
-    fn taken_up(&self, _request: &CallerRequest, _outcome: TakeupOutcome, _origin: Option<&Origin>) {}
+    /// A request that resumes a stream ended. `origin` is set if the version that began the stream is known.
+    fn resumption_ended(
+        &self,
+        _request: &CallerRequest,
+        _outcome: ResumptionOutcome,
+        _origin: Option<&Origin>,
+    ) {
+    }
 }
 
 /// Forwards admitted requests to targets. Shared by all requests of a host.
@@ -185,8 +191,8 @@
         let result = active.run_until(shutdown).await;
         active.release_open();
         if let Some(origin) = active.stream.as_ref().and_then(StreamAttempt::origin) {
-            let outcome = TakeupOutcome::of(&result);
-            self.observer.taken_up(request, outcome, Some(origin));
+            let outcome = ResumptionOutcome::of(&result);
+            self.observer.resumption_ended(request, outcome, Some(origin));
         }
         result
     }
@@ -208,7 +214,7 @@
     no_hedge_before: Timestamp,
     /// Whether the observer was notified that the request runs. A request counts once, however often it runs.
     is_counted: bool,
-    /// Set on routes whose streams may be taken up.
+    /// Set on routes whose streams may be resumed.
     stream: Option<StreamAttempt>,
 }
 
--- a/crates/jm-forward/src/lib.rs
+++ b/crates/jm-forward/src/lib.rs
@@ -25,7 +25,7 @@
 mod streams;
 mod target;
 
-pub use caller::{CallerRequest, ForwardAnswer, ForwardRefusal, ForwardResult, Takeup};
+pub use caller::{CallerRequest, ForwardAnswer, ForwardRefusal, ForwardResult, Resumption};
 pub use client::{
     AnswerBody, AttemptOptions, AttemptOutcome, NoticeListener, TargetAnswer, TargetClient, TargetNotices,
 };
@@ -49,7 +49,7 @@
 pub use stream_deadline::limit_duration;
 pub use streams::{
     AbsentVersions, MAX_ORIGINS, Origin, OriginSource, OriginTable, ParseStreamKeyError, RecentStreams,
-    Recorded, SoftwareFilter, StoredOrigins, StreamKey, StreamRegistry, Streams, TakeupOutcome,
-    TakeupRefusal, VersionsInUse, stream_life,
+    Recorded, ResumptionOutcome, ResumptionRefusal, SoftwareFilter, StoredOrigins, StreamKey, StreamRegistry,
+    Streams, VersionsInUse, stream_life,
 };
 pub use target::{Catalog, RunKey, Target, TargetState};
--- a/crates/jm-forward/src/stream_attempt.rs
+++ b/crates/jm-forward/src/stream_attempt.rs
@@ -1,4 +1,4 @@
-//! One request on a route whose streams may be taken up: the version that it is bound to, and the record of its origin.
+//! One request on a route whose streams may be resumed: the version that it is bound to, and the record of its origin.
 
 use std::{ops::Range, sync::Arc};
 
@@ -6,8 +6,8 @@
 use jm_types::{ServiceId, Timestamp};
 
 use crate::{
-    Access, CallerRequest, Catalog, ForwardRefusal, Forwarder, Origin, Route, RouteKind, SoftwareFilter,
-    StreamKey, Streams, TakeupRefusal, Target, retry::no_target, stream_life,
+    Access, CallerRequest, Catalog, ForwardRefusal, Forwarder, Origin, ResumptionRefusal, Route, RouteKind,
+    SoftwareFilter, StreamKey, Streams, Target, retry::no_target, stream_life,
 };
 
 /// Status codes of answers that may bring events.
@@ -18,7 +18,7 @@
     ///
     /// # Errors
     ///
-    /// Refuses the takeup of a stream whose origin is not known. It has not run.
+    /// Refuses the resumption of a stream whose origin is not known. It has not run.
     pub(crate) async fn begin_stream(
         &self,
         request: &CallerRequest,
@@ -31,7 +31,7 @@
         let Some(streams) = self.streams.as_ref().filter(|_| is_resumable) else {
             return Ok(None);
         };
-        if request.takeup.is_none()
+        if request.resumption.is_none()
             && let Some(service) = route.service_for(&request.id)
         {
             streams.read_versions(service, &catalog()).await;
@@ -41,20 +41,20 @@
         let refused = match async_std::future::timeout(time_left, begun).await {
             Ok(Ok(attempt)) => return Ok(Some(attempt)),
             Ok(Err(refused)) => refused,
-            Err(_) => TakeupRefusal::Unread,
+            Err(_) => ResumptionRefusal::Unread,
         };
-        self.observer.taken_up(request, refused.outcome(), None);
+        self.observer.resumption_ended(request, refused.outcome(), None);
         Err(no_target(refused.to_string()))
     }
 }
 
-/// A new stream, or the takeup of one.
+/// A new stream, or the resumption of one.
 pub(crate) struct StreamAttempt {
     streams: Streams,
     /// Keys under which the origin is recorded: that of the request, and that of the request that brought the first event.
     keys: Vec<StreamKey>,
     expires_at: Timestamp,
-    /// Origin of the stream that is taken up; `None` for a new one.
+    /// Origin of the stream that is resumed; `None` for a new one.
     origin: Option<Origin>,
 }
 
@@ -63,7 +63,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if it takes up a stream whose origin is not known.
+    /// Fails if it resumes a stream whose origin is not known.
     pub(crate) async fn begin(
         streams: &Streams,
         request: &CallerRequest,
@@ -71,14 +71,14 @@
         access: &Access,
         catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
         deadline: Timestamp,
-    ) -> Result<Self, TakeupRefusal> {
+    ) -> Result<Self, ResumptionRefusal> {
         let organisation = access.organisation();
-        let origin = match &request.takeup {
-            Some(takeup) => Some(streams.resolve(takeup, organisation, route, catalog).await?),
+        let origin = match &request.resumption {
+            Some(resumption) => Some(streams.resolve(resumption, organisation, route, catalog).await?),
             None => None,
         };
-        let first = request.takeup.as_ref();
-        let first = first.and_then(|takeup| takeup.first_request.as_deref());
+        let first = request.resumption.as_ref();
+        let first = first.and_then(|resumption| resumption.first_request.as_deref());
         let ids = [Some(request.id.as_str()), first];
         let keys = ids.into_iter().flatten();
         Ok(Self {
@@ -89,7 +89,7 @@
         })
     }
 
-    /// Origin of the stream that is taken up; `None` for a new one.
+    /// Origin of the stream that is resumed; `None` for a new one.
     pub(crate) fn origin(&self) -> Option<&Origin> {
         self.origin.as_ref()
     }
@@ -104,7 +104,7 @@
 
     /// Records the origin of the stream when the head of an answer has arrived. `chosen` is the entry with which the target
     /// was chosen, `current` the entry under the same id now. Returns whether the answer may be passed on: not if the
-    /// stream is taken up and the target may have other software by now.
+    /// stream is resumed and the target may have other software by now.
     pub(crate) fn answered(&self, chosen: &Target, current: Option<&Target>, status: SentStatus) -> bool {
         let is_changed = current.is_some_and(|current| current.software != chosen.software);
         if is_changed && self.origin.is_some() {
--- a/crates/jm-forward/src/streams/mod.rs
+++ b/crates/jm-forward/src/streams/mod.rs
@@ -14,6 +14,6 @@
 pub use origin::{Origin, ParseStreamKeyError, StreamKey, stream_life};
 pub use recent::RecentStreams;
 pub use registry::{StoredOrigins, StreamRegistry};
-pub use resolve::{OriginSource, Streams, TakeupOutcome, TakeupRefusal};
+pub use resolve::{OriginSource, ResumptionOutcome, ResumptionRefusal, Streams};
 pub use table::{MAX_ORIGINS, OriginTable, Recorded};
 pub use versions::{AbsentVersions, VersionsInUse};
--- a/crates/jm-forward/src/streams/origin.rs
+++ b/crates/jm-forward/src/streams/origin.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-/// Time limits of a route after which no client takes up a stream any more: the first attempt and three more.
+/// Time limits of a route after which no client resumes a stream any more: the first attempt and three more.
 const TIME_LIMITS_OF_STREAM: u64 = 4;
 /// Time that the pauses between the attempts of a client add to that.
 const PAUSES_MS: DurationMs = DurationMs::new(10_000);
@@ -14,7 +14,7 @@
 /// Length of a key as text.
 const KEY_DIGITS: usize = 16;
 
-/// Time for which a stream may still be taken up after an attempt with this time limit began.
+/// Time for which a stream may still be resumed after an attempt with this time limit began.
 pub fn stream_life(time_limit: DurationMs) -> DurationMs {
     DurationMs::new(time_limit.get().saturating_mul(TIME_LIMITS_OF_STREAM)).saturating_add(PAUSES_MS)
 }
--- a/crates/jm-forward/src/streams/registry.rs
+++ b/crates/jm-forward/src/streams/registry.rs
@@ -178,7 +178,7 @@
         }
     }
 
-    /// Several hosts may have stored a stream that was taken up at several. It is ambiguous if they disagree.
+    /// Several hosts may have stored a stream that was resumed at several. It is ambiguous if they disagree.
     fn stored_origin(&self, key: StreamKey) -> Option<Option<Origin>> {
         let groups = self.stored.values().flat_map(|stored| stored.iter());
         let mut holding = groups
--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -1,4 +1,4 @@
-//! Finds the origin of a stream that is taken up.
+//! Finds the origin of a stream that is resumed.
 
 use std::{collections::BTreeSet, fmt, sync::Arc};
 
@@ -6,12 +6,12 @@
 use async_trait::async_trait;
 use jm_types::{DurationMs, OrganisationId, ResultCode, ServiceId};
 
-use crate::{Catalog, ForwardResult, Origin, Route, StreamKey, StreamRegistry, Takeup, VersionsInUse};
+use crate::{Catalog, ForwardResult, Origin, Resumption, Route, StreamKey, StreamRegistry, VersionsInUse};
 
 /// Time for which a new stream waits for the versions in use.
 const MAX_VERSIONS_WAIT_MS: DurationMs = DurationMs::new(500);
 
-/// Time for which a takeup whose origin an earlier listing names waits for a new listing.
+/// Time for which a resumption whose origin an earlier listing names waits for a new listing.
 const MAX_LISTING_WAIT_MS: DurationMs = DurationMs::new(500);
 
 /// Reads what the hosts have stored about streams.
@@ -38,9 +38,9 @@
     pub source: Arc<dyn OriginSource>,
 }
 
-/// How the takeup of a stream ended, for logs and metrics.
+/// How the resumption of a stream ended, for logs and metrics.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TakeupOutcome {
+pub enum ResumptionOutcome {
     /// A target of the version that began the stream answered.
     Continued,
     /// Refused: it is not known which version began the stream.
@@ -53,8 +53,8 @@
     Failed,
 }
 
-impl TakeupOutcome {
-    /// Outcome of a takeup whose origin was known.
+impl ResumptionOutcome {
+    /// Outcome of a resumption whose origin was known.
     pub fn of(result: &ForwardResult) -> Self {
         match result.as_ref().map_err(|refusal| refusal.code) {
             Ok(_) => Self::Continued,
@@ -75,26 +75,26 @@
     }
 }
 
-/// Why the origin of a stream was not found. The takeup has not run.
+/// Why the origin of a stream was not found. The resumption has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum TakeupRefusal {
+pub enum ResumptionRefusal {
     /// The version that began the stream is not known, or the route no longer leads to its service.
     Unknown,
     /// The store could not be read.
     Unread,
 }
 
-impl TakeupRefusal {
-    /// The outcome of the takeup that is refused.
-    pub fn outcome(self) -> TakeupOutcome {
+impl ResumptionRefusal {
+    /// The outcome of the resumption that is refused.
+    pub fn outcome(self) -> ResumptionOutcome {
         match self {
-            Self::Unknown => TakeupOutcome::Unknown,
-            Self::Unread => TakeupOutcome::Unread,
+            Self::Unknown => ResumptionOutcome::Unknown,
+            Self::Unread => ResumptionOutcome::Unread,
         }
     }
 }
 
-impl fmt::Display for TakeupRefusal {
+impl fmt::Display for ResumptionRefusal {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Unknown => "it is not known which software version began the stream",
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Returns the origin of a stream that is taken up, and never guesses. If this host has no record of its own, it reads the
+    /// Returns the origin of a stream that is resumed, and never guesses. If this host has no record of its own, it reads the
     /// store, asks the other hosts, and reads the store again, because a running host may not have stored it yet. An earlier
     /// listing counts only if the store does not answer: a host may have withdrawn an origin since.
     ///
@@ -126,12 +126,12 @@
     /// Fails if the origin is not known or the store cannot be read.
     pub async fn resolve(
         &self,
-        takeup: &Takeup,
+        resumption: &Resumption,
         organisation: Option<&OrganisationId>,
         route: &Route,
         catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
-    ) -> Result<Origin, TakeupRefusal> {
-        let first = takeup.first_request.as_deref().unwrap_or_default();
+    ) -> Result<Origin, ResumptionRefusal> {
+        let first = resumption.first_request.as_deref().unwrap_or_default();
         let key = StreamKey::new(organisation, first);
         if let Some(own) = key.and_then(|key| self.registry.own_origin(key)) {
             return allowed(own, route);
@@ -141,7 +141,7 @@
         let read = match listed {
             Some(_) => async_std::future::timeout(MAX_LISTING_WAIT_MS.as_std(), read)
                 .await
-                .unwrap_or(Err(TakeupRefusal::Unread)),
+                .unwrap_or(Err(ResumptionRefusal::Unread)),
             None => read.await,
         };
         if let Ok(Some(found)) = read {
@@ -157,7 +157,7 @@
         // A host that runs stores the origin, or the first versions of the fleet, within this time.
         task::sleep(self.source.store_delay_ms().as_std()).await;
         let found = self.read(key, first, route, catalog).await?;
-        found.unwrap_or(Err(TakeupRefusal::Unknown))
+        found.unwrap_or(Err(ResumptionRefusal::Unknown))
     }
 
     /// Reads the store and looks the origin up. `None` if it is not known yet.
@@ -167,20 +167,20 @@
         first: &str,
         route: &Route,
         catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
-    ) -> Result<Option<Result<Origin, TakeupRefusal>>, TakeupRefusal> {
+    ) -> Result<Option<Result<Origin, ResumptionRefusal>>, ResumptionRefusal> {
         if !self.source.refresh().await {
-            return Err(TakeupRefusal::Unread);
+            return Err(ResumptionRefusal::Unread);
         }
         let known = self.known(key, route);
         Ok(known.or_else(|| self.single(route, first, &catalog()).map(Ok)))
     }
 
-    async fn ask(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, TakeupRefusal>> {
+    async fn ask(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, ResumptionRefusal>> {
         let recorded = self.source.ask(key?).await?;
         Some(allowed(recorded, route))
     }
 
-    fn known(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, TakeupRefusal>> {
+    fn known(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, ResumptionRefusal>> {
         let recorded = self.registry.origin(key?)?;
         Some(allowed(recorded, route))
     }
@@ -198,9 +198,9 @@
 }
 
 /// A recorded origin, unless it is ambiguous or the route no longer leads to its service.
-fn allowed(recorded: Option<Origin>, route: &Route) -> Result<Origin, TakeupRefusal> {
+fn allowed(recorded: Option<Origin>, route: &Route) -> Result<Origin, ResumptionRefusal> {
     let origin = recorded.filter(|origin| leads_to(route, &origin.service));
-    origin.ok_or(TakeupRefusal::Unknown)
+    origin.ok_or(ResumptionRefusal::Unknown)
 }
 
 fn leads_to(route: &Route, service: &ServiceId) -> bool {
--- a/crates/jm-forward/src/streams/table.rs
+++ b/crates/jm-forward/src/streams/table.rs
@@ -1,6 +1,6 @@
 //! Origins of the streams that this host began or continued.
 //!
-//! Load pattern: hundreds of streams per second begin, each matters for about a minute, and few are ever taken up. The
+//! Load pattern: hundreds of streams per second begin, each matters for about a minute, and few are ever resumed. The
 //! number is bounded, because an overload must not fill the memory; the earliest to expire go first.
 
 use std::collections::{BTreeSet, HashMap};
--- a/crates/jm-forward/src/streams/versions.rs
+++ b/crates/jm-forward/src/streams/versions.rs
@@ -1,6 +1,6 @@
 //! Software versions that are in use, by service.
 //!
-//! Load pattern: versions come and go a few times a day, while each new stream and each takeup asks for them.
+//! Load pattern: versions come and go a few times a day, while each new stream and each resumption asks for them.
 
 use std::collections::{BTreeMap, BTreeSet};
 
--- a/crates/jm-forward/tests/common/mod.rs
+++ b/crates/jm-forward/tests/common/mod.rs
@@ -103,7 +103,7 @@
         body: b"body".to_vec().into(),
         key: key.map(str::to_owned),
         timeout_ms: Some(DurationMs::new(500)),
-        takeup: None,
+        resumption: None,
     }
 }
 
--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -16,8 +16,8 @@
 use indexmap::IndexMap;
 use jm_forward::{
     AbsentVersions, Access, CallerRequest, Catalog, ForwardRefusal, Origin, OriginSource, OriginTable,
-    RecentStreams, Recorded, RouteKind, SoftwareFilter, StoredOrigins, StreamKey, StreamRegistry, Streams,
-    Takeup, Target, VersionsInUse,
+    RecentStreams, Recorded, Resumption, RouteKind, SoftwareFilter, StoredOrigins, StreamKey, StreamRegistry,
+    Streams, Target, VersionsInUse,
 };
 use jm_types::{DurationMs, ResultCode, SystemClock, Timestamp};
 use quickcheck::{TestResult, quickcheck};
@@ -116,7 +116,7 @@
     assert_eq!(registry.filter_for_new(&service, &new), SoftwareFilter::Any);
 }
 
-/// Guards against a version that is forgotten while streams of it may be taken up, and against a service without a version.
+/// Guards against a version that is forgotten while streams of it may be resumed, and against a service without a version.
 #[test]
 fn departed_versions() {
     let stored: VersionsInUse = [origin("v1"), origin("v2")].into_iter().collect();
@@ -207,10 +207,10 @@
     (parts, source)
 }
 
-fn takeup(id: &str, first: &str) -> CallerRequest {
+fn resumption(id: &str, first: &str) -> CallerRequest {
     CallerRequest {
         id: id.to_owned(),
-        takeup: Some(Takeup {
+        resumption: Some(Resumption {
             first_request: Some(first.to_owned()),
         }),
         ..request("/orders/1", None)
@@ -240,8 +240,8 @@
     attempts.iter().map(|(id, _)| id.clone()).collect()
 }
 
-/// Guards against retries of a takeup at another version when the targets of its own are full, and against a takeup of a
-/// takeup at another version.
+/// Guards against retries of a resumption at another version when the targets of its own are full, and against a resumption of a
+/// resumption at another version.
 #[async_std::test]
 async fn full_targets() {
     let (parts, _) = fleet(vec![("t2", Does::Reject)], Some(&["v1", "v2"]));
@@ -251,18 +251,20 @@
         .await
         .unwrap();
     let both = [old, new.clone()];
-    send(&parts, &takeup("r2", "r1"), &[&both]).await.unwrap();
-    send(&parts, &takeup("r3", "r2"), &[&both]).await.unwrap();
+    send(&parts, &resumption("r2", "r1"), &[&both]).await.unwrap();
+    send(&parts, &resumption("r3", "r2"), &[&both]).await.unwrap();
     assert_eq!(ids(&parts), ["t1", "t1", "t1"]);
     let only_new: &[Target] = std::slice::from_ref(&new);
-    let refused = send(&parts, &takeup("r4", "r1"), &[only_new]).await.unwrap_err();
+    let refused = send(&parts, &resumption("r4", "r1"), &[only_new])
+        .await
+        .unwrap_err();
     assert_eq!(refused.code, ResultCode::NoTarget);
     assert!(refused.retry_after_ms.is_some(), "{refused:?}");
     assert_eq!(ids(&parts).len(), 3, "no attempt at another version");
 }
 
-/// Guards against a stream whose target changes its version between the choice and the answer: a takeup of it would be
-/// joined, and the takeup itself is.
+/// Guards against a stream whose target changes its version between the choice and the answer: a resumption of it would be
+/// joined, and the resumption itself is.
 #[async_std::test]
 async fn changed_entry() {
     let (parts, _) = fleet(Vec::new(), Some(&["v1", "v2"]));
@@ -272,14 +274,16 @@
     send(&parts, &request("/orders/1", None), &[old, new])
         .await
         .unwrap();
-    let refused = send(&parts, &takeup("r2", "r1"), &[old]).await.unwrap_err();
+    let refused = send(&parts, &resumption("r2", "r1"), &[old]).await.unwrap_err();
     assert_eq!(refused.code, ResultCode::NoTarget, "ambiguous: {refused:?}");
     let sound = CallerRequest {
         id: "r5".to_owned(),
         ..request("/orders/1", None)
     };
     send(&parts, &sound, &[old]).await.unwrap();
-    let lost = send(&parts, &takeup("r6", "r5"), &[old, new]).await.unwrap_err();
+    let lost = send(&parts, &resumption("r6", "r5"), &[old, new])
+        .await
+        .unwrap_err();
     assert_eq!(lost.code, ResultCode::TargetFailed, "{lost:?}");
 }
 
@@ -295,7 +299,7 @@
     }
 }
 
-/// Guards against a guess when the store does not answer or holds two versions, and against a refused takeup when it holds
+/// Guards against a guess when the store does not answer or holds two versions, and against a refused resumption when it holds
 /// one.
 #[async_std::test]
 async fn unknown_origin() {
@@ -306,7 +310,7 @@
         (Some(&["v1"]), true),
     ] {
         let (parts, source) = fleet(Vec::new(), stored);
-        let sent = send(&parts, &takeup("r2", "r1"), &[&one]).await;
+        let sent = send(&parts, &resumption("r2", "r1"), &[&one]).await;
         assert_eq!(sent.is_ok(), goes_on, "{stored:?}: {sent:?}");
         assert!(source.listings.load(Ordering::SeqCst) >= 1);
         if let Err(refused) = sent {
@@ -329,7 +333,7 @@
             .unwrap();
         assert_eq!(ids(&first), ["t2"], "{stored:?}");
         let (second, _) = fleet(Vec::new(), Some(&["v1"]));
-        let refused = send(&second, &takeup("r2", "r1"), &[&both]).await;
+        let refused = send(&second, &resumption("r2", "r1"), &[&both]).await;
         assert!(refused.is_err(), "{stored:?}: joined at {:?}", ids(&second));
         assert!(ids(&second).is_empty(), "{stored:?}");
     }
@@ -343,6 +347,6 @@
     let listed = IndexMap::from([("h1.1".to_owned(), Arc::new(listed))]);
     source.registry.set_stored(listed);
     let both = [written_by("t1", "v1", 1), written_by("t2", "v2", 1)];
-    let refused = send(&parts, &takeup("r2", "r1"), &[&both]).await;
+    let refused = send(&parts, &resumption("r2", "r1"), &[&both]).await;
     assert!(refused.is_err(), "went on at {:?}", ids(&parts));
 }
--- a/crates/jm-host/src/observer.rs
+++ b/crates/jm-host/src/observer.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use jm_forward::{
-    AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Origin, Route, RunKey, TakeupOutcome,
+    AttemptOutcome, CallerRequest, ForwardObserver, ForwardResult, Origin, ResumptionOutcome, Route, RunKey,
     Target,
 };
 use jm_http::BufferBudget;
@@ -309,7 +309,7 @@
         );
     }
 
-    fn taken_up(&self, request: &CallerRequest, outcome: TakeupOutcome, origin: Option<&Origin>) {
-        self.streams.taken_up(request, outcome, origin);
+    fn resumption_ended(&self, request: &CallerRequest, outcome: ResumptionOutcome, origin: Option<&Origin>) {
+        self.streams.resumption_ended(request, outcome, origin);
     }
 }
--- a/crates/jm-host/src/observer/streams.rs
+++ b/crates/jm-host/src/observer/streams.rs
@@ -1,15 +1,15 @@
-//! Log lines and metrics of streams that are taken up.
+//! Log lines and metrics of streams that are resumed.
 
-use jm_forward::{CallerRequest, Origin, TakeupOutcome};
+use jm_forward::{CallerRequest, Origin, ResumptionOutcome};
 use jm_types::LogEvent;
 use prometheus::{IntCounterVec, IntGauge, Registry};
 
 use super::HostObserver;
 use crate::metric::{counter, gauge};
 
-/// Metrics of streams that may be taken up.
+/// Metrics of streams that may be resumed.
 pub(super) struct StreamMetrics {
-    takeups: IntCounterVec,
+    resumptions: IntCounterVec,
     origins: IntGauge,
     dropped: IntGauge,
 }
@@ -17,9 +17,9 @@
 impl StreamMetrics {
     pub(super) fn new(registry: &Registry) -> Self {
         Self {
-            takeups: counter(
+            resumptions: counter(
                 registry,
-                "jm_stream_takeups_total",
+                "jm_stream_resumptions_total",
                 "Requests that took a stream up again, by outcome.",
                 &["outcome"],
             ),
@@ -36,13 +36,18 @@
         }
     }
 
-    pub(super) fn taken_up(&self, request: &CallerRequest, outcome: TakeupOutcome, origin: Option<&Origin>) {
-        self.takeups.with_label_values(&[outcome.name()]).inc();
-        let first = request.takeup.as_ref();
-        let first = first.and_then(|takeup| takeup.first_request.as_deref());
+    pub(super) fn resumption_ended(
+        &self,
+        request: &CallerRequest,
+        outcome: ResumptionOutcome,
+        origin: Option<&Origin>,
+    ) {
+        self.resumptions.with_label_values(&[outcome.name()]).inc();
+        let first = request.resumption.as_ref();
+        let first = first.and_then(|resumption| resumption.first_request.as_deref());
         let service = origin.map_or("", |origin| origin.service.as_str());
         let software = origin.and_then(|origin| origin.software.as_ref());
-        LogEvent::StreamTakenUp.write_fields(
+        LogEvent::StreamResumed.write_fields(
             "a caller took a stream up again",
             &[
                 ("request", &request.id.as_str()),
--- a/crates/jm-host/src/streams/schedule.rs
+++ b/crates/jm-host/src/streams/schedule.rs
@@ -1,7 +1,7 @@
 //! When a host stores its origins and lists those of others.
 //!
 //! Load pattern: during a rollout every host of a fleet of 8 to 350 begins streams all the time, and a lost target sends
-//! hundreds of takeups at once. The intervals grow with the fleet, so that the calls of all hosts together stay far
+//! hundreds of resumptions at once. The intervals grow with the fleet, so that the calls of all hosts together stay far
 //! within the limits of the store.
 
 use std::collections::BTreeSet;
@@ -11,7 +11,7 @@
 
 /// Interval of writes for each host of the fleet: 50 writes per second together.
 const FLUSH_MS_PER_HOST: u64 = 20;
-/// Bounds of the interval of writes. A takeup waits for one, so it must be short for its client.
+/// Bounds of the interval of writes. A resumption waits for one, so it must be short for its client.
 const FLUSH_INTERVAL_MS: (u64, u64) = (250, 4_000);
 /// Interval of listings for each host of the fleet: 200 listings per second together.
 const LISTING_MS_PER_HOST: u64 = 5;
--- a/crates/jm-host/src/streams/store.rs
+++ b/crates/jm-host/src/streams/store.rs
@@ -1,4 +1,4 @@
-//! Reads and writes the objects about streams. Takeups share listings.
+//! Reads and writes the objects about streams. Resumptions share listings.
 
 use std::{
     collections::BTreeSet,
@@ -31,7 +31,7 @@
 const WRITE_MS: DurationMs = DurationMs::new(150);
 /// Maximum number of hosts in a fleet whose hosts ask each other. In a larger one too many calls would follow a lost target.
 const MAX_ASKED_HOSTS: usize = 32;
-/// Maximum number of takeups for which a host asks the others at the same time.
+/// Maximum number of resumptions for which a host asks the others at the same time.
 const MAX_ASKING: usize = 32;
 /// Time for which a host waits for the others.
 const ASK_TIMEOUT_MS: DurationMs = DurationMs::new(300);
@@ -49,7 +49,7 @@
     started: AtomicU64,
     reads: Mutex<Reads>,
     written: Mutex<Condition>,
-    /// Takeups for which the other hosts are being asked.
+    /// Resumptions for which the other hosts are being asked.
     asking: AtomicUsize,
 }
 
@@ -130,7 +130,7 @@
         }
     }
 
-    /// Replaces the versions in use under the condition of the read from which `versions` was made, and lists again. A takeup
+    /// Replaces the versions in use under the condition of the read from which `versions` was made, and lists again. A resumption
     /// may have listed since, so the condition of the last listing would overwrite what other hosts stored in between.
     pub(crate) async fn write_versions(&self, versions: &VersionsInUse, condition: Condition) -> bool {
         let value = match serde_json::to_vec(versions) {
@@ -237,7 +237,7 @@
     }
 }
 
-/// An object that cannot be read hides only its own streams, whose takeups are refused.
+/// An object that cannot be read hides only its own streams, whose resumptions are refused.
 fn read_record(key: &str, object: &Object) -> Option<ReadRecord> {
     match StreamRecord::decode(&object.value) {
         Ok((origins, until_unix_ms)) => Some(ReadRecord {
@@ -256,7 +256,7 @@
     LogEvent::ConfigUnreadable.write(format_args!("{key} cannot be read: {error}"));
 }
 
-/// Counts a takeup for which the other hosts are being asked, until it is dropped.
+/// Counts a resumption for which the other hosts are being asked, until it is dropped.
 struct Asking<'a>(&'a AtomicUsize);
 
 impl<'a> Asking<'a> {
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -56,7 +56,7 @@
     /// The buffers of the process exceed their memory budget, and a body or a connection was rejected.
     BufferRejected = 1107, Warn;
     /// A caller took a stream up again.
-    StreamTakenUp = 1108, Info;
+    StreamResumed = 1108, Info;
     /// Log lines were dropped because one event exceeded its rate limit.
     LogLinesLeftOut = 1201, Warn;
     /// The settings file was reloaded.
