--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 over TCP with a thread per connection: servers for stand-ins and calls of clients.
 
 use std::{
-    io::{self, BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Write},
     net::{SocketAddr, TcpListener, TcpStream},
     sync::Arc,
     thread,
