--- a/review/standins-3/batch_crowd.rs
+++ b/review/standins-3/batch_crowd.rs
@@ -24,7 +24,7 @@
 const GROUP: usize = 8;
 /// The mean text of the sheet: 28 events, at the time that an engine takes for them.
 const EVENTS: u64 = 28;
-const PACE: Pace = Pace { slots: 16, event_ms: 40, event_bytes: 360 };
+const PACE: Pace = Pace { slots: 16, event_ms: 40, event_bytes: 360, text: "y" };
 const WATCH: Duration = Duration::from_secs(80);
 const WATCH_INTERVAL: Duration = Duration::from_secs(2);
 
--- a/review/standins-3/crowded_reads.rs
+++ b/review/standins-3/crowded_reads.rs
@@ -23,7 +23,7 @@
 const ITEMS: usize = 104;
 const GROUP: usize = 8;
 const EVENTS: u64 = 28;
-const PACE: Pace = Pace { slots: 16, event_ms: 40, event_bytes: 360 };
+const PACE: Pace = Pace { slots: 16, event_ms: 40, event_bytes: 360, text: "y" };
 /// Clients that read the results at the same moment.
 const CLIENTS: usize = 400;
 /// Time for which the clients keep their connections.
--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpStream},
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -29,12 +29,13 @@
     pub slots: usize,
     pub event_ms: u64,
     pub event_bytes: usize,
+    /// Text that the data of an event repeats after the event's name.
+    pub text: &'static str,
 }
 
 /// A request that an engine began to run.
 #[derive(Debug, Clone)]
 pub struct Run {
-    pub at: Instant,
     pub id: String,
     pub software: String,
     pub tenant: Option<String>,
@@ -215,7 +216,6 @@
         }
         state.active += 1;
         let run = Run {
-            at: Instant::now(),
             id: id.to_owned(),
             software: state.software.clone(),
             tenant: request.header("Tenant").map(str::to_owned),
@@ -246,8 +246,8 @@
             if self.state.lock().unwrap().process != process {
                 return Ok(false);
             }
-            let mut data = format!("{software} {id} {event} ");
-            data.extend(std::iter::repeat_n('y', self.pace.event_bytes.saturating_sub(data.len())));
+            let name = format!("{software} {id} {event} ");
+            let data: String = name.chars().chain(self.pace.text.chars().cycle()).take(self.pace.event_bytes).collect();
             let event = format!("id: {event}\ndata: {data}\n\n");
             stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
         }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -11,6 +11,7 @@
 mod paused_runner;
 mod restarted_engine;
 mod store;
+mod store_outage;
 mod wire;
 
 use std::{path::PathBuf, process::exit, thread, time::Duration};
@@ -50,6 +51,7 @@
         "batch-crowd" => batch_crowd::play(&played, log, has_trouble),
         "restarted-engine" => restarted_engine::play(&played, log, has_trouble),
         "open-route" => open_route::play(&played, log, has_trouble),
+        "store-outage" => store_outage::play(&played, log, has_trouble),
         other => Ok(Verdict::NotRun(format!("no case {other}"))),
     });
     let begun = std::time::Instant::now();
--- a/review/standins-3/open_route.rs
+++ b/review/standins-3/open_route.rs
@@ -13,7 +13,7 @@
 const ITEMS: usize = 24;
 const GROUP: usize = 4;
 const EVENTS: u64 = 10;
-const PACE: Pace = Pace { slots: 16, event_ms: 40, event_bytes: 360 };
+const PACE: Pace = Pace { slots: 16, event_ms: 40, event_bytes: 360, text: "y" };
 /// `config_apply_ms` of the sheet, with a margin.
 const APPLIED: Duration = Duration::from_millis(2_500);
 
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -5,7 +5,10 @@
     collections::BTreeMap,
     io,
     net::{SocketAddr, TcpStream},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -16,6 +19,8 @@
 };
 
 const PAGE_OBJECTS: usize = 500;
+/// `value_bytes` of the small deployments.
+const VALUE_BYTES: usize = 1_048_576;
 
 #[derive(Default)]
 struct State {
@@ -29,6 +34,10 @@
 pub struct Store {
     state: Mutex<State>,
     changed: Condvar,
+    /// Whether every call is answered with 503.
+    pub is_busy: AtomicBool,
+    /// Number of changes that were refused because the object would be larger than [`VALUE_BYTES`].
+    pub too_large: AtomicU64,
 }
 
 impl State {
@@ -81,6 +90,13 @@
     }
 
     fn handle(&self, request: &Request, stream: &mut TcpStream) -> io::Result<bool> {
+        if self.is_busy.load(Ordering::SeqCst) {
+            return respond(stream, 503, &[], b"");
+        }
+        if request.body.len() > VALUE_BYTES {
+            self.too_large.fetch_add(1, Ordering::SeqCst);
+            return respond(stream, 413, &[], b"");
+        }
         let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
         let query: BTreeMap<&str, &str> = query.split('&').filter_map(|part| part.split_once('=')).collect();
         let path = path.strip_prefix(wire("objects_path")).unwrap_or_default();
