--- a/review/standins-3/store_outage.rs
+++ b/review/standins-3/store_outage.rs
@@ -36,6 +36,8 @@
 const TRAINER_DEADLINE: Duration = Duration::from_secs(12);
 /// Time after the submission until which the results are asked for all the same.
 const LAST_READ: Duration = Duration::from_secs(30);
+/// Time in which the engines begin the items.
+const START_LIMIT: Duration = Duration::from_millis(600);
 const STREAMS: usize = 40;
 const STREAM_EVENTS: u64 = 5;
 
@@ -49,6 +51,10 @@
     if status != Some(202) {
         return Ok(Verdict::NotRun("the batch was not accepted".to_owned()));
     }
+    while begun_items(&fleet) < ITEMS && submitted.elapsed() < START_LIMIT {
+        thread::sleep(Duration::from_millis(5));
+    }
+    record.line(format!("engines began {} items", begun_items(&fleet)));
     if has_trouble {
         fleet.store.is_busy.store(true, Ordering::SeqCst);
         record.line("the store answers every call with 503");
@@ -67,8 +73,10 @@
             in_time = read;
         }
     }
-    let runs: usize = fleet.engines.iter().map(|engine| engine.runs().len()).sum();
-    record.line(format!("{in_time} of {ITEMS} results were read in the trainer's time, {read} in {LAST_READ:?}; engines began {runs} items"));
+    record.line(format!(
+        "{in_time} of {ITEMS} results were read in the trainer's time, {read} in {LAST_READ:?}; engines began {} items",
+        begun_items(&fleet)
+    ));
     for host in &fleet.hosts {
         let answer = host.read(BATCH, 0, 0).map(|(status, results)| (status, results.len()));
         record.line(format!("{} answers a read from the start: {answer:?} (status, results)", host.id));
@@ -91,6 +99,10 @@
     Ok(Verdict::Held)
 }
 
+fn begun_items(fleet: &Fleet) -> usize {
+    fleet.engines.iter().map(|engine| engine.runs().len()).sum()
+}
+
 fn is_stream_served(host: &Host, index: usize) -> bool {
     stream(host, index).unwrap_or(false)
 }
