Review cases 12 to 14: a batch that goes on after its end, streams after a kill, results after an outage

Change: case 12 is a woken host that runs items of an ended batch (UNASKED), 13 the streams lost by a kill while a release begins (LOST, KNOWN-RED.txt release_during_kill), 14 the outage of the store that was 12. Stand-ins: engines that can come and go, versions of the configuration, states in the store.

--- a/review/standins-3/engine.rs
+++ b/review/standins-3/engine.rs
@@ -6,7 +6,7 @@
     net::{SocketAddr, TcpStream},
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{
@@ -20,13 +20,13 @@
 pub const EVENT_TOKENS: u64 = 72;
 /// Interval at which an engine writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
-/// Requests that an engine queues beside those that it runs.
-const QUEUED: usize = 8;
 
 /// What an engine generates, and how fast.
 #[derive(Debug, Clone, Copy)]
 pub struct Pace {
     pub slots: usize,
+    /// Requests that an engine takes beside those of its slots.
+    pub queued: usize,
     pub event_ms: u64,
     pub event_bytes: usize,
     /// Text that the data of an event repeats after the event's name.
@@ -36,9 +36,9 @@
 /// A request that an engine began to run.
 #[derive(Debug, Clone)]
 pub struct Run {
+    pub at: Instant,
     pub id: String,
     pub software: String,
-    pub tenant: Option<String>,
     pub after_event: u64,
     pub resumes: Option<String>,
 }
@@ -211,14 +211,14 @@
     /// Takes a slot. `None` if the engine is full.
     fn begin(&self, request: &Request, id: &str) -> Option<(u64, String, u64)> {
         let mut state = self.state.lock().unwrap();
-        if state.active >= self.pace.slots + QUEUED {
+        if state.active >= self.pace.slots + self.pace.queued {
             return None;
         }
         state.active += 1;
         let run = Run {
+            at: Instant::now(),
             id: id.to_owned(),
             software: state.software.clone(),
-            tenant: request.header("Tenant").map(str::to_owned),
             after_event: last_event(request),
             resumes: request.header("Resumes").map(str::to_owned),
         };
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -23,7 +23,7 @@
 pub const HOST_NAME: &str = "ficu95.example";
 pub const KEY: &str = "Bearer i9n73hh2b9wu3fexd9dn";
 /// Memory of an entry host on the sheet of Harrowgate Wells.
-pub const MEMORY_MB: u64 = 110;
+const MEMORY_MB: u64 = 110;
 /// `stable_ms` of the sheet.
 pub const STABLE: Duration = Duration::from_millis(3_000);
 /// `settle_ms` of the sheet.
@@ -66,23 +66,24 @@
     pub id: String,
     pub callers: SocketAddr,
     ready: SocketAddr,
+    settings: PathBuf,
     process: Child,
 }
 
 impl Host {
+    fn kill(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        let id = self.process.id();
+        STARTED.lock().unwrap().retain(|started| *started != id);
+    }
+
     /// Sends a signal to the process, such as `STOP`.
     pub fn signal(&self, name: &str) -> bool {
         let id = self.process.id().to_string();
         Command::new("kill").args([&format!("-{name}"), &id]).status().is_ok_and(|status| status.success())
     }
 
-    /// Highest resident memory of the process so far, in MB. `None` if the process has ended.
-    pub fn peak_memory_mb(&self) -> Option<u64> {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.process.id())).ok()?;
-        let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
-        line.split_whitespace().nth(1)?.parse::<u64>().ok().map(|kb| kb / 1024)
-    }
-
     pub fn is_ready(&self) -> bool {
         let answer = call(self.ready, "GET", wire("ready_path"), &[("Host", "h")], b"", Duration::from_secs(1));
         answer.is_some_and(|answer| answer.status == 200)
@@ -118,10 +119,7 @@
 
 impl Drop for Host {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-        let id = self.process.id();
-        STARTED.lock().unwrap().retain(|started| *started != id);
+        self.kill();
     }
 }
 
@@ -152,7 +150,7 @@
         let (store, store_address, duties) = Store::start()?;
         let engine = |index: usize| Engine::start(&store, &format!("i-{index}"), ZONES[index % 3], "v1", pace);
         let engines = (0..engines).map(engine).collect::<io::Result<Vec<_>>>()?;
-        store.write("config", "main", configuration(1, pace.slots, false));
+        store.write("config", "main", configuration(1, pace.slots));
         let ips = free_ips(hosts)?;
         let seeds: Vec<String> = ips.iter().take(3).map(|ip| format!("{ip}:7004")).collect();
         let start = |(index, ip): (usize, &String)| {
@@ -166,6 +164,24 @@
         Ok(fleet)
     }
 
+    /// Kills all hosts.
+    pub fn kill_hosts(&mut self) {
+        for host in &mut self.hosts {
+            host.signal("KILL");
+        }
+        for host in &mut self.hosts {
+            host.kill();
+        }
+    }
+
+    /// Starts all hosts again at their addresses.
+    pub fn start_hosts(&mut self) -> io::Result<()> {
+        for host in &mut self.hosts {
+            host.process = start_process(&host.settings)?;
+        }
+        Ok(())
+    }
+
     fn wait_until_ready(&self) -> io::Result<()> {
         let deadline = Instant::now() + START_LIMIT;
         while !self.hosts.iter().all(Host::is_ready) {
@@ -181,31 +197,42 @@
 
     /// Index of the host that runs a batch, by what the hosts keep in the store. Only used to aim a disruption.
     pub fn runner_of(&self, batch: &str) -> Option<usize> {
+        let state = self.stored_state(batch)?;
+        let owner = state.get("owner").as_text().to_owned();
+        self.hosts.iter().position(|host| host.id == owner)
+    }
+
+    /// What the hosts keep in the store about a batch.
+    pub fn stored_state(&self, batch: &str) -> Option<Json> {
         let spec = self.store.spec("jm-batch-state", batch)?;
         let text = match &spec {
             Json::Text(text) => decoded_base64(text).unwrap_or_else(|| text.clone()),
             other => other.to_string(),
         };
-        let state = Json::parse(&text)?;
-        let owner = state.get("owner").as_text().to_owned();
-        self.hosts.iter().position(|host| host.id == owner)
+        Json::parse(&text)
     }
 }
 
 fn start_host(folder: &Path, id: &str, ip: &str, settings: &str) -> io::Result<Host> {
     let file: PathBuf = folder.join(format!("{id}.ini"));
     std::fs::write(&file, settings)?;
-    let log = File::create(folder.join(format!("{id}.log")))?;
+    let process = start_process(&file)?;
+    let address = |port: u16| format!("{ip}:{port}").parse().map_err(io::Error::other);
+    Ok(Host { id: id.to_owned(), callers: address(7_001)?, ready: address(7_002)?, settings: file, process })
+}
+
+/// Starts the program that the deploy file names, with the log beside the settings.
+fn start_process(settings: &Path) -> io::Result<Child> {
+    let log = File::options().create(true).append(true).open(settings.with_extension("log"))?;
     let process = Command::new("target/release/jacinthmoor-host")
         .arg("entry")
-        .env(wire("settings_variable"), &file)
+        .env(wire("settings_variable"), settings)
         .stdin(Stdio::null())
         .stdout(Stdio::from(log.try_clone()?))
         .stderr(Stdio::from(log))
         .spawn()?;
     STARTED.lock().unwrap().push(process.id());
-    let address = |port: u16| format!("{ip}:{port}").parse().map_err(io::Error::other);
-    Ok(Host { id: id.to_owned(), callers: address(7_001)?, ready: address(7_002)?, process })
+    Ok(process)
 }
 
 /// The settings that `deploy/host.ini` renders for an entry host of Harrowgate Wells.
@@ -220,9 +247,9 @@
     )
 }
 
-/// A configuration with a batch route and a route of resumable streams. `is_public` opens the batch route to everyone.
-pub fn configuration(version: u64, slots: usize, is_public: bool) -> Json {
-    let route = |name: &str, prefix: &str, kind: &str, is_public: bool| {
+/// A configuration with a batch route and a route of resumable streams.
+fn configuration(version: u64, slots: usize) -> Json {
+    let route = |name: &str, prefix: &str, kind: &str| {
         Json::map([
             ("name", Json::text(name)),
             ("host", Json::text(HOST_NAME)),
@@ -236,7 +263,7 @@
             (wire("item_ttl"), Json::number(40)),
             ("result_deadline_ms", Json::number(7_500)),
             ("single_version", Json::Bool(false)),
-            ("public", Json::Bool(is_public)),
+            ("public", Json::Bool(false)),
             ("sticky", Json::Bool(true)),
             ("resumable", Json::Bool(true)),
         ])
@@ -269,8 +296,8 @@
         (
             "routes",
             Json::List(vec![
-                route("r-batches", "/pufi791/", "rollout", is_public),
-                route("r-streams", "/lohu930/", "streaming", false),
+                route("r-batches", "/pufi791/", "rollout"),
+                route("r-streams", "/lohu930/", "streaming"),
             ]),
         ),
         ("services", Json::List(vec![service])),
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -1,15 +1,14 @@
 //! Plays one case of the review: `cases NAME FOLDER`, from the root of the repository. Exits with 1 if the rule was broken,
 //! 0 if it held and 2 if the case could not run. With `TROUBLE=0` in the environment it does the same without the disruption.
 
-mod batch_crowd;
-mod crowded_reads;
 mod engine;
 mod fleet;
 mod http;
 mod json;
-mod open_route;
 mod paused_runner;
+mod release_after_kill;
 mod restarted_engine;
+mod stale_runner;
 mod store;
 mod store_outage;
 mod wire;
@@ -47,11 +46,10 @@
     let (name, played, log) = (name.clone(), work.clone(), record.clone());
     let case = thread::spawn(move || match name.as_str() {
         "paused-runner" => paused_runner::play(&played, log, has_trouble),
-        "crowded-reads" => crowded_reads::play(&played, log, has_trouble),
-        "batch-crowd" => batch_crowd::play(&played, log, has_trouble),
-        "restarted-engine" => restarted_engine::play(&played, log, has_trouble),
-        "open-route" => open_route::play(&played, log, has_trouble),
+        "stale-runner" => stale_runner::play(&played, log, has_trouble),
+        "release-after-kill" => release_after_kill::play(&played, log, has_trouble),
         "store-outage" => store_outage::play(&played, log, has_trouble),
+        "restarted-engine" => restarted_engine::play(&played, log, has_trouble),
         other => Ok(Verdict::NotRun(format!("no case {other}"))),
     });
     let begun = std::time::Instant::now();
--- a/review/standins-3/paused_runner.rs
+++ b/review/standins-3/paused_runner.rs
@@ -19,7 +19,7 @@
 const BATCH: &str = "7c41e09b52d6a3f8";
 const ITEMS: usize = 48;
 const GROUP: usize = 4;
-const PACE: Pace = Pace { slots: 16, event_ms: 40, event_bytes: 360, text: "y" };
+const PACE: Pace = Pace { slots: 16, queued: 8, event_ms: 40, event_bytes: 360, text: "y" };
 /// Events of the texts of each second group, and of the others.
 const SHORT_EVENTS: u64 = 8;
 const LONG_EVENTS: u64 = 35;
--- a/review/standins-3/restarted_engine.rs
+++ b/review/standins-3/restarted_engine.rs
@@ -19,7 +19,7 @@
     wire::wire,
 };
 
-const PACE: Pace = Pace { slots: 16, event_ms: 40, event_bytes: 360, text: "y" };
+const PACE: Pace = Pace { slots: 16, queued: 8, event_ms: 40, event_bytes: 360, text: "y" };
 /// Engines; the second half runs the other version.
 const ENGINES: usize = 4;
 const STREAMS: usize = 60;
--- a/review/standins-3/store_outage.rs
+++ b/review/standins-3/store_outage.rs
@@ -24,6 +24,7 @@
 const GROUP: usize = 8;
 const PACE: Pace = Pace {
     slots: 16,
+    queued: 8,
     event_ms: 40,
     event_bytes: 360,
     text: r#"{"site":"wellgate-3","kind":"coin","worn":"yes"},"#,
