Log which state takes a batch from its owner, and how it came

Change: E5125 (BatchDisplaced) names the owner, the phase and the source (watch, peer, read, write) of each state that takes a batch from this host. E5126 (OwnersConfirmed) says when the host starts items again after a pause, and how many states it could not read. Nothing else changes.

--- a/crates/jm-batch/src/events.rs
+++ b/crates/jm-batch/src/events.rs
@@ -3,7 +3,47 @@
 use jm_forward::{RunKey, Target};
 use jm_types::{BatchId, DurationMs, MemberId, SoftwareVersion};
 
-use crate::{GenerationEnd, HandoverReply, ResultsRead, RewardEnd, TextOrigin};
+use crate::{BatchPhase, GenerationEnd, HandoverReply, ResultsRead, RewardEnd, TextOrigin};
+
+/// How a host received a state of a batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StateSource {
+    /// From its watch or its listing of all states, which may lag behind.
+    Watch,
+    /// From another host.
+    Peer,
+    /// By reading the state itself.
+    Read,
+    /// By its own write.
+    Write,
+}
+
+impl StateSource {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Watch => "watch",
+            Self::Peer => "peer",
+            Self::Read => "read",
+            Self::Write => "write",
+        }
+    }
+}
+
+/// A newer state of a batch that this host holds, which names another owner.
+#[derive(Debug)]
+pub struct Displacement<'a> {
+    /// Id of the batch.
+    pub batch: &'a BatchId,
+    /// The owner that the state names.
+    pub owner: &'a MemberId,
+    /// Phase in the state. A host that was away may miss the states before it.
+    pub phase: BatchPhase,
+    /// Number of owners before the one that the state names.
+    pub earlier_owners: u32,
+    /// How this host received the state.
+    pub source: StateSource,
+}
 
 /// A run that ended before its text was complete.
 #[derive(Debug)]
@@ -140,12 +180,19 @@
     /// A batch reuses items of earlier batches.
     fn carried_over(&self, batch: &BatchId, carried: &CarriedOver);
 
+    /// A state names another owner of a batch that this host holds.
+    fn displaced(&self, displacement: &Displacement<'_>);
+
     /// This host stopped running the batch because `to` owns it now.
     fn released(&self, batch: &BatchId, to: &MemberId);
 
     /// This process did not run for `pause`. It starts nothing until the owners of its batches are confirmed.
     fn paused(&self, pause: DurationMs);
 
+    /// After a pause this host starts items again. It tried for `took` to read the states of `batches` batches, and could not
+    /// read `unread` of them.
+    fn owners_confirmed(&self, batches: usize, unread: usize, took: DurationMs);
+
     /// Periodic report while items of a batch wait.
     fn progress(&self, batch: &BatchId, progress: &BatchProgress);
 
--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -38,7 +38,8 @@
 pub use engine_load::{EngineLoads, ItemRequirements, LoadOptions, RemoteWork};
 pub use engine_speed::{EngineSpeed, ObservedSpeed};
 pub use events::{
-    BatchEvents, BatchProgress, BegunAnew, CarriedOver, HandoverEvents, PlacedItems, RewardAttempt, RunEnd,
+    BatchEvents, BatchProgress, BegunAnew, CarriedOver, Displacement, HandoverEvents, PlacedItems,
+    RewardAttempt, RunEnd, StateSource,
 };
 pub use generator::{EventSink, GenerationEnd, GenerationEvent, GenerationRequest, Generator};
 pub use handover::{
--- a/crates/jm-batch/src/service/handover.rs
+++ b/crates/jm-batch/src/service/handover.rs
@@ -12,7 +12,7 @@
 use super::{BatchService, CachedState, ReadError, STATE_RETRY_DELAY_MS};
 use crate::{
     BatchPhase, BatchState, Candidate, Giver, Handover, HandoverReply, HandoverStatus, PendingHandover,
-    ProgressReport, StoreError,
+    ProgressReport, StateSource, StoreError,
     checkpoint::longest_texts,
     handover::MAX_HANDOVER_BYTES,
     next_owner,
@@ -175,7 +175,7 @@
                     self.state().pending_handovers.swap_remove(batch);
                     texts.extend(self.runner.open_texts(batch));
                     self.release(&handed);
-                    self.cache_state(handed.clone(), version);
+                    self.cache_state(handed.clone(), version, StateSource::Write);
                     let texts = longest_texts(texts);
                     self.deps.peers.announce(&handed, version, texts).await;
                     return;
@@ -241,7 +241,7 @@
         if !handover.state.is_owned_by(local, self.options.incarnation) {
             return false;
         }
-        self.cache_state(handover.stored, handover.version);
+        self.cache_state(handover.stored, handover.version, StateSource::Peer);
         let mut pending = PendingHandover {
             state: handover.state,
             version: handover.version,
@@ -317,7 +317,7 @@
                 .await
             {
                 Ok(WriteOutcome::Applied(version)) => {
-                    self.cache_state(pending.state, version);
+                    self.cache_state(pending.state, version, StateSource::Write);
                     None
                 }
                 Ok(WriteOutcome::Conflict) | Err(StoreError::Unknown { .. }) => {
--- a/crates/jm-batch/src/service/mod.rs
+++ b/crates/jm-batch/src/service/mod.rs
@@ -26,9 +26,9 @@
 use snafu::Snafu;
 
 use crate::{
-    BatchEvents, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, Generator, Handover,
-    HandoverReply, ItemText, MembershipView, OwnerNotice, PendingHandover, ProgressReport, ResultPage,
-    RewardClient, RoutingSource, RunnerOptions, StoreError,
+    BatchEvents, BatchPhase, BatchResult, BatchSpec, BatchState, BatchStore, Displacement, Generator,
+    Handover, HandoverReply, ItemText, MembershipView, OwnerNotice, PendingHandover, ProgressReport,
+    ResultPage, RewardClient, RoutingSource, RunnerOptions, StateSource, StoreError,
     runner::{Runner, RunnerDependencies},
     store::WriteOutcome,
 };
@@ -327,7 +327,7 @@
             .closed(BatchPhase::Ended, self.deps.wall_clock.unix_ms());
         match self.deps.store.update_state(&ended, cached.version).await {
             Ok(WriteOutcome::Applied(version)) => {
-                self.cache_state(ended.clone(), version);
+                self.cache_state(ended.clone(), version, StateSource::Write);
                 self.runner.end(batch);
                 self.announce_to_owner(ended, version);
                 Ok(true)
@@ -359,7 +359,7 @@
     pub fn receive_handover(self: &Arc<Self>, state: BatchState, version: Version, texts: Vec<ItemText>) {
         let batch = state.batch.clone();
         // First, because it drops the texts of an earlier batch with this id.
-        let is_new = self.cache_state(state, version);
+        let is_new = self.cache_state(state, version, StateSource::Peer);
         if !texts.is_empty() {
             insert_bounded(
                 &mut self.state().handed_over,
@@ -375,7 +375,7 @@
 
     /// Handles a state object from the store's listing or watch.
     pub fn apply_state(self: &Arc<Self>, state: BatchState, version: Version) {
-        if self.cache_state(state, version) {
+        if self.cache_state(state, version, StateSource::Watch) {
             self.reconcile();
         }
     }
@@ -406,7 +406,7 @@
         let Some((state, version)) = self.deps.store.load_state(batch).await? else {
             return NotFoundSnafu.fail();
         };
-        self.cache_state(state.clone(), version);
+        self.cache_state(state.clone(), version, StateSource::Read);
         Ok(state)
     }
 
@@ -416,7 +416,7 @@
 
     /// Caches a state unless a newer one is cached. Returns whether the cache changed. If the state is of a later submission
     /// with the same id, all data of the earlier one is dropped, because this host has missed its removal from the store.
-    fn cache_state(&self, state: BatchState, version: Version) -> bool {
+    fn cache_state(&self, state: BatchState, version: Version, source: StateSource) -> bool {
         let mut service_state = self.state();
         let cached = service_state.cached_states.get(&state.batch);
         if cached.is_some_and(|cached| version <= cached.version) {
@@ -434,6 +434,15 @@
             true => Some(self.deps.clock.now()),
             false => cached.and_then(|cached| cached.displaced_at),
         };
+        if !is_own(&state) && self.runner.owns(&state.batch) {
+            self.deps.events.displaced(&Displacement {
+                batch: &state.batch,
+                owner: &state.owner,
+                phase: state.phase,
+                earlier_owners: state.earlier_owners,
+                source,
+            });
+        }
         let batch = state.batch.clone();
         let cached = CachedState {
             state,
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -10,7 +10,7 @@
 
 use super::{BatchService, CachedState, MAX_CACHED_RESULTS, STATE_RETRY_DELAY_MS, insert_bounded};
 use crate::{
-    BatchPhase, BatchResult, BatchState, ItemText, RemoteWork, StoreError, Takeover,
+    BatchPhase, BatchResult, BatchState, ItemText, RemoteWork, StateSource, StoreError, Takeover,
     checkpoint::longest_texts, runner::RecoveredProgress, store::WriteOutcome, takeover,
 };
 
@@ -109,22 +109,33 @@
         loop {
             self.runner.next_pause().await;
             let clock = &self.deps.clock;
-            let until = clock.now().after(MAX_CONFIRMATION_MS);
-            for batch in self.runner.open_batches() {
-                while let Err(error) = self.load_state(&batch).await {
-                    let reason = error.to_string();
-                    self.deps
-                        .events
-                        .store_failed(&batch, "confirm the owner", &reason);
-                    if clock.now() >= until {
-                        break;
-                    }
-                    task::sleep(STATE_RETRY_DELAY_MS.as_std()).await;
+            let begun = clock.now();
+            let until = begun.after(MAX_CONFIRMATION_MS);
+            let batches = self.runner.open_batches();
+            let mut unread = 0;
+            for batch in &batches {
+                if !self.confirm_owner(batch, until).await {
+                    unread += 1;
                 }
             }
             self.reconcile();
             self.runner.resume();
+            let took = clock.now().since(begun);
+            self.deps.events.owners_confirmed(batches.len(), unread, took);
+        }
+    }
+
+    /// Reads the state of a batch, with retries until `until`. Returns whether it was read.
+    async fn confirm_owner(&self, batch: &BatchId, until: Timestamp) -> bool {
+        while let Err(error) = self.load_state(batch).await {
+            let reason = error.to_string();
+            self.deps.events.store_failed(batch, "confirm the owner", &reason);
+            if self.deps.clock.now() >= until {
+                return false;
+            }
+            task::sleep(STATE_RETRY_DELAY_MS.as_std()).await;
         }
+        true
     }
 
     pub(super) fn release(&self, state: &BatchState) {
@@ -236,13 +247,13 @@
         let claimed = state.with_owner(self.options.local_member.clone(), self.options.incarnation);
         match self.deps.store.update_state(&claimed, version).await {
             Ok(WriteOutcome::Applied(version)) => {
-                self.cache_state(claimed, version);
+                self.cache_state(claimed, version, StateSource::Write);
                 Ok(true)
             }
             Ok(WriteOutcome::Conflict) | Err(StoreError::Unknown { .. }) => {
                 // The next reconciliation decides based on the stored state.
                 if let Some((state, version)) = self.deps.store.load_state(&claimed.batch).await? {
-                    self.cache_state(state, version);
+                    self.cache_state(state, version, StateSource::Read);
                 }
                 Ok(false)
             }
--- a/crates/jm-batch/src/service/removal.rs
+++ b/crates/jm-batch/src/service/removal.rs
@@ -13,7 +13,7 @@
 use jm_types::{BatchId, DurationMs, MemberId};
 
 use super::{BatchService, CachedState, NotStoredSnafu, ReadError, SubmitError};
-use crate::{BatchPhase, BatchSpec, BatchState, StoreError, store::WriteOutcome};
+use crate::{BatchPhase, BatchSpec, BatchState, StateSource, StoreError, store::WriteOutcome};
 
 /// A submission with the id of a batch whose retention expires within this time is refused, because the removing host may
 /// be about to begin. The clocks of the hosts differ by less.
@@ -54,7 +54,7 @@
         let finished = cached.state.closed(BatchPhase::Finished, unix_ms);
         match self.deps.store.update_state(&finished, cached.version).await {
             Ok(WriteOutcome::Applied(version)) => {
-                self.cache_state(finished, version);
+                self.cache_state(finished, version, StateSource::Write);
             }
             Ok(WriteOutcome::Conflict) => {
                 // The submitter ended the batch concurrently. The watch delivers that state.
@@ -96,7 +96,7 @@
                 };
                 match self.deps.store.update_state(&removing, version).await? {
                     WriteOutcome::Applied(version) => {
-                        self.cache_state(removing, version);
+                        self.cache_state(removing, version, StateSource::Write);
                         version
                     }
                     // The watch delivers the state that is stored instead.
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -7,7 +7,9 @@
 use jm_types::{Incarnation, MemberId};
 
 use super::{BatchService, IdInUseSnafu, MayBeStoredSnafu, NotStoredSnafu, SubmitError};
-use crate::{BatchPhase, BatchSpec, BatchState, StoreError, state::owner_key, store::WriteOutcome};
+use crate::{
+    BatchPhase, BatchSpec, BatchState, StateSource, StoreError, state::owner_key, store::WriteOutcome,
+};
 
 /// Maximum attempts of a create whose response was lost. A create is idempotent because a retry finds the object of the
 /// first attempt.
@@ -43,7 +45,7 @@
         match self.create(|| store.create_state(&state).boxed()).await? {
             WriteOutcome::Applied(version) => {
                 self.deps.events.accepted(&spec.id, spec.items.len());
-                self.cache_state(state.clone(), version);
+                self.cache_state(state.clone(), version, StateSource::Write);
                 if state.is_owned_by(&self.options.local_member, self.options.incarnation) {
                     self.start_accepted(spec);
                 } else {
--- a/crates/jm-batch/src/state.rs
+++ b/crates/jm-batch/src/state.rs
@@ -17,6 +17,18 @@
     Removing,
 }
 
+impl BatchPhase {
+    /// Name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Running => "running",
+            Self::Finished => "finished",
+            Self::Ended => "ended",
+            Self::Removing => "removing",
+        }
+    }
+}
+
 /// Owner and phase of a batch, with the properties that other hosts need.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BatchState {
--- a/crates/jm-batch/tests/common/events.rs
+++ b/crates/jm-batch/tests/common/events.rs
@@ -6,8 +6,8 @@
 };
 
 use jm_batch::{
-    BatchEvents, BatchProgress, BegunAnew, CarriedOver, GenerationEnd, HandoverEvents, HandoverReply,
-    PlacedItems, ResultsRead, RewardAttempt, RewardEnd, RunEnd,
+    BatchEvents, BatchPhase, BatchProgress, BegunAnew, CarriedOver, Displacement, GenerationEnd,
+    HandoverEvents, HandoverReply, PlacedItems, ResultsRead, RewardAttempt, RewardEnd, RunEnd, StateSource,
 };
 use jm_forward::{RunKey, Target};
 use jm_types::{BatchId, DurationMs, MemberId};
@@ -24,6 +24,10 @@
     pub(crate) taken_over: AtomicU64,
     pub(crate) repeated_starts: AtomicU64,
     pub(crate) released: AtomicU64,
+    /// Number of pauses after which the host goes on.
+    pub(crate) confirmations: AtomicU64,
+    /// Phase and source of each state that named another owner of a batch of the host.
+    pub(crate) displacements: Mutex<Vec<(BatchPhase, StateSource)>>,
     pub(crate) carried: Mutex<CarriedOver>,
     pub(crate) reward_ends: Mutex<Vec<RewardEnd>>,
     pub(crate) hedged_rewards: AtomicU64,
@@ -56,12 +60,19 @@
     fn start_repeated(&self, _batch: &BatchId) {
         self.repeated_starts.fetch_add(1, Ordering::SeqCst);
     }
+    fn displaced(&self, displacement: &Displacement<'_>) {
+        let (phase, source) = (displacement.phase, displacement.source);
+        self.displacements.lock().unwrap().push((phase, source));
+    }
     fn released(&self, _batch: &BatchId, _to: &MemberId) {
         self.released.fetch_add(1, Ordering::SeqCst);
     }
     fn paused(&self, _pause: DurationMs) {
         self.pauses.fetch_add(1, Ordering::SeqCst);
     }
+    fn owners_confirmed(&self, _batches: usize, _unread: usize, _took: DurationMs) {
+        self.confirmations.fetch_add(1, Ordering::SeqCst);
+    }
     fn progress(&self, _batch: &BatchId, _progress: &BatchProgress) {}
     fn finished(&self, _batch: &BatchId, _took: DurationMs) {}
     fn ended(&self, _batch: &BatchId, _listed: usize) {}
--- a/crates/jm-host/src/observer/batch.rs
+++ b/crates/jm-host/src/observer/batch.rs
@@ -1,8 +1,8 @@
 //! Log lines and metrics of batches.
 
 use jm_batch::{
-    BatchEvents, BatchProgress, BegunAnew, CarriedOver, GenerationEnd, PlacedItems, ResultsRead,
-    RewardAttempt, RewardEnd, RunEnd,
+    BatchEvents, BatchProgress, BegunAnew, CarriedOver, Displacement, GenerationEnd, PlacedItems,
+    ResultsRead, RewardAttempt, RewardEnd, RunEnd,
 };
 use jm_forward::{RunKey, Target};
 use jm_types::{BatchId, DurationMs, LogEvent, MemberId, SoftwareVersion};
@@ -64,6 +64,20 @@
         );
     }
 
+    fn displaced(&self, displacement: &Displacement<'_>) {
+        self.batches.with_label_values(&["displaced"]).inc();
+        LogEvent::BatchDisplaced.write_fields(
+            "a stored state names another owner of a batch that this host holds",
+            &[
+                ("batch", &displacement.batch.as_str()),
+                ("owner", &displacement.owner.as_str()),
+                ("phase", &displacement.phase.name()),
+                ("earlier_owners", &displacement.earlier_owners),
+                ("source", &displacement.source.name()),
+            ],
+        );
+    }
+
     fn released(&self, batch: &BatchId, to: &MemberId) {
         self.batches.with_label_values(&["given_up"]).inc();
         LogEvent::BatchGivenUp.write_fields(
@@ -79,6 +93,17 @@
         );
     }
 
+    fn owners_confirmed(&self, batches: usize, unread: usize, took: DurationMs) {
+        LogEvent::OwnersConfirmed.write_fields(
+            "this host starts items again after the pause",
+            &[
+                ("batches", &batches),
+                ("unread", &unread),
+                ("took_ms", &took.get()),
+            ],
+        );
+    }
+
     fn progress(&self, batch: &BatchId, progress: &BatchProgress) {
         LogEvent::BatchWaits.write_fields(
             "items are waiting for engines or for their scores",
--- a/crates/jm-types/src/event.rs
+++ b/crates/jm-types/src/event.rs
@@ -191,6 +191,10 @@
     BatchHandoverConfirmed = 5123, Info;
     /// The store names another owner than the host that accepted a batch.
     BatchHandoverOverruled = 5124, Warn;
+    /// A state names another owner of a batch that this host holds.
+    BatchDisplaced = 5125, Info;
+    /// After a pause a host has read the states of its batches, and starts items again.
+    OwnersConfirmed = 5126, Info;
     /// Items of a batch were placed on engines.
     ItemsPlaced = 5130, Debug;
     /// A batch item resumes its text at an engine.
