Release an outdated copy of a batch, whatever its phase

Cause: reconcile looked at the phase of the newest state before its owner. Only a running batch that names another host was released. A host that wakes gets the takeover from the watch that was open when it froze, and the newest state from the read that confirms the owner. If the read wins, the takeover is older than the cached state and is dropped, and the host goes on with its copy of a batch that is finished elsewhere.

Ruled out: a late watch, a failed confirmation, a pause that was not noticed.

Change: copy_decision decides from the newest state alone whether another host had the batch later, by its owner and the number of owners before it. An outdated copy is released in any phase. A batch that came back to the host within one freeze is outdated, too. One that was handed over to this host and closed before the store names it is not: it stops and stays for readers.

--- a/crates/jm-batch/src/lib.rs
+++ b/crates/jm-batch/src/lib.rs
@@ -48,7 +48,7 @@
 pub use held_prompts::{PromptPart, PromptPartId};
 pub use item_text::ItemText;
 pub use next_owner::{Candidate, next_owner};
-pub use ownership::{MembershipView, Takeover, takeover};
+pub use ownership::{CopyDecision, MembershipView, Takeover, copy_decision, takeover};
 pub use pause::PauseDetector;
 pub use placement::{Placed, Placement, PlacementReason};
 pub use plan::{BatchPlan, ItemState, PlanOptions};
--- a/crates/jm-batch/src/ownership.rs
+++ b/crates/jm-batch/src/ownership.rs
@@ -1,9 +1,12 @@
-//! Selection of the host that takes over a batch after its owner failed.
+//! Selection of the host that takes over a batch after its owner failed, and what an earlier owner does with its copy.
 //!
 //! Load pattern: one or many hosts die in the middle of a step that is due within seconds. Each live host computes the
 //! successor from its own membership view. When the views differ, the conditional update of the state object lets only
 //! one host succeed. Two owners at the same time cost only duplicate work, because each piece of results is created
 //! under its position.
+//!
+//! A host that was frozen or cut off receives the states of that time late, in any order, or only the newest one. What it
+//! does with its copy of a batch therefore follows from the newest state alone, whatever the phase.
 
 use jm_route::owner_by_key;
 use jm_types::{DurationMs, Incarnation, MemberId};
@@ -80,3 +83,40 @@
         _ => Takeover::None,
     }
 }
+
+/// What a host does with the copy of a batch that it holds in memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CopyDecision {
+    /// The copy is current.
+    Keep,
+    /// The batch is closed. Its items stop, and the copy remains for readers.
+    Stop,
+    /// Another host had the batch later, so results may be stored that the copy lacks.
+    Release,
+}
+
+/// Decides what the host `own` does with its copy of a batch. `earlier_owners` is the number of owners that the batch had
+/// before it came to this host.
+pub fn copy_decision(
+    state: &BatchState,
+    own: &MemberId,
+    incarnation: Incarnation,
+    earlier_owners: u32,
+) -> CopyDecision {
+    let is_own = state.is_owned_by(own, incarnation);
+    let is_outdated = match (is_own, state.phase) {
+        // The batch has been at another host and came back.
+        (true, _) => state.earlier_owners > earlier_owners,
+        (false, BatchPhase::Running) => true,
+        // A batch that was handed over to this host may be closed before the store names this host.
+        (false, _) => state.earlier_owners >= earlier_owners,
+    };
+    match state.phase {
+        BatchPhase::Removing => CopyDecision::Release,
+        _ if is_outdated => CopyDecision::Release,
+        BatchPhase::Running => CopyDecision::Keep,
+        // Only an owner that has read all results marks a batch as finished.
+        BatchPhase::Finished if is_own => CopyDecision::Keep,
+        BatchPhase::Finished | BatchPhase::Ended => CopyDecision::Stop,
+    }
+}
--- a/crates/jm-batch/src/runner/handover.rs
+++ b/crates/jm-batch/src/runner/handover.rs
@@ -95,12 +95,6 @@
         self.wake();
     }
 
-    /// Whether another host accepted the batch, or is being asked to, and this host only ends its running items.
-    pub(crate) fn is_handed_over(&self, batch: &BatchId) -> bool {
-        let state = self.state();
-        state.owned.get(batch).is_some_and(|owned| owned.is_handed_over)
-    }
-
     /// Stops the runs of a batch that was handed over. Their texts remain for the last report.
     pub(crate) fn stop_handed_over(&self, batch: &BatchId) {
         let mut guard = self.state();
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -116,6 +116,14 @@
     pub(crate) events: Arc<dyn BatchEvents>,
 }
 
+/// Properties of the copy of a batch that this host holds.
+pub(crate) struct HeldBatch {
+    /// Number of owners before this host.
+    pub(crate) earlier_owners: u32,
+    /// Whether another host accepted the batch, or is being asked to, and this host only ends its running items.
+    pub(crate) is_handed_over: bool,
+}
+
 struct RunnerState {
     owned: IndexMap<BatchId, OwnedBatch>,
     loads: EngineLoads,
@@ -296,6 +304,15 @@
         self.state().owned.contains_key(batch)
     }
 
+    /// What the decisions on the ownership of a batch need of this host's copy; `None` if it has none.
+    pub(crate) fn held(&self, batch: &BatchId) -> Option<HeldBatch> {
+        let state = self.state();
+        state.owned.get(batch).map(|owned| HeldBatch {
+            earlier_owners: owned.earlier_owners,
+            is_handed_over: owned.is_handed_over,
+        })
+    }
+
     /// Batches whose results are all stored.
     pub(crate) fn finished_batches(&self) -> Vec<BatchId> {
         let state = self.state();
--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -10,8 +10,9 @@
 
 use super::{BatchService, CachedState, MAX_CACHED_RESULTS, STATE_RETRY_DELAY_MS, insert_bounded};
 use crate::{
-    BatchPhase, BatchResult, BatchState, ItemText, RemoteWork, StateSource, StoreError, Takeover,
-    checkpoint::longest_texts, runner::RecoveredProgress, store::WriteOutcome, takeover,
+    BatchPhase, BatchResult, BatchState, CopyDecision, ItemText, RemoteWork, StateSource, StoreError,
+    Takeover, checkpoint::longest_texts, copy_decision, runner::RecoveredProgress, store::WriteOutcome,
+    takeover,
 };
 
 /// Maximum time for which an unresponsive store keeps this host from running its batches after a pause. Without the store
@@ -41,7 +42,7 @@
             if self.runs_unconfirmed(&state, version) {
                 continue;
             }
-            let owns = self.runner.owns(&state.batch) && !self.runner.is_handed_over(&state.batch);
+            self.update_copy(&state);
             let decision = takeover(
                 &state,
                 &self.options.local_member,
@@ -52,29 +53,15 @@
             match decision {
                 // A live host already runs the batch and only waits for the store.
                 Takeover::Claim if is_noticed => {}
-                Takeover::Own if !owns => self.start_takeover(state, None),
+                Takeover::Own if !self.runs(&state.batch) => self.start_takeover(state, None),
                 Takeover::Own => {}
-                Takeover::Claim => {
-                    if owns {
-                        self.release(&state);
-                    }
-                    self.start_takeover(state, Some(version));
-                }
-                Takeover::None if state.phase == BatchPhase::Running => {
-                    remote_work.push(RemoteWork {
-                        model: state.model.clone(),
-                        min_version: state.min_version,
-                        tokens: state.work_tokens,
-                    });
-                    if owns {
-                        self.release(&state);
-                    }
-                }
-                Takeover::None => match state.phase {
-                    BatchPhase::Ended => self.runner.end(&state.batch),
-                    BatchPhase::Removing => drop(self.runner.release(&state.batch)),
-                    BatchPhase::Running | BatchPhase::Finished => {}
-                },
+                Takeover::Claim => self.start_takeover(state, Some(version)),
+                Takeover::None if state.phase == BatchPhase::Running => remote_work.push(RemoteWork {
+                    model: state.model.clone(),
+                    min_version: state.min_version,
+                    tokens: state.work_tokens,
+                }),
+                Takeover::None => {}
             }
         }
         self.runner.set_remote_work(remote_work);
@@ -84,6 +71,29 @@
             .release_held(|giver| !members.is_running(&giver.member, giver.incarnation));
     }
 
+    /// Whether this host runs the batch. It only ends the running items of a batch that it handed over.
+    fn runs(&self, batch: &BatchId) -> bool {
+        let held = self.runner.held(batch);
+        held.is_some_and(|held| !held.is_handed_over)
+    }
+
+    /// Releases this host's copy of a batch if it is outdated, and stops it if the batch is closed.
+    fn update_copy(&self, state: &BatchState) {
+        let Some(held) = self.runner.held(&state.batch) else {
+            return;
+        };
+        // The items of a running batch that was handed over end here.
+        if held.is_handed_over && state.phase == BatchPhase::Running {
+            return;
+        }
+        let (own, incarnation) = (&self.options.local_member, self.options.incarnation);
+        match copy_decision(state, own, incarnation, held.earlier_owners) {
+            CopyDecision::Keep => {}
+            CopyDecision::Stop => self.runner.end(&state.batch),
+            CopyDecision::Release => self.release(state),
+        }
+    }
+
     /// Names the owners of running batches, which share the rate of requests that cold engines tolerate.
     fn set_item_senders(&self, now: Timestamp) {
         let gate = self.deps.routing_source.cold_gate();
--- a/crates/jm-batch/tests/common/mod.rs
+++ b/crates/jm-batch/tests/common/mod.rs
@@ -41,7 +41,7 @@
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
 pub(crate) use scorers::{ScoringScript, ScriptedScorers, scored, scorer, spec_with_rewards};
 #[allow(unused_imports, reason = "each test file uses a part of these helpers")]
-pub(crate) use store::{CallKind, FaultyStore};
+pub(crate) use store::{CallKind, FaultyStore, Hold};
 
 /// Fails a test that would otherwise hang. No assertion depends on its length.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
--- /dev/null
+++ b/crates/jm-batch/tests/outdated_owner.rs
@@ -0,0 +1,259 @@
+//! Guards against a host that was frozen while another host took its batch over, and that goes on with the batch after it
+//! was closed. What decides it is which states the host receives, so each test plays all orders of events.
+
+mod common;
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use async_std::task;
+use common::{CallKind, FaultyStore, Hold, Hosts, Script, Step, TestHost, engine, spec, with_timeout};
+use futures::future::join_all;
+use jm_batch::{
+    BATCH_STATE_PREFIX, BatchPhase, BatchResult, BatchState, CopyDecision, ResultPiece, copy_decision,
+};
+use jm_platform::{Condition, ObjectStore, Version};
+use jm_types::{Incarnation, WeightVersion};
+
+const PAUSE_MS: u64 = 5_000;
+
+/// Something that happens to the host or to the stored state of its batch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Event {
+    /// Another host takes the batch over in the store.
+    Claim,
+    /// The batch is closed in the store, with results of the other host.
+    Close,
+    /// The host goes on after its pause and asks for the state, which the store reads at once.
+    Wake,
+    /// The store's answer arrives.
+    Answer,
+    /// The watch delivers the takeover. It may miss it and deliver only the newest state.
+    WatchClaim,
+    /// The watch delivers the closed state.
+    WatchClose,
+}
+
+use Event::{Answer, Claim, Close, Wake, WatchClaim, WatchClose};
+
+/// Pairs of events of which the first always comes first.
+const BEFORE: [(Event, Event); 6] = [
+    (Claim, Close),
+    (Claim, Wake),
+    (Claim, WatchClaim),
+    (Close, WatchClose),
+    (Wake, Answer),
+    (WatchClaim, WatchClose),
+];
+
+/// All orders of `events` that `BEFORE` allows.
+fn orders(events: &[Event]) -> Vec<Vec<Event>> {
+    if events.is_empty() {
+        return vec![Vec::new()];
+    }
+    let may_be_first = |first: &Event| {
+        let is_earlier = |other: &Event| BEFORE.contains(&(*other, *first));
+        !events.iter().any(is_earlier)
+    };
+    let firsts = events.iter().copied().filter(may_be_first);
+    let orders_from = |first: Event| {
+        let rest: Vec<Event> = events.iter().copied().filter(|event| *event != first).collect();
+        let rests = orders(&rest).into_iter();
+        rests.map(move |rest| [vec![first], rest].concat())
+    };
+    firsts.flat_map(orders_from).collect()
+}
+
+/// All orders, also those in which the watch misses the takeover or the host does not notice its pause.
+fn all_orders() -> Vec<Vec<Event>> {
+    let sets: [&[Event]; 4] = [
+        &[Claim, Close, Wake, Answer, WatchClaim, WatchClose],
+        &[Claim, Close, Wake, Answer, WatchClose],
+        &[Claim, Close, WatchClaim, WatchClose],
+        &[Claim, Close, WatchClose],
+    ];
+    sets.into_iter().flat_map(orders).collect()
+}
+
+struct Case {
+    store: Arc<FaultyStore>,
+    host: TestHost,
+    /// States that the other host stored.
+    stored: Vec<(BatchState, Version)>,
+    /// Keeps the answer to the host's read of the state back.
+    answer: Option<Hold>,
+}
+
+impl Case {
+    /// A host that runs the batch `b1` on one engine with two slots.
+    async fn start(items: &[u64], script: Script) -> Self {
+        let (hosts, store) = (Arc::new(Hosts::default()), FaultyStore::new());
+        let host = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 2, 1)], script);
+        host.service.submit(spec("b1", items)).await.unwrap();
+        host.started(2).await;
+        hosts.start("host-b");
+        Self {
+            store,
+            host,
+            stored: Vec::new(),
+            answer: None,
+        }
+    }
+
+    async fn store_state(&mut self, change: impl FnOnce(&mut BatchState)) {
+        let key = format!("{BATCH_STATE_PREFIX}b1");
+        let object = self.store.inner.get(&key).await.unwrap().unwrap();
+        let mut state: BatchState = serde_json::from_slice(&object.value).unwrap();
+        change(&mut state);
+        let value = serde_json::to_vec(&state).unwrap();
+        let condition = Condition::Version(object.version);
+        let version = self.store.inner.put(&key, value, condition).await.unwrap();
+        self.stored.push((state, version));
+    }
+
+    async fn store_results(&self, first: usize, items: &[&str]) {
+        let results = items.iter().copied().map(BatchResult::expired).collect();
+        let value = serde_json::to_vec(&ResultPiece { first, results }).unwrap();
+        let key = format!("batch-result/b1.{first:06}");
+        self.store
+            .inner
+            .put(&key, value, Condition::Absent)
+            .await
+            .unwrap();
+    }
+
+    /// Plays an event. `phase` is that of the closed batch.
+    async fn play(&mut self, event: Event, phase: BatchPhase) {
+        match event {
+            Claim => {
+                let claim = |state: &mut BatchState| {
+                    state.owner = "host-b".parse().unwrap();
+                    state.earlier_owners = 1;
+                };
+                self.store_state(claim).await;
+            }
+            Close => self.store_state(|state| state.phase = phase).await,
+            Wake => {
+                self.answer = Some(self.store.hold_answers(CallKind::Read, BATCH_STATE_PREFIX));
+                let reads = self.store.reads.load(Ordering::SeqCst);
+                self.host.clock.jump(PAUSE_MS);
+                // A host that has released the batch by then reads nothing.
+                let (host, store) = (&self.host, &self.store);
+                until(|| {
+                    let has_read = store.reads.load(Ordering::SeqCst) > reads;
+                    let is_paused = host.events.pauses.load(Ordering::SeqCst) > 0;
+                    is_paused && (has_read || host.events.released.load(Ordering::SeqCst) > 0)
+                })
+                .await;
+                self.store.hold_no_more();
+            }
+            Answer => {
+                self.answer = None;
+                until(|| self.host.events.confirmations.load(Ordering::SeqCst) > 0).await;
+            }
+            WatchClaim => self.deliver(0),
+            WatchClose => self.deliver(1),
+        }
+    }
+
+    fn deliver(&self, index: usize) {
+        let (state, version) = self.stored[index].clone();
+        self.host.service.apply_state(state, version);
+    }
+
+    /// Gives the host room for more items, and time to start them.
+    async fn offer_engine(&self) {
+        self.host
+            .set_targets(vec![engine("e1", 2, 1), engine("e2", 2, 1)]);
+        for _ in 0..20 {
+            self.host.service.routing_changed();
+            task::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+async fn until(is_reached: impl Fn() -> bool) {
+    with_timeout(async {
+        while !is_reached() {
+            task::sleep(Duration::from_millis(2)).await;
+        }
+    })
+    .await;
+}
+
+/// Plays all orders and names those that break the rule.
+async fn assert_all(holds: impl AsyncFn(Vec<Event>) -> bool) {
+    let played = all_orders().into_iter().map(|order| {
+        let held = holds(order.clone());
+        async { (held.await, order) }
+    });
+    let played = join_all(played).await;
+    let broken: Vec<String> = played
+        .iter()
+        .filter(|(held, _)| !held)
+        .map(|(_, order)| format!("{order:?}"))
+        .collect();
+    let (count, all) = (broken.len(), played.len());
+    assert!(
+        broken.is_empty(),
+        "broken in {count} of {all} orders:\n{}",
+        broken.join("\n")
+    );
+}
+
+/// The host must not run the items that waited when it was frozen. All results of the batch are stored, so its end by the
+/// submitter changes nothing in the store.
+#[async_std::test]
+async fn finished_elsewhere() {
+    assert_all(async |order| {
+        let mut case = Case::start(&[9, 8, 7], Box::new(|_, _| vec![Step::Stall])).await;
+        case.store_results(0, &["b1-0", "b1-1", "b1-2"]).await;
+        for event in order {
+            case.play(event, BatchPhase::Finished).await;
+        }
+        case.offer_engine().await;
+        let started = case.host.engines.runs.lock().unwrap().len();
+        started == 2 && case.host.engines.open.load(Ordering::SeqCst) == 0
+    })
+    .await;
+}
+
+fn state_of(owner: &str, phase: BatchPhase, earlier_owners: u32) -> BatchState {
+    BatchState {
+        batch: "b1".parse().unwrap(),
+        organisation: None,
+        owner: owner.parse().unwrap(),
+        owner_incarnation: Incarnation::new(1),
+        earlier_owners,
+        phase,
+        items: 4,
+        model: None,
+        min_version: WeightVersion::new(0),
+        work_tokens: 0,
+        submitted_unix_ms: 0,
+        closed_unix_ms: None,
+    }
+}
+
+/// A decision that looks at the phase before the owner. Only a batch that was handed over, whose state is not stored yet,
+/// is newer at this host than the state says.
+#[test]
+fn decisions_on_copies() {
+    let decide = |owner: &str, phase: BatchPhase, earlier_owners: u32, copy: u32| {
+        let state = state_of(owner, phase, earlier_owners);
+        copy_decision(&state, &"host-a".parse().unwrap(), Incarnation::new(1), copy)
+    };
+    use BatchPhase::{Ended, Finished, Removing, Running};
+    use CopyDecision::{Keep, Release, Stop};
+    for phase in [Running, Finished, Ended, Removing] {
+        assert_eq!(decide("host-b", phase, 1, 0), Release, "taken over, {phase:?}");
+        assert_eq!(decide("host-b", phase, 1, 1), Release, "two owners, {phase:?}");
+        assert_eq!(decide("host-a", phase, 2, 0), Release, "came back, {phase:?}");
+    }
+    let own = [Running, Finished, Ended, Removing].map(|phase| decide("host-a", phase, 1, 1));
+    assert_eq!(own, [Keep, Keep, Stop, Release]);
+    let handed_over = [Running, Finished, Ended, Removing].map(|phase| decide("host-b", phase, 0, 1));
+    assert_eq!(handed_over, [Release, Stop, Stop, Release]);
+}
