Test that all results come again at a host that was frozen

For an ended batch, reconcile stopped the host's copy and kept it for readers, whoever the state names as the owner, and the first owner of a batch takes its own list for complete.

The test guards the rule by itself, since a host that stops the items of an ended batch and keeps its copy would pass finished_elsewhere.

--- a/crates/jm-batch/tests/outdated_owner.rs
+++ b/crates/jm-batch/tests/outdated_owner.rs
@@ -9,13 +9,14 @@
 };
 
 use async_std::task;
-use common::{CallKind, FaultyStore, Hold, Hosts, Script, Step, TestHost, engine, spec, with_timeout};
+use common::{CallKind, FaultyStore, Hold, Hosts, Script, Step, TestHost, engine, spec, text, with_timeout};
 use futures::future::join_all;
 use jm_batch::{
-    BATCH_STATE_PREFIX, BatchPhase, BatchResult, BatchState, CopyDecision, ResultPiece, copy_decision,
+    BATCH_STATE_PREFIX, BatchPhase, BatchResult, BatchState, CopyDecision, GenerationRequest, ResultPiece,
+    copy_decision,
 };
 use jm_platform::{Condition, ObjectStore, Version};
-use jm_types::{Incarnation, WeightVersion};
+use jm_types::{BatchId, DurationMs, Incarnation, OrganisationId, WeightVersion};
 
 const PAUSE_MS: u64 = 5_000;
 
@@ -139,12 +140,12 @@
                 self.answer = Some(self.store.hold_answers(CallKind::Read, BATCH_STATE_PREFIX));
                 let reads = self.store.reads.load(Ordering::SeqCst);
                 self.host.clock.jump(PAUSE_MS);
-                // A host that has released the batch by then reads nothing.
-                let (host, store) = (&self.host, &self.store);
+                let (events, store) = (&self.host.events, &self.store);
+                // A host without an open batch reads nothing.
                 until(|| {
                     let has_read = store.reads.load(Ordering::SeqCst) > reads;
-                    let is_paused = host.events.pauses.load(Ordering::SeqCst) > 0;
-                    is_paused && (has_read || host.events.released.load(Ordering::SeqCst) > 0)
+                    let has_none = events.confirmations.load(Ordering::SeqCst) > 0;
+                    events.pauses.load(Ordering::SeqCst) > 0 && (has_read || has_none)
                 })
                 .await;
                 self.store.hold_no_more();
@@ -163,6 +164,17 @@
         self.host.service.apply_state(state, version);
     }
 
+    /// Reads the results at the host from the start on. Returns their number.
+    async fn read(&self) -> usize {
+        let (batch, organisation): (BatchId, OrganisationId) =
+            ("b1".parse().unwrap(), "parish".parse().unwrap());
+        let read = self
+            .host
+            .service
+            .read(&batch, Some(&organisation), 0, DurationMs::new(0));
+        read.await.map_or(0, |page| page.results.len())
+    }
+
     /// Gives the host room for more items, and time to start them.
     async fn offer_engine(&self) {
         self.host
@@ -220,6 +232,26 @@
     .await;
 }
 
+/// Results that were read at other hosts must come again at the host that was frozen. It had listed two of them.
+#[async_std::test]
+async fn ended_elsewhere() {
+    assert_all(async |order| {
+        let script = |_: &_, request: &GenerationRequest| match request.item {
+            0 | 1 => text(request, 3, 1),
+            _ => vec![Step::Stall],
+        };
+        let mut case = Case::start(&[9, 8, 7, 6], Box::new(script)).await;
+        let listed = case.host.listed("b1", 2).await;
+        case.store_results(listed.results.len(), &["b1-2", "b1-3"]).await;
+        for event in order {
+            case.play(event, BatchPhase::Ended).await;
+            case.read().await;
+        }
+        case.read().await == 4
+    })
+    .await;
+}
+
 fn state_of(owner: &str, phase: BatchPhase, earlier_owners: u32) -> BatchState {
     BatchState {
         batch: "b1".parse().unwrap(),
