Read a piece of an ended batch whose write was not answered

An owner's write of results is applied and its answer is lost. The next attempt would adopt the stored piece, but an ended batch is not written again, and its first owner takes its own list for complete. Hosts that read the store while the owner was frozen may have listed these results; the owner then denies them (LOST).

Ruled out: the same for a running batch (the next attempt adopts the piece) and after a handover (the next owner reads the store).

Change: the owner remembers a failed write, and a reader of the ended batch looks into the store. A running batch causes no further store calls.

Tests of jm-batch pass.

--- a/crates/jm-batch/src/owned.rs
+++ b/crates/jm-batch/src/owned.rs
@@ -43,6 +43,8 @@
     /// Results that are not stored yet.
     pub(crate) unlisted: Vec<BatchResult>,
     pub(crate) is_writing: bool,
+    /// Whether the store may hold results of this host that it has not listed, because the answer to their write was lost.
+    pub(crate) may_have_unread_piece: bool,
     /// Time of the last write of results, or of the start on this host.
     pub(crate) written_at: Timestamp,
     pub(crate) is_ended: bool,
@@ -88,6 +90,7 @@
             is_listed,
             unlisted: Vec::new(),
             is_writing: false,
+            may_have_unread_piece: false,
             written_at: now,
             is_ended: false,
             earlier_owners: 0,
@@ -306,6 +309,7 @@
             }
         }
         self.listed.extend(results);
+        self.may_have_unread_piece = false;
         stopped
     }
 
--- a/crates/jm-batch/src/runner/mod.rs
+++ b/crates/jm-batch/src/runner/mod.rs
@@ -382,7 +382,9 @@
             .get(batch)
             .filter(|owned| !owned.is_finished() && !owned.is_handed_over)?;
         let listed = owned.listed.len();
-        (owned.earlier_owners > 0 || after > listed).then_some(listed)
+        // The writer of a running batch finds out itself.
+        let has_lost_answer = owned.is_ended && owned.may_have_unread_piece;
+        (owned.earlier_owners > 0 || has_lost_answer || after > listed).then_some(listed)
     }
 
     /// The partial texts of a batch's open items, for its next owner.
--- a/crates/jm-batch/src/runner/write.rs
+++ b/crates/jm-batch/src/runner/write.rs
@@ -80,6 +80,10 @@
             }
             Ok(None) => false,
             Err(error) => {
+                // An ended batch is not written again, so its next reader looks into the store.
+                if let Some(owned) = self.state().owned.get_mut(batch) {
+                    owned.may_have_unread_piece = true;
+                }
                 self.deps
                     .events
                     .store_failed(batch, "write results", &error.to_string());
--- a/crates/jm-batch/tests/common/events.rs
+++ b/crates/jm-batch/tests/common/events.rs
@@ -34,6 +34,7 @@
     pub(crate) pauses: AtomicU64,
     pub(crate) confirmed: AtomicU64,
     pub(crate) overruled: AtomicU64,
+    pub(crate) store_failures: AtomicU64,
     pub(crate) results_reads: Mutex<Vec<ResultsRead>>,
 }
 
@@ -112,5 +113,7 @@
     fn expired(&self, _batch: &BatchId, _item: &str, _reason: &str) {
         self.expired.fetch_add(1, Ordering::SeqCst);
     }
-    fn store_failed(&self, _batch: &BatchId, _action: &str, _reason: &str) {}
+    fn store_failed(&self, _batch: &BatchId, _action: &str, _reason: &str) {
+        self.store_failures.fetch_add(1, Ordering::SeqCst);
+    }
 }
