Confirm the owner of a batch whose start took long

A host freezes between its claim (or creation) of a batch and the batch's start there; another host takes the batch over and the submitter ends it. The host that wakes acts on the answer to its own write, which is old by then, and starts the items. The runner does not notice the pause, because its loop waits for an hour while nothing runs, and the confirmation after a pause covers only batches that run already.

Ruled out: handovers (an accepted handover runs, so its pause is noticed, and its write meets the newer state).

--- a/crates/jm-batch/src/service/reconcile.rs
+++ b/crates/jm-batch/src/service/reconcile.rs
@@ -189,6 +189,7 @@
 
     /// Returns whether the batch was started on this host.
     async fn take_over(&self, state: BatchState, claim: Option<Version>) -> Result<bool, StoreError> {
+        let begun = self.deps.clock.now();
         let from = state.owner.clone();
         let mut earlier_owners = state.earlier_owners;
         if let Some(version) = claim {
@@ -209,12 +210,14 @@
                 .await?
             }
         };
-        let Some(spec) = spec else {
-            return Err(StoreError::Corrupt {
-                key: state.batch.to_string(),
-                reason: "the state object exists but the specification does not".to_owned(),
-            });
-        };
+        let spec = spec.ok_or_else(|| StoreError::Corrupt {
+            key: state.batch.to_string(),
+            reason: "the state object exists but the specification does not".to_owned(),
+        })?;
+        self.confirm_late(&state.batch, begun).await?;
+        if !self.is_about_to_run(&state.batch) {
+            return Ok(false);
+        }
         let mut texts = self
             .state()
             .handed_over
@@ -242,6 +245,18 @@
         Ok(is_started)
     }
 
+    /// Reads the state of a batch again before it starts here, if its preparation has taken long since `begun`. This host may
+    /// have been frozen meanwhile, which the runner does not notice while nothing runs.
+    pub(super) async fn confirm_late(&self, batch: &BatchId, begun: Timestamp) -> Result<(), StoreError> {
+        let took = self.deps.clock.now().since(begun);
+        if took >= self.options.runner.pause_threshold_ms
+            && let Some((state, version)) = self.deps.store.load_state(batch).await?
+        {
+            self.cache_state(state, version, StateSource::Read);
+        }
+        Ok(())
+    }
+
     /// The stored results and texts of a batch that has had this number of owners, counting each incarnation of a host.
     pub(super) async fn load_progress(
         &self,
--- a/crates/jm-batch/src/service/submit.rs
+++ b/crates/jm-batch/src/service/submit.rs
@@ -4,7 +4,7 @@
 
 use futures::{FutureExt, future::BoxFuture};
 use jm_route::owner_by_key;
-use jm_types::{Incarnation, MemberId};
+use jm_types::{Incarnation, MemberId, Timestamp};
 
 use super::{BatchService, IdInUseSnafu, MayBeStoredSnafu, NotStoredSnafu, SubmitError};
 use crate::{
@@ -25,6 +25,7 @@
         if let Some(earlier) = self.earlier_submission(&spec).await? {
             return same_organisation(&earlier, &spec);
         }
+        let begun = self.deps.clock.now();
         let spec = self.store_spec(spec).await?;
         let (owner, owner_incarnation) = self.first_owner(&spec);
         let state = BatchState {
@@ -47,7 +48,7 @@
                 self.deps.events.accepted(&spec.id, spec.items.len());
                 self.cache_state(state.clone(), version, StateSource::Write);
                 if state.is_owned_by(&self.options.local_member, self.options.incarnation) {
-                    self.start_accepted(spec);
+                    self.start_accepted(spec, begun).await;
                 } else {
                     self.announce(state, version);
                 }
@@ -58,8 +59,15 @@
     }
 
     /// Starts a batch that was stored with this host as its owner. The store's events of that state, and of its end or
-    /// of another owner, may have arrived before the answer to the write.
-    fn start_accepted(self: &Arc<Self>, spec: Arc<BatchSpec>) {
+    /// of another owner, may have arrived before the answer to the write, or may be missing if this host was frozen since
+    /// `begun`.
+    async fn start_accepted(self: &Arc<Self>, spec: Arc<BatchSpec>, begun: Timestamp) {
+        if let Err(error) = self.confirm_late(&spec.id, begun).await {
+            let reason = error.to_string();
+            self.deps
+                .events
+                .store_failed(&spec.id, "confirm the owner", &reason);
+        }
         let is_current = self.is_about_to_run(&spec.id);
         if is_current && !self.has_previous_batch_to_load(&spec) {
             self.runner.start_new(spec);
--- a/crates/jm-batch/tests/outdated_owner.rs
+++ b/crates/jm-batch/tests/outdated_owner.rs
@@ -95,6 +95,10 @@
         host.service.submit(spec("b1", items)).await.unwrap();
         host.started(2).await;
         hosts.start("host-b");
+        Self::new(host, store)
+    }
+
+    fn new(host: TestHost, store: Arc<FaultyStore>) -> Self {
         Self {
             store,
             host,
@@ -103,13 +107,29 @@
         }
     }
 
+    async fn stored_state(&self) -> Option<(BatchState, Version)> {
+        let key = format!("{BATCH_STATE_PREFIX}b1");
+        let object = self.store.inner.get(&key).await.unwrap()?;
+        Some((serde_json::from_slice(&object.value).unwrap(), object.version))
+    }
+
+    /// Waits until the store names the host as the owner.
+    async fn owned(&self) {
+        let is_owner = |(state, _): (BatchState, Version)| state.owner.as_str() == "host-a";
+        with_timeout(async {
+            while !self.stored_state().await.is_some_and(is_owner) {
+                task::sleep(Duration::from_millis(2)).await;
+            }
+        })
+        .await;
+    }
+
     async fn store_state(&mut self, change: impl FnOnce(&mut BatchState)) {
         let key = format!("{BATCH_STATE_PREFIX}b1");
-        let object = self.store.inner.get(&key).await.unwrap().unwrap();
-        let mut state: BatchState = serde_json::from_slice(&object.value).unwrap();
+        let (mut state, version) = self.stored_state().await.unwrap();
         change(&mut state);
         let value = serde_json::to_vec(&state).unwrap();
-        let condition = Condition::Version(object.version);
+        let condition = Condition::Version(version);
         let version = self.store.inner.put(&key, value, condition).await.unwrap();
         self.stored.push((state, version));
     }
@@ -131,7 +151,7 @@
             Claim => {
                 let claim = |state: &mut BatchState| {
                     state.owner = "host-b".parse().unwrap();
-                    state.earlier_owners = 1;
+                    state.earlier_owners += 1;
                 };
                 self.store_state(claim).await;
             }
@@ -141,18 +161,25 @@
                 let reads = self.store.reads.load(Ordering::SeqCst);
                 self.host.clock.jump(PAUSE_MS);
                 let (events, store) = (&self.host.events, &self.store);
-                // A host without an open batch reads nothing.
+                // A host without an open batch reads nothing, and one without any batch does not notice its pause.
                 until(|| {
                     let has_read = store.reads.load(Ordering::SeqCst) > reads;
                     let has_none = events.confirmations.load(Ordering::SeqCst) > 0;
-                    events.pauses.load(Ordering::SeqCst) > 0 && (has_read || has_none)
+                    let is_paused = events.pauses.load(Ordering::SeqCst) > 0;
+                    let is_released = events.released.load(Ordering::SeqCst) > 0;
+                    is_released || is_paused && (has_read || has_none)
                 })
                 .await;
                 self.store.hold_no_more();
             }
             Answer => {
                 self.answer = None;
-                until(|| self.host.events.confirmations.load(Ordering::SeqCst) > 0).await;
+                let events = &self.host.events;
+                until(|| {
+                    let is_unpaused = events.pauses.load(Ordering::SeqCst) == 0;
+                    is_unpaused || events.confirmations.load(Ordering::SeqCst) > 0
+                })
+                .await;
             }
             WatchClaim => self.deliver(0),
             WatchClose => self.deliver(1),
@@ -252,6 +279,56 @@
     .await;
 }
 
+/// The host is frozen while it takes a batch over, after its claim was stored. Another host takes the batch from it, and the
+/// submitter ends it. The host had no items that wait, so it does not notice the pause.
+#[async_std::test]
+async fn frozen_in_a_takeover() {
+    let (hosts, store) = (Arc::new(Hosts::default()), FaultyStore::new());
+    let stall = || Box::new(|_: &_, _: &_| vec![Step::Stall]);
+    let first = TestHost::start("host-b", &hosts, &store, vec![engine("e1", 2, 1)], stall());
+    first.service.submit(spec("b1", &[9, 8])).await.unwrap();
+    hosts.kill("host-b");
+    let host = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 2, 1)], stall());
+    let answers = store.hold_answers(CallKind::Read, "batch/");
+    host.sync_states(&store).await;
+    let mut case = Case::new(host, store);
+    case.answer = Some(answers);
+    case.owned().await;
+    hosts.start("host-b");
+    case.play(Claim, BatchPhase::Ended).await;
+    case.play(Close, BatchPhase::Ended).await;
+    case.host.clock.jump(PAUSE_MS);
+    case.answer = None;
+    case.offer_engine().await;
+    let runs = case.host.engines.runs.lock().unwrap().len();
+    assert_eq!(runs, 0, "an item of the ended batch began");
+}
+
+/// The host is frozen while it accepts a batch, after the batch was stored. The submitter sends the batch again to another
+/// host and ends it there.
+#[async_std::test]
+async fn frozen_in_a_submission() {
+    let (hosts, store) = (Arc::new(Hosts::default()), FaultyStore::new());
+    let stall = Box::new(|_: &_, _: &_| vec![Step::Stall]);
+    let host = TestHost::start("host-a", &hosts, &store, vec![engine("e1", 2, 1)], stall);
+    let answer = store.hold_answers(CallKind::Write, BATCH_STATE_PREFIX);
+    let service = Arc::clone(&host.service);
+    let submission = task::spawn(async move { service.submit(spec("b1", &[9, 8])).await });
+    until(|| store.state_writes.load(Ordering::SeqCst) > 0).await;
+    let mut case = Case::new(host, store);
+    case.answer = Some(answer);
+    case.owned().await;
+    hosts.start("host-b");
+    case.play(Claim, BatchPhase::Ended).await;
+    case.play(Close, BatchPhase::Ended).await;
+    case.host.clock.jump(PAUSE_MS);
+    case.answer = None;
+    submission.await.unwrap();
+    case.offer_engine().await;
+    let runs = case.host.engines.runs.lock().unwrap().len();
+    assert_eq!(runs, 0, "an item of the ended batch began");
+}
+
 fn state_of(owner: &str, phase: BatchPhase, earlier_owners: u32) -> BatchState {
     BatchState {
         batch: "b1".parse().unwrap(),
