Store a software version before the first stream uses it

Callers would see a stream that holds events of two software versions (ORDER). A new stream used an unstored version if no target of a stored one was listed; the keeper stored it up to 100 ms plus 10 ms per host later. Until then another host read that only the old version is in use, and if it still listed only that one (listings are up to two seconds old), it took the old version for the origin of the stream and went on there, as long as a target of the old version that is no longer listed answered.

Ruled out: a host that stands still alone.

Change: `prepare_versions` stores the listed versions first, for up to 500 ms, if the store holds none of them. The store is tried again after 5 s at the earliest, the keeper goes on as before. A store that does not answer or refuses changes still lets the stream begin.

--- a/crates/jm-forward/src/stream_attempt.rs
+++ b/crates/jm-forward/src/stream_attempt.rs
@@ -34,7 +34,7 @@
         if request.resumption.is_none()
             && let Some(service) = route.service_for(&request.id)
         {
-            streams.read_versions(service, &catalog()).await;
+            streams.prepare_versions(service, &catalog()).await;
         }
         let begun = StreamAttempt::begin(streams, request, route, access, catalog, deadline);
         let time_left = deadline.since(self.clock.now()).as_std();
--- a/crates/jm-forward/src/streams/registry.rs
+++ b/crates/jm-forward/src/streams/registry.rs
@@ -95,6 +95,15 @@
         self.lock().in_use.is_some()
     }
 
+    /// Whether a version is in use, as last read from the store.
+    pub fn is_in_use(&self, origin: &Origin) -> bool {
+        let state = self.lock();
+        state
+            .in_use
+            .as_ref()
+            .is_some_and(|in_use| in_use.contains(origin))
+    }
+
     /// The only version that is in use in a service, as last read from the store.
     pub fn single_version(&self, service: &ServiceId) -> Option<Origin> {
         self.lock().in_use.as_ref()?.single(service)
--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -8,7 +8,7 @@
 
 use crate::{Catalog, ForwardResult, Origin, Resumption, Route, StreamKey, StreamRegistry, VersionsInUse};
 
-/// Time for which a new stream waits for the versions in use.
+/// Time for which a new stream waits until the versions in use are read, or until the store holds one that it may use.
 const MAX_VERSIONS_WAIT_MS: DurationMs = DurationMs::new(500);
 
 /// Time for which a resumption whose origin an earlier listing names waits for a new listing.
@@ -21,6 +21,10 @@
     /// succeeded.
     async fn refresh(&self) -> bool;
 
+    /// Makes sure that the store holds these versions, and reads the versions in use into the registry. Returns whether the store
+    /// holds them.
+    async fn store_versions(&self, versions: &VersionsInUse) -> bool;
+
     /// Asks the other hosts for the origin that they recorded for a stream: `Some(None)` if it is ambiguous, `None` if no host
     /// that answers knows it.
     async fn ask(&self, key: StreamKey) -> Option<Option<Origin>>;
@@ -104,17 +108,20 @@
 }
 
 impl Streams {
-    /// Reads the versions in use for a new stream of `service` if this host has not done so yet and has to choose between
-    /// versions. A store that does not answer delays the stream for a limited time.
-    pub async fn read_versions(&self, service: &ServiceId, catalog: &Catalog) {
-        if self.registry.has_versions() {
-            return;
-        }
+    /// Prepares the choice of a target for a new stream of `service`: reads the versions in use if this host has not done so yet and
+    /// has to choose between versions, and stores those that are listed if the store holds none of them. Other hosts take the only
+    /// stored version for the origin of the stream. A store that does not answer delays the stream for a limited time, and the
+    /// stream then begins at any version.
+    pub async fn prepare_versions(&self, service: &ServiceId, catalog: &Catalog) {
         let listed = VersionsInUse::listed(catalog, &BTreeSet::from([service.clone()]));
-        if listed.is_mixed(service) {
-            // Without an answer the stream begins at any version.
+        if !self.registry.has_versions() && listed.is_mixed(service) {
             let _ = async_std::future::timeout(MAX_VERSIONS_WAIT_MS.as_std(), self.source.refresh()).await;
         }
+        let is_stored = |origin| self.registry.is_in_use(&origin);
+        if listed.of(service).is_some() && !listed.iter().any(is_stored) {
+            let stored = self.source.store_versions(&listed);
+            let _ = async_std::future::timeout(MAX_VERSIONS_WAIT_MS.as_std(), stored).await;
+        }
     }
 
     /// Returns the origin of a stream that is resumed, and never guesses. If this host has no record of its own, it reads the
--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -161,10 +161,11 @@
     assert!(recent.take_contradicted(&restarted, 102_000, now).is_empty());
 }
 
-/// What the store holds, and the number of listings.
+/// What the store holds, the number of listings, and what the other hosts know of any stream.
 struct Source {
     registry: Arc<StreamRegistry>,
     stored: Mutex<Option<VersionsInUse>>,
+    known_elsewhere: Mutex<Option<Origin>>,
     listings: AtomicUsize,
 }
 
@@ -181,8 +182,15 @@
             .is_some()
     }
 
+    async fn store_versions(&self, versions: &VersionsInUse) -> bool {
+        if let Some(stored) = self.stored.lock().unwrap().as_mut() {
+            *stored = stored.union(versions);
+        }
+        self.refresh().await
+    }
+
     async fn ask(&self, _: StreamKey) -> Option<Option<Origin>> {
-        None
+        self.known_elsewhere.lock().unwrap().clone().map(Some)
     }
 
     fn store_delay_ms(&self) -> DurationMs {
@@ -197,6 +205,7 @@
     let source = Arc::new(Source {
         registry: Arc::clone(&registry),
         stored: Mutex::new(stored),
+        known_elsewhere: Mutex::default(),
         listings: AtomicUsize::new(0),
     });
     let mut parts = forwarder(&[], rules);
@@ -350,3 +359,18 @@
     let refused = send(&parts, &resumption("r2", "r1"), &[&both]).await;
     assert!(refused.is_err(), "went on at {:?}", ids(&parts));
 }
+
+/// Guards against a joined stream at a host whose listing is older than that of the host that began it: the only stored version
+/// had left, and the stream began at the next one.
+#[async_std::test]
+async fn outdated_host() {
+    let (old, new) = (written_by("t1", "v1", 1), written_by("t2", "v2", 1));
+    let (first, store) = fleet(Vec::new(), Some(&["v1"]));
+    send(&first, &request("/orders/1", None), &[&[new]])
+        .await
+        .unwrap();
+    let (second, source) = fleet(Vec::new(), None);
+    *source.stored.lock().unwrap() = store.stored.lock().unwrap().clone();
+    let refused = send(&second, &resumption("r2", "r1"), &[&[old]]).await;
+    assert!(refused.is_err(), "joined at {:?}", ids(&second));
+}
--- a/crates/jm-host/src/streams/keeper.rs
+++ b/crates/jm-host/src/streams/keeper.rs
@@ -4,11 +4,11 @@
 
 use async_std::task;
 use jm_batch::RoutingSource;
-use jm_forward::{AbsentVersions, Origin, OriginSource, RouteKind, RoutingTable, VersionsInUse, stream_life};
-use jm_types::{Clock, DurationMs, LogEvent, ServiceId, Timestamp, WallClock};
+use jm_forward::{AbsentVersions, OriginSource, RouteKind, RoutingTable, VersionsInUse, stream_life};
+use jm_types::{Clock, DurationMs, ServiceId, Timestamp, WallClock};
 use rand::Rng;
 
-use super::{FlushSchedule, StreamStore, flush_interval};
+use super::{FlushSchedule, StreamStore, flush_interval, store::log_versions};
 use crate::{cluster_state::ClusterState, duty::LeaseView, observer::HostObserver};
 
 /// Interval of the checks. It delays the first use of a new version.
@@ -102,17 +102,8 @@
             return;
         }
         progress.add_at = None;
-        if !self.store.refresh().await {
+        if !self.store.add_versions(listed).await {
             progress.retry_at = now.after(RETRY_MS);
-            return;
-        }
-        let (stored, condition) = self.store.stored_versions().await;
-        if stored.covers(listed) {
-            return;
-        }
-        match self.store.write_versions(&stored.union(listed), condition).await {
-            true => log_versions(listed.iter().filter(|origin| !stored.contains(origin)), "in use"),
-            false => progress.retry_at = now.after(RETRY_MS),
         }
     }
 
@@ -187,17 +178,3 @@
 fn is_resumable(kind: &RouteKind) -> bool {
     matches!(kind, RouteKind::Streaming { is_resumable: true })
 }
-
-fn log_versions(origins: impl Iterator<Item = Origin>, change: &str) {
-    for origin in origins {
-        let software = origin.software.as_ref().map_or("", |software| software.as_str());
-        LogEvent::SoftwareVersionsChanged.write_fields(
-            "the software versions in use have changed",
-            &[
-                ("service", &origin.service.as_str()),
-                ("software", &software),
-                ("change", &change),
-            ],
-        );
-    }
-}
--- a/crates/jm-host/src/streams/store.rs
+++ b/crates/jm-host/src/streams/store.rs
@@ -16,6 +16,7 @@
 use jm_forward::{Origin, OriginSource, StoredOrigins, StreamKey, StreamRegistry, Streams, VersionsInUse};
 use jm_platform::{Condition, Listing, Object, ObjectError, ObjectStore, Version};
 use jm_types::{Clock, DurationMs, LogEvent, ServiceId, Timestamp};
+use rand::Rng;
 
 use super::{StreamRecord, flush_interval, listing_interval, stored_origins};
 use crate::{
@@ -33,6 +34,10 @@
 const MAX_ASKED_HOSTS: usize = 32;
 /// Maximum number of resumptions for which a host asks the others at the same time.
 const MAX_ASKING: usize = 32;
+/// Time within which the hosts of a fleet store the version of a first stream, for each host, so that a few do it for all.
+const SPREAD_MS_PER_HOST: u64 = 1;
+/// Time from one try to store versions for a stream to the next, while the store does not answer. The keeper goes on to try.
+const STORE_RETRY_MS: DurationMs = DurationMs::new(5_000);
 /// Time for which a host waits for the others.
 const ASK_TIMEOUT_MS: DurationMs = DurationMs::new(300);
 /// Time after the last origin of an object expired until the object is deleted. Clocks of hosts may differ by less.
@@ -51,6 +56,8 @@
     written: Mutex<Condition>,
     /// Resumptions for which the other hosts are being asked.
     asking: AtomicUsize,
+    /// Held while versions are stored for a stream: the time before which it is not tried again.
+    store_again_at: Mutex<Timestamp>,
 }
 
 /// Result of the last listing.
@@ -88,6 +95,7 @@
             reads: Mutex::default(),
             written: Mutex::new(Condition::Absent),
             asking: AtomicUsize::new(0),
+            store_again_at: Mutex::default(),
         }
     }
 
@@ -130,6 +138,30 @@
         }
     }
 
+    /// Lists, and adds the versions that the store does not hold. Returns whether it holds all of them then.
+    pub(crate) async fn add_versions(&self, versions: &VersionsInUse) -> bool {
+        if !self.refresh().await {
+            return false;
+        }
+        let (stored, condition) = self.stored_versions().await;
+        if stored.covers(versions) {
+            return true;
+        }
+        if self.write_versions(&stored.union(versions), condition).await {
+            log_versions(
+                versions.iter().filter(|origin| !stored.contains(origin)),
+                "in use",
+            );
+            return true;
+        }
+        // Another host may have been faster.
+        self.stored_versions().await.0.covers(versions)
+    }
+
+    fn knows_as_stored(&self, versions: &VersionsInUse) -> bool {
+        versions.iter().all(|origin| self.registry.is_in_use(&origin))
+    }
+
     /// Replaces the versions in use under the condition of the read from which `versions` was made, and lists again. A resumption
     /// may have listed since, so the condition of the last listing would overwrite what other hosts stored in between.
     pub(crate) async fn write_versions(&self, versions: &VersionsInUse, condition: Condition) -> bool {
@@ -273,8 +305,42 @@
     }
 }
 
+/// Logs a change of the versions in use.
+pub(super) fn log_versions(origins: impl Iterator<Item = Origin>, change: &str) {
+    for origin in origins {
+        let software = origin.software.as_ref().map_or("", |software| software.as_str());
+        LogEvent::SoftwareVersionsChanged.write_fields(
+            "the software versions in use have changed",
+            &[
+                ("service", &origin.service.as_str()),
+                ("software", &software),
+                ("change", &change),
+            ],
+        );
+    }
+}
+
 #[async_trait]
 impl OriginSource for StreamStore {
+    async fn store_versions(&self, versions: &VersionsInUse) -> bool {
+        let mut again_at = self.store_again_at.lock().await;
+        if self.knows_as_stored(versions) {
+            return true;
+        }
+        if self.clock.now() < *again_at {
+            return false;
+        }
+        // Set before the calls, because a stream that has waited long enough drops them.
+        *again_at = self.clock.now().after(STORE_RETRY_MS);
+        let spread_ms = rand::rng().random_range(0..self.hosts() as u64 * SPREAD_MS_PER_HOST);
+        task::sleep(DurationMs::new(spread_ms).as_std()).await;
+        let is_stored = self.add_versions(versions).await;
+        if is_stored {
+            *again_at = self.clock.now();
+        }
+        is_stored
+    }
+
     async fn ask(&self, key: StreamKey) -> Option<Option<Origin>> {
         if self.hosts() > MAX_ASKED_HOSTS {
             return None;
