Ask the other hosts before the only version in use counts

Callers would see a stream that holds events of two software versions (ORDER). While the store refuses changes and all targets of the stored version have left, new streams begin at a version that the store does not hold. A host that still listed the old version took it for the origin of such a stream, although the host that began the stream was in touch and knew better: other hosts were asked only when the store named no single version.

--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -126,7 +126,8 @@
 
     /// Returns the origin of a stream that is resumed, and never guesses. If this host has no record of its own, it reads the
     /// store, asks the other hosts, and reads the store again, because a running host may not have stored it yet. An earlier
-    /// listing counts only if the store does not answer: a host may have withdrawn an origin since.
+    /// listing counts only if the store does not answer: a host may have withdrawn an origin since. The only version in use
+    /// counts only after the other hosts were asked: one of them may use a version that the store refuses to hold.
     ///
     /// # Errors
     ///
@@ -144,7 +145,7 @@
             return allowed(own, route);
         }
         let listed = self.known(key, route);
-        let read = self.read(key, first, route, catalog);
+        let read = self.read(key, route);
         let read = match listed {
             Some(_) => async_std::future::timeout(MAX_LISTING_WAIT_MS.as_std(), read)
                 .await
@@ -161,25 +162,26 @@
             return listed;
         }
         read?;
+        if let Some(single) = self.single(route, first, &catalog()) {
+            return Ok(single);
+        }
         // A host that runs stores the origin, or the first versions of the fleet, within this time.
         task::sleep(self.source.store_delay_ms().as_std()).await;
-        let found = self.read(key, first, route, catalog).await?;
+        let found = self.read(key, route).await?;
+        let found = found.or_else(|| self.single(route, first, &catalog()).map(Ok));
         found.unwrap_or(Err(ResumptionRefusal::Unknown))
     }
 
-    /// Reads the store and looks the origin up. `None` if it is not known yet.
+    /// Reads the store and looks the origin up. `None` if the store does not hold it.
     async fn read(
         &self,
         key: Option<StreamKey>,
-        first: &str,
         route: &Route,
-        catalog: &(dyn Fn() -> Arc<Catalog> + Sync),
     ) -> Result<Option<Result<Origin, ResumptionRefusal>>, ResumptionRefusal> {
-        if !self.source.refresh().await {
-            return Err(ResumptionRefusal::Unread);
+        match self.source.refresh().await {
+            true => Ok(self.known(key, route)),
+            false => Err(ResumptionRefusal::Unread),
         }
-        let known = self.known(key, route);
-        Ok(known.or_else(|| self.single(route, first, &catalog()).map(Ok)))
     }
 
     async fn ask(&self, key: Option<StreamKey>, route: &Route) -> Option<Result<Origin, ResumptionRefusal>> {
--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -374,3 +374,14 @@
     let refused = send(&second, &resumption("r2", "r1"), &[&[old]]).await;
     assert!(refused.is_err(), "joined at {:?}", ids(&second));
 }
+
+/// Guards against a joined stream at a host whose listing is older, while the store refuses to hold the next version: the host that
+/// began the stream knows its origin.
+#[async_std::test]
+async fn known_elsewhere() {
+    let old = written_by("t1", "v1", 1);
+    let (parts, source) = fleet(Vec::new(), Some(&["v1"]));
+    *source.known_elsewhere.lock().unwrap() = Some(origin("v2"));
+    let refused = send(&parts, &resumption("r2", "r1"), &[&[old]]).await;
+    assert!(refused.is_err(), "joined at {:?}", ids(&parts));
+}
