Count the time that an answer waited for a host that stood still

A host that stands still while a listing is in flight finds the answer when it goes on, and counted it as confirmed at that moment: after a pause of five seconds it held a catalogue that was five seconds old and seemed new, up to the next listing 750 ms later, and passed it on to the hosts that read from it.

Ruled out: to count the duration of every call. Hosts fall back to the store when the data of another host seems older than 1.3 s, so a store that is slow for all would get more calls. A waiting call therefore looks at the clock every 500 ms and counts its time only if the host was at least 1 s late.

Test `late_listing` in jm-host, for answers of the store and of other hosts: failed before ("from a host: false"), passes after; all tests of jm-host pass.

--- a/crates/jm-host/src/lib.rs
+++ b/crates/jm-host/src/lib.rs
@@ -12,6 +12,7 @@
 mod duty;
 mod host;
 mod instrumented_store;
+mod late_answer;
 mod listing_metrics;
 mod logging;
 mod membership;
--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -7,7 +7,7 @@
 use jm_platform::{Change, Changes, Listing, ObjectStore, ReadError, Version, WatchError};
 use jm_types::{Clock, DurationMs, LogEvent, Timestamp};
 
-use crate::{CachedChanges, ObjectSpace, StoreCache};
+use crate::{CachedChanges, ObjectSpace, StoreCache, late_answer::with_pause};
 
 /// Intervals and limits of one prefix watch.
 #[derive(Debug, Clone, Copy)]
@@ -167,21 +167,7 @@
         is_first: bool,
         store_backoff: &mut StoreBackoff,
     ) -> Result<Position, String> {
-        let cached = self
-            .source
-            .list(self.space, self.prefix, self.options.max_age_ms)
-            .await;
-        let (listing, age) = match cached {
-            Some(cached) => cached,
-            None => match self.list_store(store_backoff).await {
-                Ok(listing) => (listing, DurationMs::new(0)),
-                Err(reason) if is_first && self.options.starts_at_any_age => {
-                    let any = self.source.list_at_any_age(self.space, self.prefix).await;
-                    any.ok_or(reason)?
-                }
-                Err(reason) => return Err(reason),
-            },
-        };
+        let (listing, age) = self.read_listing(is_first, store_backoff).await?;
         let now = self.clock.now();
         let newest = self.cache.version(self.space, self.prefix);
         let is_lagging = listing.version < newest;
@@ -205,6 +191,28 @@
         Ok(position)
     }
 
+    /// Reads a listing from another host's cache, or from the store if none has recent data, and returns it with its age.
+    async fn read_listing(
+        &self,
+        is_first: bool,
+        store_backoff: &mut StoreBackoff,
+    ) -> Result<(Listing, DurationMs), String> {
+        let cached = self.source.list(self.space, self.prefix, self.options.max_age_ms);
+        let (cached, waited) = with_pause(&*self.clock, cached).await;
+        if let Some((listing, age)) = cached {
+            return Ok((listing, age.saturating_add(waited)));
+        }
+        let (listed, waited) = with_pause(&*self.clock, self.list_store(store_backoff)).await;
+        match listed {
+            Ok(listing) => Ok((listing, waited)),
+            Err(reason) if is_first && self.options.starts_at_any_age => {
+                let any = self.source.list_at_any_age(self.space, self.prefix).await;
+                any.ok_or(reason)
+            }
+            Err(reason) => Err(reason),
+        }
+    }
+
     /// Lists the prefix in the store, unless the backoff after a failure is not over yet.
     async fn list_store(&self, store_backoff: &mut StoreBackoff) -> Result<Listing, String> {
         if self.clock.now() < store_backoff.next_at {
@@ -238,29 +246,27 @@
             if time_until_relist.get() == 0 {
                 return position.confirmed_at;
             }
-            let cached = self
-                .source
-                .watch(
-                    self.space,
-                    self.prefix,
-                    position.version,
-                    CACHE_WATCH_WAIT_MS,
-                    self.options.max_age_ms,
-                )
-                .await;
+            let cached = self.source.watch(
+                self.space,
+                self.prefix,
+                position.version,
+                CACHE_WATCH_WAIT_MS,
+                self.options.max_age_ms,
+            );
+            let (cached, waited) = with_pause(&*self.clock, cached).await;
             let (changes, age) = match cached {
                 CachedChanges::Changes { changes, age_ms } => {
                     // The other host performs the periodic listing. This host lists only when the other host is
                     // unreachable.
                     position.listed_at = self.clock.now();
-                    (changes, age_ms)
+                    (changes, age_ms.saturating_add(waited))
                 }
                 CachedChanges::Relist => return position.confirmed_at,
                 CachedChanges::Stale => match self
                     .watch_store(position.version, self.time_until_next_list(&position))
                     .await
                 {
-                    Some(changes) => (changes, DurationMs::new(0)),
+                    Some(changes) => changes,
                     None => {
                         self.pause_since(position.listed_at).await;
                         return position.confirmed_at;
@@ -295,21 +301,26 @@
         time_until_relist(&self.options, listed_ms, confirmed_ms)
     }
 
-    /// Returns changes from the store itself, or `None` when a listing is needed.
-    async fn watch_store(&self, after: Version, time_until_relist: DurationMs) -> Option<Changes> {
+    /// Returns changes from the store itself with their age, or `None` when a listing is needed.
+    async fn watch_store(
+        &self,
+        after: Version,
+        time_until_relist: DurationMs,
+    ) -> Option<(Changes, DurationMs)> {
         let wait = self.options.watch_ms.min(time_until_relist);
         if wait.get() == 0 {
             task::sleep(time_until_relist.as_std()).await;
             return None;
         }
         let started = self.clock.now();
-        match self.store.watch(self.prefix, after, wait).await {
+        let (watched, waited) = with_pause(&*self.clock, self.store.watch(self.prefix, after, wait)).await;
+        match watched {
             Ok(changes) => {
                 if changes.changes.is_empty() && self.clock.now().since(started) < wait {
                     // A store that does not wait for changes would be called without a pause.
                     self.pause_since(started).await;
                 }
-                Some(changes)
+                Some((changes, waited))
             }
             Err(WatchError::Relist { .. }) => None,
             Err(error) => {
