Trust the only version in use beside a recent listing alone

Callers would see a stream that holds events of two software versions (ORDER): a host that is out of step, cut off from the others or frozen, took its old listing of the targets for a current one. While the store refused changes, so that it held the old version only, the host took that version for the origin of a stream that another host had begun at a new one. No host was there to ask.

Ruled out: an old reading of the versions in use; a resumption reads them by a listing that starts after it has arrived.

Otherwise the resumption waits for one interval of writes, reads again, and is refused as not run.

--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -14,6 +14,10 @@
 /// Time for which a resumption whose origin an earlier listing names waits for a new listing.
 const MAX_LISTING_WAIT_MS: DurationMs = DurationMs::new(500);
 
+/// Age of the listed targets up to which they tell that a service has a single version. Hosts that are in touch with the store or with
+/// each other list the targets more often.
+const MAX_TARGETS_AGE_MS: DurationMs = DurationMs::new(2_500);
+
 /// Reads what the hosts have stored about streams.
 #[async_trait]
 pub trait OriginSource: Send + Sync {
@@ -29,6 +33,9 @@
     /// that answers knows it.
     async fn ask(&self, key: StreamKey) -> Option<Option<Origin>>;
 
+    /// Time since the store last confirmed the targets that this host lists; `None` before the first listing.
+    fn targets_age_ms(&self) -> Option<DurationMs>;
+
     /// Time within which a running host stores an origin that it has recorded.
     fn store_delay_ms(&self) -> DurationMs;
 }
@@ -195,8 +202,12 @@
     }
 
     /// The origin of any stream of the route, if its service has a single version. A listed version that is not stored counts
-    /// as well: hosts that could not read the store, or that listed no target of a stored version, use it already.
+    /// as well: hosts that could not store it, or that could not read the store, use it already. A host that is out of step does
+    /// not list it, so its listing counts only while it is recent.
     fn single(&self, route: &Route, first: &str, catalog: &Catalog) -> Option<Origin> {
+        self.source
+            .targets_age_ms()
+            .filter(|age| *age <= MAX_TARGETS_AGE_MS)?;
         let service = route.service_for(first)?;
         let single = self.registry.single_version(service)?;
         let mut listed = catalog.iter().filter(|target| target.service == *service);
--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -7,7 +7,7 @@
     future::pending,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicUsize, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
 };
 
@@ -166,6 +166,7 @@
     registry: Arc<StreamRegistry>,
     stored: Mutex<Option<VersionsInUse>>,
     known_elsewhere: Mutex<Option<Origin>>,
+    targets_age_ms: AtomicU64,
     listings: AtomicUsize,
 }
 
@@ -193,6 +194,10 @@
         self.known_elsewhere.lock().unwrap().clone().map(Some)
     }
 
+    fn targets_age_ms(&self) -> Option<DurationMs> {
+        Some(DurationMs::new(self.targets_age_ms.load(Ordering::SeqCst)))
+    }
+
     fn store_delay_ms(&self) -> DurationMs {
         DurationMs::new(0)
     }
@@ -206,6 +211,7 @@
         registry: Arc::clone(&registry),
         stored: Mutex::new(stored),
         known_elsewhere: Mutex::default(),
+        targets_age_ms: AtomicU64::new(0),
         listings: AtomicUsize::new(0),
     });
     let mut parts = forwarder(&[], rules);
@@ -385,3 +391,16 @@
     let refused = send(&parts, &resumption("r2", "r1"), &[&[old]]).await;
     assert!(refused.is_err(), "joined at {:?}", ids(&parts));
 }
+
+/// Guards against a joined stream at a host that is out of step, while the store refuses to hold the next version and no other host
+/// answers; and against refused resumptions at a host whose listing is as old as the interval of listings allows.
+#[async_std::test]
+async fn listing_age() {
+    for (age_ms, goes_on) in [(2_100, true), (3_000, false)] {
+        let old = written_by("t1", "v1", 1);
+        let (parts, source) = fleet(Vec::new(), Some(&["v1"]));
+        source.targets_age_ms.store(age_ms, Ordering::SeqCst);
+        let sent = send(&parts, &resumption("r2", "r1"), &[&[old]]).await;
+        assert_eq!(sent.is_ok(), goes_on, "{age_ms} ms: {sent:?}");
+    }
+}
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -42,7 +42,7 @@
     instrumented_store::InstrumentedStore,
     peer::{ObjectSpace, PeerClient, PeerRelay},
     peer_server::PeerHandler,
-    streams::StreamStore,
+    streams::{CachedTargets, StreamStore},
 };
 
 /// The host could not start.
@@ -193,18 +193,24 @@
             Arc::new(RelayedStore::new(Arc::new(counted), relay, Arc::clone(&clock)))
         };
         let product_store = relayed(&platform.store, ObjectSpace::Product);
+        let cache = Arc::new(StoreCache::new(Arc::clone(&clock)));
+        let targets = CachedTargets {
+            cache: Arc::clone(&cache),
+            prefix: platform.objects.targets_prefix(),
+        };
         let components = HostComponents {
             streams: Arc::new(StreamStore::new(
                 Arc::clone(&product_store) as _,
                 Arc::clone(&peers),
                 Arc::clone(&membership),
                 Arc::clone(&clock),
+                targets,
             )),
             product_store,
             platform_store: relayed(&platform.platform_store, ObjectSpace::Platform),
             usage,
             aggregator: Arc::default(),
-            cache: Arc::new(StoreCache::new(Arc::clone(&clock))),
+            cache,
             platform,
         };
         let batches = BatchService::new(
--- a/crates/jm-host/src/store_cache.rs
+++ b/crates/jm-host/src/store_cache.rs
@@ -228,6 +228,14 @@
         cached.map_or(Version::default(), |cached| cached.version)
     }
 
+    /// Time since the store last confirmed the cached objects of a prefix; `None` when the prefix is not cached.
+    pub fn age(&self, space: ObjectSpace, prefix: &str) -> Option<DurationMs> {
+        let now = self.clock.now();
+        let prefixes = self.lock();
+        let cached = prefixes.get(&(space, prefix.to_owned()))?;
+        Some(now.since(cached.confirmed_at))
+    }
+
     /// Whether the cached objects of a prefix are those of `listing`, each with the same version.
     pub(crate) fn has_same_objects(&self, space: ObjectSpace, prefix: &str, listing: &Listing) -> bool {
         let prefixes = self.lock();
--- a/crates/jm-host/src/streams/mod.rs
+++ b/crates/jm-host/src/streams/mod.rs
@@ -9,4 +9,4 @@
 pub(crate) use keeper::StreamKeeper;
 pub use record::{RecordError, StreamRecord};
 pub use schedule::{FlushSchedule, flush_interval, listing_interval, stored_origins};
-pub(crate) use store::StreamStore;
+pub(crate) use store::{CachedTargets, StreamStore};
--- a/crates/jm-host/src/streams/store.rs
+++ b/crates/jm-host/src/streams/store.rs
@@ -20,8 +20,9 @@
 
 use super::{StreamRecord, flush_interval, listing_interval, stored_origins};
 use crate::{
+    StoreCache,
     membership::Membership,
-    peer::{PeerClient, PeerReply, PeerRequest},
+    peer::{ObjectSpace, PeerClient, PeerReply, PeerRequest},
 };
 
 /// Prefix of all objects about streams. One listing of it reads them at one revision of the store.
@@ -50,6 +51,7 @@
     pub(crate) peers: Arc<PeerClient>,
     pub(crate) membership: Arc<Membership>,
     pub(crate) clock: Arc<dyn Clock>,
+    targets: CachedTargets,
     /// Number of listings that were started.
     started: AtomicU64,
     reads: Mutex<Reads>,
@@ -60,6 +62,13 @@
     store_again_at: Mutex<Timestamp>,
 }
 
+/// The cached listing of the targets.
+pub(crate) struct CachedTargets {
+    pub(crate) cache: Arc<StoreCache>,
+    /// Prefix of the keys of targets.
+    pub(crate) prefix: &'static str,
+}
+
 /// Result of the last listing.
 #[derive(Default)]
 struct Reads {
@@ -84,6 +93,7 @@
         peers: Arc<PeerClient>,
         membership: Arc<Membership>,
         clock: Arc<dyn Clock>,
+        targets: CachedTargets,
     ) -> Self {
         Self {
             store,
@@ -91,6 +101,7 @@
             peers,
             membership,
             clock,
+            targets,
             started: AtomicU64::new(0),
             reads: Mutex::default(),
             written: Mutex::new(Condition::Absent),
@@ -381,6 +392,11 @@
         reads.is_complete
     }
 
+    fn targets_age_ms(&self) -> Option<DurationMs> {
+        let targets = &self.targets;
+        targets.cache.age(ObjectSpace::Platform, targets.prefix)
+    }
+
     fn store_delay_ms(&self) -> DurationMs {
         flush_interval(self.hosts()).saturating_add(WRITE_MS)
     }
