List the targets before a stream is resumed

Cause: the target of a resumption was chosen from an earlier listing, although the break of its stream makes the entry of the target doubtful, at each host. Ruled out: to doubt an entry after a broken connection (the resumption usually arrives at another host), and to wait for the next listing (up to two seconds through others).

Change: `ListingRequests`: the watch of a prefix lists the store at once on request. Resumptions wait for it for up to 0.5 s, share listings, at most four per second and host, and go on with what was listed if it fails, in fleets of up to 32 hosts. This also makes the listing beside which the only version counts a new one.

--- a/crates/jm-forward/src/stream_attempt.rs
+++ b/crates/jm-forward/src/stream_attempt.rs
@@ -74,7 +74,10 @@
     ) -> Result<Self, ResumptionRefusal> {
         let organisation = access.organisation();
         let origin = match &request.resumption {
-            Some(resumption) => Some(streams.resolve(resumption, organisation, route, catalog).await?),
+            Some(resumption) => {
+                streams.prepare_targets().await;
+                Some(streams.resolve(resumption, organisation, route, catalog).await?)
+            }
             None => None,
         };
         let first = request.resumption.as_ref();
--- a/crates/jm-forward/src/streams/resolve.rs
+++ b/crates/jm-forward/src/streams/resolve.rs
@@ -11,7 +11,8 @@
 /// Time for which a new stream waits until the versions in use are read, or until the store holds one that it may use.
 const MAX_VERSIONS_WAIT_MS: DurationMs = DurationMs::new(500);
 
-/// Time for which a resumption whose origin an earlier listing names waits for a new listing.
+/// Time for which a resumption waits for a new listing of the targets, and one whose origin an earlier listing names for a new listing
+/// of the origins.
 const MAX_LISTING_WAIT_MS: DurationMs = DurationMs::new(500);
 
 /// Age of the listed targets up to which they tell that a service has a single version. Hosts that are in touch with the store or with
@@ -33,6 +34,10 @@
     /// that answers knows it.
     async fn ask(&self, key: StreamKey) -> Option<Option<Origin>>;
 
+    /// Lists the targets at a moment after the call, so that the catalog shows a target that has started again. Returns whether it
+    /// succeeded.
+    async fn list_targets(&self) -> bool;
+
     /// Time since the store last confirmed the targets that this host lists; `None` before the first listing.
     fn targets_age_ms(&self) -> Option<DurationMs>;
 
@@ -131,6 +136,12 @@
         }
     }
 
+    /// Prepares the choice of a target for a resumption: lists the targets, because the target that broke the stream off may be back
+    /// with other software. If that fails, for a limited time, the resumption goes on with the targets that were listed before.
+    pub async fn prepare_targets(&self) {
+        let _ = async_std::future::timeout(MAX_LISTING_WAIT_MS.as_std(), self.source.list_targets()).await;
+    }
+
     /// Returns the origin of a stream that is resumed, and never guesses. If this host has no record of its own, it reads the
     /// store, asks the other hosts, and reads the store again, because a running host may not have stored it yet. An earlier
     /// listing counts only if the store does not answer: a host may have withdrawn an origin since. The only version in use
--- a/crates/jm-forward/tests/stream_origins.rs
+++ b/crates/jm-forward/tests/stream_origins.rs
@@ -194,6 +194,10 @@
         self.known_elsewhere.lock().unwrap().clone().map(Some)
     }
 
+    async fn list_targets(&self) -> bool {
+        true
+    }
+
     fn targets_age_ms(&self) -> Option<DurationMs> {
         Some(DurationMs::new(self.targets_age_ms.load(Ordering::SeqCst)))
     }
--- a/crates/jm-host/src/host/mod.rs
+++ b/crates/jm-host/src/host/mod.rs
@@ -197,6 +197,7 @@
         let targets = CachedTargets {
             cache: Arc::clone(&cache),
             prefix: platform.objects.targets_prefix(),
+            requests: Arc::default(),
         };
         let components = HostComponents {
             streams: Arc::new(StreamStore::new(
--- a/crates/jm-host/src/host/tasks.rs
+++ b/crates/jm-host/src/host/tasks.rs
@@ -9,7 +9,7 @@
 
 use super::{Host, HostComponents};
 use crate::{
-    PrefixWatch, WatchHandler, WatchOptions,
+    ListingRequests, PrefixWatch, WatchHandler, WatchOptions,
     cluster_state::{EvacuationWatchHandler, RoutingWatchHandler, TargetWatchHandler, VersionWatchHandler},
     duty::{CapacityDuty, LeaseLoop, MaintenanceDuty, UsageDuty, WeightDuty},
     membership::MEMBER_PREFIX,
@@ -92,7 +92,9 @@
             POLLED,
             routing,
         );
-        self.start_watch(components, platform, objects.targets_prefix(), POLLED, targets);
+        let requests = components.streams.listing_requests();
+        let prefix = objects.targets_prefix();
+        self.start_requested_watch(components, platform, prefix, POLLED, targets, requests);
         self.start_watch(components, platform, objects.versions_prefix(), WATCHED, versions);
         self.start_watch(
             components,
@@ -116,6 +118,18 @@
         prefix: &'static str,
         options: WatchOptions,
         handler: Arc<dyn WatchHandler>,
+    ) {
+        self.start_requested_watch(components, space, prefix, options, handler, Arc::default());
+    }
+
+    fn start_requested_watch(
+        &self,
+        components: &HostComponents,
+        space: ObjectSpace,
+        prefix: &'static str,
+        options: WatchOptions,
+        handler: Arc<dyn WatchHandler>,
+        requests: Arc<ListingRequests>,
     ) {
         let store = match space {
             ObjectSpace::Product => &components.product_store,
@@ -131,6 +145,7 @@
             cache: Arc::clone(&components.cache),
             source: Arc::new(PeerCacheSource { client }),
             handler,
+            requests,
         };
         task::spawn(task.run());
     }
--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -4,10 +4,11 @@
 
 use async_std::task;
 use async_trait::async_trait;
+use futures::future::{Either, select};
 use jm_platform::{Change, Changes, Listing, ObjectStore, ReadError, Version, WatchError};
 use jm_types::{Clock, DurationMs, LogEvent, Timestamp};
 
-use crate::{CachedChanges, ObjectSpace, StoreCache, late_answer::with_pause};
+use crate::{CachedChanges, ListingRequests, ObjectSpace, StoreCache, late_answer::with_pause};
 
 /// Intervals and limits of one prefix watch.
 #[derive(Debug, Clone, Copy)]
@@ -82,6 +83,8 @@
     pub source: Arc<dyn CacheSource>,
     /// Receives listings and changes.
     pub handler: Arc<dyn WatchHandler>,
+    /// Requests for listings of the store that start at once.
+    pub requests: Arc<ListingRequests>,
 }
 
 /// Maximum wait for changes in another host's cache. It is shorter than most waits on the store, because it bounds
@@ -115,6 +118,9 @@
     }
 }
 
+/// Minimum interval of requested listings. The store limits the rate of all reads.
+const REQUEST_INTERVAL_MS: DurationMs = DurationMs::new(250);
+
 /// Backoff after the first failed store listing.
 const INITIAL_STORE_BACKOFF_MS: DurationMs = DurationMs::new(200);
 /// Maximum number of times that the backoff doubles.
@@ -134,8 +140,16 @@
         let mut retry = self.options.retry_ms;
         let mut store_backoff = StoreBackoff::default();
         let mut is_first = true;
+        // Number of the listing if it was requested.
+        let mut requested = None;
+        let mut requested_at = Timestamp::default();
         loop {
-            match self.list(confirmed_at, is_first, &mut store_backoff).await {
+            let listed = self.list(confirmed_at, is_first, requested.is_some(), &mut store_backoff);
+            let listed = listed.await;
+            if let Some(number) = requested.take() {
+                self.requests.finish(number, listed.is_ok());
+            }
+            match listed {
                 Ok(position) => {
                     is_first = false;
                     if retry > self.options.retry_ms {
@@ -143,7 +157,7 @@
                             .write_fields("listing the prefix succeeded again", &[("prefix", &self.prefix)]);
                     }
                     retry = self.options.retry_ms;
-                    confirmed_at = self.watch(position).await;
+                    (confirmed_at, requested) = self.watch_until_request(position, &mut requested_at).await;
                 }
                 Err(reason) => {
                     if retry == self.options.retry_ms {
@@ -157,6 +171,41 @@
         }
     }
 
+    /// Watches until a listing is due or requested. Returns the time at which the store last confirmed the state, and the number
+    /// of the listing if it was requested.
+    async fn watch_until_request(
+        &self,
+        position: Position,
+        requested_at: &mut Timestamp,
+    ) -> (Timestamp, Option<u64>) {
+        let confirmed_at = position.confirmed_at;
+        let watched = std::pin::pin!(self.watch(position));
+        let request = std::pin::pin!(self.next_request(requested_at));
+        match select(watched, request).await {
+            Either::Left((confirmed_at, _)) => (confirmed_at, None),
+            Either::Right((number, _)) => (self.confirmed_at(confirmed_at), Some(number)),
+        }
+    }
+
+    /// Waits for the end of the interval since the last request and for the next one, and returns the number of the listing.
+    async fn next_request(&self, requested_at: &mut Timestamp) -> u64 {
+        let next_at = requested_at.after(REQUEST_INTERVAL_MS);
+        task::sleep(next_at.since(self.clock.now()).as_std()).await;
+        self.requests.requested().await;
+        *requested_at = self.clock.now();
+        self.requests.start()
+    }
+
+    /// Time at which the store last confirmed the cached objects, at least `earlier`.
+    fn confirmed_at(&self, earlier: Timestamp) -> Timestamp {
+        let age_ms = self
+            .cache
+            .age(self.space, self.prefix)
+            .unwrap_or(DurationMs::new(u64::MAX));
+        let confirmed_ms = self.clock.now().get().saturating_sub(age_ms.get());
+        Timestamp::new(confirmed_ms).max(earlier)
+    }
+
     /// Lists the prefix, and passes the listing to the handler when it is the first one, contains changes or follows a
     /// notable gap. A listing that is older than the cached state and differs from it is dropped: the host read it from a
     /// peer that lags behind. If it does not differ, the host follows the peer from the older version on, because a prefix
@@ -165,9 +214,10 @@
         &self,
         confirmed_at: Timestamp,
         is_first: bool,
+        is_requested: bool,
         store_backoff: &mut StoreBackoff,
     ) -> Result<Position, String> {
-        let (listing, age) = self.read_listing(is_first, store_backoff).await?;
+        let (listing, age) = self.read_listing(is_first, is_requested, store_backoff).await?;
         let now = self.clock.now();
         let newest = self.cache.version(self.space, self.prefix);
         let is_lagging = listing.version < newest;
@@ -191,16 +241,20 @@
         Ok(position)
     }
 
-    /// Reads a listing from another host's cache, or from the store if none has recent data, and returns it with its age.
+    /// Reads a listing from another host's cache, or from the store if none has recent data or if the listing was requested, and
+    /// returns it with its age.
     async fn read_listing(
         &self,
         is_first: bool,
+        is_requested: bool,
         store_backoff: &mut StoreBackoff,
     ) -> Result<(Listing, DurationMs), String> {
-        let cached = self.source.list(self.space, self.prefix, self.options.max_age_ms);
-        let (cached, waited) = with_pause(&*self.clock, cached).await;
-        if let Some((listing, age)) = cached {
-            return Ok((listing, age.saturating_add(waited)));
+        if !is_requested {
+            let cached = self.source.list(self.space, self.prefix, self.options.max_age_ms);
+            let (cached, waited) = with_pause(&*self.clock, cached).await;
+            if let Some((listing, age)) = cached {
+                return Ok((listing, age.saturating_add(waited)));
+            }
         }
         let (listed, waited) = with_pause(&*self.clock, self.list_store(store_backoff)).await;
         match listed {
--- a/crates/jm-host/src/streams/store.rs
+++ b/crates/jm-host/src/streams/store.rs
@@ -20,7 +20,7 @@
 
 use super::{StreamRecord, flush_interval, listing_interval, stored_origins};
 use crate::{
-    StoreCache,
+    ListingRequests, StoreCache,
     membership::Membership,
     peer::{ObjectSpace, PeerClient, PeerReply, PeerRequest},
 };
@@ -31,7 +31,8 @@
 const VERSIONS_KEY: &str = "stream/versions";
 /// Time that a write of origins takes in addition to its interval.
 const WRITE_MS: DurationMs = DurationMs::new(150);
-/// Maximum number of hosts in a fleet whose hosts ask each other. In a larger one too many calls would follow a lost target.
+/// Maximum number of hosts in a fleet whose hosts ask each other, and the store for the targets, when a stream is resumed. In a larger one
+/// too many calls would follow a lost target.
 const MAX_ASKED_HOSTS: usize = 32;
 /// Maximum number of resumptions for which a host asks the others at the same time.
 const MAX_ASKING: usize = 32;
@@ -67,6 +68,8 @@
     pub(crate) cache: Arc<StoreCache>,
     /// Prefix of the keys of targets.
     pub(crate) prefix: &'static str,
+    /// Requests for a new listing.
+    pub(crate) requests: Arc<ListingRequests>,
 }
 
 /// Result of the last listing.
@@ -169,6 +172,11 @@
         self.stored_versions().await.0.covers(versions)
     }
 
+    /// Requests for listings of the targets.
+    pub(crate) fn listing_requests(&self) -> Arc<ListingRequests> {
+        Arc::clone(&self.targets.requests)
+    }
+
     fn knows_as_stored(&self, versions: &VersionsInUse) -> bool {
         versions.iter().all(|origin| self.registry.is_in_use(&origin))
     }
@@ -392,6 +400,10 @@
         reads.is_complete
     }
 
+    async fn list_targets(&self) -> bool {
+        self.hosts() <= MAX_ASKED_HOSTS && self.targets.requests.listing().await
+    }
+
     fn targets_age_ms(&self) -> Option<DurationMs> {
         let targets = &self.targets;
         targets.cache.age(ObjectSpace::Platform, targets.prefix)
--- a/crates/jm-host/tests/followed_prefix.rs
+++ b/crates/jm-host/tests/followed_prefix.rs
@@ -7,7 +7,10 @@
 
 use async_std::task;
 use async_trait::async_trait;
-use jm_host::{CacheSource, CachedChanges, ObjectSpace, PrefixWatch, StoreCache, WatchHandler, WatchOptions};
+use jm_host::{
+    CacheSource, CachedChanges, ListingRequests, ObjectSpace, PrefixWatch, StoreCache, WatchHandler,
+    WatchOptions,
+};
 use jm_platform::{
     Change, Changes, Condition, Listing, MemoryPlatform, Object, ObjectError, ObjectStore, ReadError,
     Version, WatchError,
@@ -135,6 +138,15 @@
     store: &Arc<WatchedStore>,
     other: Option<Arc<StoreCache>>,
     watch_ms: u64,
+) -> (Arc<ObservedKeys>, Arc<StoreCache>) {
+    start_with_requests(store, other, watch_ms, Arc::default())
+}
+
+fn start_with_requests(
+    store: &Arc<WatchedStore>,
+    other: Option<Arc<StoreCache>>,
+    watch_ms: u64,
+    requests: Arc<ListingRequests>,
 ) -> (Arc<ObservedKeys>, Arc<StoreCache>) {
     let observed = Arc::new(ObservedKeys::default());
     let cache = Arc::new(StoreCache::new(Arc::new(SystemClock)));
@@ -154,6 +166,7 @@
         cache: Arc::clone(&cache),
         source: Arc::new(OtherHost(other)),
         handler: Arc::clone(&observed) as _,
+        requests,
     };
     task::spawn(prefix_watch.run());
     (observed, cache)
@@ -196,6 +209,26 @@
     observed.wait_for("kind/a").await;
 }
 
+/// Guards against a requested listing that shows what another host read earlier, and against requests without an answer while the store
+/// is down.
+#[async_std::test]
+async fn requested_listing() {
+    let store = Arc::new(WatchedStore::default());
+    write(&store, "kind/a").await;
+    let other = Arc::new(StoreCache::new(Arc::new(SystemClock)));
+    let listing = store.inner.list("kind/").await.unwrap();
+    other.apply_listing(ObjectSpace::Product, "kind/", &listing, DurationMs::new(0));
+    let requests: Arc<ListingRequests> = Arc::default();
+    let (observed, _) = start_with_requests(&store, Some(other), 0, Arc::clone(&requests));
+    observed.wait_for("kind/a").await;
+    write(&store, "kind/b").await;
+    let (first, second) = futures::future::join(requests.listing(), requests.listing()).await;
+    assert!(first && second);
+    assert_eq!(*observed.0.lock().unwrap(), ["kind/a", "kind/b"]);
+    store.is_down.store(true, Ordering::SeqCst);
+    assert!(!requests.listing().await);
+}
+
 /// Hosts that read from another host's cache make no store calls, so store calls don't grow with the number of hosts.
 #[async_std::test]
 async fn calls_do_not_grow_with_hosts() {
--- a/crates/jm-host/tests/late_answers.rs
+++ b/crates/jm-host/tests/late_answers.rs
@@ -137,6 +137,7 @@
         cache: Arc::clone(&cache),
         source: answers,
         handler: Arc::new(Ignored),
+        requests: Arc::default(),
     };
     let listed = async {
         while cache.version(SPACE, PREFIX) == Version::default() {
--- a/crates/jm-host/tests/listing_backoff.rs
+++ b/crates/jm-host/tests/listing_backoff.rs
@@ -126,6 +126,7 @@
         cache: Arc::new(StoreCache::new(Arc::clone(&clock) as _)),
         source: Arc::clone(&source) as _,
         handler: Arc::new(Ignored),
+        requests: Arc::default(),
     };
     task::spawn(prefix_watch.run());
     (store, source, clock)
