Bound pieces of results by their size in JSON

Cause: a piece was bounded by 700,000 bytes of plain text, then encoded as JSON, which the platform's encoding put as a text into the JSON of the call: a quotation mark took four bytes. Ruled out: a smaller bound on plain texts, which would have to be a quarter and would still fail for control characters.

Change: pieces and pages count their size in JSON.

--- a/crates/jm-batch/src/result.rs
+++ b/crates/jm-batch/src/result.rs
@@ -1,6 +1,6 @@
 //! Results of items, their stored pieces, and pages of them.
 
-use jm_types::WeightVersion;
+use jm_types::{WeightVersion, json_text_bytes};
 use serde::{Deserialize, Serialize};
 
 use crate::RewardScore;
@@ -43,10 +43,13 @@
         }
     }
 
-    /// Approximate size of the encoded result.
+    /// Approximate size of the result in JSON.
     pub(crate) fn size_bytes(&self) -> usize {
-        let score_bytes = self.score.as_ref().map_or(0, |score| score.as_str().len());
-        self.item.len() + self.text.len() + score_bytes + RESULT_OVERHEAD_BYTES
+        let score_bytes = self
+            .score
+            .as_ref()
+            .map_or(0, |score| json_text_bytes(score.as_str()));
+        json_text_bytes(&self.item) + json_text_bytes(&self.text) + score_bytes + RESULT_OVERHEAD_BYTES
     }
 }
 
--- a/crates/jm-batch/src/runner/write.rs
+++ b/crates/jm-batch/src/runner/write.rs
@@ -13,7 +13,7 @@
 /// Interval for checking whether newly finished results have to be written before the current write interval ends.
 const WRITE_POLL_MS: DurationMs = DurationMs::new(40);
 
-/// Maximum size of the results in one object.
+/// Maximum size of the results in one object, in JSON. The platform's encoding adds up to a third.
 const PIECE_BYTES: usize = 700_000;
 
 impl Runner {
--- a/crates/jm-types/src/lib.rs
+++ b/crates/jm-types/src/lib.rs
@@ -8,6 +8,7 @@
 mod code;
 mod event;
 mod id;
+mod json_size;
 mod number;
 mod software;
 
@@ -18,6 +19,7 @@
     BatchId, KeyId, MAX_ID_BYTES, MemberId, ModelId, OrganisationId, ParseIdError, RegionId, ServiceId,
     StepId, TargetId, ZoneId,
 };
+pub use json_size::json_text_bytes;
 pub use number::{
     AttemptId, ByteSize, DurationMs, FencingNumber, Incarnation, ParseNumberError, Rate, RequestId, Revision,
     Sequence, Share, SlotIndex, Timestamp, TokenCount, WeightVersion,
