--- a/crates/jm-host/src/prefix_watch.rs
+++ b/crates/jm-host/src/prefix_watch.rs
@@ -183,7 +183,7 @@
         let request = std::pin::pin!(self.next_request(requested_at));
         match select(watched, request).await {
             Either::Left((confirmed_at, _)) => (confirmed_at, None),
-            Either::Right((number, _)) => (self.confirmed_at(confirmed_at), Some(number)),
+            Either::Right((number, _)) => (self.last_confirmation(confirmed_at), Some(number)),
         }
     }
 
@@ -197,7 +197,7 @@
     }
 
     /// Time at which the store last confirmed the cached objects, at least `earlier`.
-    fn confirmed_at(&self, earlier: Timestamp) -> Timestamp {
+    fn last_confirmation(&self, earlier: Timestamp) -> Timestamp {
         let age_ms = self
             .cache
             .age(self.space, self.prefix)
